--- /dev/null
+++ b/source/clock/manual-clock.ts
@@ -0,0 +1,58 @@
+import {Clock, type Cancel, type Milliseconds} from './clock.js';
+
+type ScheduledAction = {
+	readonly at: Milliseconds;
+	readonly order: number;
+	readonly action: () => void;
+};
+
+/** Clock that moves only when told to, for tests and model checking. */
+export class ManualClock extends Clock {
+	#now: Milliseconds = 0;
+	#order = 0;
+	readonly #scheduled = new Set<ScheduledAction>();
+
+	override now(): Milliseconds {
+		return this.#now;
+	}
+
+	override wallTime(): Milliseconds {
+		return this.#now;
+	}
+
+	override schedule(delay: Milliseconds, action: () => void): Cancel {
+		const entry = {at: this.#now + delay, order: this.#order++, action};
+		this.#scheduled.add(entry);
+		return () => {
+			this.#scheduled.delete(entry);
+		};
+	}
+
+	/** Moves time forward in milliseconds and runs the actions that become due, in order. */
+	advance(duration: Milliseconds): void {
+		const end = this.#now + duration;
+		for (let next = this.#nextDue(end); next; next = this.#nextDue(end)) {
+			this.#scheduled.delete(next);
+			this.#now = next.at;
+			next.action();
+		}
+
+		this.#now = end;
+	}
+
+	/** Moves time forward in steps and lets pending promises settle after each step. */
+	async advanceInSteps(duration: Milliseconds, step: Milliseconds): Promise<void> {
+		for (let passed = 0; passed < duration; passed += step) {
+			this.advance(step);
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
+	#nextDue(end: Milliseconds): ScheduledAction | undefined {
+		const due = [...this.#scheduled].filter(entry => entry.at <= end);
+		due.sort((first, second) => first.at - second.at || first.order - second.order);
+		return due[0];
+	}
+}
--- /dev/null
+++ b/source/database-group/log-point-rules.spec.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {coversLogPoint, freshnessFloor, isWriteConfirmed} from './log-point-rules.js';
+import {type MemberStatus} from './types.js';
+
+function statusOf(member: string, logTerm: number, position: number): MemberStatus {
+	return {
+		member,
+		promisedTerm: logTerm,
+		logTerm,
+		receivedPosition: position,
+		appliedPosition: position,
+		role: 'replica',
+		primaryTerm: logTerm,
+		primaryMember: 'a',
+		acceptingWrites: false,
+		slots: 3,
+		connectionLimit: 45,
+		connections: 0,
+		leaseHolder: '',
+		leaseRemaining: 0,
+	};
+}
+
+test('a write is not confirmed by a member whose log diverged into another term', () => {
+	const statuses = [statusOf('a', 1, 10), statusOf('b', 2, 12), statusOf('c', 1, 9)];
+	assert.equal(isWriteConfirmed({term: 1, position: 10}, 'a', statuses, 3), false);
+	assert.equal(isWriteConfirmed({term: 1, position: 9}, 'a', statuses, 3), true);
+});
+
+test('a write is not confirmed by a majority that lacks the primary', () => {
+	const statuses = [statusOf('b', 1, 10), statusOf('c', 1, 10)];
+	assert.equal(isWriteConfirmed({term: 1, position: 10}, 'a', statuses, 3), false);
+});
+
+test('a floor needs a majority asked after its start, so that an isolated primary alone makes none', () => {
+	const observations = [{askedAt: 5, status: statusOf('a', 1, 10)}, {askedAt: 3, status: statusOf('b', 1, 10)}];
+	assert.equal(freshnessFloor(5, observations, 3), undefined);
+	assert.deepEqual(freshnessFloor(3, observations, 3), {startedAt: 3, point: {term: 1, position: 10}});
+});
+
+test('the unacknowledged tail of an old primary does not make a floor that the new log cannot reach', () => {
+	const floor = freshnessFloor(0, [{askedAt: 0, status: statusOf('a', 1, 50)}, {askedAt: 0, status: statusOf('b', 2, 12)}], 3);
+	assert.deepEqual(floor?.point, {term: 2, position: 12});
+	assert.equal(coversLogPoint({term: 1, position: 50}, {term: 2, position: 12}), false);
+});
--- /dev/null
+++ b/source/database-group/log-point-rules.ts
@@ -0,0 +1,71 @@
+import {type Milliseconds} from '../clock/clock.js';
+import {
+	type FreshnessFloor, type LogPoint, type MemberObservation, type MemberStatus,
+} from './types.js';
+
+/** The point before any entry. */
+export const emptyLogPoint: LogPoint = {term: 0, position: 0};
+
+/** Returns the number of members that form a majority. */
+export function majoritySize(memberCount: number): number {
+	return Math.floor(memberCount / 2) + 1;
+}
+
+/** Orders two points by term, then by position. */
+export function compareLogPoints(first: LogPoint, second: LogPoint): number {
+	return first.term - second.term || first.position - second.position;
+}
+
+/** Returns the later of two points. */
+export function laterLogPoint(first: LogPoint, second: LogPoint): LogPoint {
+	return compareLogPoints(first, second) >= 0 ? first : second;
+}
+
+/**
+Returns whether a log that ends at the held point contains every acknowledged write at or below the needed point.
+
+A log whose last entry is of a later term contains all writes acknowledged in earlier terms, whatever its length: an old primary may have had a longer tail that was never acknowledged.
+*/
+export function coversLogPoint(held: LogPoint, needed: LogPoint): boolean {
+	return compareLogPoints(held, needed) >= 0;
+}
+
+/** Returns the point of the last durable entry of a member. */
+export function receivedPoint(status: MemberStatus): LogPoint {
+	return {term: status.logTerm, position: status.receivedPosition};
+}
+
+/** Returns the point of the last entry that reads on a member see. */
+export function appliedPoint(status: MemberStatus): LogPoint {
+	return {term: status.logTerm, position: status.appliedPosition};
+}
+
+/**
+Returns whether a write at the point may be acknowledged: the primary and in all a majority of members hold it within the write's own log term.
+
+A member whose last entry is of another term does not count, since its log may have diverged.
+*/
+export function isWriteConfirmed(write: LogPoint, primary: string, statuses: readonly MemberStatus[], memberCount: number): boolean {
+	const holders = statuses.filter(status => status.logTerm === write.term && status.receivedPosition >= write.position);
+	return holders.length >= majoritySize(memberCount) && holders.some(status => status.member === primary);
+}
+
+/** Returns the floor of a poll round in which a majority answered, otherwise undefined. */
+export function freshnessFloor(startedAt: Milliseconds, observations: readonly MemberObservation[], memberCount: number): FreshnessFloor | undefined {
+	const inRound = observations.filter(observation => observation.askedAt >= startedAt);
+	if (inRound.length < majoritySize(memberCount)) {
+		return undefined;
+	}
+
+	let point = emptyLogPoint;
+	for (const {status} of inRound) {
+		point = laterLogPoint(point, receivedPoint(status));
+	}
+
+	return {startedAt, point};
+}
+
+/** Returns whether a member may serve a read that needs the point. */
+export function mayServeRead(status: MemberStatus, needed: LogPoint): boolean {
+	return coversLogPoint(appliedPoint(status), needed);
+}
--- /dev/null
+++ b/source/links/address.ts
@@ -0,0 +1,25 @@
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+
+/** An IP number and a port as `host:port`. */
+export type Address = string;
+
+/** Parts of an address. */
+export type AddressParts = {
+	readonly host: string;
+	readonly port: number;
+};
+
+const largestPort = 65_535;
+
+/** Splits `host:port`. Throws invalidSetting. */
+export function parseAddress(address: Address): AddressParts {
+	const separator = address.lastIndexOf(':');
+	const host = address.slice(0, separator).replaceAll(/[\[\]]/gv, '');
+	const portText = address.slice(separator + 1);
+	const port = Number(portText);
+	if (separator <= 0 || !/^\d+$/v.test(portText) || port > largestPort) {
+		throw new BuckthornhitchError('invalidSetting', `"${address}" is not an address of the form host:port.`);
+	}
+
+	return {host, port};
+}
--- /dev/null
+++ b/source/links/link-client.ts
@@ -0,0 +1,24 @@
+import {type Milliseconds} from '../clock/clock.js';
+import {type Address} from './address.js';
+
+/** Sends requests to other processes. */
+export abstract class LinkClient {
+	/**
+	Sends one request and resolves with the body of its response.
+
+	Rejects with the peer's own code, with linkNotSent when nothing was written, or with linkOutcomeUnknown when the link was lost or the timeout (in milliseconds) passed after sending.
+	*/
+	abstract request(address: Address, name: string, body: unknown, timeout: Milliseconds): Promise<unknown>;
+
+	/** Sends a message without a response; drops it when the link cannot be opened. */
+	abstract notify(address: Address, name: string, body: unknown): void;
+}
+
+/** Answers one kind of request; a thrown error is sent with its numbered code. */
+export type RequestHandler = (body: unknown, peer: LinkPeer) => Promise<unknown>;
+
+/** The other end of an accepted link. */
+export type LinkPeer = {
+	/** Identifies this accepted link within the process. */
+	readonly linkId: number;
+};
--- /dev/null
+++ b/source/links/tcp-link-client.ts
@@ -0,0 +1,179 @@
+import {createConnection, type Socket} from 'node:net';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {BuckthornhitchError, errorFromCode, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type HybridClock} from '../timeline/hybrid-clock.js';
+import {parseAddress, type Address} from './address.js';
+import {LinkClient} from './link-client.js';
+import {LinkSocket} from './link-socket.js';
+import {type LinkMessage} from './messages.js';
+
+/** A new link must be open within this many milliseconds. */
+export const connectTimeout: Milliseconds = 400;
+
+type PendingRequest = {
+	readonly resolve: (body: unknown) => void;
+	readonly reject: (error: BuckthornhitchError) => void;
+	readonly cancelTimeout: Cancel;
+};
+
+type OpenLink = {
+	readonly link: LinkSocket;
+	readonly pending: Map<number, PendingRequest>;
+};
+
+/** Sends requests over TCP; keeps one link for each address. */
+export class TcpLinkClient extends LinkClient {
+	readonly #links = new Map<Address, Promise<OpenLink>>();
+	#nextNumber = 1;
+	#droppedResponses = 0;
+
+	constructor(private readonly clock: Clock, private readonly hybridClock: HybridClock) {
+		super();
+	}
+
+	/** Number of responses that came after their timeout. */
+	get droppedResponses(): number {
+		return this.#droppedResponses;
+	}
+
+	override async request(address: Address, name: string, body: unknown, timeout: Milliseconds): Promise<unknown> {
+		const {link, pending} = await this.#open(address);
+		const number = this.#nextNumber++;
+		return new Promise((resolve, reject) => {
+			const cancelTimeout = this.clock.schedule(timeout, () => {
+				pending.delete(number);
+				reject(new BuckthornhitchError('linkOutcomeUnknown', `${address} did not answer ${name} within ${Math.round(timeout)} ms.`));
+			});
+			pending.set(number, {resolve, reject, cancelTimeout});
+			try {
+				link.send({
+					kind: 'request', number, name, body,
+				});
+			} catch (error) {
+				cancelTimeout();
+				pending.delete(number);
+				reject(toBuckthornhitchError(error));
+			}
+		});
+	}
+
+	override notify(address: Address, name: string, body: unknown): void {
+		this.#open(address).then(({link}) => {
+			link.send({kind: 'notice', name, body});
+		}).catch(() => {
+			// A notice may be lost.
+		});
+	}
+
+	/** Closes all links. */
+	async close(): Promise<void> {
+		const opening = [...this.#links.values()];
+		this.#links.clear();
+		for (const result of await Promise.allSettled(opening)) {
+			if (result.status === 'fulfilled') {
+				result.value.link.destroy();
+			}
+		}
+	}
+
+	async #open(address: Address): Promise<OpenLink> {
+		const existing = this.#links.get(address);
+		if (existing) {
+			return existing;
+		}
+
+		const opening = this.#connect(address);
+		this.#links.set(address, opening);
+		opening.catch(() => {
+			this.#forget(address, opening);
+		});
+		return opening;
+	}
+
+	async #connect(address: Address): Promise<OpenLink> {
+		const socket = await connectSocket(address, this.clock);
+		const pending = new Map<number, PendingRequest>();
+		const link = new LinkSocket({
+			socket,
+			clock: this.clock,
+			hybridClock: this.hybridClock,
+			onMessage: message => {
+				this.#receive(pending, message);
+			},
+			onClose: () => {
+				void this.#forgetClosed(address, link);
+				failPending(address, pending);
+			},
+		});
+		return {link, pending};
+	}
+
+	#receive(pending: Map<number, PendingRequest>, message: LinkMessage): void {
+		if (message.kind !== 'response') {
+			return;
+		}
+
+		const request = pending.get(message.number);
+		if (!request) {
+			this.#droppedResponses++;
+			return;
+		}
+
+		pending.delete(message.number);
+		request.cancelTimeout();
+		if (message.code === 0) {
+			request.resolve(message.body);
+		} else {
+			request.reject(errorFromCode(message.code, String(message.body)));
+		}
+	}
+
+	#forget(address: Address, opening: Promise<OpenLink>): void {
+		if (this.#links.get(address) === opening) {
+			this.#links.delete(address);
+		}
+	}
+
+	async #forgetClosed(address: Address, link: LinkSocket): Promise<void> {
+		const opening = this.#links.get(address);
+		const open = await opening?.catch(() => undefined);
+		if (opening && open?.link === link) {
+			this.#forget(address, opening);
+		}
+	}
+}
+
+function failPending(address: Address, pending: Map<number, PendingRequest>): void {
+	for (const request of pending.values()) {
+		request.cancelTimeout();
+		request.reject(new BuckthornhitchError('linkOutcomeUnknown', `The link to ${address} was lost.`));
+	}
+
+	pending.clear();
+}
+
+async function connectSocket(address: Address, clock: Clock): Promise<Socket> {
+	const {host, port} = parseAddress(address);
+	return new Promise((resolve, reject) => {
+		const socket = createConnection({host, port});
+		const fail = (reason: string): void => {
+			socket.destroy();
+			reject(new BuckthornhitchError('linkNotSent', `${address}: ${reason}.`));
+		};
+
+		const cancelTimeout = clock.schedule(connectTimeout, () => {
+			fail(`no connection within ${connectTimeout} ms`);
+		});
+		const onError = (error: Error): void => {
+			cancelTimeout();
+			fail(error.message);
+		};
+
+		socket.once('error', onError);
+		socket.once('connect', () => {
+			cancelTimeout();
+			socket.off('error', onError);
+			resolve(socket);
+		});
+	});
+}
--- /dev/null
+++ b/source/random/random.ts
@@ -0,0 +1,56 @@
+import {randomBytes, randomInt} from 'node:crypto';
+
+/** Source of random numbers for all decisions. */
+export abstract class Random {
+	/** Returns a whole number from 0 up to but not including the limit. */
+	below(limit: number): number {
+		return Math.floor(this.fraction() * limit);
+	}
+
+	/** Returns up to count different elements in random order. */
+	sample<Element>(elements: readonly Element[], count: number): readonly Element[] {
+		const rest = [...elements];
+		const chosen: Element[] = [];
+		while (chosen.length < count && rest.length > 0) {
+			chosen.push(...rest.splice(this.below(rest.length), 1));
+		}
+
+		return chosen;
+	}
+
+	/** Returns a number from 0 up to but not including 1. */
+	abstract fraction(): number;
+}
+
+const fractionSteps = 2 ** 47;
+
+/** Random numbers of the operating system. */
+export class SystemRandom extends Random {
+	override fraction(): number {
+		return randomInt(fractionSteps) / fractionSteps;
+	}
+}
+
+/** Repeatable random numbers from a seed (mulberry32), for tests and measurements. */
+export class SeededRandom extends Random {
+	#state: number;
+
+	constructor(seed: number) {
+		super();
+		this.#state = Math.trunc(seed);
+	}
+
+	override fraction(): number {
+		/* eslint-disable no-bitwise, unicorn/prefer-math-trunc */
+		this.#state = (this.#state + 0x6D_2B_79_F5) | 0;
+		let mixed = Math.imul(this.#state ^ (this.#state >>> 15), 1 | this.#state);
+		mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
+		return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+		/* eslint-enable no-bitwise, unicorn/prefer-math-trunc */
+	}
+}
+
+/** Returns an identifier that no other call returns, as 24 hexadecimal digits. */
+export function uniqueId(): string {
+	return randomBytes(12).toString('hex');
+}
--- /dev/null
+++ b/source/result-codes/buckthornhitch-error.ts
@@ -0,0 +1,36 @@
+import {
+	resultCodeName, resultCodes, type ResultCodeEntry, type ResultCodeName,
+} from './result-codes.js';
+
+/** Error with a numbered result code. */
+export class BuckthornhitchError extends Error {
+	override readonly name = 'BuckthornhitchError';
+
+	constructor(readonly codeName: ResultCodeName, readonly detail: string, options?: ErrorOptions) {
+		super(`BH${String(resultCodes[codeName].code).padStart(4, '0')}: ${resultCodes[codeName].text} ${detail}`.trim(), options);
+	}
+
+	/** The numbered code. */
+	get code(): number {
+		return resultCodes[this.codeName].code;
+	}
+
+	/** The table entry of the code. */
+	get entry(): ResultCodeEntry {
+		return resultCodes[this.codeName];
+	}
+}
+
+/** Returns the error for a code number received from a peer. */
+export function errorFromCode(code: number, detail: string): BuckthornhitchError {
+	return new BuckthornhitchError(resultCodeName(code) ?? 'internalFault', detail);
+}
+
+/** Wraps any thrown value as an error with a numbered code. */
+export function toBuckthornhitchError(thrown: unknown): BuckthornhitchError {
+	if (thrown instanceof BuckthornhitchError) {
+		return thrown;
+	}
+
+	return new BuckthornhitchError('internalFault', thrown instanceof Error ? thrown.message : String(thrown), {cause: thrown});
+}
--- /dev/null
+++ b/source/session/session-token.ts
@@ -0,0 +1,35 @@
+import {emptyLogPoint, laterLogPoint} from '../database-group/log-point-rules.js';
+import {type LogPoint} from '../database-group/types.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+
+/** The point of a database that a session must see in its reads. */
+export type SessionToken = {
+	readonly database: string;
+	readonly point: LogPoint;
+};
+
+const tokenPattern = /^(?<database>[^@]+)@(?<term>\d{1,15})\.(?<position>\d{1,15})$/v;
+
+/** Returns the text form of a token: `database@term.position`. */
+export function formatSessionToken(token: SessionToken): string {
+	return `${token.database}@${token.point.term}.${token.point.position}`;
+}
+
+/** Parses the text form for the database. Throws invalidSetting or tokenForOtherDatabase. */
+export function parseSessionToken(text: string, database: string): SessionToken {
+	const match = tokenPattern.exec(text);
+	if (!match?.groups) {
+		throw new BuckthornhitchError('invalidSetting', 'buckthornhitch.token must have the form database@term.position.');
+	}
+
+	if (match.groups.database !== database) {
+		throw new BuckthornhitchError('tokenForOtherDatabase', `The token belongs to "${match.groups.database}", the session uses "${database}".`);
+	}
+
+	return {database, point: {term: Number(match.groups.term), position: Number(match.groups.position)}};
+}
+
+/** Returns the token moved forward to cover the point as well. */
+export function advanceSessionToken(token: SessionToken | null, database: string, point: LogPoint): SessionToken {
+	return {database, point: laterLogPoint(token?.point ?? emptyLogPoint, point)};
+}
