--- /dev/null
+++ b/source/membership/instance-directory.ts
@@ -0,0 +1,50 @@
+import {type InstanceRecord} from './instance-record.js';
+
+/** Ends a subscription. */
+export type StopWatching = () => void;
+
+/** The processes of the fleet as this process sees them. */
+export abstract class InstanceDirectory {
+	/** Returns all known records, this process's own included. */
+	abstract records(): readonly InstanceRecord[];
+
+	/** Calls the listener after each change. */
+	abstract watch(listener: () => void): StopWatching;
+
+	/** Announces that this process is draining; other processes give it no new work. */
+	abstract markDraining(): void;
+}
+
+/** Directory with fixed records, for tests and the demonstration. */
+export class StaticInstanceDirectory extends InstanceDirectory {
+	readonly #listeners = new Set<() => void>();
+	#records: readonly InstanceRecord[];
+
+	constructor(records: readonly InstanceRecord[], private readonly ownName = '') {
+		super();
+		this.#records = records;
+	}
+
+	override records(): readonly InstanceRecord[] {
+		return this.#records;
+	}
+
+	/** Replaces the records and notifies the listeners. */
+	replace(records: readonly InstanceRecord[]): void {
+		this.#records = records;
+		for (const listener of this.#listeners) {
+			listener();
+		}
+	}
+
+	override watch(listener: () => void): StopWatching {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	override markDraining(): void {
+		this.replace(this.#records.map(record => record.name === this.ownName ? {...record, state: 'draining'} : record));
+	}
+}
--- /dev/null
+++ b/source/observability/metrics-server.ts
@@ -0,0 +1,36 @@
+import {createServer, type Server} from 'node:http';
+import {type Registry} from 'prom-client';
+import {parseAddress, type Address} from '../links/address.js';
+
+/** Serves the metrics of a process under `/metrics`. */
+export class MetricsServer {
+	readonly #server: Server;
+
+	constructor(registry: Registry) {
+		this.#server = createServer((request, response) => {
+			if (request.url !== '/metrics') {
+				response.writeHead(404).end();
+				return;
+			}
+
+			void registry.metrics().then(text => {
+				response.writeHead(200, {'content-type': registry.contentType}).end(text);
+			});
+		});
+	}
+
+	/** Listens on the address. Rejects when it is in use. */
+	async listen(address: Address): Promise<void> {
+		const {host, port} = parseAddress(address);
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({host, port}, resolve);
+		});
+	}
+
+	/** Stops listening. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+}
--- /dev/null
+++ b/source/settings/common-settings.ts
@@ -0,0 +1,81 @@
+import {
+	multioption, array, oneOf, option, string,
+} from 'cmd-ts';
+import {parseAddress, type Address} from '../links/address.js';
+import {logLevels, type LogLevel} from '../observability/logger.js';
+
+/** Settings that every process of the fleet has. */
+export type CommonSettings = {
+	readonly name: string;
+	readonly instance: string;
+	readonly dataCentre: string;
+	readonly region: string;
+	readonly linkAddress: Address;
+	readonly gossipAddress: Address;
+	readonly metricsAddress: Address;
+	readonly seeds: readonly Address[];
+	readonly logLevel: LogLevel;
+};
+
+/** Address given as `host:port`, checked at the start. */
+export const addressType = {
+	async from(text: string): Promise<Address> {
+		parseAddress(text);
+		return text;
+	},
+	description: 'host:port',
+	displayName: 'address',
+};
+
+/** List of addresses separated by commas; may be empty. */
+export const addressListType = {
+	async from(text: string): Promise<readonly Address[]> {
+		const addresses = text.split(',').map(part => part.trim()).filter(part => part !== '');
+		for (const address of addresses) {
+			parseAddress(address);
+		}
+
+		return addresses;
+	},
+	description: 'host:port,host:port',
+	displayName: 'addresses',
+};
+
+/** Flags and environment variables of the common settings, for `cmd-ts`. */
+export const commonOptions = {
+	name: option({
+		type: string, long: 'name', env: 'BUCKTHORNHITCH_NAME', description: 'unique name of this process',
+	}),
+	instance: option({
+		type: string, long: 'instance', env: 'BUCKTHORNHITCH_INSTANCE', description: 'name of the instance that it runs on',
+	}),
+	dataCentre: option({
+		type: string, long: 'data-centre', env: 'BUCKTHORNHITCH_DATA_CENTRE', description: 'data centre of the instance',
+	}),
+	region: option({
+		type: string, long: 'region', env: 'BUCKTHORNHITCH_REGION', description: 'region of the data centre',
+	}),
+	linkAddress: option({
+		type: addressType, long: 'link-address', env: 'BUCKTHORNHITCH_LINK_ADDRESS', description: 'TCP address for links from other processes',
+	}),
+	gossipAddress: option({
+		type: addressType, long: 'gossip-address', env: 'BUCKTHORNHITCH_GOSSIP_ADDRESS', description: 'UDP address for membership',
+	}),
+	metricsAddress: option({
+		type: addressType, long: 'metrics-address', env: 'BUCKTHORNHITCH_METRICS_ADDRESS', description: 'HTTP address for metrics',
+	}),
+	seeds: option({
+		type: addressListType, long: 'seeds', env: 'BUCKTHORNHITCH_SEEDS', description: 'gossip addresses of processes to join by', defaultValue: () => [], defaultValueIsSerializable: true,
+	}),
+	logLevel: option({
+		type: oneOf(logLevels), long: 'log-level', env: 'BUCKTHORNHITCH_LOG_LEVEL', description: 'debug, info, warn or error', defaultValue: () => 'info' as const, defaultValueIsSerializable: true,
+	}),
+};
+
+/** Flag for the link addresses of the control voters. */
+export const controlsOption = option({
+	type: addressListType, long: 'controls', env: 'BUCKTHORNHITCH_CONTROLS', description: 'link addresses of the control instances',
+});
+
+/** Flag that may be given several times, as a list of texts. */
+export const repeatedTextOption = (long: string, description: string) => multioption({type: array(string), long, description});
