--- a/source/result-codes/result-codes.ts
+++ b/source/result-codes/result-codes.ts
@@ -64,7 +64,7 @@
 		code: 2010, execution: 'notRun', sqlState: '22023', text: 'Not run: the request id is older than the retention time.', action: 'Find out the outcome by a read.',
 	},
 	outcomeUnknown: {
-		code: 3001, execution: 'unknown', sqlState: '08007', text: 'The outcome is unknown: the request was sent and its answer was lost.', action: 'Read the data, or retry under the same request id.',
+		code: 3001, execution: 'unknown', sqlState: '08007', text: 'The outcome is unknown: the request was sent, its answer was lost.', action: 'Read the data, or retry under the same request id.',
 	},
 	transactionLost: {
 		code: 3002, execution: 'notRun', sqlState: '40001', text: 'The transaction was rolled back because its connection was lost.', action: 'Run the transaction again.',
