--- /dev/null
+++ b/specification/verify.ts
@@ -0,0 +1,27 @@
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {databaseGroupCases} from './database-group.js';
+import {type VerificationCase} from './registry.js';
+
+const cases: readonly VerificationCase[] = [...databaseGroupCases];
+
+/** Runs one case, prints its figures and returns whether it ended as expected. */
+function runCase(verificationCase: VerificationCase): boolean {
+	const start = performance.now();
+	const result = verificationCase.run();
+	const seconds = ((performance.now() - start) / 1000).toFixed(1);
+	const expected = verificationCase.mutation === null ? !result.violation : Boolean(result.violation);
+	const kind = verificationCase.mutation === null ? 'protocol' : `mutation: ${verificationCase.mutation}`;
+	console.log(`${expected ? 'ok' : 'FAILED'}  ${verificationCase.name}, ${kind}`);
+	console.log(`    ${result.states} states, ${result.transitions} transitions, ${seconds} s; ${result.violation ? `violation: ${result.violation}` : 'no violation'}`);
+	if (result.counterexample.length > 0) {
+		console.log(`    ${result.counterexample.length} steps: ${result.counterexample.join(' ')}`);
+	}
+
+	return expected;
+}
+
+const outcomes = cases.map(verificationCase => runCase(verificationCase));
+const passed = outcomes.filter(Boolean).length;
+console.log(`${passed} passed, ${outcomes.length - passed} failed`);
+process.exitCode = passed === outcomes.length ? 0 : 1;
