--- a/source/binaries/process-runtime.ts
+++ b/source/binaries/process-runtime.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {Registry} from 'prom-client';
-import {type Clock} from '../clock/clock.js';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {SystemClock} from '../clock/system-clock.js';
 import {LinkServer} from '../links/link-server.js';
 import {TcpLinkClient} from '../links/tcp-link-client.js';
@@ -11,6 +11,9 @@
 import {HybridClock} from '../timeline/hybrid-clock.js';
 import {Timeline} from '../timeline/timeline.js';
 
+/** Time for the answer to a drain request to leave before the links are closed. */
+const drainAnswerTime: Milliseconds = 50;
+
 type ShutdownStep = () => Promise<void> | void;
 
 /** Services that every process of the fleet has. */
@@ -59,6 +62,17 @@
 		}
 	}
 
+	/** Shuts the process down when an operator asks for it by the request `drain`. */
+	handleDrainRequests(): void {
+		this.linkServer.handle('drain', async () => {
+			this.clock.schedule(drainAnswerTime, () => {
+				void this.shutdown().then(() => {
+					process.exit(0);
+				});
+			});
+		});
+	}
+
 	/** Runs the shutdown steps once and closes the links. */
 	async shutdown(): Promise<void> {
 		this.#shuttingDown ??= this.#runShutdown();
--- /dev/null
+++ b/source/command-line/configuration-commands.ts
@@ -0,0 +1,100 @@
+import process from 'node:process';
+import {userInfo} from 'node:os';
+import {
+	command, number, option, optional, positional, string,
+} from 'cmd-ts';
+import {assertFilesValid} from '../configuration/check-files.js';
+import {type AcceptedConfiguration} from '../configuration/types.js';
+import {BuckthornhitchError, errorFromCode} from '../result-codes/buckthornhitch-error.js';
+import {controlsOption} from '../settings/common-settings.js';
+import {
+	changeIdOf, readConfigurationFolder, readRevision, writeConfigurationFolder, writeRevision,
+} from './configuration-files.js';
+import {reportFailure, runWithSession, type OperatorSession} from './operator-session.js';
+
+const folderArgument = positional({type: string, displayName: 'folder', description: 'folder with base.yaml and one overlay for each site'});
+
+/** `check`: validates a folder without submitting it. */
+export const checkCommand = command({
+	name: 'check',
+	description: 'check a folder of configuration files',
+	args: {folder: folderArgument},
+	async handler({folder}) {
+		try {
+			assertFilesValid(await readConfigurationFolder(folder));
+			console.log('The files are valid.');
+		} catch (error) {
+			reportFailure(error);
+		}
+	},
+});
+
+/** `fetch`: writes the accepted files into a folder. */
+export const fetchCommand = command({
+	name: 'fetch',
+	description: 'write the accepted configuration files into a folder',
+	args: {folder: folderArgument, controls: controlsOption},
+	async handler({folder, controls}) {
+		await runWithSession(controls, async session => {
+			const {files, revision} = await fetchAccepted(session);
+			await writeConfigurationFolder(folder, files, revision);
+			console.log(`The folder holds revision ${revision}.`);
+		});
+	},
+});
+
+/** `apply`: submits a folder as the next revision. */
+export const applyCommand = command({
+	name: 'apply',
+	description: 'submit a folder of configuration files; safe to repeat when the answer was lost',
+	args: {
+		folder: folderArgument,
+		controls: controlsOption,
+		expectedRevision: option({type: optional(number), long: 'expected-revision', description: 'revision that the files were edited from; read from the folder when it was fetched or applied before'}),
+		changeId: option({type: optional(string), long: 'change-id', description: 'identifies this change; derived from the files and the expected revision by default'}),
+	},
+	async handler({folder, controls, expectedRevision, changeId}) {
+		await runWithSession(controls, async session => {
+			const files = await readConfigurationFolder(folder);
+			assertFilesValid(files);
+			const expected = expectedRevision ?? await readRevision(folder);
+			if (expected === undefined) {
+				throw new BuckthornhitchError('invalidSetting', 'The revision that the files were edited from is not known: fetch the folder first, or give --expected-revision (0 for the first configuration).');
+			}
+
+			const answer = await session.controlClient.apply({
+				changeId: changeId ?? changeIdOf(files, expected), expectedRevision: expected, files, operator: userInfo().username,
+			});
+			if (answer.code !== 0) {
+				throw errorFromCode(answer.code, `${answer.detail} The current revision is ${answer.revision}.`.trim());
+			}
+
+			await writeRevision(folder, answer.revision);
+			console.log(`Accepted as revision ${answer.revision}.`);
+		});
+	},
+});
+
+/** `bootstrap`: gives new control instances their voter list, once. */
+export const bootstrapCommand = command({
+	name: 'bootstrap',
+	description: 'give new control instances their first list of voters; run once',
+	args: {controls: controlsOption},
+	async handler({controls}) {
+		await runWithSession(controls, async session => {
+			const voters = await session.controlClient.bootstrap();
+			console.log(`The voters are ${voters.map(voter => voter.name).join(', ')}.`);
+		});
+	},
+});
+
+async function fetchAccepted(session: OperatorSession): Promise<AcceptedConfiguration> {
+	// A revision below every real one makes the answer a snapshot.
+	const answer = await session.controlClient.configurationSince({revision: -1});
+	if (answer.kind !== 'snapshot') {
+		process.exitCode = 1;
+		throw new BuckthornhitchError('internalFault', 'The control instance sent changes in place of a snapshot.');
+	}
+
+	return answer.configuration;
+}
--- /dev/null
+++ b/source/command-line/configuration-files.ts
@@ -0,0 +1,63 @@
+import {createHash} from 'node:crypto';
+import {
+	readdir, readFile, writeFile, mkdir,
+} from 'node:fs/promises';
+import {basename, extname, join} from 'node:path';
+import {type ConfigurationFiles} from '../configuration/types.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+
+const fileExtension = '.yaml';
+const revisionFileName = '.revision';
+
+/** Reads `base.yaml` and one overlay for each site from a folder. Rejects with invalidSetting. */
+export async function readConfigurationFolder(folder: string): Promise<ConfigurationFiles> {
+	const names = await readdir(folder).catch((error: unknown) => {
+		throw new BuckthornhitchError('invalidSetting', `The folder "${folder}" cannot be read.`, {cause: error});
+	});
+	const files: Record<string, string> = {};
+	for (const name of names.filter(candidate => extname(candidate) === fileExtension)) {
+		files[basename(name, fileExtension)] = await readFile(join(folder, name), 'utf8');
+	}
+
+	if (files.base === undefined) {
+		throw new BuckthornhitchError('invalidSetting', `The folder "${folder}" has no base.yaml.`);
+	}
+
+	return files;
+}
+
+/** Writes the files of an accepted revision into a folder, with the revision beside them. */
+export async function writeConfigurationFolder(folder: string, files: ConfigurationFiles, revision: number): Promise<void> {
+	await mkdir(folder, {recursive: true});
+	for (const [name, content] of Object.entries(files)) {
+		await writeFile(join(folder, `${name}${fileExtension}`), content);
+	}
+
+	await writeRevision(folder, revision);
+}
+
+/** Returns the revision that the files in the folder were taken from, or undefined. */
+export async function readRevision(folder: string): Promise<number | undefined> {
+	const text = await readFile(join(folder, revisionFileName), 'utf8').catch(() => undefined);
+	const revision = Number(text?.trim());
+	return text === undefined || !Number.isSafeInteger(revision) ? undefined : revision;
+}
+
+/** Records the revision that the files in the folder now stand for. */
+export async function writeRevision(folder: string, revision: number): Promise<void> {
+	await writeFile(join(folder, revisionFileName), `${revision}\n`);
+}
+
+/**
+Returns the change id of a set of files at an expected revision.
+
+An operator who lost the answer and submits the same files again sends the same id, so the change is applied once.
+*/
+export function changeIdOf(files: ConfigurationFiles, expectedRevision: number): string {
+	const hash = createHash('sha256').update(String(expectedRevision));
+	for (const name of Object.keys(files).sort()) {
+		hash.update(`\n${name}\n${files[name].length}\n${files[name]}`);
+	}
+
+	return hash.digest('hex').slice(0, 32);
+}
--- /dev/null
+++ b/source/command-line/explain-command.ts
@@ -0,0 +1,32 @@
+import {command, positional, string} from 'cmd-ts';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {resultCodeName, resultCodes} from '../result-codes/result-codes.js';
+import {reportFailure} from './operator-session.js';
+
+const executionTexts = {
+	ran: 'The request has run.',
+	notRun: 'The request has not run; it may be sent again.',
+	unknown: 'It is not known whether the request has run.',
+	notApplicable: 'The code does not belong to a request.',
+} as const;
+
+/** `explain`: describes a numbered result code. */
+export const explainCommand = command({
+	name: 'explain',
+	description: 'describe a numbered result code, for example BH2003',
+	args: {code: positional({type: string, displayName: 'code'})},
+	handler({code}) {
+		const number = Number(code.replace(/^BH/iv, ''));
+		const name = resultCodeName(number);
+		if (!name) {
+			reportFailure(new BuckthornhitchError('invalidSetting', `There is no result code "${code}".`));
+			return;
+		}
+
+		const entry = resultCodes[name];
+		console.log(`BH${String(entry.code).padStart(4, '0')} ${name} (SQLSTATE ${entry.sqlState})`);
+		console.log(entry.text);
+		console.log(executionTexts[entry.execution]);
+		console.log(`What to do: ${entry.action}`);
+	},
+});
--- /dev/null
+++ b/source/command-line/operator-session.ts
@@ -0,0 +1,62 @@
+import process from 'node:process';
+import {SystemClock} from '../clock/system-clock.js';
+import {ControlClient} from '../control/control-client.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient} from '../links/link-client.js';
+import {TcpLinkClient} from '../links/tcp-link-client.js';
+import {type InstanceRecord} from '../membership/instance-record.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {HybridClock} from '../timeline/hybrid-clock.js';
+
+/** Time for one request of an operator's command to one process, in milliseconds. */
+export const commandTimeout = 3000;
+
+/** Connections of one operator's command. */
+export type OperatorSession = {
+	readonly controls: readonly Address[];
+	readonly controlClient: ControlClient;
+	readonly linkClient: LinkClient;
+};
+
+/** Runs a command with a session, prints its error with the numbered code, and sets the exit status. */
+export async function runWithSession(controls: readonly Address[], command: (session: OperatorSession) => Promise<void>): Promise<void> {
+	const clock = new SystemClock();
+	const linkClient = new TcpLinkClient(clock, new HybridClock(clock));
+	try {
+		await command({controls, linkClient, controlClient: new ControlClient(linkClient, clock, controls)});
+	} catch (error) {
+		reportFailure(error);
+	} finally {
+		await linkClient.close();
+	}
+}
+
+/** Prints an error with its numbered code and sets exit status 1. */
+export function reportFailure(error: unknown): void {
+	console.error(toBuckthornhitchError(error).message);
+	process.exitCode = 1;
+}
+
+/** Returns the processes of the fleet as the first control instance that answers sees them. Rejects with linkNotSent. */
+export async function fetchInstances({controls, linkClient}: OperatorSession): Promise<readonly InstanceRecord[]> {
+	for (const address of controls) {
+		try {
+			return await linkClient.request(address, 'instances', null, commandTimeout) as readonly InstanceRecord[];
+		} catch {
+			// The next control instance may answer.
+		}
+	}
+
+	throw new BuckthornhitchError('linkNotSent', `None of the control instances ${controls.join(', ')} answered.`);
+}
+
+/** Returns the record of the named process. Rejects with invalidSetting. */
+export async function findInstance(session: OperatorSession, name: string): Promise<InstanceRecord> {
+	const records = await fetchInstances(session);
+	const record = records.find(candidate => candidate.name === name);
+	if (!record) {
+		throw new BuckthornhitchError('invalidSetting', `There is no process "${name}". Known are ${records.map(known => known.name).join(', ')}.`);
+	}
+
+	return record;
+}
