Add the stand-in backend server

The stand-in member speaks the PostgreSQL protocol, runs a small part of SQL in memory, replicates its log to followers, keeps promises and leases, and limits slots and connections.

--- /dev/null
+++ b/stand-in/client-session.ts
@@ -0,0 +1,450 @@
+import {Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
+import {
+	backendMessages, FrontendReader, startupCodes, type BodyReader, type FrontendMessage, type ResultColumn,
+} from './postgres-messages.js';
+import {SqlError} from './sql-error.js';
+import {type Result} from './statement-executor.js';
+import {parseStatements, type ParsedStatement} from './statement-parser.js';
+import {type Transaction, type Value} from './tables.js';
+
+/** What a session asks of its member. */
+export type SessionHost = {
+	/** Takes the session in once its connection is set up. Rejects with 53300. */
+	admit(session: ClientSession): Promise<void>;
+	/** Forgets a session that has ended. */
+	forget(session: ClientSession): void;
+	beginTransaction(): Transaction;
+	/** Throws when the member may not take the transaction's writes. */
+	commit(transaction: Transaction): void;
+	describe(statement: ParsedStatement, transaction: Transaction): readonly ResultColumn[] | undefined;
+	execute(statement: ParsedStatement, values: readonly Value[], session: SessionTransaction): Promise<Result>;
+	/** Takes over a connection that starts replication. */
+	serveFollower(socket: Socket, received: Buffer): void;
+};
+
+/** State of a session that the execution of a statement needs. */
+export type SessionTransaction = {
+	readonly transaction: Transaction;
+	readonly isReadOnly: boolean;
+	/** Throws 57P01 when the member has closed the connection meanwhile. */
+	assertOpen(): void;
+};
+
+type Prepared = {readonly statement: ParsedStatement | undefined; readonly parameterTypes: readonly number[]};
+type Portal = Prepared & {readonly values: readonly Value[]; result?: Result; sent: number};
+
+const integerTypeIds = new Set([20, 21, 23]);
+const textTypeId = 25;
+const parameterStatuses = {
+	server_version: '16.0', client_encoding: 'utf8', DateStyle: 'ISO, MDY', integer_datetimes: 'on', standard_conforming_strings: 'on',
+} as const;
+
+let lastProcessId = 0;
+
+/** One client connection: protocol state, prepared statements and transaction. */
+export class ClientSession {
+	/** Name that the client gave at the start. */
+	applicationName = '';
+	#transaction: Transaction | undefined;
+	/** Whether the transaction was begun by a statement; otherwise it ends with the Query or at Sync. */
+	#isExplicit = false;
+	#isReadOnly = false;
+	#isFailed = false;
+	/** Whether messages up to the next Sync are skipped after an error. */
+	#isSkipping = false;
+	#isPumping = false;
+	#isEnded = false;
+	#isTerminated = false;
+	#output: Buffer[] = [];
+	readonly #reader = new FrontendReader();
+	readonly #prepared = new Map<string, Prepared>();
+	readonly #portals = new Map<string, Portal>();
+	constructor(private readonly socket: Socket, private readonly host: SessionHost) {
+		socket.setNoDelay(true);
+		socket.on('data', chunk => {
+			this.#reader.add(chunk);
+			void this.#pump();
+		});
+		socket.on('error', () => {
+			// The close event follows.
+		});
+		socket.on('close', () => {
+			this.#isEnded = true;
+			void this.#pump();
+		});
+	}
+
+	/** Closes the connection and rolls its transaction back; a statement in progress has no effect. */
+	terminate(): void {
+		if (!this.#isTerminated) {
+			this.#isTerminated = true;
+			this.#isEnded = true;
+			this.#endTransaction();
+			this.host.forget(this);
+			this.socket.write(backendMessages.error('FATAL', '57P01', 'terminating connection due to administrator command'));
+			this.socket.destroySoon();
+		}
+	}
+
+	async #pump(): Promise<void> {
+		if (this.#isPumping) {
+			return;
+		}
+
+		this.#isPumping = true;
+		try {
+			for (let message = this.#reader.next(); message; message = this.#reader.next()) {
+				await this.#handle(message);
+			}
+		} catch (error) {
+			this.#fatal(error);
+		}
+
+		this.#isPumping = false;
+		if (this.#isEnded) {
+			this.#endTransaction();
+			this.host.forget(this);
+		}
+	}
+
+	#fatal(error: unknown): void {
+		const {sqlState, message} = toSqlError(error);
+		this.#isEnded = true;
+		this.#send(backendMessages.error('FATAL', sqlState, message));
+		this.#flush();
+		this.socket.destroySoon();
+	}
+
+	async #handle(message: FrontendMessage): Promise<void> {
+		if (this.#isTerminated) {
+			return;
+		}
+
+		if (!this.#reader.typed) {
+			await this.#startUp(message.body);
+			return;
+		}
+
+		switch (message.type) {
+			case 'S': {
+				this.#sync();
+				break;
+			}
+
+			case 'H': {
+				this.#flush();
+				break;
+			}
+
+			case 'X': {
+				this.socket.destroySoon();
+				break;
+			}
+
+			default: {
+				await this.#run(message);
+			}
+		}
+	}
+
+	async #startUp(body: BodyReader): Promise<void> {
+		const code = body.int32();
+		switch (code) {
+			case startupCodes.ssl:
+			case startupCodes.gssEncryption: {
+				this.socket.write('N');
+				return;
+			}
+
+			case startupCodes.cancel: {
+				this.socket.destroy();
+				return;
+			}
+
+			case startupCodes.replication: {
+				this.#reader.typed = true;
+				this.socket.removeAllListeners('data');
+				this.host.serveFollower(this.socket, this.#reader.take());
+				return;
+			}
+
+			default: {
+				await this.#authenticate(body);
+			}
+		}
+	}
+
+	async #authenticate(body: BodyReader): Promise<void> {
+		for (let name = body.text(); name !== ''; name = body.text()) {
+			const value = body.text();
+			this.applicationName = name === 'application_name' ? value : this.applicationName;
+		}
+
+		await this.host.admit(this);
+		this.#reader.typed = true;
+		this.#send(backendMessages.authenticationOk);
+		for (const [name, value] of Object.entries(parameterStatuses)) {
+			this.#send(backendMessages.parameterStatus(name, value));
+		}
+
+		this.#send(backendMessages.backendKeyData(++lastProcessId, 0));
+		this.#ready();
+	}
+
+	async #run(message: FrontendMessage): Promise<void> {
+		if (this.#isSkipping) {
+			return;
+		}
+
+		const isQuery = message.type === 'Q';
+		try {
+			await (isQuery ? this.#query(message.body.text()) : this.#extended(message));
+		} catch (error) {
+			this.#fail(error);
+			this.#isSkipping = !isQuery;
+		}
+
+		if (isQuery) {
+			this.#ready();
+		}
+	}
+
+	async #query(text: string): Promise<void> {
+		const statements = parseStatements(text);
+		if (statements.length === 0) {
+			this.#send(backendMessages.emptyQuery);
+		}
+
+		for (const [index, statement] of statements.entries()) {
+			const result = await this.#execute(statement, []);
+			if (index === statements.length - 1) {
+				this.#commitImplicit();
+			}
+
+			if (result.columns) {
+				this.#send(backendMessages.rowDescription(result.columns));
+			}
+
+			this.#sendRows(result.rows);
+			this.#send(backendMessages.commandComplete(result.tag));
+		}
+	}
+
+	async #extended({type, body}: FrontendMessage): Promise<void> {
+		switch (type) {
+			case 'P': {
+				this.#parse(body);
+				break;
+			}
+
+			case 'B': {
+				this.#bind(body);
+				break;
+			}
+
+			case 'D': {
+				this.#describe(body);
+				break;
+			}
+
+			case 'E': {
+				await this.#executePortal(body);
+				break;
+			}
+
+			case 'C': {
+				const [names, name] = body.fixedText(1) === 'S' ? [this.#prepared, body.text()] : [this.#portals, body.text()];
+				names.delete(name);
+				this.#send(backendMessages.closeComplete);
+				break;
+			}
+
+			default: {
+				throw new SqlError('08P01', `message type "${type}" is not supported`);
+			}
+		}
+	}
+
+	#parse(body: BodyReader): void {
+		const name = body.text();
+		const statements = parseStatements(body.text());
+		if (statements.length > 1) {
+			throw new SqlError('42601', 'cannot insert multiple commands into a prepared statement');
+		}
+
+		if (name !== '' && this.#prepared.has(name)) {
+			throw new SqlError('42P05', `prepared statement "${name}" already exists`);
+		}
+
+		this.#prepared.set(name, {statement: statements[0], parameterTypes: body.list(() => body.int32())});
+		this.#send(backendMessages.parseComplete);
+	}
+
+	#bind(body: BodyReader): void {
+		const portalName = body.text();
+		const prepared = this.#findPrepared(body.text());
+		const formats = body.list(() => body.int16());
+		const texts = body.list(() => {
+			const length = body.int32();
+			return length === -1 ? null : body.fixedText(length);
+		});
+		const resultFormats = body.list(() => body.int16());
+		if ([...formats, ...resultFormats].some(format => format !== 0)) {
+			throw new SqlError('0A000', 'the binary format is not supported');
+		}
+
+		const values = texts.map((text, index) => text !== null && integerTypeIds.has(prepared.parameterTypes[index]) ? Number(text) : text);
+		this.#portals.set(portalName, {...prepared, values, sent: 0});
+		this.#send(backendMessages.bindComplete);
+	}
+
+	#describe(body: BodyReader): void {
+		const kind = body.fixedText(1);
+		const name = body.text();
+		const {statement, parameterTypes} = kind === 'S' ? this.#findPrepared(name) : this.#findPortal(name);
+		if (kind === 'S') {
+			this.#send(backendMessages.parameterDescription(parameterTypes.map(id => id || textTypeId)));
+		}
+
+		const columns = statement && this.host.describe(statement, this.#currentTransaction());
+		this.#send(columns ? backendMessages.rowDescription(columns) : backendMessages.noData);
+	}
+
+	async #executePortal(body: BodyReader): Promise<void> {
+		const portal = this.#findPortal(body.text());
+		const limit = body.int32() || Infinity;
+		if (!portal.statement) {
+			this.#send(backendMessages.emptyQuery);
+			return;
+		}
+
+		portal.result ??= await this.#execute(portal.statement, portal.values);
+		const {rows, tag} = portal.result;
+		this.#sendRows(rows.slice(portal.sent, portal.sent + limit));
+		portal.sent += limit;
+		this.#send(portal.sent < rows.length ? backendMessages.portalSuspended : backendMessages.commandComplete(tag));
+	}
+
+	#findPrepared(name: string): Prepared {
+		const prepared = this.#prepared.get(name);
+		if (!prepared) {
+			throw new SqlError('26000', `prepared statement "${name}" does not exist`);
+		}
+
+		return prepared;
+	}
+
+	#findPortal(name: string): Portal {
+		const portal = this.#portals.get(name);
+		if (!portal) {
+			throw new SqlError('34000', `portal "${name}" does not exist`);
+		}
+
+		return portal;
+	}
+
+	async #execute(statement: ParsedStatement, values: readonly Value[]): Promise<Result> {
+		const isEnd = statement.type === 'commit' || statement.type === 'rollback';
+		if (this.#isFailed && !isEnd) {
+			throw new SqlError('25P02', 'current transaction is aborted, commands ignored until end of transaction block');
+		}
+
+		const result = await this.host.execute(statement, values, {
+			transaction: this.#currentTransaction(),
+			isReadOnly: this.#isReadOnly,
+			assertOpen: () => {
+				if (this.#isTerminated) {
+					throw new SqlError('57P01', 'terminating connection due to administrator command');
+				}
+			},
+		});
+		if (statement.type === 'begin' || statement.type === 'start transaction') {
+			this.#isReadOnly = statement.type === 'begin' && statement.writeable === 'read only';
+			this.#isExplicit = true;
+		}
+
+		return isEnd ? this.#finish(statement.type === 'commit') : result;
+	}
+
+	#finish(isCommit: boolean): Result {
+		const commits = isCommit && !this.#isFailed;
+		try {
+			if (commits && this.#transaction) {
+				this.host.commit(this.#transaction);
+			}
+		} finally {
+			this.#endTransaction();
+		}
+
+		return {tag: commits ? 'COMMIT' : 'ROLLBACK', rows: []};
+	}
+
+	#commitImplicit(): void {
+		if (this.#transaction && !this.#isExplicit) {
+			this.#finish(true);
+		}
+	}
+
+	#currentTransaction(): Transaction {
+		this.#transaction ??= this.host.beginTransaction();
+		return this.#transaction;
+	}
+
+	#endTransaction(): void {
+		this.#transaction?.end();
+		this.#transaction = undefined;
+		this.#isExplicit = false;
+		this.#isReadOnly = false;
+		this.#isFailed = false;
+		this.#portals.clear();
+	}
+
+	#fail(error: unknown): void {
+		const {sqlState, message} = toSqlError(error);
+		this.#send(backendMessages.error('ERROR', sqlState, message));
+		if (this.#isExplicit) {
+			this.#isFailed = true;
+		} else {
+			this.#endTransaction();
+		}
+	}
+
+	#sync(): void {
+		this.#isSkipping = false;
+		try {
+			this.#commitImplicit();
+		} catch (error) {
+			this.#fail(error);
+		}
+
+		this.#ready();
+	}
+
+	#sendRows(rows: ReadonlyArray<readonly Value[]>): void {
+		for (const row of rows) {
+			this.#send(backendMessages.dataRow(row));
+		}
+	}
+
+	#ready(): void {
+		this.#send(backendMessages.readyForQuery(this.#isExplicit ? (this.#isFailed ? 'E' : 'T') : 'I'));
+		this.#flush();
+	}
+
+	#send(message: Buffer): void {
+		this.#output.push(message);
+	}
+
+	#flush(): void {
+		if (!this.socket.destroyed && !this.#isTerminated) {
+			this.socket.write(Buffer.concat(this.#output));
+		}
+
+		this.#output = [];
+	}
+}
+
+function toSqlError(error: unknown): SqlError {
+	return error instanceof SqlError ? error : new SqlError('XX000', String(error));
+}
