--- a/stand-in/delay-line.ts
+++ b/stand-in/delay-line.ts
@@ -10,7 +10,7 @@
 	constructor(private readonly clock: Clock) {}
 
 	/** Adds an action; without a delay and with nothing before it, it runs at once. */
-	push(delay: Milliseconds, action: () => void): void {
+	add(delay: Milliseconds, action: () => void): void {
 		if (delay <= 0 && this.#entries.length === 0) {
 			action();
 			return;
--- /dev/null
+++ b/stand-in/member.spec.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import {test, type TestContext} from 'node:test';
+import type pg from 'pg';
+import {ManualClock} from '../source/clock/manual-clock.js';
+import {
+	connectClient, promoteFirst, startMembers, waitUntil,
+} from './group-fixture.js';
+import {type StandInMember, type StandInMemberOptions} from './member.js';
+
+const timeout = 20_000;
+
+async function startPrimary(context: TestContext, options: Partial<StandInMemberOptions> = {}): Promise<StandInMember> {
+	const members = await startMembers(['a'], options);
+	context.after(async () => members[0].stop());
+	promoteFirst(1, members);
+	return members[0];
+}
+
+async function rows(client: pg.Client, text: string, values: readonly unknown[] = []): Promise<unknown[][]> {
+	const result = await client.query<unknown[]>({text, values: [...values], rowMode: 'array'});
+	return result.rows;
+}
+
+test('a pg client gets wrong rows or types from simple, parameterised or prepared statements', {timeout}, async context => {
+	const {address} = await startPrimary(context);
+	const client = await connectClient(address);
+	await client.query('CREATE TABLE IF NOT EXISTS notices (id int PRIMARY KEY, raised bigint, place text)');
+	await client.query('INSERT INTO notices VALUES (1, 10, \'Hokitika\'), (2, NULL, \'it\'\'s\')');
+	await client.query('INSERT INTO notices (id, place) VALUES ($1, $2) ON CONFLICT DO NOTHING', [1, 'other']);
+	await client.query('UPDATE notices SET raised = raised + $1 WHERE id = $2', [5, 1]);
+	assert.deepEqual(await rows(client, 'SELECT * FROM notices WHERE id = $1 AND place = $2', [1, 'Hokitika']), [[1, '15', 'Hokitika']]);
+	assert.deepEqual(await rows(client, 'SELECT place AS name, raised FROM notices ORDER BY id DESC LIMIT 1'), [['it\'s', null]]);
+	assert.deepEqual(await rows(client, 'SELECT count(*) FROM notices'), [['2']]);
+	for (const id of [1, 2]) {
+		const prepared = await client.query<{id: number}>({name: 'by-id', text: 'SELECT id FROM notices WHERE id = $1', values: [id]});
+		assert.deepEqual(prepared.rows, [{id}]);
+	}
+
+	const {rowCount} = await client.query('DELETE FROM notices WHERE id = 1');
+	assert.equal(rowCount, 1);
+	assert.deepEqual(await rows(client, 'SHOW buckthornhitch.token'), [['off']]);
+});
+
+test('an error is answered with a wrong SQLSTATE or disturbs the statements that follow', {timeout}, async context => {
+	const {address} = await startPrimary(context);
+	const client = await connectClient(address);
+	await client.query('CREATE TABLE t (id int PRIMARY KEY)');
+	await assert.rejects(client.query('INSERT INTO t VALUES (1); INSERT INTO t VALUES (1)'), {code: '23505'});
+	assert.deepEqual(await rows(client, 'SELECT * FROM t'), []);
+	await assert.rejects(client.query('SELECT * FROM missing WHERE id = $1', [1]), {code: '42P01'});
+	await assert.rejects(client.query('SELEC 1'), {code: '42601'});
+	await assert.rejects(client.query('SELECT * FROM group_promote(9)'), {code: '55000'});
+	await client.query('BEGIN READ ONLY');
+	await assert.rejects(client.query('INSERT INTO t VALUES ($1)', [1]), {code: '25006'});
+	await assert.rejects(client.query('SELECT 1'), {code: '25P02'});
+	const {command} = await client.query('COMMIT');
+	assert.equal(command, 'ROLLBACK');
+	assert.deepEqual(await rows(client, 'SELECT 1'), [[1]]);
+});
+
+test('a transaction shows its writes to others early, loses them, or lets a second writer change its row', {timeout}, async context => {
+	const {address} = await startPrimary(context);
+	const [first, second] = [await connectClient(address), await connectClient(address)];
+	await first.query('CREATE TABLE t (id int PRIMARY KEY, n int)');
+	await first.query('INSERT INTO t VALUES (1, 0)');
+	await first.query('BEGIN');
+	await first.query('UPDATE t SET n = n + 1 WHERE id = 1');
+	assert.deepEqual(await rows(first, 'SELECT n FROM t'), [[1]]);
+	assert.deepEqual(await rows(second, 'SELECT n FROM t'), [[0]]);
+	await assert.rejects(second.query('UPDATE t SET n = 7 WHERE id = 1'), {code: '40001'});
+	await first.query('COMMIT');
+	assert.deepEqual(await rows(second, 'SELECT n FROM t'), [[1]]);
+	await second.query('BEGIN');
+	await second.query('SELECT * FROM t WHERE id = 1 FOR UPDATE');
+	await assert.rejects(first.query('DELETE FROM t'), {code: '40001'});
+	await second.query('ROLLBACK');
+	const {rowCount} = await first.query('DELETE FROM t');
+	assert.equal(rowCount, 1);
+});
+
+test('more statements or connections than the limits are admitted at once', {timeout}, async context => {
+	const member = await startPrimary(context, {slots: 2, connectionLimit: 4, serviceTime: 1});
+	const clients = await Promise.all([1, 2, 3, 4].map(async () => connectClient(member.address)));
+	await assert.rejects(connectClient(member.address), {code: '53300'});
+	await Promise.all(clients.flatMap(client => [client.query('SELECT 1'), client.query('SELECT pg_sleep(0.01)')]));
+	await clients[0].query('SELECT * FROM group_status()');
+	assert.deepEqual([member.maximumSlotsInUse, member.maximumConnections, member.statementsReceived], [2, 4, 8]);
+});
+
+test('connections of a former lease holder stay open, or its statement in progress takes effect, after a takeover', {timeout}, async context => {
+	const clock = new ManualClock();
+	const member = await startPrimary(context, {clock});
+	const [former, other] = [await connectClient(member.address, 'p1'), await connectClient(member.address, 'p2')];
+	await former.query('CREATE TABLE t (id int PRIMARY KEY)');
+	await former.query('SELECT * FROM group_lease(\'p1\', 1000)');
+	clock.advance(999);
+	await assert.rejects(other.query('SELECT * FROM group_lease(\'p2\', 1000)'), {code: '55000'});
+	clock.advance(1);
+	member.serviceTime = 50;
+	const lost = assert.rejects(former.query('INSERT INTO t VALUES (1)'));
+	await waitUntil(() => member.statementsReceived === 2);
+	const {rows: [status]} = await other.query<Record<string, unknown>>('SELECT * FROM group_lease(\'p2\', 1000)');
+	assert.equal(status.lease_holder, 'p2');
+	assert.equal(status.connections, '1');
+	await lost;
+	clock.advance(50);
+	member.serviceTime = 0;
+	assert.deepEqual(await rows(other, 'SELECT count(*) FROM t'), [['0']]);
+	await assert.rejects(former.query('SELECT 1'));
+	assert.equal(member.status().receivedPosition, 2);
+});
+
+test('a member that leaves is announced as if it stayed', {timeout}, async context => {
+	const announced: string[] = [];
+	const entry = createServer(async (request, response) => {
+		const chunks = await request.toArray();
+		announced.push(`${request.method} ${request.url} ${chunks.join('')}`);
+		response.end('{}');
+	});
+	await new Promise<void>(resolve => {
+		entry.listen(0, '127.0.0.1', resolve);
+	});
+	context.after(() => entry.close());
+	const bound = entry.address();
+	const entries = [`127.0.0.1:${typeof bound === 'object' ? bound?.port : ''}`];
+	const member = await startPrimary(context, {announcement: {entries, database: 'notices', dataCentre: 'chc-a'}});
+	await waitUntil(() => announced.length > 0);
+	await member.leave();
+	const line = (leaving: boolean): string => `PUT /backend-servers/notices/a ${JSON.stringify({address: member.address, dataCentre: 'chc-a', leaving})}`;
+	assert.equal(announced[0], line(false));
+	assert.equal(announced.at(-1), line(true));
+});
--- a/stand-in/member.ts
+++ b/stand-in/member.ts
@@ -4,6 +4,7 @@
 import {SystemClock} from '../source/clock/system-clock.js';
 import {type MemberStatus} from '../source/database-group/types.js';
 import {parseAddress, type Address} from '../source/links/address.js';
+import {Announcer, type AnnouncerOptions} from './announcer.js';
 import {ClientSession, type SessionHost, type SessionTransaction} from './client-session.js';
 import {MemberLease} from './member-lease.js';
 import {typeIds, type ResultColumn} from './postgres-messages.js';
@@ -31,6 +32,8 @@
 	readonly applyDelay?: Milliseconds;
 	/** Folder of the synced files; without one the log is kept in memory and survives stop and start. */
 	readonly dataFolder?: string;
+	/** Entries that the member announces itself to. */
+	readonly announcement?: AnnouncerOptions;
 	readonly clock?: Clock;
 };
 
@@ -55,6 +58,7 @@
 	readonly #gate: SlotGate;
 	readonly #lease: MemberLease;
 	readonly #state: ReplicatedState;
+	readonly #announcer: Announcer | undefined;
 	readonly #sessions = new Set<ClientSession>();
 	readonly #sockets = new Set<Socket>();
 	#server: Server | undefined;
@@ -70,6 +74,7 @@
 		this.#gate = new SlotGate(this.#slots);
 		this.#lease = new MemberLease(this.#clock);
 		this.#state = new ReplicatedState(options.name, this.#clock, this, options.dataFolder);
+		this.#announcer = options.announcement && new Announcer(options.announcement, options.name, this.#clock);
 	}
 
 	get name(): string {
@@ -112,6 +117,7 @@
 		this.#address = `${host}:${typeof bound === 'object' && bound ? bound.port : port}`;
 		this.#server = server;
 		this.#state.start();
+		this.#announcer?.start(this.#address);
 	}
 
 	/** Closes all connections at once, as a crash does; what is durable stays. */
@@ -126,6 +132,7 @@
 			}
 		});
 		this.#server = undefined;
+		this.#announcer?.stop();
 		this.#state.stop();
 		this.#lease.clear();
 		for (const session of this.#sessions) {
@@ -139,6 +146,11 @@
 		await closed;
 	}
 
+	/** Announces that the member asks for no new work; it goes on serving. */
+	async leave(): Promise<void> {
+		await this.#announcer?.leave(this.#address);
+	}
+
 	status(): MemberStatus {
 		const {log, appliedPosition, isPrimary, isAcceptingWrites} = this.#state;
 		return {
--- a/stand-in/replicated-state.ts
+++ b/stand-in/replicated-state.ts
@@ -163,7 +163,7 @@
 
 		this.#log.append(entries);
 		const end = this.#log.length;
-		this.#applyLine.push(this.delays.applyDelay, () => {
+		this.#applyLine.add(this.delays.applyDelay, () => {
 			this.#applyThrough(end);
 		});
 	}
--- a/stand-in/replication.ts
+++ b/stand-in/replication.ts
@@ -126,7 +126,7 @@
 		const socket = createConnection(parseAddress(address));
 		socket.write(replicationStartup());
 		this.#link = openLink(socket, clock, body => {
-			this.#line.push(this.options.receiveDelay(), () => {
+			this.#line.add(this.options.receiveDelay(), () => {
 				this.options.onEntries(body as EntriesMessage);
 			});
 		}, () => {
--- /dev/null
+++ b/stand-in/stand-in-member.ts
@@ -0,0 +1,65 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {
+	command, number, option, optional, run, string,
+} from 'cmd-ts';
+import {SystemClock} from '../source/clock/system-clock.js';
+import {createLogger} from '../source/observability/logger.js';
+import {addressListType, addressType} from '../source/settings/common-settings.js';
+import {StandInMember} from './member.js';
+
+/** Time between the announcement that the member leaves and its stop, in which all new work has ended (invariant 7). */
+const leaveTime = 3000;
+
+const numberOption = (long: string, description: string, value: number) => option({
+	type: number, long, description, defaultValue: () => value, defaultValueIsSerializable: true,
+});
+
+const memberCommand = command({
+	name: 'stand-in-member',
+	description: 'Backend server of a database group for tests, measurements and the demonstration.',
+	args: {
+		name: option({type: string, long: 'name', description: 'name of the member'}),
+		address: option({type: addressType, long: 'address', description: 'address to listen on'}),
+		slots: numberOption('slots', 'statements that run at a time', 3),
+		connectionLimit: numberOption('connection-limit', 'connections open at a time', 45),
+		connectDelay: numberOption('connect-delay', 'milliseconds that a new connection takes', 12),
+		serviceTime: numberOption('service-time', 'milliseconds that a statement takes', 0),
+		receiveDelay: numberOption('receive-delay', 'milliseconds until a replica receives an entry', 0),
+		applyDelay: numberOption('apply-delay', 'milliseconds until a replica applies an entry', 0),
+		dataFolder: option({type: optional(string), long: 'data-folder', description: 'folder of the synced files'}),
+		entries: option({
+			type: addressListType, long: 'entries', description: 'HTTP addresses of entries to announce to', defaultValue: () => [], defaultValueIsSerializable: true,
+		}),
+		database: option({
+			type: string, long: 'database', description: 'database to announce', defaultValue: () => '',
+		}),
+		dataCentre: option({
+			type: string, long: 'data-centre', description: 'data centre to announce', defaultValue: () => '',
+		}),
+		announcedAddress: option({type: optional(addressType), long: 'announced-address', description: 'address to announce when it is another one'}),
+	},
+	async handler({entries, database, dataCentre, announcedAddress, ...options}) {
+		const logger = createLogger(options.name, 'stand-in', 'info');
+		const member = new StandInMember({
+			...options,
+			announcement: {
+				entries, database, dataCentre, address: announcedAddress,
+			},
+		});
+		await member.start();
+		logger.info(`listening on ${member.address}`);
+		const leave = async (): Promise<void> => {
+			logger.info('leaving');
+			await member.leave();
+			await new SystemClock().sleep(leaveTime);
+			await member.stop();
+			process.exit(0);
+		};
+
+		process.once('SIGTERM', leave);
+		process.once('SIGINT', leave);
+	},
+});
+
+await run(memberCommand, process.argv.slice(2));
