Add the control log and the control process, first version

Accepted configuration needs a durable home that survives the loss of any one instance. Storage is in memory so far.

Two specs with three voters on a network in memory pass: a change survives the death of the leader, and of two changes with equal revisions one wins.

--- /dev/null
+++ b/source/control-log/memory-storage.ts
@@ -0,0 +1,50 @@
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {Storage} from './storage.js';
+import {
+	type LogEntry, type Snapshot, type StoredState, type VoterPromise,
+} from './types.js';
+
+/** Storage in memory, for tests; its failures can be injected. */
+export class MemoryStorage extends Storage {
+	/** Whether every write is refused. */
+	failing = false;
+	/** Number of syncs that a file storage would have made. */
+	syncs = 0;
+	#promise: VoterPromise = {term: 0, votedFor: null};
+	#snapshot: Snapshot | undefined;
+	#entries: readonly LogEntry[] = [];
+
+	constructor(readonly diskId: string) {
+		super();
+	}
+
+	override async load(): Promise<StoredState> {
+		return {
+			diskId: this.diskId, promise: this.#promise, snapshot: this.#snapshot, entries: this.#entries,
+		};
+	}
+
+	override async savePromise(promise: VoterPromise): Promise<void> {
+		this.#sync();
+		this.#promise = promise;
+	}
+
+	override async append(entries: readonly LogEntry[]): Promise<void> {
+		this.#sync();
+		this.#entries = [...this.#entries.filter(entry => entry.index < entries[0].index), ...entries];
+	}
+
+	override async saveSnapshot(snapshot: Snapshot, entries: readonly LogEntry[]): Promise<void> {
+		this.#sync();
+		this.#snapshot = snapshot;
+		this.#entries = [...entries];
+	}
+
+	#sync(): void {
+		if (this.failing) {
+			throw new BuckthornhitchError('storageFailed', 'A failure was injected.');
+		}
+
+		this.syncs++;
+	}
+}
--- /dev/null
+++ b/source/control-log/voter-options.ts
@@ -0,0 +1,60 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient} from '../links/link-client.js';
+import {type Logger} from '../observability/logger.js';
+import {type Random} from '../random/random.js';
+import {type StateMachine, type Storage} from './storage.js';
+import {type LogEntry, type VoterRole} from './types.js';
+
+/** Times and bounds of a voter. */
+export type VoterTiming = {
+	readonly heartbeat: Milliseconds;
+	/** A voter stands for election at the earliest this long after it heard from a leader, and refuses votes until then. */
+	readonly shortestElectionTimeout: Milliseconds;
+	readonly longestElectionTimeout: Milliseconds;
+	/** Shorter than the shortest election timeout, so that it ends before another leader can be elected even when clocks run at slightly different rates. */
+	readonly lease: Milliseconds;
+	readonly requestTimeout: Milliseconds;
+	readonly snapshotTimeout: Milliseconds;
+	/** Time after which a leader looks for voters that lost their disks, and a voter with a failed disk tries again. */
+	readonly checkPeriod: Milliseconds;
+	/** Entries kept in the log before they are replaced by a snapshot. */
+	readonly compactAfter: number;
+};
+
+/** Times and bounds in use. */
+export const defaultVoterTiming: VoterTiming = {
+	heartbeat: 100,
+	shortestElectionTimeout: 500,
+	longestElectionTimeout: 1000,
+	lease: 400,
+	requestTimeout: 1000,
+	snapshotTimeout: 5000,
+	checkPeriod: 1000,
+	compactAfter: 1000,
+};
+
+/** Receives what happens to a voter. */
+export type VoterObserver = {
+	/** An entry was committed and carried out, with its answer. */
+	readonly committed: (entry: LogEntry, answer: unknown) => void;
+	/** The state was replaced by a snapshot. */
+	readonly restored: () => void;
+	/** Something that belongs in the time line. */
+	readonly event: (kind: string, subject: string, detail: string) => void;
+	readonly roleChanged: (role: VoterRole) => void;
+};
+
+/** What a voter needs. */
+export type VoterOptions = {
+	readonly name: string;
+	readonly address: Address;
+	readonly storage: Storage;
+	readonly machine: StateMachine;
+	readonly linkClient: LinkClient;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly observer: VoterObserver;
+	readonly timing?: VoterTiming;
+};
--- /dev/null
+++ b/source/control/control-client.ts
@@ -0,0 +1,173 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type BootstrapRequest, type DescribeVoterResponse} from '../control-log/messages.js';
+import {voterKey, type VoterRecord} from '../control-log/types.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient} from '../links/link-client.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type ResultCodeName} from '../result-codes/result-codes.js';
+import {
+	type ApplyRequest, type ApplyResponse, type ConfigurationSinceRequest, type ConfigurationSinceResponse, type ControlStatusResponse, type RegisterMemberRequest,
+} from './messages.js';
+
+/** Time for one attempt at one control process; longer than the time that a leader waits for its quorum. */
+export const attemptTimeout: Milliseconds = 2500;
+
+/** Time for a request over all attempts; enough for an election. */
+export const requestTimeout: Milliseconds = 10_000;
+
+/** Pause after all control processes were asked in vain. */
+export const retryPause: Milliseconds = 200;
+
+/** Status of one control process, or why it did not answer. */
+export type ControlStatusResult = {
+	readonly address: Address;
+	readonly status: ControlStatusResponse | undefined;
+	readonly error: BuckthornhitchError | undefined;
+};
+
+const retriedCodes: ReadonlySet<ResultCodeName> = new Set(['notLeader', 'notConfirmed', 'linkNotSent', 'linkOutcomeUnknown', 'storageFailed', 'notBootstrapped', 'draining']);
+
+/** Sends requests to the leader of the control processes. */
+export class ControlClient {
+	#leader: Address | undefined;
+
+	constructor(
+		private readonly linkClient: LinkClient,
+		private readonly clock: Clock,
+		private readonly controls: readonly Address[],
+	) {}
+
+	/**
+	Replaces the configuration files and resolves with the answer, whose code may be revisionConflict or changeIdReused.
+
+	Rejects with configurationInvalid, with notConfirmed when the change may have been accepted, or with another code when it was not. Sending the same request again is safe.
+	*/
+	async apply(request: ApplyRequest, timeout = requestTimeout): Promise<ApplyResponse> {
+		return await this.#request('apply', request, timeout) as ApplyResponse;
+	}
+
+	/** Makes a backend server a member of its group. Rejects with unknownDatabase or as `apply` does; a full group is an answer. */
+	async registerMember(request: RegisterMemberRequest, timeout = requestTimeout): Promise<ApplyResponse> {
+		return await this.#request('registerMember', request, timeout) as ApplyResponse;
+	}
+
+	/** Returns the accepted changes after a revision. Rejects with notConfirmed or notLeader when no quorum can be reached. */
+	async configurationSince(request: ConfigurationSinceRequest, timeout = requestTimeout): Promise<ConfigurationSinceResponse> {
+		return await this.#request('configurationSince', request, timeout) as ConfigurationSinceResponse;
+	}
+
+	/** Returns the status of every control process. */
+	async status(timeout = attemptTimeout): Promise<readonly ControlStatusResult[]> {
+		return Promise.all(this.controls.map(async address => {
+			try {
+				const status = await this.linkClient.request(address, 'controlStatus', null, timeout) as ControlStatusResponse;
+				return {address, status, error: undefined};
+			} catch (error) {
+				return {address, status: undefined, error: toBuckthornhitchError(error)};
+			}
+		}));
+	}
+
+	/**
+	Gives the empty control processes their first voter list and resolves with it.
+
+	Rejects with alreadyBootstrapped when one has another list. After any other failure the call may be repeated with the same control processes.
+	*/
+	async bootstrap(timeout = attemptTimeout): Promise<readonly VoterRecord[]> {
+		const voters = await Promise.all(this.controls.map(async address => this.#describe(address, timeout)));
+		if (new Set(voters.map(voter => voter.name)).size < voters.length) {
+			throw new BuckthornhitchError('invalidSetting', 'Two control instances have the same name.');
+		}
+
+		await this.#checkLists(voters, timeout);
+		const request: BootstrapRequest = {voters};
+		for (const {address} of voters) {
+			await this.linkClient.request(address, 'bootstrap', request, timeout);
+		}
+
+		return voters;
+	}
+
+	async #describe(address: Address, timeout: Milliseconds): Promise<VoterRecord> {
+		const {name, diskId} = await this.linkClient.request(address, 'describeVoter', null, timeout) as DescribeVoterResponse;
+		return {name, diskId, address};
+	}
+
+	/** Checks all lists before the first voter gets one, so that a wrong call changes nothing. */
+	async #checkLists(voters: readonly VoterRecord[], timeout: Milliseconds): Promise<void> {
+		const wanted = voters.map(voter => voterKey(voter)).sort().join(' ');
+		for (const {address} of voters) {
+			const status = await this.linkClient.request(address, 'controlStatus', null, timeout) as ControlStatusResponse;
+			const present = status.voters.map(voter => voterKey(voter)).sort().join(' ');
+			if (present !== '' && present !== wanted) {
+				throw new BuckthornhitchError('alreadyBootstrapped', `${address} has the voters ${present}.`);
+			}
+		}
+	}
+
+	async #request(name: string, body: unknown, timeout: Milliseconds): Promise<unknown> {
+		const deadline = this.clock.now() + timeout;
+		let outcomeUnknown = false;
+		let failure = new BuckthornhitchError('invalidSetting', 'No control instance is given.');
+		while (this.controls.length > 0 && this.clock.now() < deadline) {
+			for (const address of this.#order()) {
+				const attempt = await this.#attempt(address, name, body, deadline - this.clock.now());
+				if (!(attempt instanceof BuckthornhitchError)) {
+					return attempt;
+				}
+
+				failure = attempt;
+				outcomeUnknown ||= attempt.entry.execution === 'unknown';
+				if (this.#followsLeader(failure, address)) {
+					break;
+				}
+			}
+
+			await this.clock.sleep(Math.min(retryPause, Math.max(0, deadline - this.clock.now())));
+		}
+
+		throw outcomeUnknown && failure.entry.execution !== 'unknown'
+			? new BuckthornhitchError('notConfirmed', `An earlier attempt may have taken effect. Last failure: ${failure.message}`)
+			: unconfirmed(failure);
+	}
+
+	/** Returns the response, or a failure after which another process may be asked. */
+	async #attempt(address: Address, name: string, body: unknown, remaining: Milliseconds): Promise<unknown> {
+		try {
+			const response = await this.linkClient.request(address, name, body, Math.max(1, Math.min(attemptTimeout, remaining)));
+			this.#leader = address;
+			return response;
+		} catch (error) {
+			const failure = toBuckthornhitchError(error);
+			if (!retriedCodes.has(failure.codeName)) {
+				throw failure;
+			}
+
+			return failure;
+		}
+	}
+
+	/** Takes note of the leader that a response names; returns whether it is to be asked next. */
+	#followsLeader(failure: BuckthornhitchError, asked: Address): boolean {
+		const named = failure.codeName === 'notLeader' && failure.detail !== '' && failure.detail !== asked ? failure.detail : undefined;
+		const isNew = named !== undefined && named !== this.#leader;
+		if (isNew || asked === this.#leader) {
+			this.#leader = named;
+		}
+
+		return isNew;
+	}
+
+	#order(): readonly Address[] {
+		return this.#leader === undefined
+			? this.controls
+			: [this.#leader, ...this.controls.filter(address => address !== this.#leader)];
+	}
+}
+
+/** A lost link leaves the outcome unknown; the code says so in terms of the control processes. */
+function unconfirmed(failure: BuckthornhitchError): BuckthornhitchError {
+	return failure.entry.execution === 'unknown'
+		? new BuckthornhitchError('notConfirmed', failure.detail, {cause: failure})
+		: failure;
+}
--- /dev/null
+++ b/source/control/control-metrics.ts
@@ -0,0 +1,38 @@
+import {Counter, Gauge, type Registry} from 'prom-client';
+import {type VoterRole} from '../control-log/types.js';
+
+/** Metrics of a control process. */
+export class ControlMetrics {
+	readonly revision: Gauge;
+	readonly commitIndex: Gauge;
+	readonly #changes: Counter<'result'>;
+	readonly #role: Gauge<'role'>;
+	readonly #elections: Counter;
+
+	constructor(registry: Registry) {
+		const registers = [registry];
+		this.revision = new Gauge({name: 'buckthornhitch_control_revision', help: 'Accepted revision known here.', registers});
+		this.commitIndex = new Gauge({name: 'buckthornhitch_control_commit_index', help: 'Index of the last committed entry known here.', registers});
+		this.#changes = new Counter({
+			name: 'buckthornhitch_control_changes_total', help: 'Changes carried out or refused, by result code name.', labelNames: ['result'], registers,
+		});
+		this.#role = new Gauge({
+			name: 'buckthornhitch_control_role', help: '1 for the present role of the voter.', labelNames: ['role'], registers,
+		});
+		this.#elections = new Counter({name: 'buckthornhitch_control_elections_won_total', help: 'Elections that this voter won.', registers});
+	}
+
+	/** Counts the outcome of a change. */
+	countChange(result: string): void {
+		this.#changes.inc({result});
+	}
+
+	/** Takes note of a new role. */
+	setRole(role: VoterRole): void {
+		this.#role.reset();
+		this.#role.set({role}, 1);
+		if (role === 'leader') {
+			this.#elections.inc();
+		}
+	}
+}
--- /dev/null
+++ b/source/control/control-process.ts
@@ -0,0 +1,196 @@
+import {type Registry} from 'prom-client';
+import {Controller} from '../blackboard/blackboard.js';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Storage} from '../control-log/storage.js';
+import {ConfigurationStateMachine} from '../control-log/state-machine.js';
+import {type ApplyCommand, type LogEntry} from '../control-log/types.js';
+import {type VoterTiming} from '../control-log/voter-options.js';
+import {Voter} from '../control-log/voter.js';
+import {type LinkClient, type RequestHandler} from '../links/link-client.js';
+import {type Logger} from '../observability/logger.js';
+import {type Random} from '../random/random.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {resultCodeName} from '../result-codes/result-codes.js';
+import {type CommonSettings} from '../settings/common-settings.js';
+import {type Timeline} from '../timeline/timeline.js';
+import {type ConfigurationValidator} from './configuration-validator.js';
+import {ControlMetrics} from './control-metrics.js';
+import {
+	type ApplyRequest, type ApplyResponse, type ConfigurationSinceRequest, type ConfigurationSinceResponse, type ControlStatusResponse, type RegisterMemberRequest,
+} from './messages.js';
+import {parseBody, requestSchemas} from './request-schemas.js';
+import {type RevisionPublisher} from './revision-publisher.js';
+
+/** Time within which a quorum must confirm a request. */
+export const confirmationTimeout: Milliseconds = 2000;
+
+/** Longest files of one change, in characters; they must fit into one frame with room to spare. */
+export const maximumFileCharacters = 2 * 1024 * 1024;
+
+/** Services of the process that a control process uses; `ProcessRuntime` has them all. */
+export type ControlServices = {
+	readonly settings: Pick<CommonSettings, 'name' | 'linkAddress'>;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly registry: Registry;
+	readonly timeline: Timeline;
+	readonly linkServer: {handle(name: string, handler: RequestHandler): void};
+	readonly linkClient: LinkClient;
+	logger(part: string): Logger;
+};
+
+/** What a control process needs beside its services. */
+export type ControlOptions = {
+	readonly storage: Storage;
+	readonly validator: ConfigurationValidator;
+	readonly publisher: RevisionPublisher;
+	readonly timing?: VoterTiming;
+};
+
+/** Control process: a voter of the control log that answers operators and processes. */
+export class ControlProcess extends Controller {
+	readonly voter: Voter;
+	readonly #machine = new ConfigurationStateMachine();
+	readonly #metrics: ControlMetrics;
+	#publishedRevision = 0;
+
+	constructor(private readonly services: ControlServices, private readonly options: ControlOptions) {
+		super();
+		this.#metrics = new ControlMetrics(services.registry);
+		this.voter = new Voter({
+			name: services.settings.name,
+			address: services.settings.linkAddress,
+			storage: options.storage,
+			machine: this.#machine,
+			linkClient: services.linkClient,
+			clock: services.clock,
+			random: services.random,
+			logger: services.logger('control'),
+			timing: options.timing,
+			observer: {
+				committed: (entry, answer) => {
+					this.#committed(entry, answer as ApplyResponse | undefined);
+				},
+				restored: () => {
+					this.#publish();
+				},
+				event(kind, subject, detail) {
+					services.timeline.record('control', kind, subject, detail);
+				},
+				roleChanged: role => {
+					this.#metrics.setRole(role);
+				},
+			},
+		});
+	}
+
+	/** Revision of the accepted configuration known here; it may be older than the group's. */
+	get revision(): number {
+		return this.#machine.accepted.revision;
+	}
+
+	/** Reads the data folder, then answers requests. Rejects with storageCorrupt or storageFailed. */
+	async open(): Promise<void> {
+		await this.voter.open();
+		this.start();
+		this.#publish();
+	}
+
+	override start(): void {
+		const {linkServer} = this.services;
+		const {voter} = this;
+		linkServer.handle('apply', async body => this.apply(parseBody(requestSchemas.apply, body)));
+		linkServer.handle('registerMember', async body => this.registerMember(parseBody(requestSchemas.registerMember, body)));
+		linkServer.handle('configurationSince', async body => this.configurationSince(parseBody(requestSchemas.configurationSince, body)));
+		linkServer.handle('controlStatus', async () => this.status());
+		linkServer.handle('bootstrap', async body => voter.bootstrap(parseBody(requestSchemas.bootstrap, body)));
+		linkServer.handle('describeVoter', async () => voter.describe());
+		linkServer.handle('requestVote', async body => voter.handleVote(parseBody(requestSchemas.requestVote, body)));
+		linkServer.handle('appendEntries', async body => voter.handleAppend(parseBody(requestSchemas.appendEntries, body)));
+		linkServer.handle('installSnapshot', async body => voter.handleSnapshot(parseBody(requestSchemas.installSnapshot, body)));
+	}
+
+	override async stop(): Promise<void> {
+		await this.voter.stop();
+	}
+
+	/** Answers `apply`. Rejects with configurationInvalid, notLeader or notConfirmed. */
+	async apply(request: ApplyRequest): Promise<ApplyResponse> {
+		const command: ApplyCommand = {kind: 'apply', ...request};
+		await this.voter.confirmLeadership(confirmationTimeout);
+		const known = this.#machine.recall(command);
+		if (known) {
+			return known;
+		}
+
+		this.#validate(command);
+		return await this.voter.propose(command, confirmationTimeout) as ApplyResponse;
+	}
+
+	/** Answers `registerMember`. Rejects with unknownDatabase, memberSetFull, notLeader or notConfirmed. */
+	async registerMember({database, member}: RegisterMemberRequest): Promise<ApplyResponse> {
+		await this.voter.confirmLeadership(confirmationTimeout);
+		const {files, memberSets, revision} = this.#machine.accepted;
+		const memberCount = this.options.validator.memberCount(files, database);
+		if (memberCount === undefined) {
+			throw new BuckthornhitchError('unknownDatabase', `"${database}"`);
+		}
+
+		if (memberSets[database]?.includes(member)) {
+			return {code: 0, revision, detail: ''};
+		}
+
+		return await this.voter.propose({
+			kind: 'registerMember', database, member, memberCount,
+		}, confirmationTimeout) as ApplyResponse;
+	}
+
+	/** Answers `configurationSince`. Rejects with notLeader or notConfirmed. */
+	async configurationSince({revision}: ConfigurationSinceRequest): Promise<ConfigurationSinceResponse> {
+		await this.voter.confirmLeadership(confirmationTimeout);
+		return this.#machine.since(revision);
+	}
+
+	/** Answers `controlStatus`: what this process knows, confirmed by a quorum only while `leaseLive` is true. */
+	status(): ControlStatusResponse {
+		const {self, role, promise, leader, leaseLive, list} = this.voter;
+		return {
+			name: self.name,
+			diskId: self.diskId,
+			role: role === 'failed' ? 'waiting' : role,
+			term: promise.term,
+			leader: leader?.name ?? null,
+			leaseLive,
+			revision: this.revision,
+			voters: list.voters,
+		};
+	}
+
+	#validate({files}: ApplyCommand): void {
+		const characters = Object.values(files).join('').length;
+		if (characters > maximumFileCharacters) {
+			throw new BuckthornhitchError('configurationInvalid', `The files have ${characters} characters, at most ${maximumFileCharacters} are allowed.`);
+		}
+
+		this.options.validator.validate(files);
+	}
+
+	#committed(entry: LogEntry, answer: ApplyResponse | undefined): void {
+		this.#metrics.commitIndex.set(entry.index);
+		if (answer) {
+			this.#metrics.countChange(resultCodeName(answer.code) ?? String(answer.code));
+			this.services.timeline.record('control', entry.command.kind, `revision ${answer.revision}`, answer.detail);
+		}
+
+		this.#publish();
+	}
+
+	#publish(): void {
+		const {revision} = this;
+		this.#metrics.revision.set(revision);
+		if (revision > this.#publishedRevision) {
+			this.#publishedRevision = revision;
+			this.options.publisher.publish(revision);
+		}
+	}
+}
--- /dev/null
+++ b/source/control/request-schemas.ts
@@ -0,0 +1,58 @@
+import {z} from 'zod';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+
+const wholeNumber = z.number().int().min(0);
+const identity = z.object({name: z.string().min(1), diskId: z.string().min(1)});
+const record = identity.extend({address: z.string().min(1)});
+const list = z.object({voters: z.array(record), learners: z.array(record)});
+const files = z.record(z.string(), z.string());
+
+const command = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('opening')}),
+	z.object({
+		kind: z.literal('apply'), changeId: z.string(), expectedRevision: wholeNumber, files, operator: z.string(),
+	}),
+	z.object({
+		kind: z.literal('registerMember'), database: z.string(), member: z.string(), memberCount: wholeNumber,
+	}),
+	z.object({kind: z.literal('changeVoters'), list}),
+]);
+
+const voterRequest = z.object({group: z.string(), term: wholeNumber, target: identity});
+
+/** Bodies of the requests that a control process answers. */
+export const requestSchemas = {
+	apply: z.object({
+		changeId: z.string().min(1).max(200), expectedRevision: wholeNumber, files, operator: z.string().max(200),
+	}),
+	registerMember: z.object({database: z.string().min(1).max(200), member: z.string().min(1).max(200)}),
+	configurationSince: z.object({revision: wholeNumber}),
+	bootstrap: z.object({voters: z.array(record).min(1)}),
+	requestVote: voterRequest.extend({
+		candidate: record, lastIndex: wholeNumber, lastTerm: wholeNumber, preliminary: z.boolean(),
+	}),
+	appendEntries: voterRequest.extend({
+		leader: record,
+		previousIndex: wholeNumber,
+		previousTerm: wholeNumber,
+		entries: z.array(z.object({index: wholeNumber, term: wholeNumber, command})),
+		commitIndex: wholeNumber,
+	}),
+	installSnapshot: voterRequest.extend({
+		leader: record,
+		snapshot: z.object({
+			index: wholeNumber, term: wholeNumber, group: z.string(), list, image: z.unknown(),
+		}),
+	}),
+};
+
+/** Returns the body when it fits the schema. Throws malformedMessage. */
+export function parseBody<Body>(schema: z.ZodType<Body>, body: unknown): Body {
+	const result = schema.safeParse(body);
+	if (!result.success) {
+		const issue = result.error.issues[0];
+		throw new BuckthornhitchError('malformedMessage', `${issue.path.join('.')}: ${issue.message}`);
+	}
+
+	return result.data;
+}
