Add membership over datagrams and dissemination of configuration

Processes had no view of each other and no way to get configuration other than from fixed test data. The membership controller probes one peer a second, spreads news on datagrams and compares records by hashes over a link. The configuration controller takes the first revision from control and later ones from peers that announced them.

--- /dev/null
+++ b/source/configuration/configuration-controller.ts
@@ -0,0 +1,248 @@
+import {type Controller} from '../blackboard/blackboard.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type ConfigurationSinceRequest, type ConfigurationSinceResponse} from '../control/messages.js';
+import {type LinkClient} from '../links/link-client.js';
+import {ServingLimit} from '../links/serving-limit.js';
+import {type RequestRegistry} from '../membership/record-exchange.js';
+import {type RevisionGossip} from '../membership/revision-gossip.js';
+import {type Logger} from '../observability/logger.js';
+import {type Random} from '../random/random.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type Timeline} from '../timeline/timeline.js';
+import {type ConfigurationOrigin} from './configuration-origin.js';
+import {sizeOfResponse, type ConfigurationStore} from './configuration-store.js';
+
+/** Name of the request that returns the changes after a revision; every process answers it from what it holds. */
+export const configurationFromPeerName = 'configurationFromPeer';
+
+/** Revisions are compared with a random peer once in this many milliseconds, so that lost announcements are repaired. */
+export const comparisonPeriod: Milliseconds = 2000;
+
+/** Peers that one process serves at a time; the others wait and ask another one. */
+export const largestPeerServing = 4;
+
+const peerTimeout: Milliseconds = 2000;
+const peerAttemptsBeforeOrigin = 5;
+const shortestBackoff: Milliseconds = 40;
+const longestBackoff: Milliseconds = 2000;
+const largestHolderCount = 32;
+
+/** What the dissemination of configuration needs. */
+export type ConfigurationControllerOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly store: ConfigurationStore;
+	readonly origin: ConfigurationOrigin;
+	readonly gossip: RevisionGossip;
+	readonly linkClient: LinkClient;
+	readonly handlers: RequestRegistry;
+	readonly logger: Logger;
+	readonly timeline: Timeline;
+	/** Period in which control is asked for changes that nobody announced: for the control processes, which are the first to hold a new revision. Other processes leave it out. */
+	readonly originPeriod?: Milliseconds;
+};
+
+/** Keeps the configuration of one process current: the first revision from control, later ones from peers that announced them. */
+export class ConfigurationController implements Controller {
+	readonly #holders = new Map<string, number>();
+	readonly #limit: ServingLimit;
+	readonly #cancels: Cancel[] = [];
+	#announced = 0;
+	#fetching = false;
+	#refreshing = false;
+	#stopped = false;
+	#wake: (() => void) | undefined;
+
+	constructor(private readonly options: ConfigurationControllerOptions) {
+		this.#limit = new ServingLimit(options.clock, largestPeerServing);
+	}
+
+	/** Asks control for the first revision and listens to announcements. */
+	start(): void {
+		const {clock, gossip, handlers, originPeriod} = this.options;
+		handlers.handle(configurationFromPeerName, async body => this.#answerPeer(body));
+		this.#cancels.push(
+			gossip.onRevision((revision, holder) => {
+				this.#noteAnnouncement(revision, holder);
+			}),
+			clock.repeat(comparisonPeriod, () => {
+				gossip.compareRevisions();
+			}),
+		);
+		if (originPeriod !== undefined) {
+			this.#cancels.push(clock.repeat(originPeriod, () => {
+				this.refresh();
+			}));
+		}
+
+		void this.#fetchFirst();
+	}
+
+	/** Ends all work. */
+	stop(): void {
+		this.#stopped = true;
+		this.#wake?.();
+		for (const cancel of this.#cancels) {
+			cancel();
+		}
+	}
+
+	/** Asks control for changes now; a control process calls this after each commit. */
+	refresh(): void {
+		if (this.options.store.revision === undefined) {
+			this.#wake?.();
+		} else if (!this.#refreshing) {
+			void this.#refresh();
+		}
+	}
+
+	async #refresh(): Promise<void> {
+		this.#refreshing = true;
+		try {
+			await this.#fetchFromOrigin();
+		} catch (error) {
+			this.options.logger.debug(`control gave no changes: ${String(error)}`);
+		}
+
+		this.#refreshing = false;
+	}
+
+	#noteAnnouncement(revision: number, holder: string): void {
+		const {store} = this.options;
+		if (store.revision !== undefined && revision <= store.revision) {
+			return;
+		}
+
+		this.#holders.delete(holder);
+		this.#holders.set(holder, revision);
+		if (this.#holders.size > largestHolderCount) {
+			const [oldest] = this.#holders.keys();
+			this.#holders.delete(oldest);
+		}
+
+		if (revision > this.#announced) {
+			this.#announced = revision;
+			void this.#fetchAnnounced();
+		}
+	}
+
+	async #fetchFirst(): Promise<void> {
+		for (let attempt = 0; !this.#stopped && this.options.store.revision === undefined; attempt++) {
+			try {
+				await this.#fetchFromOrigin();
+			} catch (error) {
+				this.options.logger.info(`control gave no confirmed configuration yet: ${String(error)}`);
+			}
+
+			if (this.options.store.revision === undefined) {
+				await this.#backOff(attempt);
+			}
+		}
+
+		await this.#fetchAnnounced();
+	}
+
+	async #fetchAnnounced(): Promise<void> {
+		const {store} = this.options;
+		if (this.#fetching || store.revision === undefined) {
+			return;
+		}
+
+		this.#fetching = true;
+		for (let attempt = 0; !this.#stopped && store.revision < this.#announced; attempt++) {
+			const before = store.revision;
+			await this.#attempt(attempt);
+			if (store.revision > before) {
+				attempt = -1;
+			} else {
+				await this.#backOff(attempt);
+			}
+		}
+
+		this.#fetching = false;
+	}
+
+	async #attempt(attempt: number): Promise<void> {
+		try {
+			const usePeer = attempt % (peerAttemptsBeforeOrigin + 1) < peerAttemptsBeforeOrigin;
+			await (usePeer && this.#drawHolder() !== undefined ? this.#fetchFromPeer(this.#drawHolder()!) : this.#fetchAnnouncedFromOrigin());
+		} catch (error) {
+			this.options.logger.debug(`no changes were fetched: ${String(error)}`);
+		}
+	}
+
+	async #fetchFromPeer(holder: string): Promise<void> {
+		const {gossip, linkClient, store} = this.options;
+		const peer = gossip.livePeer(holder);
+		if (!peer) {
+			this.#holders.delete(holder);
+			return;
+		}
+
+		const request: ConfigurationSinceRequest = {revision: store.revision ?? 0};
+		const response = await linkClient.request(peer.linkAddress, configurationFromPeerName, request, peerTimeout);
+		this.#accept(checkResponse(response), holder);
+	}
+
+	// When control confirms that there is nothing newer, the announcement was wrong or is older than a new deployment.
+	async #fetchAnnouncedFromOrigin(): Promise<void> {
+		const announced = this.#announced;
+		await this.#fetchFromOrigin();
+		if ((this.options.store.revision ?? 0) < announced && this.#announced === announced) {
+			this.#announced = 0;
+			this.#holders.clear();
+		}
+	}
+
+	async #fetchFromOrigin(): Promise<void> {
+		const {origin, store} = this.options;
+		this.#accept(await origin.since(store.revision ?? 0), 'control');
+	}
+
+	#accept(response: ConfigurationSinceResponse, giver: string): void {
+		const {store, gossip, timeline, logger} = this.options;
+		if (this.#stopped || !store.accept(response)) {
+			return;
+		}
+
+		const revision = store.revision!;
+		gossip.announceRevision(revision);
+		timeline.record('configuration', 'accepted', String(revision), `from ${giver}`);
+		logger.info(`revision ${revision} from ${giver} is in force`);
+	}
+
+	#drawHolder(): string | undefined {
+		const held = this.options.store.revision ?? 0;
+		const holders = [...this.#holders].filter(([, revision]) => revision > held).map(([name]) => name);
+		return this.options.random.sample(holders, 1)[0];
+	}
+
+	#answerPeer(body: unknown): ConfigurationSinceResponse {
+		const revision = typeof body === 'object' && body !== null && 'revision' in body ? body.revision : undefined;
+		if (typeof revision !== 'number') {
+			throw new BuckthornhitchError('malformedMessage', `${configurationFromPeerName} needs a revision.`);
+		}
+
+		return this.#limit.serve(() => this.options.store.since(revision), sizeOfResponse);
+	}
+
+	async #backOff(attempt: number): Promise<void> {
+		const {clock, random} = this.options;
+		const longest = Math.min(longestBackoff, shortestBackoff * (2 ** attempt));
+		await new Promise<void>(resolve => {
+			this.#wake = resolve;
+			clock.schedule((longest / 2) + random.below(longest / 2), resolve);
+		});
+	}
+}
+
+function checkResponse(response: unknown): ConfigurationSinceResponse {
+	const candidate = response as Partial<ConfigurationSinceResponse> | null;
+	const isDeltas = candidate?.kind === 'deltas' && Array.isArray(candidate.deltas);
+	const isSnapshot = candidate?.kind === 'snapshot' && typeof candidate.configuration?.revision === 'number';
+	if (!isDeltas && !isSnapshot) {
+		throw new BuckthornhitchError('malformedMessage', `The answer to ${configurationFromPeerName} has neither deltas nor a snapshot.`);
+	}
+
+	return response as ConfigurationSinceResponse;
+}
--- /dev/null
+++ b/source/configuration/configuration-store.ts
@@ -0,0 +1,154 @@
+import {type ConfigurationDelta, type ConfigurationSinceResponse} from '../control/messages.js';
+import {type StopWatching} from '../membership/instance-directory.js';
+import {type Logger} from '../observability/logger.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {baseFileName, deploymentConfiguration} from './check-files.js';
+import {ConfigurationSource} from './configuration-source.js';
+import {type AcceptedConfiguration, type DeploymentConfiguration} from './types.js';
+
+// A process that missed more changes than this gets a snapshot.
+const largestHistory = 1000;
+
+/**
+The accepted configuration of one process. Its revision only rises: older deltas and snapshots are ignored.
+
+A process gets its first configuration from an answer that a quorum of control confirmed and passes on only what it holds, so whatever comes from a peer goes back to a confirmed revision by construction.
+*/
+export class ConfigurationStore extends ConfigurationSource {
+	readonly #listeners = new Set<() => void>();
+	#accepted: AcceptedConfiguration | undefined;
+	#deployment: DeploymentConfiguration | undefined;
+	#history: readonly ConfigurationDelta[] = [];
+
+	/** The site is the data centre of this process, whose overlay applies. */
+	constructor(private readonly site: string, private readonly logger: Logger) {
+		super();
+	}
+
+	/** Revision that this process holds; undefined before the first one arrived. */
+	get revision(): number | undefined {
+		return this.#accepted?.revision;
+	}
+
+	override accepted(): AcceptedConfiguration | undefined {
+		return this.#accepted;
+	}
+
+	override deployment(): DeploymentConfiguration | undefined {
+		return this.#deployment;
+	}
+
+	override watch(listener: () => void): StopWatching {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	/** Takes over newer changes; returns whether the revision rose. */
+	accept(response: ConfigurationSinceResponse): boolean {
+		const before = this.#accepted;
+		if (response.kind === 'snapshot') {
+			this.#acceptSnapshot(response.configuration);
+		} else {
+			for (const delta of response.deltas) {
+				this.#acceptDelta(delta);
+			}
+		}
+
+		if (this.#accepted === before) {
+			return false;
+		}
+
+		if (!before || before.files !== this.#accepted?.files) {
+			this.#interpret();
+		}
+
+		for (const listener of this.#listeners) {
+			listener();
+		}
+
+		return true;
+	}
+
+	/** Returns the changes after a revision: deltas where they are known and shorter, otherwise a snapshot. Throws notConfirmed before the first configuration arrived. */
+	since(revision: number): ConfigurationSinceResponse {
+		const configuration = this.#accepted;
+		if (!configuration) {
+			throw new BuckthornhitchError('notConfirmed', 'This process has no confirmed configuration yet.');
+		}
+
+		const deltas = this.#history.filter(delta => delta.revision > revision);
+		const complete = deltas.length === configuration.revision - revision;
+		if (revision >= configuration.revision || (complete && sizeOfDeltas(deltas) <= sizeOfConfiguration(configuration))) {
+			return {kind: 'deltas', deltas};
+		}
+
+		return {kind: 'snapshot', configuration};
+	}
+
+	#acceptSnapshot(configuration: AcceptedConfiguration): void {
+		if (!this.#accepted || configuration.revision > this.#accepted.revision) {
+			this.#accepted = configuration;
+			this.#history = [];
+		}
+	}
+
+	#acceptDelta(delta: ConfigurationDelta): void {
+		if (delta.revision !== (this.#accepted?.revision ?? 0) + 1) {
+			return;
+		}
+
+		this.#accepted = applyDelta(this.#accepted ?? {revision: 0, files: {}, memberSets: {}}, delta);
+		this.#history = [...this.#history, delta].slice(-largestHistory);
+	}
+
+	#interpret(): void {
+		const {files, revision} = this.#accepted!;
+		if (files[baseFileName] === undefined) {
+			return;
+		}
+
+		try {
+			this.#deployment = deploymentConfiguration(files, this.site);
+		} catch (error) {
+			// Control checks files before they are accepted, so only a process of another version gets here.
+			this.logger.error(`revision ${revision} cannot be read by this version, the settings before it stay in force: ${String(error)}`);
+		}
+	}
+}
+
+/** Returns the configuration after one change. */
+export function applyDelta(configuration: AcceptedConfiguration, delta: ConfigurationDelta): AcceptedConfiguration {
+	return {
+		revision: delta.revision,
+		files: Object.keys(delta.files).length === 0 ? configuration.files : mergeFiles(configuration.files, delta.files),
+		memberSets: Object.keys(delta.memberSets).length === 0 ? configuration.memberSets : {...configuration.memberSets, ...delta.memberSets},
+	};
+}
+
+/** Returns the approximate bytes of a response on a link. */
+export function sizeOfResponse(response: ConfigurationSinceResponse): number {
+	return response.kind === 'deltas' ? sizeOfDeltas(response.deltas) : sizeOfConfiguration(response.configuration);
+}
+
+function mergeFiles(files: Readonly<Record<string, string>>, changes: ConfigurationDelta['files']): Readonly<Record<string, string>> {
+	const merged = Object.entries({...files, ...changes}).filter((entry): entry is [string, string] => entry[1] !== null);
+	return Object.fromEntries(merged);
+}
+
+function sizeOfDeltas(deltas: readonly ConfigurationDelta[]): number {
+	return deltas.reduce((sum, delta) => sum + sizeOfTexts(delta.files) + sizeOfMembers(delta.memberSets), 0);
+}
+
+function sizeOfConfiguration(configuration: AcceptedConfiguration): number {
+	return sizeOfTexts(configuration.files) + sizeOfMembers(configuration.memberSets);
+}
+
+function sizeOfTexts(files: ConfigurationDelta['files']): number {
+	return Object.entries(files).reduce((sum, [name, text]) => sum + name.length + (text?.length ?? 0), 0);
+}
+
+function sizeOfMembers(memberSets: ConfigurationDelta['memberSets']): number {
+	return Object.entries(memberSets).reduce((sum, [name, members]) => sum + name.length + members.join(',').length, 0);
+}
--- /dev/null
+++ b/source/membership/membership-controller.ts
@@ -0,0 +1,424 @@
+import {type Buffer} from 'node:buffer';
+import {type Controller} from '../blackboard/blackboard.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient} from '../links/link-client.js';
+import {type Logger} from '../observability/logger.js';
+import {type Random} from '../random/random.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type Timeline} from '../timeline/timeline.js';
+import {
+	decodeDatagram, decodeEntry, encodeEntry, maximumEntryBytes, type Datagram,
+} from './datagram-codec.js';
+import {type DatagramTransport} from './datagram-transport.js';
+import {FailureDetector} from './failure-detector.js';
+import {GossipSender} from './gossip-sender.js';
+import {InstanceDirectory, type StopWatching} from './instance-directory.js';
+import {type InstanceRecord} from './instance-record.js';
+import {MemberTable} from './member-table.js';
+import {
+	isLive, probePeriod, publicState, withHealth, type MemberEntry,
+} from './membership-rules.js';
+import {RecordExchange, type RequestRegistry} from './record-exchange.js';
+import {type RevisionGossip} from './revision-gossip.js';
+
+/** Each process compares its records with a random peer once in this many milliseconds. */
+export const antiEntropyPeriod: Milliseconds = 10_000;
+
+const joinRetryPeriod: Milliseconds = 1000;
+const seedsPerAttempt = 3;
+const leaveFanOut = 8;
+const drainFanOut = 4;
+
+// Records learned in larger lists are old news for most peers and are left to anti-entropy.
+const largestPassedOnList = 32;
+
+/** What a process tells about itself. */
+export type OwnDescription = Omit<InstanceRecord, 'incarnation' | 'state' | 'configurationRevision'>;
+
+/** What the membership of one process needs. */
+export type MembershipOptions = {
+	readonly self: OwnDescription;
+	/** Gossip addresses of processes to join by; this process's own is ignored. */
+	readonly seeds: readonly Address[];
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly transport: DatagramTransport;
+	readonly linkClient: LinkClient;
+	readonly handlers: RequestRegistry;
+	readonly logger: Logger;
+	readonly timeline: Timeline;
+};
+
+type Relay = {
+	readonly address: Address;
+	readonly to: string;
+	readonly sequence: number;
+};
+
+/** Keeps the records of all processes: probes peers, spreads news and merges views that have drifted apart. */
+export class MembershipController extends InstanceDirectory implements Controller, RevisionGossip {
+	readonly #table: MemberTable;
+	readonly #detector: FailureDetector;
+	readonly #sender: GossipSender;
+	readonly #exchange: RecordExchange;
+	readonly #relays = new Map<number, Relay>();
+	readonly #listeners = new Set<() => void>();
+	readonly #revisionListeners = new Set<(revision: number, holder: string) => void>();
+	#own: MemberEntry;
+	#cancelAntiEntropy: Cancel | undefined;
+	#cancelJoin: Cancel | undefined;
+	#exchangeDue = true;
+	#exchanging = false;
+	#stopped = false;
+
+	/** Throws invalidSetting when the process's own record does not fit a datagram. */
+	constructor(private readonly options: MembershipOptions) {
+		super();
+		const {self, clock, random, transport, linkClient, handlers} = options;
+		this.#table = new MemberTable(random, self.name);
+		this.#own = {
+			...self, incarnation: Math.floor(clock.wallTime()), state: 'alive', configurationRevision: 0, health: 'alive', draining: false,
+		};
+		if (encodeEntry(this.#own).length > maximumEntryBytes) {
+			throw new BuckthornhitchError('invalidSetting', `The names and addresses of this process take more than ${maximumEntryBytes} bytes.`);
+		}
+
+		this.#table.put(this.#own, clock.now());
+		this.#sender = new GossipSender({
+			clock, transport, table: this.#table, ownName: self.name,
+		});
+		this.#exchange = new RecordExchange({
+			clock,
+			linkClient,
+			handlers,
+			table: this.#table,
+			learn: entries => {
+				this.#learn(entries, largestPassedOnList);
+			},
+		});
+		this.#detector = this.#createDetector();
+	}
+
+	/** Opens the gossip address. Rejects when it is in use. */
+	async open(): Promise<void> {
+		await this.options.transport.open((bytes, sender) => {
+			this.#receive(bytes, sender);
+		});
+	}
+
+	/** Joins by the seeds and starts probing; the gossip address is open already. */
+	start(): void {
+		const {random} = this.options;
+		this.#exchange.start();
+		this.#sender.announce(this.#own);
+		this.#join();
+		this.#detector.start(random.below(probePeriod));
+		this.#scheduleAntiEntropy(random.below(antiEntropyPeriod));
+	}
+
+	/** Announces that this process left and closes the gossip address. */
+	stop(): void {
+		if (this.#stopped) {
+			return;
+		}
+
+		this.#stopped = true;
+		this.#replaceOwn({
+			...this.#own, incarnation: this.#own.incarnation + 1, health: 'left', state: 'left',
+		});
+		this.#sender.sendRound(leaveFanOut);
+		this.#sender.stop();
+		this.#detector.stop();
+		this.#cancelAntiEntropy?.();
+		this.#cancelJoin?.();
+		this.options.transport.close();
+	}
+
+	override records(): readonly InstanceRecord[] {
+		return this.#table.entries();
+	}
+
+	override watch(listener: () => void): StopWatching {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	override markDraining(): void {
+		if (this.#own.draining || this.#stopped) {
+			return;
+		}
+
+		this.options.timeline.record('membership', 'draining', this.#own.name);
+		this.#replaceOwn({
+			...this.#own, incarnation: this.#own.incarnation + 1, draining: true, state: publicState('alive', true),
+		});
+		this.#sender.sendRound(drainFanOut);
+		this.#notify();
+	}
+
+	announceRevision(revision: number): void {
+		this.#own = {...this.#own, configurationRevision: revision};
+		this.#table.noteRevision(this.#own.name, revision);
+		this.#sender.announceRevision(revision);
+	}
+
+	compareRevisions(): void {
+		for (const name of this.#table.peers.draw(1)) {
+			const peer = this.#table.get(name);
+			if (peer) {
+				this.#ping(peer, this.#detector.nextSequence());
+			}
+		}
+	}
+
+	onRevision(listener: (revision: number, holder: string) => void): StopWatching {
+		this.#revisionListeners.add(listener);
+		return () => {
+			this.#revisionListeners.delete(listener);
+		};
+	}
+
+	livePeer(name: string): InstanceRecord | undefined {
+		const entry = this.#table.get(name);
+		return entry && entry.name !== this.#own.name && isLive(entry) ? entry : undefined;
+	}
+
+	#createDetector(): FailureDetector {
+		return new FailureDetector({
+			clock: this.options.clock,
+			table: this.#table,
+			probe: (target, sequence) => {
+				this.#ping(target, sequence);
+			},
+			probeThrough: (helper, target, sequence) => {
+				this.#sender.send({
+					kind: 'pingRequest', address: helper.gossipAddress, to: helper.name, sequence, target,
+				});
+			},
+			onSuspicion: entry => {
+				this.#conclude(withHealth(entry, 'suspect'));
+			},
+			onFailure: entry => {
+				this.#conclude(withHealth(entry, 'failed'));
+			},
+			onPause: late => {
+				this.options.logger.warn(`this process did not run for ${Math.round(late)} ms; it judges no peer until it has caught up`);
+			},
+		});
+	}
+
+	#ping(target: MemberEntry, sequence: number): void {
+		this.#sender.send({
+			kind: 'ping', address: target.gossipAddress, to: target.name, sequence,
+		});
+	}
+
+	#receive(bytes: Buffer, sender: Address): void {
+		const datagram = decodeDatagram(bytes);
+		if (this.#stopped || !datagram || datagram.from === this.#own.name || (datagram.to !== '' && datagram.to !== this.#own.name)) {
+			return;
+		}
+
+		this.#learn(datagram.updates.map(update => decodeEntry(update)).filter(entry => entry !== undefined), Number.POSITIVE_INFINITY);
+		this.#noteRevision(datagram);
+		this.#respond(datagram, sender);
+	}
+
+	#respond(datagram: Datagram, sender: Address): void {
+		if (datagram.kind === 'ping') {
+			this.#sender.send({
+				kind: 'ack', address: sender, to: datagram.from, sequence: datagram.sequence, includeOwn: datagram.introduce,
+			});
+			return;
+		}
+
+		if (datagram.introduce) {
+			this.#sender.send({
+				kind: 'notice', address: sender, to: datagram.from, sequence: 0, includeOwn: true,
+			});
+		}
+
+		if (datagram.kind === 'pingRequest') {
+			this.#relayPing(datagram, sender);
+		} else if (datagram.kind === 'ack') {
+			this.#acknowledge(datagram);
+		}
+	}
+
+	#relayPing(request: Datagram, sender: Address): void {
+		const sequence = this.#detector.nextSequence();
+		this.#relays.set(sequence, {address: sender, to: request.from, sequence: request.sequence});
+		this.options.clock.schedule(probePeriod, () => {
+			this.#relays.delete(sequence);
+		});
+		this.#sender.send({
+			kind: 'ping', address: request.targetAddress, to: request.targetName, sequence,
+		});
+	}
+
+	#acknowledge(ack: Datagram): void {
+		this.#detector.acknowledge(ack.sequence);
+		const relay = this.#relays.get(ack.sequence);
+		if (relay) {
+			this.#relays.delete(ack.sequence);
+			this.#sender.send({
+				kind: 'ack', address: relay.address, to: relay.to, sequence: relay.sequence,
+			});
+		}
+
+		const peer = this.#table.get(ack.from);
+		if (this.#exchangeDue && peer && isLive(peer)) {
+			this.#exchangeDue = false;
+			if (ack.digest !== this.#table.digest) {
+				void this.#exchangeWith(peer);
+			}
+		}
+	}
+
+	async #exchangeWith(peer: MemberEntry): Promise<void> {
+		if (this.#exchanging) {
+			return;
+		}
+
+		this.#exchanging = true;
+		try {
+			await this.#exchange.exchangeWith(peer.linkAddress);
+		} catch (error) {
+			// The next answer to a probe comes from another peer.
+			this.#exchangeDue = true;
+			this.options.logger.debug(`the records of ${peer.name} could not be compared: ${String(error)}`);
+		} finally {
+			this.#exchanging = false;
+		}
+	}
+
+	#learn(entries: readonly MemberEntry[], largestPassedOn: number): void {
+		const changed = entries.map(entry => this.#learnOne(entry)).filter(entry => entry !== undefined);
+		for (const entry of changed) {
+			if (changed.length <= largestPassedOn || entry.health === 'suspect') {
+				this.#sender.announce(entry);
+			}
+		}
+
+		if (changed.length > 0) {
+			this.#notify();
+		}
+	}
+
+	#learnOne(entry: MemberEntry): MemberEntry | undefined {
+		if (entry.name === this.#own.name) {
+			this.#refute(entry);
+			return undefined;
+		}
+
+		const previous = this.#table.get(entry.name);
+		const held = this.#table.learn(entry, this.options.clock.now());
+		if (held) {
+			this.#report(held, previous);
+			this.#detector.track(held);
+		}
+
+		return held;
+	}
+
+	#refute(claim: MemberEntry): void {
+		const {incarnation} = this.#own;
+		if (this.#stopped || claim.incarnation < incarnation || (claim.incarnation === incarnation && claim.health === 'alive')) {
+			return;
+		}
+
+		if (claim.health === 'alive' && claim.gossipAddress !== this.#own.gossipAddress) {
+			this.options.logger.warn(`a process at ${claim.gossipAddress} uses this process's name ${claim.name}`);
+		}
+
+		this.#replaceOwn({...this.#own, incarnation: claim.incarnation + 1});
+	}
+
+	#replaceOwn(entry: MemberEntry): void {
+		this.#own = entry;
+		this.#table.put(entry, this.options.clock.now());
+		this.#sender.announce(entry);
+	}
+
+	#conclude(entry: MemberEntry): void {
+		this.#report(entry, this.#table.get(entry.name));
+		this.#table.put(entry, this.options.clock.now());
+		this.#detector.track(entry);
+		this.#sender.announce(entry);
+		this.#notify();
+	}
+
+	#report(entry: MemberEntry, previous: MemberEntry | undefined): void {
+		if (entry.state === previous?.state) {
+			return;
+		}
+
+		this.options.timeline.record('membership', entry.state, entry.name, entry.gossipAddress);
+		this.options.logger.info(`${entry.name} at ${entry.gossipAddress} is ${entry.state}`);
+	}
+
+	#noteRevision(datagram: Datagram): void {
+		this.#table.noteRevision(datagram.from, datagram.revision);
+		for (const listener of this.#revisionListeners) {
+			listener(datagram.revision, datagram.from);
+		}
+	}
+
+	#notify(): void {
+		for (const listener of this.#listeners) {
+			listener();
+		}
+	}
+
+	#join(): void {
+		const {random, clock, seeds} = this.options;
+		if (this.#stopped || this.#table.peers.size > 0) {
+			return;
+		}
+
+		for (const address of random.sample(seeds, seedsPerAttempt)) {
+			this.#contact(address, '');
+		}
+
+		this.#cancelJoin = clock.schedule(joinRetryPeriod + random.below(joinRetryPeriod), () => {
+			this.#join();
+		});
+	}
+
+	#contact(address: Address, name: string): void {
+		this.#sender.send({
+			kind: 'ping', address, to: name, sequence: this.#detector.nextSequence(), includeOwn: true,
+		});
+	}
+
+	#scheduleAntiEntropy(delay: Milliseconds): void {
+		this.#cancelAntiEntropy = this.options.clock.schedule(delay, () => {
+			this.#exchangeDue = true;
+			this.#table.forgetEnded(this.options.clock.now());
+			this.#contactOneMissing();
+			this.#scheduleAntiEntropy(antiEntropyPeriod);
+		});
+	}
+
+	// Brings the halves of a partition together again: one failed process or seed that is not live is tried each period.
+	#contactOneMissing(): void {
+		const {random, seeds} = this.options;
+		const live = new Set(this.#table.entries().filter(entry => isLive(entry)).map(entry => entry.gossipAddress));
+		const failed = this.#table.failedNames().map(name => this.#table.get(name)!);
+		const missing = [
+			...failed.map(entry => ({address: entry.gossipAddress, name: entry.name})),
+			...seeds.filter(address => !live.has(address)).map(address => ({address, name: ''})),
+		];
+		for (const {address, name} of random.sample(missing, 1)) {
+			this.#contact(address, name);
+		}
+
+		if (this.#table.peers.size === 0) {
+			this.#cancelJoin?.();
+			this.#join();
+		}
+	}
+}
--- /dev/null
+++ b/source/membership/revision-gossip.ts
@@ -0,0 +1,17 @@
+import {type InstanceRecord} from './instance-record.js';
+import {type StopWatching} from './instance-directory.js';
+
+/** Carries configuration revisions on the membership datagrams. */
+export abstract class RevisionGossip {
+	/** Announces the revision that this process holds now. */
+	abstract announceRevision(revision: number): void;
+
+	/** Compares revisions with a random peer. */
+	abstract compareRevisions(): void;
+
+	/** Calls the listener for each datagram with the revision that its sender holds. */
+	abstract onRevision(listener: (revision: number, holder: string) => void): StopWatching;
+
+	/** Returns the record of a process, or undefined when it is not live. */
+	abstract livePeer(name: string): InstanceRecord | undefined;
+}
--- /dev/null
+++ b/source/membership/udp-transport.ts
@@ -0,0 +1,82 @@
+import {type Buffer} from 'node:buffer';
+import {createSocket, type Socket} from 'node:dgram';
+import {isIPv6} from 'node:net';
+import {parseAddress, type Address} from '../links/address.js';
+import {DatagramTransport, type DatagramListener} from './datagram-transport.js';
+
+/** Datagrams and bytes since the start, without the headers of UDP and IP. */
+export type DatagramCounts = {
+	readonly sentDatagrams: number;
+	readonly sentBytes: number;
+	readonly receivedDatagrams: number;
+	readonly receivedBytes: number;
+};
+
+/** Datagrams over UDP. */
+export class UdpTransport extends DatagramTransport {
+	readonly #socket: Socket;
+	readonly #host: string;
+	readonly #port: number;
+	#open = false;
+	#sentDatagrams = 0;
+	#sentBytes = 0;
+	#receivedDatagrams = 0;
+	#receivedBytes = 0;
+
+	constructor(address: Address) {
+		super();
+		const {host, port} = parseAddress(address);
+		this.#host = host;
+		this.#port = port;
+		this.#socket = createSocket(isIPv6(host) ? 'udp6' : 'udp4');
+	}
+
+	override async open(listener: DatagramListener): Promise<void> {
+		this.#socket.on('message', (bytes, sender) => {
+			this.#receivedDatagrams++;
+			this.#receivedBytes += bytes.length;
+			listener(bytes, sender.family === 'IPv6' ? `[${sender.address}]:${sender.port}` : `${sender.address}:${sender.port}`);
+		});
+		return new Promise((resolve, reject) => {
+			this.#socket.once('error', reject);
+			this.#socket.bind(this.#port, this.#host, () => {
+				this.#socket.off('error', reject);
+				this.#socket.on('error', () => {
+					// A datagram that cannot be sent counts as lost.
+				});
+				this.#open = true;
+				resolve();
+			});
+		});
+	}
+
+	override send(address: Address, bytes: Buffer): void {
+		if (!this.#open) {
+			return;
+		}
+
+		const {host, port} = parseAddress(address);
+		this.#sentDatagrams++;
+		this.#sentBytes += bytes.length;
+		this.#socket.send(bytes, port, host, () => {
+			// A datagram that cannot be sent counts as lost.
+		});
+	}
+
+	override close(): void {
+		if (this.#open) {
+			this.#open = false;
+			this.#socket.close();
+		}
+	}
+
+	/** Returns the datagrams and bytes since the start. */
+	counts(): DatagramCounts {
+		return {
+			sentDatagrams: this.#sentDatagrams,
+			sentBytes: this.#sentBytes,
+			receivedDatagrams: this.#receivedDatagrams,
+			receivedBytes: this.#receivedBytes,
+		};
+	}
+}
