--- a/source/command-line/configuration-commands.ts
+++ b/source/command-line/configuration-commands.ts
@@ -50,7 +50,7 @@
 	args: {
 		folder: folderArgument,
 		controls: controlsOption,
-		expectedRevision: option({type: optional(number), long: 'expected-revision', description: 'revision that the files were edited from; read from the folder when it was fetched or applied before'}),
+		expectedRevision: option({type: optional(number), long: 'expected-revision', description: 'revision that the files were edited from; by default the one noted in the folder'}),
 		changeId: option({type: optional(string), long: 'change-id', description: 'identifies this change; derived from the files and the expected revision by default'}),
 	},
 	async handler({folder, controls, expectedRevision, changeId}) {
@@ -59,7 +59,7 @@
 			assertFilesValid(files);
 			const expected = expectedRevision ?? await readRevision(folder);
 			if (expected === undefined) {
-				throw new BuckthornhitchError('invalidSetting', 'The revision that the files were edited from is not known: fetch the folder first, or give --expected-revision (0 for the first configuration).');
+				throw new BuckthornhitchError('invalidSetting', 'The folder notes no revision: fetch it first, or give --expected-revision (0 for the first configuration).');
 			}
 
 			const answer = await session.controlClient.apply({
--- a/source/command-line/fleet-commands.ts
+++ b/source/command-line/fleet-commands.ts
@@ -79,7 +79,8 @@
 });
 
 async function findOwner(session: OperatorSession, database: string): Promise<string> {
-	const pools = (await fetchInstances(session)).filter(record => record.role === 'pool');
+	const instances = await fetchInstances(session);
+	const pools = instances.filter(record => record.role === 'pool');
 	const {values} = await collect(pools, async record => ({
 		address: record.linkAddress,
 		status: await session.linkClient.request(record.linkAddress, 'poolStatus', null, commandTimeout) as PoolStatusResponse,
--- a/source/command-line/status-command.ts
+++ b/source/command-line/status-command.ts
@@ -55,5 +55,11 @@
 }
 
 function memberLines(report: DatabaseReport): readonly string[] {
-	return report.members.map(member => `    ${member.member} ${member.role}${member.reachable ? '' : ', not reachable'}${member.leaving ? ', leaving' : ''}, received ${member.receivedPosition}, applied ${member.appliedPosition}, slots ${member.slotsInUse}, connections ${member.connections}`);
+	return report.members.map(member => [
+		`    ${member.member} ${member.role}`,
+		...(member.reachable ? [] : ['not reachable']),
+		...(member.leaving ? ['leaving'] : []),
+		`received ${member.receivedPosition}, applied ${member.appliedPosition}`,
+		`slots ${member.slotsInUse}, connections ${member.connections}`,
+	].join(', '));
 }
