Store the control log in a data folder

Voters lost their state with the process. The file storage writes one checksummed record for each sync, cuts an interrupted last record, refuses to start on a record damaged before the last one, and after a failed write goes back to what was synced, so that a refused entry is never read back as an accepted one.

--- /dev/null
+++ b/source/control-log/file-storage.spec.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {
+	mkdtemp, open, readFile, rm, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {test, type TestContext} from 'node:test';
+import fastCheck from 'fast-check';
+import {silentLogger} from '../observability/logger.js';
+import {FileStorage, type OpenFile} from './file-storage.js';
+import {encodeRecord, readRecords} from './record-format.js';
+import {type LogEntry, type Snapshot} from './types.js';
+
+const entry = (index: number, term = 1): LogEntry => ({index, term, command: {kind: 'opening'}});
+const snapshot = (index: number, term: number): Snapshot => ({
+	index, term, group: 'group', list: {voters: [], learners: []}, image: {revision: index},
+});
+
+async function temporaryFolder(context: TestContext): Promise<string> {
+	const folder = await mkdtemp(path.join(tmpdir(), 'control-log-'));
+	context.after(async () => rm(folder, {recursive: true}));
+	return path.join(folder, 'data');
+}
+
+/** Reads the folder anew and closes it; returns the terms of the entries by index. */
+async function readTerms(folder: string): Promise<ReadonlyMap<number, number>> {
+	const storage = new FileStorage(folder, silentLogger);
+	try {
+		const {entries} = await storage.load();
+		return new Map(entries.map(({index, term}) => [index, term]));
+	} finally {
+		await storage.close();
+	}
+}
+
+test('disk id, promise, snapshot or entries are lost or changed by a restart', async context => {
+	const folder = await temporaryFolder(context);
+	const storage = new FileStorage(folder, silentLogger);
+	const {diskId} = await storage.load();
+	await storage.savePromise({term: 3, votedFor: 'one/disk'});
+	await storage.append([entry(1), entry(2), entry(3)]);
+	await storage.append([entry(2, 2)]);
+	await storage.saveSnapshot(snapshot(1, 1), [entry(2, 2)]);
+	await storage.append([entry(3, 3)]);
+	await storage.close();
+	const restarted = new FileStorage(folder, silentLogger);
+	assert.deepEqual(await restarted.load(), {
+		diskId, promise: {term: 3, votedFor: 'one/disk'}, snapshot: snapshot(1, 1), entries: [entry(2, 2), entry(3, 3)],
+	});
+	await restarted.close();
+});
+
+test('a tail torn at any byte keeps the voter from starting or costs an entry before it', async context => {
+	const folder = await temporaryFolder(context);
+	const storage = new FileStorage(folder, silentLogger);
+	await storage.load();
+	await storage.append([entry(1), entry(2)]);
+	const {length} = await readFile(path.join(folder, 'log'));
+	await storage.append([entry(3), entry(4)]);
+	await storage.close();
+	const whole = await readFile(path.join(folder, 'log'));
+	for (let end = length; end < whole.length; end++) {
+		await writeFile(path.join(folder, 'log'), whole.subarray(0, end));
+		assert.deepEqual(await readTerms(folder), new Map([[1, 1], [2, 1]]));
+	}
+
+	await storage.load();
+	await storage.append([entry(3, 2)]);
+	await storage.close();
+	assert.deepEqual(await readTerms(folder), new Map([[1, 1], [2, 1], [3, 2]]));
+});
+
+test('a damaged record before the tail is taken for a torn tail and costs accepted entries', () => {
+	const records = [1, 2, 3].map(index => encodeRecord({entries: [entry(index)]}));
+	const bytes = Buffer.concat(records);
+	const tailStart = bytes.length - records[2].length;
+	fastCheck.assert(fastCheck.property(fastCheck.integer({min: 0, max: tailStart - 1}), fastCheck.integer({min: 1, max: 255}), (place, change) => {
+		const damaged = Buffer.from(bytes);
+		damaged[place] = (damaged[place] + change) % 256;
+		const start = place < records[0].length ? 0 : records[0].length;
+		assert.throws(() => readRecords(damaged, 'log'), {codeName: 'storageCorrupt', message: new RegExp(`log at byte ${start}:`, 'v')});
+	}), {seed: 11, numRuns: 300});
+});
+
+test('a damaged or missing promise, snapshot or log is taken for an empty one', async context => {
+	const folder = await temporaryFolder(context);
+	const storage = new FileStorage(folder, silentLogger);
+	await storage.load();
+	await storage.saveSnapshot(snapshot(1, 1), [entry(2)]);
+	await storage.close();
+	for (const file of ['promise', 'snapshot', 'disk']) {
+		const whole = await readFile(path.join(folder, file));
+		await writeFile(path.join(folder, file), whole.subarray(0, -1));
+		await assert.rejects(readTerms(folder), {codeName: 'storageCorrupt', message: new RegExp(`${file} at byte 0`, 'v')});
+		await writeFile(path.join(folder, file), whole);
+	}
+
+	for (const file of ['promise', 'log', 'disk']) {
+		const whole = await readFile(path.join(folder, file));
+		await rm(path.join(folder, file));
+		await assert.rejects(readTerms(folder), {codeName: 'storageCorrupt', message: new RegExp(`${file} at byte 0`, 'v')});
+		await writeFile(path.join(folder, file), whole);
+	}
+
+	assert.deepEqual(await readTerms(folder), new Map([[2, 1]]));
+});
+
+test('a crash between snapshot and log leaves entries of another log behind the snapshot', async context => {
+	const folder = await temporaryFolder(context);
+	const storage = new FileStorage(folder, silentLogger);
+	await storage.load();
+	await storage.append([entry(1), entry(2), entry(3)]);
+	await storage.close();
+	await writeFile(path.join(folder, 'snapshot'), encodeRecord(snapshot(2, 2)));
+	assert.deepEqual(await readTerms(folder), new Map());
+	await writeFile(path.join(folder, 'snapshot'), encodeRecord(snapshot(2, 1)));
+	assert.deepEqual(await readTerms(folder), new Map([[3, 1]]));
+});
+
+type TestDisk = {full: boolean; readonly writtenShare: number};
+
+/** Opens files that behave as on a full disk while `full` is set: a share of the bytes is written, and syncs fail. */
+function openOn(disk: TestDisk): OpenFile {
+	const refuse = async (): Promise<never> => {
+		throw new Error('ENOSPC: no space left on device');
+	};
+
+	return async (file, flags) => {
+		const handle = await open(file, flags);
+		const write = async (bytes: Buffer, offset: number, length: number, position: number): Promise<unknown> => {
+			const share = disk.full ? disk.writtenShare : 1;
+			const result = await handle.write(bytes, offset, Math.floor(length * share), position);
+			return share < 1 ? refuse() : result;
+		};
+
+		return new Proxy(handle, {
+			get(target, name) {
+				if (name === 'write') {
+					return write;
+				}
+
+				if (disk.full && (name === 'datasync' || name === 'sync')) {
+					return refuse;
+				}
+
+				const value: unknown = Reflect.get(target, name);
+				return typeof value === 'function' ? value.bind(target) as unknown : value;
+			},
+		});
+	};
+}
+
+for (const writtenShare of [0, 0.5, 1]) {
+	test(`a full disk that takes ${writtenShare * 100}% of a write costs accepted entries or keeps refused ones`, async context => {
+		const folder = await temporaryFolder(context);
+		const disk: TestDisk = {full: false, writtenShare};
+		const storage = new FileStorage(folder, silentLogger, openOn(disk));
+		const {diskId} = await storage.load();
+		await storage.append([entry(1)]);
+		disk.full = true;
+		await assert.rejects(storage.append([entry(2)]), {codeName: 'storageFailed'});
+		await assert.rejects(storage.savePromise({term: 9, votedFor: null}), {codeName: 'storageFailed'});
+		await assert.rejects(storage.saveSnapshot(snapshot(1, 1), []), {codeName: 'storageFailed'});
+		disk.full = false;
+		assert.deepEqual(await storage.load(), {
+			diskId, promise: {term: 0, votedFor: null}, snapshot: undefined, entries: [entry(1)],
+		});
+		await storage.append([entry(2, 2)]);
+		await storage.close();
+		assert.deepEqual(await readTerms(folder), new Map([[1, 1], [2, 2]]));
+	});
+}
