Test membership and dissemination on an in-memory network

Loss, pauses, partitions, restarts and 4,000 records were not covered. The specs found that an empty peer list advanced its cursor, that a control without any applied change left every process asking it forever, and that a refresh during a running one was dropped; all three are corrected.

--- /dev/null
+++ b/source/configuration/configuration-controller.spec.ts
@@ -0,0 +1,171 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {type ConfigurationSinceResponse} from '../control/messages.js';
+import {InMemoryNetwork} from '../membership/in-memory-network.js';
+import {MembershipController} from '../membership/membership-controller.js';
+import {silentLogger} from '../observability/logger.js';
+import {SeededRandom} from '../random/random.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {HybridClock} from '../timeline/hybrid-clock.js';
+import {Timeline} from '../timeline/timeline.js';
+import {ConfigurationController, configurationFromPeerName, largestPeerServing} from './configuration-controller.js';
+import {ConfigurationOrigin} from './configuration-origin.js';
+import {ConfigurationStore} from './configuration-store.js';
+
+class FakeControl extends ConfigurationOrigin {
+	confirming = true;
+	asked = 0;
+	readonly #committed = new ConfigurationStore('', silentLogger);
+
+	constructor() {
+		super();
+		this.#committed.accept({kind: 'snapshot', configuration: {revision: 0, files: {}, memberSets: {}}});
+	}
+
+	commit(count: number): void {
+		for (let index = 0; index < count; index++) {
+			const revision = this.#committed.revision! + 1;
+			this.#committed.accept({kind: 'deltas', deltas: [{revision, files: {}, memberSets: {[`db-${revision % 50}`]: [`m-${revision}`]}}]});
+		}
+	}
+
+	override async since(revision: number): Promise<ConfigurationSinceResponse> {
+		this.asked++;
+		if (!this.confirming) {
+			throw new BuckthornhitchError('notConfirmed', '');
+		}
+
+		return this.#committed.since(revision);
+	}
+}
+
+class Fleet {
+	readonly clock = new ManualClock();
+	readonly control = new FakeControl();
+	readonly network: InMemoryNetwork;
+	readonly stores = new Map<string, ConfigurationStore>();
+	readonly controllers = new Map<string, ConfigurationController>();
+	readonly #random: SeededRandom;
+
+	constructor(seed: number) {
+		this.#random = new SeededRandom(seed);
+		this.network = new InMemoryNetwork(this.clock, this.#random);
+	}
+
+	start(name: string, origin: ConfigurationOrigin = this.control): ReturnType<InMemoryNetwork['add']> {
+		const endpoint = this.network.add(name);
+		const common = {
+			...endpoint, random: this.#random, logger: silentLogger, timeline: new Timeline(name, new HybridClock(endpoint.clock)),
+		};
+		const membership = new MembershipController({
+			self: {
+				name, role: 'entry', instance: name, dataCentre: 'chc-a', region: 'canterbury', linkAddress: name, gossipAddress: name,
+			},
+			seeds: ['p0', 'p1'], ...common,
+		});
+		const store = new ConfigurationStore('chc-a', silentLogger);
+		const controller = new ConfigurationController({
+			store, origin, gossip: membership, ...common,
+		});
+		void membership.open();
+		membership.start();
+		controller.start();
+		this.stores.set(name, store);
+		this.controllers.set(name, controller);
+		return endpoint;
+	}
+
+	async startMany(count: number): Promise<void> {
+		for (let index = 0; index < count; index++) {
+			this.start(`p${index}`);
+		}
+
+		await this.pass(12_000);
+	}
+
+	async pass(duration: number): Promise<void> {
+		await this.clock.advanceInSteps(duration, 10);
+	}
+
+	revisions(): ReadonlySet<number | undefined> {
+		return new Set([...this.stores.values()].map(store => store.revision));
+	}
+}
+
+test('300 missed changes are not lost to a process that was cut off, and control is not asked for them by all', async () => {
+	const fleet = new Fleet(31);
+	await fleet.startMany(20);
+	fleet.network.partition(['p9']);
+	await fleet.pass(2000);
+	const askedBefore = fleet.control.asked;
+	for (let change = 0; change < 300; change++) {
+		fleet.control.commit(1);
+		fleet.controllers.get('p0')!.refresh();
+		await fleet.pass(20);
+	}
+
+	await fleet.pass(3000);
+	assert.equal(fleet.stores.get('p9')!.revision, 0);
+	assert.equal(fleet.stores.get('p8')!.revision, 300);
+	fleet.network.partition([]);
+	await fleet.pass(15_000);
+	assert.deepEqual(fleet.revisions(), new Set([300]));
+	assert.equal(fleet.control.asked - askedBefore, 300);
+	assert.deepEqual(fleet.stores.get('p9')!.accepted(), fleet.stores.get('p0')!.accepted());
+});
+
+test('an announcement that is lost to most processes does not leave them behind', async () => {
+	const fleet = new Fleet(32);
+	await fleet.startMany(12);
+	fleet.network.loss = 1;
+	fleet.control.commit(1);
+	fleet.controllers.get('p0')!.refresh();
+	await fleet.pass(3000);
+	assert.deepEqual(fleet.revisions(), new Set([0, 1]));
+	fleet.network.loss = 0.05;
+	await fleet.pass(10_000);
+	assert.deepEqual(fleet.revisions(), new Set([1]));
+});
+
+test('an isolated control process hands out nothing, and nobody takes a first configuration from a peer', async () => {
+	const fleet = new Fleet(33);
+	await fleet.startMany(3);
+	const isolated = new FakeControl();
+	isolated.confirming = false;
+	isolated.commit(5);
+	const {handlers} = fleet.start('control', isolated);
+	fleet.control.commit(2);
+	fleet.controllers.get('p0')!.refresh();
+	await fleet.pass(8000);
+	assert.equal(fleet.stores.get('p2')!.revision, 2);
+	assert.equal(fleet.stores.get('control')!.revision, undefined);
+	await assert.rejects(async () => handlers.get(configurationFromPeerName)!({revision: 0}, {linkId: 0}), /BH5002/v);
+});
+
+test('a process does not serve more than four peers at a time, and those refused do not stay behind', async () => {
+	const fleet = new Fleet(34);
+	const {handlers} = fleet.start('p0');
+	await fleet.pass(500);
+	const answers = await Promise.allSettled(Array.from({length: 10}, async () => handlers.get(configurationFromPeerName)!({revision: 0}, {linkId: 0})));
+	assert.equal(answers.filter(answer => answer.status === 'fulfilled').length, largestPeerServing);
+	fleet.control.commit(1);
+	await fleet.startMany(20);
+	assert.deepEqual(fleet.revisions(), new Set([1]));
+});
+
+test('a process does not wait for a peer that died after announcing a revision', async () => {
+	const fleet = new Fleet(35);
+	await fleet.startMany(3);
+	fleet.control.commit(1);
+	fleet.network.partition(['p2']);
+	fleet.controllers.get('p2')!.refresh();
+	await fleet.pass(50);
+	const {handlers} = fleet.network.add('p2');
+	handlers.clear();
+	fleet.network.partition([]);
+	fleet.control.commit(1);
+	fleet.controllers.get('p1')!.refresh();
+	await fleet.pass(8000);
+	assert.equal(fleet.stores.get('p0')!.revision, 2);
+});
--- a/source/configuration/configuration-controller.ts
+++ b/source/configuration/configuration-controller.ts
@@ -50,6 +50,7 @@
 	#announced = 0;
 	#fetching = false;
 	#refreshing = false;
+	#refreshDue = false;
 	#stopped = false;
 	#wake: (() => void) | undefined;
 
@@ -91,17 +92,25 @@
 	refresh(): void {
 		if (this.options.store.revision === undefined) {
 			this.#wake?.();
-		} else if (!this.#refreshing) {
+		} else {
+			this.#refreshDue = true;
 			void this.#refresh();
 		}
 	}
 
 	async #refresh(): Promise<void> {
+		if (this.#refreshing) {
+			return;
+		}
+
 		this.#refreshing = true;
-		try {
-			await this.#fetchFromOrigin();
-		} catch (error) {
-			this.options.logger.debug(`control gave no changes: ${String(error)}`);
+		while (this.#refreshDue && !this.#stopped) {
+			this.#refreshDue = false;
+			try {
+				await this.#fetchFromOrigin();
+			} catch (error) {
+				this.options.logger.debug(`control gave no changes: ${String(error)}`);
+			}
 		}
 
 		this.#refreshing = false;
--- a/source/configuration/configuration-store.ts
+++ b/source/configuration/configuration-store.ts
@@ -9,6 +9,8 @@
 // A process that missed more changes than this gets a snapshot.
 const largestHistory = 1000;
 
+const emptyConfiguration: AcceptedConfiguration = {revision: 0, files: {}, memberSets: {}};
+
 /**
 The accepted configuration of one process. Its revision only rises: older deltas and snapshots are ignored.
 
@@ -51,6 +53,8 @@
 		if (response.kind === 'snapshot') {
 			this.#acceptSnapshot(response.configuration);
 		} else {
+			// Deltas answer the question for everything after revision 0, so none of them means that nothing was applied yet.
+			this.#accepted ??= emptyConfiguration;
 			for (const delta of response.deltas) {
 				this.#acceptDelta(delta);
 			}
@@ -95,11 +99,11 @@
 	}
 
 	#acceptDelta(delta: ConfigurationDelta): void {
-		if (delta.revision !== (this.#accepted?.revision ?? 0) + 1) {
+		if (!this.#accepted || delta.revision !== this.#accepted.revision + 1) {
 			return;
 		}
 
-		this.#accepted = applyDelta(this.#accepted ?? {revision: 0, files: {}, memberSets: {}}, delta);
+		this.#accepted = applyDelta(this.#accepted, delta);
 		this.#history = [...this.#history, delta].slice(-largestHistory);
 	}
 
--- /dev/null
+++ b/source/membership/membership-controller.spec.ts
@@ -0,0 +1,193 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {type RequestHandler} from '../links/link-client.js';
+import {silentLogger} from '../observability/logger.js';
+import {SeededRandom} from '../random/random.js';
+import {HybridClock} from '../timeline/hybrid-clock.js';
+import {Timeline} from '../timeline/timeline.js';
+import {encodeEntry} from './datagram-codec.js';
+import {InMemoryNetwork, type PausableClock} from './in-memory-network.js';
+import {type InstanceState} from './instance-record.js';
+import {MembershipController} from './membership-controller.js';
+import {entriesName} from './record-exchange.js';
+
+type Process = {
+	readonly membership: MembershipController;
+	readonly timeline: Timeline;
+	readonly clock: PausableClock;
+	readonly handlers: ReadonlyMap<string, RequestHandler>;
+};
+
+const step = 10;
+
+class Fleet {
+	readonly clock = new ManualClock();
+	readonly network: InMemoryNetwork;
+	readonly processes = new Map<string, Process>();
+	readonly #random: SeededRandom;
+
+	constructor(seed: number) {
+		this.#random = new SeededRandom(seed);
+		this.network = new InMemoryNetwork(this.clock, this.#random);
+	}
+
+	start(name: string, wallTimeOffset = 0): MembershipController {
+		const {clock, transport, linkClient, handlers} = this.network.add(name);
+		clock.wallTimeOffset = wallTimeOffset;
+		const timeline = new Timeline(name, new HybridClock(clock));
+		const membership = new MembershipController({
+			self: {
+				name, role: 'entry', instance: name, dataCentre: 'chc-a', region: 'canterbury', linkAddress: name, gossipAddress: name,
+			},
+			seeds: ['p0', 'p1'], clock, random: this.#random, transport, linkClient, handlers, logger: silentLogger, timeline,
+		});
+		void membership.open();
+		membership.start();
+		this.processes.set(name, {
+			membership, timeline, clock, handlers,
+		});
+		return membership;
+	}
+
+	async startMany(count: number): Promise<void> {
+		for (let index = 0; index < count; index++) {
+			this.start(`p${index}`);
+		}
+
+		await this.pass(15_000);
+		this.assertAgreed(count);
+	}
+
+	kill(name: string): void {
+		this.network.kill(name);
+		this.processes.get(name)?.membership.stop();
+		this.processes.delete(name);
+	}
+
+	async pass(duration: number): Promise<void> {
+		await this.clock.advanceInSteps(duration, step);
+	}
+
+	stateOf(observer: string, name: string): InstanceState | undefined {
+		return this.processes.get(observer)?.membership.records().find(record => record.name === name)?.state;
+	}
+
+	statesOf(name: string): ReadonlySet<InstanceState | undefined> {
+		return new Set([...this.processes.keys()].map(observer => this.stateOf(observer, name)));
+	}
+
+	/** Every process holds exactly this many records as alive. */
+	assertAgreed(count: number): void {
+		for (const [name, {membership}] of this.processes) {
+			assert.deepEqual(membership.records().filter(record => record.state === 'alive').length, count, `records of ${name}`);
+		}
+	}
+
+	verdicts(state: InstanceState): number {
+		return [...this.processes.values()].flatMap(({timeline}) => timeline.events()).filter(event => event.kind === state).length;
+	}
+}
+
+test('a dead process is not kept as alive by any process', async () => {
+	const fleet = new Fleet(1);
+	await fleet.startMany(20);
+	fleet.kill('p7');
+	await fleet.pass(15_000);
+	assert.deepEqual(fleet.statesOf('p7'), new Set(['failed']));
+	assert.equal(fleet.verdicts('failed'), 19);
+});
+
+for (const seed of [2, 3, 4]) {
+	test(`a live process is not declared failed under 5% loss and pauses of 300 ms (seed ${seed})`, async () => {
+		const fleet = new Fleet(seed);
+		fleet.network.loss = 0.05;
+		await fleet.startMany(20);
+		for (let round = 0; round < 60; round++) {
+			fleet.processes.get(`p${round % 20}`)?.clock.pause(300);
+			await fleet.pass(1000);
+		}
+
+		assert.equal(fleet.verdicts('failed'), 0);
+	});
+}
+
+test('a process that did not run for seconds does not declare the others failed when it continues', async () => {
+	const fleet = new Fleet(5);
+	await fleet.startMany(10);
+	const resumed = fleet.processes.get('p3')!;
+	fleet.network.partition(['p3']);
+	await fleet.pass(2500);
+	fleet.network.partition([]);
+	resumed.clock.pause(20_000);
+	await fleet.pass(25_000);
+	assert.equal(resumed.timeline.events().filter(event => event.kind === 'failed').length, 0);
+	await fleet.pass(20_000);
+	fleet.assertAgreed(10);
+});
+
+test('the halves of a partition do not stay apart after it heals, even when each has declared the other failed', async () => {
+	const fleet = new Fleet(6);
+	await fleet.startMany(12);
+	fleet.network.partition(['p0', 'p1', 'p2', 'p3', 'p4', 'p5']);
+	await fleet.pass(40_000);
+	assert.equal(fleet.stateOf('p0', 'p9'), 'failed');
+	assert.equal(fleet.stateOf('p9', 'p0'), 'failed');
+	fleet.network.partition([]);
+	await fleet.pass(40_000);
+	fleet.assertAgreed(12);
+});
+
+test('a draining process is not given work by a process that missed nothing, even while it is suspected', async () => {
+	const fleet = new Fleet(7);
+	await fleet.startMany(20);
+	fleet.processes.get('p4')!.membership.markDraining();
+	await fleet.pass(2000);
+	assert.deepEqual(fleet.statesOf('p4'), new Set(['draining']));
+	fleet.network.partition(['p4']);
+	await fleet.pass(4500);
+	assert.equal(fleet.stateOf('p5', 'p4'), 'draining');
+	fleet.network.partition([]);
+	await fleet.pass(20_000);
+	assert.deepEqual(fleet.statesOf('p4'), new Set(['draining']));
+});
+
+test('a process that left is not reported as failed, and its restart is not refused for the old record', async () => {
+	const fleet = new Fleet(8);
+	await fleet.startMany(10);
+	fleet.processes.get('p2')!.membership.stop();
+	fleet.processes.delete('p2');
+	await fleet.pass(10_000);
+	assert.deepEqual(fleet.statesOf('p2'), new Set(['left']));
+	assert.equal(fleet.verdicts('failed'), 0);
+	fleet.start('p2');
+	await fleet.pass(5000);
+	fleet.assertAgreed(10);
+});
+
+test('a process killed and started again under its name does not stay failed, also when its clock went back', async () => {
+	const fleet = new Fleet(9);
+	await fleet.startMany(10);
+	for (const wallTimeOffset of [0, -20_000]) {
+		fleet.kill('p2');
+		await fleet.pass(15_000);
+		assert.equal(fleet.stateOf('p5', 'p2'), 'failed');
+		fleet.start('p2', wallTimeOffset);
+		await fleet.pass(15_000);
+		fleet.assertAgreed(10);
+	}
+});
+
+test('a joining process does not miss records when there are 4,000 of them', async () => {
+	const fleet = new Fleet(10);
+	const first = fleet.start('p0');
+	const entries = Array.from({length: 4000}, (_, index) => encodeEntry({
+		name: `entry-${index}`, role: 'entry', instance: `i-${index}`, dataCentre: 'chc-a', region: 'canterbury', linkAddress: `10.0.0.1:${index}`, gossipAddress: `10.0.0.1:${index}`, incarnation: 1, health: 'alive', draining: false, state: 'alive', configurationRevision: 0,
+	}));
+	await fleet.processes.get('p0')!.handlers.get(entriesName)!(entries, {linkId: 0});
+	assert.equal(first.records().length, 4001);
+	const joining = fleet.start('p1');
+	await fleet.pass(1000);
+	assert.equal(joining.records().length, 4002);
+	assert.equal(first.records().length, 4002);
+});
--- a/source/membership/peer-list.ts
+++ b/source/membership/peer-list.ts
@@ -48,7 +48,7 @@
 			this.#shuffle();
 		}
 
-		return this.#names[this.#cursor++];
+		return this.#names.length === 0 ? undefined : this.#names[this.#cursor++];
 	}
 
 	/** Returns up to count different random peers other than the excluded one. */
