--- /dev/null
+++ b/source/blackboard/wait-until.ts
@@ -0,0 +1,37 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Blackboard} from './blackboard.js';
+
+/** A condition on a blackboard to wait for. */
+export type BoardCondition<Entries extends Readonly<Record<string, unknown>>> = {
+	readonly board: Blackboard<Entries>;
+	/** Entries whose writes may make the condition true. */
+	readonly names: ReadonlyArray<keyof Entries>;
+	readonly condition: () => boolean;
+};
+
+/** Resolves with true as soon as the condition holds after a write of one of the entries, or with false after the timeout in milliseconds. */
+export async function waitUntil<Entries extends Readonly<Record<string, unknown>>>({board, names, condition}: BoardCondition<Entries>, clock: Clock, timeout: Milliseconds): Promise<boolean> {
+	if (condition()) {
+		return true;
+	}
+
+	return new Promise(resolve => {
+		const finish = (result: boolean): void => {
+			cancelTimeout();
+			for (const cancel of cancels) {
+				cancel();
+			}
+
+			resolve(result);
+		};
+
+		const cancelTimeout = clock.schedule(timeout, () => {
+			finish(false);
+		});
+		const cancels = names.map(name => board.watch(name, () => {
+			if (condition()) {
+				finish(true);
+			}
+		}));
+	});
+}
--- a/source/database-group/log-point-rules.ts
+++ b/source/database-group/log-point-rules.ts
@@ -69,3 +69,44 @@
 export function mayServeRead(status: MemberStatus, needed: LogPoint): boolean {
 	return coversLogPoint(appliedPoint(status), needed);
 }
+
+/**
+Returns the newest floor that the latest observations of the members give, or undefined without a majority.
+
+The floor starts when the last member needed for a majority was asked; the members asked earlier are left out.
+*/
+export function latestFloor(observations: readonly MemberObservation[], memberCount: number): FreshnessFloor | undefined {
+	const newestFirst = observations.toSorted((first, second) => second.askedAt - first.askedAt);
+	const last = newestFirst[majoritySize(memberCount) - 1];
+	return last && freshnessFloor(last.askedAt, observations, memberCount);
+}
+
+/** Returns the history with the floor added. Floors closer together than the spacing replace each other, and only the newest ones within the capacity stay. */
+export function addFloor(history: readonly FreshnessFloor[], floor: FreshnessFloor, spacing: Milliseconds, capacity: number): readonly FreshnessFloor[] {
+	const last = history.at(-1);
+	if (last && floor.startedAt <= last.startedAt) {
+		return history;
+	}
+
+	const beforeLast = history.at(-2);
+	const kept = beforeLast && floor.startedAt - beforeLast.startedAt < spacing ? history.slice(0, -1) : history;
+	return [...kept, floor].slice(-capacity);
+}
+
+/** Returns the floor with the lowest point among those started at the time or later, or undefined when there is none. */
+export function floorStartedSince(history: readonly FreshnessFloor[], since: Milliseconds): FreshnessFloor | undefined {
+	let lowest: FreshnessFloor | undefined;
+	for (const floor of history) {
+		if (floor.startedAt >= since && (!lowest || compareLogPoints(floor.point, lowest.point) < 0)) {
+			lowest = floor;
+		}
+	}
+
+	return lowest;
+}
+
+/** Returns the observations with the given one added unless a later question to the member was answered already. */
+export function addObservation(observations: ReadonlyMap<string, MemberObservation>, added: MemberObservation): ReadonlyMap<string, MemberObservation> {
+	const present = observations.get(added.status.member);
+	return present && present.askedAt > added.askedAt ? observations : new Map([...observations, [added.status.member, added]]);
+}
--- /dev/null
+++ b/source/database-group/member-monitor.ts
@@ -0,0 +1,150 @@
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Timeouts} from '../configuration/types.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type MemberClient} from './member-client.js';
+import {type MemberObservation, type MemberStatus} from './types.js';
+
+/** What the monitor of one member reports. */
+export type MemberMonitorEvents = {
+	/** An answer; the lease time is set when the answer granted the lease. */
+	readonly onAnswer: (observation: MemberObservation, leaseUntil: Milliseconds | undefined) => void;
+	/** The member refused to renew this pool's lease. */
+	readonly onLeaseRefused: () => void;
+	/** A call failed but a fresh connection answered. */
+	readonly onConnectionReplaced: (reason: string) => void;
+	/** A call failed and a fresh connection failed too. */
+	readonly onSuspected: (reason: string) => void;
+	/** Returns whether this pool should hold or take the member's lease now. */
+	readonly wantsLease: () => boolean;
+	/** Returns the pause before an extra poll, or undefined when the next heartbeat is soon enough. */
+	readonly extraPollDelay: () => Milliseconds | undefined;
+};
+
+/** What the monitor of one member needs. */
+export type MemberMonitorOptions = {
+	readonly clock: Clock;
+	readonly client: MemberClient;
+	/** Name under which this pool holds the lease. */
+	readonly holder: string;
+	readonly timeouts: () => Timeouts;
+};
+
+/** Polls one member, one poll at a time, and renews its lease with each poll. */
+export class MemberMonitor {
+	readonly client: MemberClient;
+	#polling = false;
+	#pollAgain = false;
+	#stopped = false;
+	#lastPollAt = 0;
+	#cancelNext: Cancel | undefined;
+
+	constructor(private readonly options: MemberMonitorOptions, private readonly events: MemberMonitorEvents) {
+		this.client = options.client;
+	}
+
+	/** Starts polling. */
+	start(): void {
+		this.pollNow();
+	}
+
+	/** Stops polling and closes the monitor connection. */
+	stop(): void {
+		this.#stopped = true;
+		this.#cancelNext?.();
+		this.client.close();
+	}
+
+	/** Polls now, or right after the poll in progress. */
+	pollNow(): void {
+		if (this.#stopped) {
+			return;
+		}
+
+		if (this.#polling) {
+			this.#pollAgain = true;
+			return;
+		}
+
+		void this.#poll();
+	}
+
+	async #poll(): Promise<void> {
+		this.#polling = true;
+		this.#pollAgain = false;
+		this.#cancelNext?.();
+		this.#lastPollAt = this.options.clock.now();
+		try {
+			await this.#askWithFreshConnection();
+		} finally {
+			this.#polling = false;
+			this.#scheduleNext();
+		}
+	}
+
+	#scheduleNext(): void {
+		if (this.#stopped) {
+			return;
+		}
+
+		const untilHeartbeat = Math.max(0, this.#lastPollAt + this.options.timeouts().heartbeat - this.options.clock.now());
+		const extra = this.#pollAgain ? 0 : this.events.extraPollDelay();
+		this.#cancelNext = this.options.clock.schedule(Math.min(untilHeartbeat, extra ?? untilHeartbeat), () => {
+			this.pollNow();
+		});
+	}
+
+	async #askWithFreshConnection(): Promise<void> {
+		const failure = await this.#ask(this.options.timeouts().silence);
+		if (failure === undefined || this.#stopped) {
+			return;
+		}
+
+		this.client.reset();
+		const freshFailure = await this.#ask(this.options.timeouts().freshConnection);
+		if (this.#stopped) {
+			return;
+		}
+
+		if (freshFailure === undefined) {
+			this.events.onConnectionReplaced(failure);
+			return;
+		}
+
+		this.client.reset();
+		this.events.onSuspected(freshFailure);
+	}
+
+	/** Asks once; returns the reason when the member did not answer. */
+	async #ask(timeout: Milliseconds): Promise<string | undefined> {
+		const askedAt = this.options.clock.now();
+		const wantsLease = this.events.wantsLease();
+		try {
+			const status = wantsLease ? await this.#askForLease(timeout) : await this.client.status(timeout);
+			if (!this.#stopped) {
+				this.#report(askedAt, status, wantsLease);
+			}
+
+			return undefined;
+		} catch (error) {
+			return error instanceof Error ? error.message : String(error);
+		}
+	}
+
+	async #askForLease(timeout: Milliseconds): Promise<MemberStatus> {
+		try {
+			return await this.client.acquireLease(this.options.holder, this.options.timeouts().lease, timeout);
+		} catch (error) {
+			if (error instanceof BuckthornhitchError && error.codeName === 'memberRefused') {
+				this.events.onLeaseRefused();
+				return this.client.status(timeout);
+			}
+
+			throw error;
+		}
+	}
+
+	#report(askedAt: Milliseconds, status: MemberStatus, wantsLease: boolean): void {
+		const granted = wantsLease && status.leaseHolder === this.options.holder;
+		this.events.onAnswer({askedAt, status}, granted ? askedAt + this.options.timeouts().lease : undefined);
+	}
+}
--- /dev/null
+++ b/source/database-group/promotion-controller.ts
@@ -0,0 +1,293 @@
+import {Controller} from '../blackboard/blackboard.js';
+import {waitUntil} from '../blackboard/wait-until.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Timeouts} from '../configuration/types.js';
+import {type Logger} from '../observability/logger.js';
+import {type Random} from '../random/random.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type Timeline} from '../timeline/timeline.js';
+import {type GroupBoard} from './group-state.js';
+import {coversLogPoint, receivedPoint} from './log-point-rules.js';
+import {type MonitorController} from './monitor-controller.js';
+import {
+	decidePromotion, preferredMember, type PromotionDecision, type PromotionReason, type PromotionView,
+} from './promotion-decision.js';
+import {activePrimary, chooseMemberToPromote, nextTerm} from './promotion-rules.js';
+import {type MemberStatus} from './types.js';
+
+/** What the coordinator of a database needs. */
+export type PromotionOptions = {
+	readonly database: string;
+	readonly board: GroupBoard;
+	readonly monitor: MonitorController;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly timeouts: () => Timeouts;
+	readonly timeline: Timeline;
+	readonly logger: Logger;
+};
+
+/** A member may need this long to apply its log before it starts its term. */
+const promoteTimeout: Milliseconds = 3000;
+
+/** Another coordinator may be in the middle of a promotion; it gets this long to finish. */
+const unfinishedGrace: Milliseconds = 1000;
+
+/** Pause after a failed promotion: the base and a random part, so that two coordinators do not collide again. */
+const retryPause: Milliseconds = 50;
+const retryJitter: Milliseconds = 150;
+
+/** Longest time for which a planned change holds up new writes. */
+const switchTimeout: Milliseconds = 5000;
+
+/** Pause after a planned change that failed, before a leaving primary is tried again. */
+const switchRetryPause: Milliseconds = 1000;
+
+/** Coordinates promotions by rules 4 and 5, makes stray members follow the primary, and carries out planned changes of the primary. */
+export class PromotionController extends Controller {
+	#busy = false;
+	#neededSince: Milliseconds | undefined;
+	#notBefore: Milliseconds = 0;
+	readonly #cancels: Cancel[] = [];
+
+	constructor(private readonly options: PromotionOptions) {
+		super();
+	}
+
+	override start(): void {
+		const {board, clock, timeouts} = this.options;
+		const evaluate = (): void => {
+			void this.#evaluate();
+		};
+
+		this.#cancels.push(
+			board.watch('observations', evaluate),
+			board.watch('suspects', evaluate),
+			board.watch('members', evaluate),
+			clock.repeat(timeouts().heartbeat, evaluate),
+		);
+	}
+
+	override stop(): void {
+		for (const cancel of this.#cancels.splice(0)) {
+			cancel();
+		}
+	}
+
+	/** Makes the member primary without losing a write. Rejects with noPrimary, memberRefused, memberUnreachable or deadlinePassed; nothing has changed in the last case. */
+	async switchTo(target: string): Promise<void> {
+		const {board} = this.options;
+		const primary = this.#primary();
+		if (!board.read('members').has(target)) {
+			throw new BuckthornhitchError('memberRefused', `"${target}" is not a member of ${this.options.database}.`);
+		}
+
+		if (board.read('suspects').has(target) || !board.read('observations').has(target)) {
+			throw new BuckthornhitchError('memberUnreachable', `"${target}" does not answer.`);
+		}
+
+		if (!primary || this.#busy) {
+			throw new BuckthornhitchError('noPrimary', 'A promotion is under way.');
+		}
+
+		if (primary.member !== target) {
+			await this.#switch(primary, target);
+		}
+	}
+
+	async #switch(primary: MemberStatus, target: string): Promise<void> {
+		const {board, clock} = this.options;
+		this.#busy = true;
+		this.#record('planned change started', target, `from ${primary.member}`);
+		board.write('writesPaused', true);
+		try {
+			const until = clock.now() + switchTimeout;
+			await this.#waitForTarget(primary.member, target, until);
+			if (!await this.#promote('planned', target)) {
+				throw new BuckthornhitchError('memberRefused', 'The promotion did not succeed; see the time line.');
+			}
+		} catch (error) {
+			this.#record('planned change failed', target, toBuckthornhitchError(error).message);
+			throw error;
+		} finally {
+			this.#busy = false;
+			board.write('writesPaused', false);
+		}
+	}
+
+	async #waitForTarget(primary: string, target: string, until: Milliseconds): Promise<void> {
+		const {board, clock} = this.options;
+		const idle = await waitUntil({board, names: ['writesInProgress'], condition: () => board.read('writesInProgress') === 0}, clock, until - clock.now());
+		if (!idle) {
+			throw new BuckthornhitchError('deadlinePassed', 'Transactions are still open on the primary.');
+		}
+
+		const idleSince = clock.now();
+		board.write('awaitingReads', board.read('awaitingReads') + 1);
+		const hasAll = (): boolean => {
+			const source = board.read('observations').get(primary);
+			const copy = board.read('observations').get(target);
+			return Boolean(source && copy && source.askedAt >= idleSince && coversLogPoint(receivedPoint(copy.status), receivedPoint(source.status)));
+		};
+
+		const caughtUp = await waitUntil({board, names: ['observations'], condition: hasAll}, clock, until - clock.now());
+		board.write('awaitingReads', board.read('awaitingReads') - 1);
+		if (!caughtUp) {
+			throw new BuckthornhitchError('deadlinePassed', `"${target}" has not received the whole log.`);
+		}
+	}
+
+	async #evaluate(): Promise<void> {
+		const {board, clock} = this.options;
+		if (this.#busy) {
+			return;
+		}
+
+		const view = this.#view();
+		const decision = decidePromotion(view);
+		if (decision.kind === 'none') {
+			this.#neededSince = undefined;
+			await this.#replaceLeavingPrimary(view);
+			return;
+		}
+
+		this.#neededSince ??= clock.now();
+		const {rank} = board.read('ownership');
+		if (rank < 0 || clock.now() < Math.max(this.#notBefore, this.#neededSince + this.#waitFor(decision, rank))) {
+			return;
+		}
+
+		this.#busy = true;
+		try {
+			await this.#carryOut(decision);
+		} finally {
+			this.#busy = false;
+			this.#neededSince = undefined;
+		}
+	}
+
+	#waitFor(decision: PromotionDecision, rank: number): Milliseconds {
+		const stagger = rank * this.options.timeouts().promotionStagger;
+		const unfinished = decision.kind === 'promote' && (decision.reason === 'unfinishedPromotion' || decision.reason === 'strayPromise');
+		return stagger + (unfinished ? unfinishedGrace : 0);
+	}
+
+	async #carryOut(decision: PromotionDecision): Promise<void> {
+		if (decision.kind === 'follow') {
+			await this.#makeFollow(decision.primary, decision.members);
+			this.#pause(this.options.timeouts().heartbeat, 0);
+		} else if (decision.kind === 'promote' && !await this.#promote(decision.reason, decision.preferred)) {
+			this.#pause(retryPause, retryJitter);
+		}
+	}
+
+	async #replaceLeavingPrimary(view: PromotionView): Promise<void> {
+		const {board, clock} = this.options;
+		const primary = this.#primary();
+		if (!primary || !view.leaving.has(primary.member) || board.read('ownership').rank !== 0 || clock.now() < this.#notBefore) {
+			return;
+		}
+
+		const target = preferredMember(view, view.statuses.filter(status => !view.suspects.has(status.member) && status.member !== primary.member));
+		if (target !== undefined) {
+			this.#pause(switchRetryPause, 0);
+			await this.switchTo(target).catch(() => {
+				// The failure is on the time line; the next evaluation tries again.
+			});
+		}
+	}
+
+	/** Promotes a member; returns whether it succeeded. */
+	async #promote(reason: PromotionReason | 'planned', preferred: string | undefined): Promise<boolean> {
+		const {board, database, monitor} = this.options;
+		const term = nextTerm([...board.read('observations').values()].map(({status}) => status));
+		this.#record('promotion started', database, `term ${term}, reason ${reason}`);
+		const answers = await this.#collectPromises(term);
+		const chosen = chooseMemberToPromote(term, answers, board.read('memberCount'), preferred);
+		if (!chosen) {
+			this.#record('promotion failed', database, `term ${term}: ${answers.length} of ${board.read('memberCount')} members promised`);
+			monitor.pollNow();
+			return false;
+		}
+
+		const promoted = await this.#call(chosen.member, 'promote', async client => client.promote(term, promoteTimeout));
+		if (!promoted) {
+			return false;
+		}
+
+		this.#record('member promoted', chosen.member, `term ${term}`);
+		const others = answers.map(answer => answer.member).filter(member => member !== chosen.member);
+		await this.#makeFollow(promoted, others);
+		return true;
+	}
+
+	async #collectPromises(term: number): Promise<readonly MemberStatus[]> {
+		const {board, timeouts} = this.options;
+		const asked = [...board.read('members').keys()].filter(member => !board.read('suspects').has(member));
+		const answers = await Promise.all(asked.map(async member => this.#call(member, 'promise', async client => client.promise(term, timeouts().silence))));
+		return answers.filter(answer => answer !== undefined);
+	}
+
+	async #makeFollow(primary: MemberStatus, members: readonly string[]): Promise<void> {
+		const {board, timeouts} = this.options;
+		const address = board.read('members').get(primary.member)?.address;
+		if (address === undefined) {
+			return;
+		}
+
+		await Promise.all(members.map(async member => {
+			const followed = await this.#call(member, 'follow', async client => client.follow(primary.primaryTerm, primary.member, address, timeouts().silence));
+			if (followed) {
+				this.#record('member follows', member, `primary ${primary.member}, term ${primary.primaryTerm}`);
+			}
+		}));
+	}
+
+	/** Calls a group function and notes the answer; returns undefined when the call failed. */
+	async #call(member: string, name: string, action: (client: NonNullable<ReturnType<MonitorController['clientOf']>>) => Promise<MemberStatus>): Promise<MemberStatus | undefined> {
+		const {clock, monitor} = this.options;
+		const client = monitor.clientOf(member);
+		const askedAt = clock.now();
+		try {
+			const status = client && await action(client);
+			if (status) {
+				monitor.observe({askedAt, status});
+			}
+
+			return status;
+		} catch (error) {
+			this.#record('group function failed', member, `${name}: ${toBuckthornhitchError(error).message}`);
+			monitor.pollNow(member);
+			return undefined;
+		}
+	}
+
+	#primary(): MemberStatus | undefined {
+		const {board} = this.options;
+		return activePrimary([...board.read('observations').values()].map(({status}) => status), board.read('suspects'));
+	}
+
+	#view(): PromotionView {
+		const {board} = this.options;
+		const members = board.read('members');
+		return {
+			memberCount: board.read('memberCount'),
+			statuses: [...board.read('observations').values()].map(({status}) => status).filter(status => members.has(status.member)),
+			suspects: board.read('suspects'),
+			leaving: new Set([...members.values()].filter(({leaving}) => leaving).map(({member}) => member)),
+			addresses: new Map([...members.values()].map(({member, address}) => [member, address])),
+		};
+	}
+
+	#pause(base: Milliseconds, jitter: Milliseconds): void {
+		const {clock, random} = this.options;
+		this.#notBefore = clock.now() + base + (random.fraction() * jitter);
+	}
+
+	#record(kind: string, subject: string, detail = ''): void {
+		const {database, timeline, logger} = this.options;
+		const full = subject === database ? database : `${database}/${subject}`;
+		timeline.record('group', kind, full, detail);
+		logger.info(`${full}: ${kind}${detail === '' ? '' : `: ${detail}`}`);
+	}
+}
--- a/source/database-group/promotion-rules.ts
+++ b/source/database-group/promotion-rules.ts
@@ -34,3 +34,13 @@
 	const highestPromise = Math.max(0, ...statuses.map(status => status.promisedTerm));
 	return statuses.find(status => status.role === 'primary' && status.primaryTerm === highestPromise && status.acceptingWrites);
 }
+
+/**
+Returns the primary that takes writes, or undefined while there is none.
+
+A primary counts as superseded as soon as any member reports a primary of a later term, whether or not that primary can be seen. A mere promise of a later term does not count: its coordinator may have failed, and no write is acknowledged without a majority anyway.
+*/
+export function activePrimary(statuses: readonly MemberStatus[], suspects: ReadonlySet<string>): MemberStatus | undefined {
+	const latestTerm = Math.max(0, ...statuses.map(status => status.primaryTerm));
+	return statuses.find(status => status.role === 'primary' && status.acceptingWrites && status.primaryTerm === latestTerm && !suspects.has(status.member));
+}
--- /dev/null
+++ b/source/pool/database-service.ts
@@ -0,0 +1,287 @@
+import {AdmissionQueue} from '../admission/admission-queue.js';
+import {RetryBudget} from '../admission/retry-budget.js';
+import {SlotTable} from '../admission/slot-table.js';
+import {Controller} from '../blackboard/blackboard.js';
+import {waitUntil} from '../blackboard/wait-until.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type DatabaseConfiguration, type Limits, type Timeouts} from '../configuration/types.js';
+import {createGroupBoard, mayUseMember, type GroupBoard} from '../database-group/group-state.js';
+import {type MemberClientFactory} from '../database-group/member-client.js';
+import {MonitorController} from '../database-group/monitor-controller.js';
+import {PromotionController} from '../database-group/promotion-controller.js';
+import {type Logger} from '../observability/logger.js';
+import {type BackendConnector} from '../postgres-protocol/backend-connection.js';
+import {type Random} from '../random/random.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type Timeline} from '../timeline/timeline.js';
+import {ConnectionTable} from './connection-table.js';
+import {
+	primaryOf, type ExecutionContext, type MemberGrant, type PoolRequest,
+} from './execution-context.js';
+import {FailoverGapController} from './failover-gap-controller.js';
+import {type ExecuteRequest, type ExecuteResponse} from './messages.js';
+import {type PoolMetrics} from './pool-metrics.js';
+import {otherOwner, ReadExecutor} from './read-executor.js';
+import {RecordedRequests} from './recorded-requests.js';
+import {opensTransaction} from './statement-text.js';
+import {TransactionExecutor} from './transaction-executor.js';
+import {TransactionTable} from './transaction-table.js';
+import {WriteConfirmation} from './write-confirmation.js';
+import {WriteExecutor} from './write-executor.js';
+
+/** What the service of a database needs. */
+export type DatabaseServiceOptions = {
+	readonly configuration: () => DatabaseConfiguration;
+	readonly poolName: string;
+	readonly dataCentre: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly connector: BackendConnector;
+	readonly clients: MemberClientFactory;
+	readonly limits: () => Limits;
+	readonly timeouts: () => Timeouts;
+	readonly metrics: PoolMetrics;
+	readonly timeline: Timeline;
+	readonly logger: Logger;
+};
+
+/** Stages of giving a database up: no new transactions while open ones finish, then nothing new. */
+type ServiceState = 'serving' | 'finishing' | 'releasing';
+
+/** Serves one database: its controllers, queues, connections and transactions. */
+export class DatabaseService extends Controller {
+	readonly name: string;
+	readonly board: GroupBoard;
+	readonly promotion: PromotionController;
+	readonly context: ExecutionContext;
+	readonly #monitor: MonitorController;
+	readonly #connections: ConnectionTable;
+	readonly #gap: FailoverGapController;
+	readonly #reads: ReadExecutor;
+	readonly #writes: WriteExecutor;
+	readonly #transactions: TransactionExecutor;
+	readonly #cancels: Cancel[] = [];
+	#state: ServiceState = 'serving';
+	/** Pool to which requests are sent while this one gives the database up; undefined when the process stops. */
+	#successor: string | undefined;
+	#inProgress = 0;
+	readonly #onIdle: Array<() => void> = [];
+
+	constructor(private readonly options: DatabaseServiceOptions) {
+		super();
+		const {configuration, clock, random, timeouts, timeline, logger, clients, metrics} = options;
+		this.name = configuration().name;
+		this.board = createGroupBoard(configuration().memberCount);
+		const shared = {
+			database: this.name, board: this.board, clock, random, timeouts, timeline, logger,
+		};
+		this.#monitor = new MonitorController({...shared, holder: options.poolName, clients});
+		this.promotion = new PromotionController({...shared, monitor: this.#monitor});
+		this.#gap = new FailoverGapController({
+			...shared, observeGap: gap => {
+				metrics.failoverGap.observe({database: this.name}, gap / 1000);
+			},
+		});
+		this.context = this.#createContext();
+		this.#connections = new ConnectionTable({
+			...options, board: this.board, database: this.name, slots: this.context.slots, checkMember: this.context.checkMember,
+		});
+		this.#reads = new ReadExecutor(this.context);
+		this.#writes = new WriteExecutor(this.context, new RecordedRequests(this.context));
+		this.#transactions = new TransactionExecutor(this.context, this.#writes);
+	}
+
+	override start(): void {
+		this.context.confirmation.start();
+		this.#connections.start();
+		this.#gap.start();
+		this.promotion.start();
+		this.#monitor.start();
+		const dispatch = (): void => {
+			this.context.dispatch();
+		};
+
+		for (const name of ['observations', 'leases', 'suspects', 'members', 'writesPaused', 'floors'] as const) {
+			this.#cancels.push(this.board.watch(name, dispatch));
+		}
+	}
+
+	override stop(): void {
+		for (const cancel of this.#cancels.splice(0)) {
+			cancel();
+		}
+
+		this.context.transactions.closeAll();
+		this.#monitor.stop();
+		this.promotion.stop();
+		this.#gap.stop();
+		this.#connections.stop();
+		this.context.confirmation.stop();
+	}
+
+	/** Runs a request of an entry. Rejects with a numbered code. */
+	async execute(request: ExecuteRequest, linkId: number): Promise<ExecuteResponse> {
+		const arrivedAt = this.options.clock.now();
+		this.context.retryBudget.countRequest();
+		this.#inProgress++;
+		try {
+			return await this.#execute({
+				...request, arrivedAt, deadlineAt: arrivedAt + request.deadline, linkId,
+			});
+		} catch (error) {
+			const failure = toBuckthornhitchError(error);
+			this.context.metrics.rejections.inc({database: this.name, code: String(failure.code)});
+			throw failure;
+		} finally {
+			this.#inProgress--;
+			this.#notifyIdle();
+		}
+	}
+
+	/** Gives the database up after its transactions and requests have ended, at the latest after the drain time. The successor is the pool that takes over; undefined when the process stops. */
+	async giveUp(successor: string | undefined): Promise<void> {
+		if (this.#state !== 'serving') {
+			return;
+		}
+
+		const {clock, limits} = this.options;
+		const until = clock.now() + limits().drainTime;
+		this.#successor = successor;
+		this.#setState('finishing');
+		await this.#whenIdle(() => this.context.transactions.size === 0, until);
+		this.context.transactions.closeAll();
+		this.#setState('releasing');
+		await this.#whenIdle(() => this.#inProgress === 0, until);
+		this.board.write('yielding', true);
+		this.#connections.closeAll('the lease is given back');
+		await this.#monitor.releaseLeases();
+		if (successor !== undefined) {
+			this.board.write('yielding', false);
+			this.#setState('serving');
+		}
+	}
+
+	/** Makes the member primary as a planned change. Rejects with a numbered code. */
+	async promote(member: string): Promise<void> {
+		const owner = otherOwner(this.context);
+		if (owner !== undefined) {
+			throw new BuckthornhitchError('notOwner', owner);
+		}
+
+		await this.promotion.switchTo(member);
+	}
+
+	/** Number of open connections to members, without monitor connections. */
+	connectionCount(member: string): number {
+		return this.#connections.of(member)?.open ?? 0;
+	}
+
+	/** Resolves with true once a primary takes writes, or with false after the timeout in milliseconds. */
+	async whenWritable(timeout: Milliseconds): Promise<boolean> {
+		const condition = (): boolean => {
+			const primary = primaryOf(this.board);
+			return Boolean(primary && mayUseMember(this.board, primary.member, this.options.clock.now()));
+		};
+
+		return waitUntil({board: this.board, names: ['observations', 'leases', 'suspects'], condition}, this.options.clock, timeout);
+	}
+
+	async #execute(request: PoolRequest): Promise<ExecuteResponse> {
+		const {transactions} = this.context;
+		const transaction = request.transactionId === null ? undefined : transactions.get(request.transactionId);
+		if (transaction) {
+			return this.#transactions.execute(request, transaction);
+		}
+
+		this.#checkNewWork(request);
+		if (request.access === 'write') {
+			return this.#writes.execute(request);
+		}
+
+		return await this.#reads.execute(request) ?? this.#writes.execute(request);
+	}
+
+	#checkNewWork(request: PoolRequest): void {
+		const {transactionId} = request;
+		if (transactionId !== null && (this.context.transactions.wasLost(transactionId) || !opensTransaction(request.bytes))) {
+			throw new BuckthornhitchError('transactionLost', 'The pool does not hold this transaction.');
+		}
+
+		const owner = otherOwner(this.context);
+		if (owner !== undefined) {
+			throw new BuckthornhitchError('notOwner', owner);
+		}
+
+		if (this.#state === 'releasing' || (this.#state === 'finishing' && transactionId !== null)) {
+			throw this.#successor === undefined ? new BuckthornhitchError('draining', '') : new BuckthornhitchError('notOwner', this.#successor);
+		}
+	}
+
+	#createContext(): ExecutionContext {
+		const {clock, limits, timeouts, metrics, poolName, dataCentre} = this.options;
+		const queueLength = (): number => limits().queueLength;
+		const slots = new SlotTable();
+		const readQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
+		const writeQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
+		return {
+			database: this.name,
+			poolName,
+			dataCentre,
+			board: this.board,
+			clock,
+			slots,
+			readQueue,
+			writeQueue,
+			confirmation: new WriteConfirmation(this.board, clock),
+			transactions: new TransactionTable(() => {
+				this.#notifyIdle();
+			}),
+			retryBudget: new RetryBudget(clock),
+			metrics,
+			limits,
+			timeouts,
+			connectionsOf: member => this.#connections.of(member),
+			observe: observation => {
+				this.#monitor.observe(observation);
+			},
+			checkMember: member => {
+				this.#monitor.pollNow(member);
+			},
+			dispatch: () => {
+				writeQueue.dispatch();
+				readQueue.dispatch(() => this.#hasReadSlot());
+			},
+		};
+	}
+
+	#hasReadSlot(): boolean {
+		const primary = primaryOf(this.board)?.member;
+		return [...this.board.read('members').keys()].some(member => this.context.slots.free(member, 'read', member === primary) > 0);
+	}
+
+	#setState(state: ServiceState): void {
+		this.#state = state;
+		const detail = this.#successor === undefined ? state : `${state}, successor ${this.#successor}`;
+		this.options.timeline.record('pool', 'handover', this.name, detail);
+		this.options.logger.info(`${this.name}: handover: ${detail}`);
+	}
+
+	async #whenIdle(condition: () => boolean, until: Milliseconds): Promise<void> {
+		const {clock} = this.options;
+		while (!condition() && clock.now() < until) {
+			await new Promise<void>(resolve => {
+				const cancel = clock.schedule(until - clock.now(), resolve);
+				this.#onIdle.push(() => {
+					cancel();
+					resolve();
+				});
+			});
+		}
+	}
+
+	#notifyIdle(): void {
+		for (const listener of this.#onIdle.splice(0)) {
+			listener();
+		}
+	}
+}
--- /dev/null
+++ b/source/pool/execution-context.ts
@@ -0,0 +1,95 @@
+import {type AdmissionQueue} from '../admission/admission-queue.js';
+import {type RetryBudget} from '../admission/retry-budget.js';
+import {type SlotTable} from '../admission/slot-table.js';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Limits, type Timeouts} from '../configuration/types.js';
+import {type GroupBoard} from '../database-group/group-state.js';
+import {activePrimary} from '../database-group/promotion-rules.js';
+import {emptyLogPoint} from '../database-group/log-point-rules.js';
+import {
+	type LogPoint, type MemberObservation, type MemberRole, type MemberStatus,
+} from '../database-group/types.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type MemberConnections} from './member-connections.js';
+import {type ExecuteRequest, type ExecuteResponse, type TransactionStatus} from './messages.js';
+import {type PoolMetrics} from './pool-metrics.js';
+import {type TransactionTable} from './transaction-table.js';
+import {type WriteConfirmation} from './write-confirmation.js';
+
+/** A slot on a member with the connections to it. */
+export type MemberGrant = {
+	readonly status: MemberStatus;
+	readonly isPrimary: boolean;
+	readonly connections: MemberConnections;
+	readonly releaseSlot: () => void;
+};
+
+/** What the executors of one database share. */
+export type ExecutionContext = {
+	readonly database: string;
+	readonly poolName: string;
+	readonly dataCentre: string;
+	readonly board: GroupBoard;
+	readonly clock: Clock;
+	readonly slots: SlotTable;
+	readonly readQueue: AdmissionQueue<MemberGrant>;
+	readonly writeQueue: AdmissionQueue<MemberGrant>;
+	readonly confirmation: WriteConfirmation;
+	readonly transactions: TransactionTable;
+	readonly retryBudget: RetryBudget;
+	readonly metrics: PoolMetrics;
+	readonly limits: () => Limits;
+	readonly timeouts: () => Timeouts;
+	/** Returns the connections to a member, or undefined while its lease is not held. */
+	readonly connectionsOf: (member: string) => MemberConnections | undefined;
+	/** Takes an observation made on a connection that carried a statement. */
+	readonly observe: (observation: MemberObservation) => void;
+	/** Polls the member now, because a connection to it failed. */
+	readonly checkMember: (member: string) => void;
+	/** Admits waiting requests after something became free. */
+	readonly dispatch: () => void;
+};
+
+/** A request with what the pool knows about its arrival. */
+export type PoolRequest = ExecuteRequest & {
+	readonly arrivedAt: Milliseconds;
+	readonly deadlineAt: Milliseconds;
+	readonly linkId: number;
+};
+
+/** Returns the primary that takes writes, whether or not this pool may use it. */
+export function primaryOf(board: GroupBoard): MemberStatus | undefined {
+	const members = board.read('members');
+	const statuses = [...board.read('observations').values()].map(({status}) => status).filter(status => members.has(status.member));
+	return activePrimary(statuses, board.read('suspects'));
+}
+
+/** Returns the pool that holds the member's lease as far as this pool knows, if it is another one. */
+export function otherHolder(context: ExecutionContext, member: string): string | undefined {
+	const observation = context.board.read('observations').get(member);
+	if (!observation) {
+		return undefined;
+	}
+
+	const {leaseHolder, leaseRemaining} = observation.status;
+	const expired = observation.askedAt + leaseRemaining <= context.clock.now();
+	return leaseHolder === '' || leaseHolder === context.poolName || expired ? undefined : leaseHolder;
+}
+
+/** Returns the error of a request whose answer was lost after it was sent. */
+export function outcomeUnknown(detail: string): BuckthornhitchError {
+	return new BuckthornhitchError('outcomeUnknown', detail);
+}
+
+/** Member that served a request, with its role. */
+export type ServedBy = {
+	readonly member: string;
+	readonly role: MemberRole;
+};
+
+/** Builds the response to a request. */
+export function buildResponse(bytes: ExecuteResponse['bytes'], transactionStatus: TransactionStatus, {member, role}: ServedBy, point: LogPoint | null): ExecuteResponse {
+	return {
+		bytes, transactionStatus, point: point ?? emptyLogPoint, servedBy: member, servedByRole: role,
+	};
+}
--- a/source/pool/messages.ts
+++ b/source/pool/messages.ts
@@ -78,3 +78,15 @@
 	readonly configurationRevision: number;
 	readonly databases: readonly DatabaseReport[];
 };
+
+/** Request `promote`: make a member primary as a planned change. */
+export type PromoteRequest = {
+	readonly database: string;
+	readonly member: string;
+};
+
+/** Request `yieldDatabase` from one pool to another: give the database up to the successor. */
+export type YieldRequest = {
+	readonly database: string;
+	readonly successor: string;
+};
--- /dev/null
+++ b/source/pool/read-executor.ts
@@ -0,0 +1,263 @@
+import {Buffer} from 'node:buffer';
+import {type Milliseconds} from '../clock/clock.js';
+import {waitUntil} from '../blackboard/wait-until.js';
+import {mayUseMember} from '../database-group/group-state.js';
+import {appliedPoint, floorStartedSince, laterLogPoint} from '../database-group/log-point-rules.js';
+import {readMemberStatus} from '../database-group/member-status-row.js';
+import {type LogPoint, type MemberStatus} from '../database-group/types.js';
+import {type BackendConnection} from '../postgres-protocol/backend-connection.js';
+import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
+import {readTextRows} from '../postgres-protocol/backend-rows.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {chooseReadMember, type ReadCandidate} from '../routing/member-choice.js';
+import {
+	buildResponse, otherHolder, outcomeUnknown, primaryOf, type ExecutionContext, type MemberGrant, type PoolRequest,
+} from './execution-context.js';
+import {type ExecuteResponse} from './messages.js';
+import {statusQueryBytes, wasRefusedAsReadOnly} from './write-executor.js';
+
+/** Progress of one read over its attempts. */
+type ReadProgress = {
+	readonly failedMembers: Set<string>;
+	/** Point that the read needs; undefined while it follows from the stated age at each attempt. */
+	readonly fixedPoint: LogPoint | undefined;
+	mayHaveRun: boolean;
+};
+
+/** A result, or undefined when a replica refused the statement as a write. */
+type ReadResult = ExecuteResponse | undefined;
+
+/** Runs reads outside of transactions, and statements that open a read-only transaction. */
+export class ReadExecutor {
+	constructor(private readonly context: ExecutionContext) {}
+
+	/** Runs the read on an eligible member; resolves with undefined when a replica refused it as a write. Rejects with a numbered code. */
+	async execute(request: PoolRequest): Promise<ReadResult> {
+		const progress: ReadProgress = {failedMembers: new Set(), fixedPoint: await this.#fixedPoint(request), mayHaveRun: false};
+		for (;;) {
+			const grant = await this.#takeMember(request, progress);
+			try {
+				return await this.#run(request, grant, progress);
+			} catch (error) {
+				this.#noteFailure(error, grant, progress);
+			} finally {
+				grant.releaseSlot();
+				this.context.dispatch();
+			}
+
+			this.#allowRetry(progress);
+		}
+	}
+
+	async #fixedPoint(request: PoolRequest): Promise<LogPoint | undefined> {
+		if (request.maximumAge !== null && request.maximumAge > 0) {
+			return undefined;
+		}
+
+		return request.neededPoint ?? this.#pointOfNewFloor(request);
+	}
+
+	async #pointOfNewFloor(request: PoolRequest): Promise<LogPoint> {
+		const {board, clock} = this.context;
+		const newFloor = () => floorStartedSince(board.read('floors'), request.arrivedAt);
+		const condition = (): boolean => newFloor() !== undefined;
+		const found = await this.#whileAwaiting(async () => waitUntil({board, names: ['floors'], condition}, clock, request.deadlineAt - clock.now()));
+		const floor = newFloor();
+		if (!found || !floor) {
+			throw new BuckthornhitchError('noFreshMember', 'No majority of members answered in time.');
+		}
+
+		return floor.point;
+	}
+
+	async #takeMember(request: PoolRequest, progress: ReadProgress): Promise<MemberGrant> {
+		const {readQueue, clock, limits, dispatch} = this.context;
+		const startedAt = clock.now();
+		const immediate = readQueue.length === 0 ? this.#tryMember(request, progress, startedAt) : undefined;
+		if (immediate) {
+			return immediate;
+		}
+
+		const slotWaitEnd = startedAt + ((request.deadlineAt - startedAt) / 2);
+		const cancels = [startedAt + limits().replicaWait, slotWaitEnd].map(at => clock.schedule(at - startedAt, dispatch));
+		try {
+			return await this.#whileAwaiting(async () => readQueue.enter({
+				attempt: () => this.#tryMember(request, progress, startedAt),
+				deadlineAt: request.deadlineAt,
+				onDeadline: () => this.#deadlineError(request, progress),
+			}));
+		} finally {
+			for (const cancel of cancels) {
+				cancel();
+			}
+		}
+	}
+
+	/** Has the members polled more often while the read waits. */
+	async #whileAwaiting<Result>(action: () => Promise<Result>): Promise<Result> {
+		const {board} = this.context;
+		board.write('awaitingReads', board.read('awaitingReads') + 1);
+		try {
+			return await action();
+		} finally {
+			board.write('awaitingReads', board.read('awaitingReads') - 1);
+		}
+	}
+
+	#tryMember(request: PoolRequest, progress: ReadProgress, startedAt: Milliseconds): MemberGrant | undefined {
+		const {clock, limits, connectionsOf, slots} = this.context;
+		const now = clock.now();
+		const neededPoint = progress.fixedPoint ?? this.#pointOfAge(request, now);
+		if (!neededPoint) {
+			return undefined;
+		}
+
+		const candidates = this.#candidates(now);
+		const member = chooseReadMember(candidates, {
+			neededPoint,
+			localDataCentre: this.context.dataCentre,
+			waitedForReplica: now - startedAt >= limits().replicaWait,
+			waitedForSlot: now - startedAt >= (request.deadlineAt - startedAt) / 2,
+			failedMembers: progress.failedMembers,
+		});
+		const chosen = candidates.find(({status}) => status.member === member);
+		const connections = chosen && connectionsOf(chosen.status.member);
+		return chosen && connections && {
+			status: chosen.status, isPrimary: chosen.isPrimary, connections, releaseSlot: slots.take(chosen.status.member, 'read'),
+		};
+	}
+
+	#pointOfAge(request: PoolRequest, now: Milliseconds): LogPoint | undefined {
+		return floorStartedSince(this.context.board.read('floors'), now - (request.maximumAge ?? 0))?.point;
+	}
+
+	#candidates(now: Milliseconds): readonly ReadCandidate[] {
+		const {board, slots} = this.context;
+		const primary = primaryOf(board)?.member;
+		const candidates: ReadCandidate[] = [];
+		for (const {member, dataCentre, leaving} of board.read('members').values()) {
+			const status = board.read('observations').get(member)?.status;
+			if (!status || leaving || !mayUseMember(board, member, now)) {
+				continue;
+			}
+
+			const isPrimary = member === primary || status.role === 'primary';
+			const use = slots.useOf(member);
+			candidates.push({
+				status, dataCentre, isPrimary, freeSlots: slots.free(member, 'read', isPrimary), slotUse: (use.reads + use.writes) / Math.max(1, use.slots),
+			});
+		}
+
+		return candidates;
+	}
+
+	#deadlineError(request: PoolRequest, progress: ReadProgress): BuckthornhitchError {
+		if (progress.mayHaveRun) {
+			return outcomeUnknown('The read was sent and its answer was lost.');
+		}
+
+		const neededPoint = progress.fixedPoint ?? this.#pointOfAge(request, this.context.clock.now());
+		return neededPoint
+			? new BuckthornhitchError('deadlinePassed', 'No eligible member had a free slot in time.')
+			: new BuckthornhitchError('noFreshMember', 'No majority of members answered within the stated age.');
+	}
+
+	async #run(request: PoolRequest, grant: MemberGrant, progress: ReadProgress): Promise<ReadResult> {
+		const {board, clock, limits} = this.context;
+		const connection = await grant.connections.acquire(request.deadlineAt);
+		if (!mayUseMember(board, grant.status.member, clock.now())) {
+			grant.connections.release(connection);
+			throw new BuckthornhitchError('linkNotSent', `The lease of ${grant.status.member} lapsed.`);
+		}
+
+		const needsPoint = progress.fixedPoint !== undefined && request.transactionId === null;
+		const askedAt = clock.now();
+		progress.mayHaveRun = true;
+		try {
+			const sent = needsPoint ? Buffer.concat([request.bytes, statusQueryBytes]) : request.bytes;
+			const [bytes, statusBytes] = await connection.exchange(sent, needsPoint ? 2 : 1, limits().statementTimeout);
+			const status = statusBytes ? this.#observedStatus(statusBytes, askedAt) : grant.status;
+			const point = laterLogPoint(progress.fixedPoint ?? appliedPoint(status), appliedPoint(status));
+			return this.#answer(request, grant, connection, {bytes, point});
+		} catch (error) {
+			grant.connections.discard(connection, `read: ${toBuckthornhitchError(error).detail}`);
+			throw error;
+		}
+	}
+
+	#observedStatus(bytes: Buffer, askedAt: Milliseconds): MemberStatus {
+		const status = readMemberStatus(readTextRows(splitBackendMessages(bytes))[0]);
+		this.context.observe({askedAt, status});
+		return status;
+	}
+
+	#answer(request: PoolRequest, grant: MemberGrant, connection: BackendConnection, {bytes, point}: {readonly bytes: Buffer; readonly point: LogPoint}): ReadResult {
+		const {metrics, database} = this.context;
+		const {member} = grant.status;
+		const role = grant.isPrimary ? 'primary' : 'replica';
+		const {transactionStatus} = connection;
+		if (transactionStatus === 'idle') {
+			grant.connections.release(connection);
+			if (!grant.isPrimary && wasRefusedAsReadOnly(bytes)) {
+				return undefined;
+			}
+		} else if (request.transactionId === null) {
+			throw outcomeUnknown('The statement opened a transaction outside of a transaction block.');
+		} else {
+			this.#keep(request, grant, connection);
+		}
+
+		metrics.reads.inc({database, role, stated_age: String(request.maximumAge !== null)});
+		return buildResponse(bytes, transactionStatus, {member, role}, point);
+	}
+
+	#keep(request: PoolRequest, grant: MemberGrant, connection: BackendConnection): void {
+		this.context.transactions.add({
+			id: request.transactionId ?? '',
+			member: grant.status.member,
+			role: grant.isPrimary ? 'primary' : 'replica',
+			term: grant.status.primaryTerm,
+			connection,
+			connections: grant.connections,
+			linkId: request.linkId,
+			finish: () => undefined,
+			busy: false,
+		});
+	}
+
+	/** Notes a failed attempt; rethrows what another member cannot do better. */
+	#noteFailure(error: unknown, grant: MemberGrant, progress: ReadProgress): void {
+		const failure = toBuckthornhitchError(error);
+		if (failure.codeName === 'deadlinePassed') {
+			throw progress.mayHaveRun ? outcomeUnknown('The read was sent and its answer was lost.') : failure;
+		}
+
+		if (failure.codeName === 'outcomeUnknown') {
+			throw failure;
+		}
+
+		this.context.checkMember(grant.status.member);
+		progress.failedMembers.add(grant.status.member);
+	}
+
+	#allowRetry(progress: ReadProgress): void {
+		const {retryBudget, metrics, database} = this.context;
+		if (!retryBudget.tryRetry()) {
+			throw progress.mayHaveRun ? outcomeUnknown('The read was sent, its answer was lost, and the retry budget is spent.') : new BuckthornhitchError('retryBudgetSpent', '');
+		}
+
+		metrics.retries.inc({database});
+	}
+}
+
+/** Returns the pool to which a read should go because another one holds all leases, or undefined. */
+export function otherOwner(context: ExecutionContext): string | undefined {
+	const members = [...context.board.read('members').keys()];
+	if (members.some(member => mayUseMember(context.board, member, context.clock.now()))) {
+		return undefined;
+	}
+
+	const holder = members.map(member => otherHolder(context, member)).find(name => name !== undefined);
+	const {rank, order} = context.board.read('ownership');
+	return holder ?? (rank === 0 || order.length === 0 ? undefined : order[0]);
+}
--- /dev/null
+++ b/source/pool/recorded-requests.ts
@@ -0,0 +1,185 @@
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {serialize} from 'pg-protocol';
+import {type Milliseconds} from '../clock/clock.js';
+import {receivedPoint} from '../database-group/log-point-rules.js';
+import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
+import {findErrorInResponse, readTextRows} from '../postgres-protocol/backend-rows.js';
+import {buildReadyForQuery} from '../postgres-protocol/error-response.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {
+	buildResponse, outcomeUnknown, type ExecutionContext, type PoolRequest,
+} from './execution-context.js';
+import {type ExecuteResponse} from './messages.js';
+import {type PrimaryUse} from './primary-use.js';
+import {
+	mayCommit, opensTransaction, parametersOf, rawStatementTexts,
+} from './statement-text.js';
+import {readOnlySqlState, statusQueryBytes, type WriteExecutor} from './write-executor.js';
+
+const uniqueViolation = '23505';
+const undefinedTable = '42P01';
+const createTable = 'CREATE TABLE IF NOT EXISTS buckthornhitch_requests (request_id text PRIMARY KEY, outcome text NOT NULL, recorded_at bigint NOT NULL)';
+const fingerprintLength = 24;
+const uuidVersion7Pattern = /^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/iv;
+
+/** Runs writes that carry a request id: the outcome is recorded in the same transaction, so that a retry returns it and runs nothing. */
+export class RecordedRequests {
+	constructor(private readonly context: ExecutionContext) {}
+
+	/** Runs the request or returns its recorded outcome; resolves with undefined when it was not run and may be tried again. Rejects with a numbered code. */
+	async run(request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<ExecuteResponse | undefined> {
+		this.#checkRequest(request);
+		const [, inserted, answer] = await this.#exchange(use, [query('BEGIN'), this.#insertion(request), request.bytes]);
+		const failure = findErrorInResponse(inserted);
+		if (failure) {
+			await this.#exchange(use, [query('ROLLBACK')]);
+			return this.#afterFailedInsertion(failure.sqlState, request, use, writes);
+		}
+
+		const reported = findErrorInResponse(answer);
+		if (reported) {
+			await this.#exchange(use, [query('ROLLBACK')]);
+			return reported.sqlState === readOnlySqlState ? undefined : this.#response(answer, use, request.neededPoint);
+		}
+
+		return this.#commit(request, use, writes, asIdle(answer));
+	}
+
+	#checkRequest(request: PoolRequest): void {
+		const {clock, limits} = this.context;
+		if (mayCommit(request.bytes) || opensTransaction(request.bytes)) {
+			throw new BuckthornhitchError('unsupportedFeature', 'A request with an id must not contain statements that open or end transactions.');
+		}
+
+		const createdAt = requestIdTime(request.requestId ?? '');
+		if (createdAt !== undefined && clock.wallTime() - createdAt > limits().requestIdRetention) {
+			throw new BuckthornhitchError('requestIdExpired', '');
+		}
+	}
+
+	#insertion(request: PoolRequest): Buffer {
+		const recordedAt = Math.floor(this.context.clock.wallTime());
+		return query(`INSERT INTO buckthornhitch_requests (request_id, outcome, recorded_at) VALUES (${quote(request.requestId ?? '')}, 'running', ${recordedAt})`);
+	}
+
+	async #afterFailedInsertion(sqlState: string, request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<ExecuteResponse | undefined> {
+		switch (sqlState) {
+			case undefinedTable: {
+				await this.#exchange(use, [query(createTable)]);
+				return undefined;
+			}
+
+			case uniqueViolation: {
+				return this.#recordedOutcome(request, use, writes);
+			}
+
+			case readOnlySqlState: {
+				return undefined;
+			}
+
+			default: {
+				throw new BuckthornhitchError('memberRefused', `The request id could not be recorded (SQLSTATE ${sqlState}).`);
+			}
+		}
+	}
+
+	async #commit(request: PoolRequest, use: PrimaryUse, writes: WriteExecutor, answer: Buffer): Promise<ExecuteResponse | undefined> {
+		const {member, primaryTerm} = use.grant.status;
+		const outcome = `done:${fingerprint(request)}:${answer.toString('base64')}`;
+		const update = query(`UPDATE buckthornhitch_requests SET outcome = ${quote(outcome)} WHERE request_id = ${quote(request.requestId ?? '')}`);
+		const askedAt = this.context.clock.now();
+		const [, committed, statusBytes] = await this.#exchange(use, [update, query('COMMIT'), statusQueryBytes]);
+		const reported = findErrorInResponse(committed);
+		if (reported?.sqlState === readOnlySqlState) {
+			return undefined;
+		}
+
+		if (commandTag(committed) !== 'COMMIT') {
+			throw new BuckthornhitchError('memberRefused', `The transaction was rolled back (SQLSTATE ${reported?.sqlState ?? '40000'}).`);
+		}
+
+		const point = receivedPoint(writes.checkedStatus(statusBytes, askedAt, primaryTerm));
+		use.giveBack();
+		await writes.confirm(point, member);
+		return buildResponse(answer, 'idle', {member, role: 'primary'}, point);
+	}
+
+	async #recordedOutcome(request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<ExecuteResponse | undefined> {
+		const {member, primaryTerm} = use.grant.status;
+		const askedAt = this.context.clock.now();
+		const [rows, statusBytes] = await this.#exchange(use, [query(`SELECT outcome FROM buckthornhitch_requests WHERE request_id = ${quote(request.requestId ?? '')}`), statusQueryBytes]);
+		const outcome = readTextRows(splitBackendMessages(rows))[0]?.outcome;
+		if (typeof outcome !== 'string') {
+			return undefined;
+		}
+
+		const point = receivedPoint(writes.checkedStatus(statusBytes, askedAt, primaryTerm));
+		use.giveBack();
+		await writes.confirm(point, member);
+		return buildResponse(readOutcome(outcome, request), 'idle', {member, role: 'primary'}, point);
+	}
+
+	#response(answer: Buffer, use: PrimaryUse, point: PoolRequest['neededPoint']): ExecuteResponse {
+		return buildResponse(asIdle(answer), 'idle', {member: use.grant.status.member, role: 'primary'}, point);
+	}
+
+	async #exchange(use: PrimaryUse, parts: readonly Buffer[]): Promise<readonly Buffer[]> {
+		return use.connection.exchange(Buffer.concat(parts), parts.length, this.context.limits().statementTimeout);
+	}
+}
+
+/** Returns the creation time of an id in milliseconds since the Unix epoch, or undefined for an id that does not carry one. Only UUIDs of version 7 do. */
+export function requestIdTime(requestId: string): Milliseconds | undefined {
+	return uuidVersion7Pattern.test(requestId) ? Number.parseInt(requestId.replaceAll('-', '').slice(0, 12), 16) : undefined;
+}
+
+function readOutcome(outcome: string, request: PoolRequest): Buffer {
+	const [state, recordedFingerprint, answer = ''] = outcome.split(':');
+	if (state === 'abandoned') {
+		throw new BuckthornhitchError('requestAbandoned', '');
+	}
+
+	if (state !== 'done') {
+		throw outcomeUnknown('The recorded outcome is not readable.');
+	}
+
+	if (recordedFingerprint !== fingerprint(request)) {
+		throw new BuckthornhitchError('requestIdReused', '');
+	}
+
+	return Buffer.from(answer, 'base64');
+}
+
+/** Digest of statements and parameters, without the names of prepared statements, which may differ in a retry. */
+function fingerprint(request: PoolRequest): string {
+	const hash = createHash('sha256');
+	for (const text of rawStatementTexts(request.bytes)) {
+		hash.update(`${text}\0`);
+	}
+
+	for (const parameters of parametersOf(request.bytes)) {
+		hash.update(parameters);
+	}
+
+	return hash.digest('hex').slice(0, fingerprintLength);
+}
+
+/** Replaces the transaction status at the end of a response by idle. */
+function asIdle(response: Buffer): Buffer {
+	const ready = buildReadyForQuery('idle');
+	return Buffer.concat([response.subarray(0, -ready.length), ready]);
+}
+
+function commandTag(response: Buffer): string | undefined {
+	const message = splitBackendMessages(response).find(({type}) => type === 'C');
+	return message?.body.toString('utf8', 0, message.body.length - 1);
+}
+
+function query(text: string): Buffer {
+	return serialize.query(text);
+}
+
+function quote(text: string): string {
+	return `'${text.replaceAll('\'', '\'\'')}'`;
+}
