Accept callers and forward their statements to the owning pool

No process took callers yet. A request is sent again only when it cannot have run, only reads, or carries a request id; a transaction stays with its pool.

--- /dev/null
+++ b/source/entry/entry-process.ts
@@ -0,0 +1,149 @@
+import {readFile} from 'node:fs/promises';
+import {type Registry} from 'prom-client';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type ConfigurationSource} from '../configuration/configuration-source.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient} from '../links/link-client.js';
+import {type InstanceDirectory} from '../membership/instance-directory.js';
+import {type Logger} from '../observability/logger.js';
+import {uniqueId, type Random} from '../random/random.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {settingsFromStartup} from '../session/startup-settings.js';
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {type Timeline} from '../timeline/timeline.js';
+import {CallerServer} from './caller-server.js';
+import {type AcceptedCaller} from './caller-startup.js';
+import {EntryAdmission} from './entry-admission.js';
+import {EntryMetrics} from './entry-metrics.js';
+import {PasswordList} from './password-list.js';
+import {PoolRouter} from './pool-router.js';
+import {RetryBudget} from './retry-budget.js';
+import {SessionExecutor, type SessionServices} from './session-executor.js';
+
+/** Services that an entry shares with other parts of its operating-system process; a ProcessRuntime has them. */
+export type EntryServices = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly registry: Registry;
+	readonly timeline: Timeline;
+	readonly linkClient: LinkClient;
+	logger(part: string): Logger;
+};
+
+/** What an entry process is made of. */
+export type EntryProcessOptions = {
+	readonly services: EntryServices;
+	readonly directory: InstanceDirectory;
+	readonly configuration: ConfigurationSource;
+	readonly settings: Pick<EntrySettings, 'name' | 'callerAddress' | 'announcementAddress' | 'controls' | 'passwordFile'>;
+};
+
+const drainCheckPeriod: Milliseconds = 50;
+
+/** The entry: accepts callers and forwards their requests to pools. */
+export class EntryProcess {
+	readonly #router: PoolRouter;
+	readonly #metrics: EntryMetrics;
+	readonly #logger: Logger;
+	readonly #sessionServices: SessionServices;
+	#callerServer: CallerServer | undefined;
+	#callerAddress: Address | undefined;
+	#draining = false;
+
+	constructor(private readonly options: EntryProcessOptions) {
+		const {services, directory, configuration} = options;
+		const {clock, random, linkClient, timeline} = services;
+		this.#logger = services.logger('entry');
+		this.#metrics = new EntryMetrics(services.registry);
+		this.#router = new PoolRouter({
+			clock, random, linkClient, directory, configuration, budget: new RetryBudget(clock), onRetry: () => {
+				this.#metrics.retries.inc();
+			},
+		});
+		this.#sessionServices = {
+			clock, configuration, timeline, router: this.#router, admission: new EntryAdmission(), metrics: this.#metrics,
+		};
+	}
+
+	/** Address on which callers are accepted, once started. */
+	get callerAddress(): Address {
+		return this.#callerAddress ?? this.options.settings.callerAddress;
+	}
+
+	/** Starts to accept callers. Rejects when an address is in use or the password file can not be read. */
+	async start(): Promise<void> {
+		const {settings, services} = this.options;
+		const passwords = settings.passwordFile === undefined ? undefined : new PasswordList(await readFile(settings.passwordFile, 'utf8'));
+		this.#callerServer = new CallerServer({
+			clock: services.clock,
+			policy: {passwords, accept: parameters => this.#accept(parameters)},
+			createExecutor: ({database, settings}) => new SessionExecutor(this.#sessionServices, uniqueId(), database, settings),
+			callerLimit: () => this.#callerLimit(),
+			onCallerCount: count => {
+				this.#metrics.callers.set(count);
+			},
+		});
+		this.#callerAddress = await this.#callerServer.listen(settings.callerAddress);
+		services.timeline.record('entry', 'started', settings.name);
+		this.#logger.info(`accepting callers on ${this.#callerAddress}`);
+	}
+
+	/** Stops accepting work and resolves when the last caller has left or the drain time is over. */
+	async drain(): Promise<void> {
+		const {services, settings, directory, configuration} = this.options;
+		this.#draining = true;
+		directory.markDraining();
+		services.timeline.record('entry', 'draining', settings.name);
+		this.#callerServer?.drain();
+		const end = services.clock.now() + (configuration.deployment()?.limits.drainTime ?? 0);
+		while ((this.#callerServer?.callerCount ?? 0) > 0 && services.clock.now() < end) {
+			await services.clock.sleep(drainCheckPeriod);
+		}
+
+		services.timeline.record('entry', 'drained', settings.name, `${this.#callerServer?.callerCount ?? 0} callers left`);
+	}
+
+	/** Closes all connections; open transactions are closed at their pools. */
+	async stop(): Promise<void> {
+		await this.#callerServer?.close();
+		this.#router.stop();
+	}
+
+	#callerLimit(): number {
+		return this.options.configuration.deployment()?.limits.callersPerEntry ?? 0;
+	}
+
+	#accept(parameters: Readonly<Record<string, string>>): AcceptedCaller {
+		try {
+			return this.#check(parameters);
+		} catch (error) {
+			if (error instanceof BuckthornhitchError) {
+				this.#metrics.countRefusal(error.code);
+			}
+
+			throw error;
+		}
+	}
+
+	#check(parameters: Readonly<Record<string, string>>): AcceptedCaller {
+		if (this.#draining) {
+			throw new BuckthornhitchError('draining', '');
+		}
+
+		const deployment = this.options.configuration.deployment();
+		if (!deployment) {
+			throw new BuckthornhitchError('noPool', 'No configuration has arrived yet.');
+		}
+
+		if ((this.#callerServer?.callerCount ?? 0) >= deployment.limits.callersPerEntry) {
+			throw new BuckthornhitchError('queueFull', `This entry has its ${deployment.limits.callersPerEntry} callers.`);
+		}
+
+		const database = parameters.database ?? parameters.user;
+		if (!deployment.databases.some(({name}) => name === database)) {
+			throw new BuckthornhitchError('unknownDatabase', '');
+		}
+
+		return {database, settings: settingsFromStartup(parameters, database)};
+	}
+}
--- /dev/null
+++ b/source/entry/pool-router.ts
@@ -0,0 +1,254 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type ConfigurationSource} from '../configuration/configuration-source.js';
+import {type Limits} from '../configuration/types.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient} from '../links/link-client.js';
+import {type InstanceDirectory} from '../membership/instance-directory.js';
+import {takesNewWork, type InstanceRecord} from '../membership/instance-record.js';
+import {ownershipOrder} from '../ownership/rendezvous.js';
+import {type CloseTransactionNotice, type ExecuteRequest, type ExecuteResponse} from '../pool/messages.js';
+import {type Random, uniqueId} from '../random/random.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type RetryBudget} from './retry-budget.js';
+import {finalError, stepAfterFailure} from './retry-rules.js';
+
+/** What the router needs. */
+export type PoolRouterOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly linkClient: LinkClient;
+	readonly directory: InstanceDirectory;
+	readonly configuration: ConfigurationSource;
+	readonly budget: RetryBudget;
+	/** Called for each attempt after the first. */
+	readonly onRetry: () => void;
+};
+
+/** Request without its deadline, which the router adds for each attempt. */
+export type RoutedRequest = Omit<ExecuteRequest, 'deadline'>;
+
+/** Answer with the pool that gave it and the transaction id under which it was sent. */
+export type RoutedAnswer = {
+	readonly response: ExecuteResponse;
+	readonly pool: Address;
+	readonly transactionId: string | null;
+};
+
+/** A pool named by notOwner is tried first for this many milliseconds. */
+export const redirectLifetime: Milliseconds = 1000;
+
+/** Time for the answer to travel, on top of the deadline and the statement timeout, in milliseconds. */
+export const answerAllowance: Milliseconds = 1000;
+
+const shortestPause: Milliseconds = 10;
+const longestPause: Milliseconds = 80;
+
+type Redirect = {
+	readonly name: string;
+	readonly until: Milliseconds;
+};
+
+type Progress = {
+	readonly until: Milliseconds;
+	readonly limits: Limits;
+	readonly visited: Set<string>;
+	transactionId: string | null;
+	/** Pool of the last attempt. */
+	pool: Address;
+	attempts: number;
+	pauses: number;
+	mayHaveRun: boolean;
+	failure: BuckthornhitchError;
+};
+
+/** Finds the pool that owns a database and sends requests to it, again where that is safe. */
+export class PoolRouter {
+	readonly #orders = new Map<string, readonly InstanceRecord[]>();
+	readonly #redirects = new Map<string, Redirect>();
+	readonly #stopWatching: ReadonlyArray<() => void>;
+
+	constructor(private readonly options: PoolRouterOptions) {
+		const forgetOrders = (): void => {
+			this.#orders.clear();
+		};
+
+		this.#stopWatching = [options.directory.watch(forgetOrders), options.configuration.watch(forgetOrders)];
+	}
+
+	/** Ends the subscriptions. */
+	stop(): void {
+		for (const stop of this.#stopWatching) {
+			stop();
+		}
+	}
+
+	/** Returns the pools that may own the database, in ownership order. */
+	pools(database: string): readonly InstanceRecord[] {
+		const known = this.#orders.get(database);
+		if (known) {
+			return known;
+		}
+
+		const records = this.options.directory.records().filter(record => record.role === 'pool' && takesNewWork(record));
+		const place = this.options.configuration.deployment()?.databases.find(({name}) => name === database)?.place;
+		const order = ownershipOrder(database, records, place);
+		this.#orders.set(database, order);
+		return order;
+	}
+
+	/** Sends a request that has no open transaction. Rejects with "not run" only when no attempt can have run. */
+	async execute(request: RoutedRequest, repeatable: boolean): Promise<RoutedAnswer> {
+		const limits = this.#limits();
+		const progress: Progress = {
+			until: this.options.clock.now() + limits.requestDeadline,
+			limits,
+			visited: new Set(),
+			transactionId: request.transactionId,
+			pool: '',
+			attempts: 0,
+			pauses: 0,
+			mayHaveRun: false,
+			failure: new BuckthornhitchError('noPool', 'No pool is known.'),
+		};
+		this.options.budget.countRequest();
+		for (;;) {
+			const answer = await this.#attempt(request, repeatable, progress);
+			if (answer) {
+				return answer;
+			}
+		}
+	}
+
+	/** Sends a request of an open transaction to the pool that holds it. Never sends it elsewhere. */
+	async executeAt(pool: Address, request: RoutedRequest): Promise<ExecuteResponse> {
+		const limits = this.#limits();
+		return this.#send(pool, request, limits.requestDeadline, limits);
+	}
+
+	/** Tells the pool that the transaction was given up. */
+	closeTransaction(pool: Address, database: string, transactionId: string): void {
+		const notice: CloseTransactionNotice = {database, transactionId};
+		this.options.linkClient.notify(pool, 'closeTransaction', notice);
+	}
+
+	async #attempt(request: RoutedRequest, repeatable: boolean, progress: Progress): Promise<RoutedAnswer | undefined> {
+		const remaining = progress.until - this.options.clock.now();
+		if (remaining <= 0) {
+			throw finalError(progress.failure, progress.mayHaveRun);
+		}
+
+		const pool = this.#nextPool(request.database, progress);
+		if (!pool) {
+			await this.#pause(progress, remaining);
+			return undefined;
+		}
+
+		progress.visited.add(pool.name);
+		progress.pool = pool.linkAddress;
+		if (progress.attempts++ > 0) {
+			this.options.onRetry();
+		}
+
+		const {transactionId} = progress;
+		try {
+			const response = await this.#send(pool.linkAddress, {...request, transactionId}, remaining, progress.limits);
+			return {response, pool: pool.linkAddress, transactionId};
+		} catch (error) {
+			await this.#afterFailure(request, repeatable, progress, toBuckthornhitchError(error));
+			return undefined;
+		}
+	}
+
+	async #afterFailure(request: RoutedRequest, repeatable: boolean, progress: Progress, error: BuckthornhitchError): Promise<void> {
+		progress.failure = error;
+		switch (stepAfterFailure(error, repeatable)) {
+			case 'nextPool': {
+				this.#redirects.delete(request.database);
+				this.#followOwner(request.database, error);
+				break;
+			}
+
+			case 'wait': {
+				await this.#pause(progress, progress.until - this.options.clock.now());
+				break;
+			}
+
+			case 'repeat': {
+				this.#redirects.delete(request.database);
+				progress.mayHaveRun = true;
+				await this.#prepareRepeat(request, progress);
+				break;
+			}
+
+			case 'fail': {
+				if (error.entry.execution !== 'notRun' && progress.transactionId !== null) {
+					this.closeTransaction(progress.pool, request.database, progress.transactionId);
+				}
+
+				throw finalError(error, progress.mayHaveRun);
+			}
+		}
+	}
+
+	async #prepareRepeat(request: RoutedRequest, progress: Progress): Promise<void> {
+		if (progress.transactionId !== null) {
+			// The block may be open at that pool; it is given up and begun anew under another id.
+			this.closeTransaction(progress.pool, request.database, progress.transactionId);
+			progress.transactionId = uniqueId();
+		}
+
+		if (request.requestId !== null && request.access === 'write') {
+			await this.#pause(progress, progress.until - this.options.clock.now());
+		} else if (!this.options.budget.take()) {
+			throw finalError(new BuckthornhitchError('retryBudgetSpent', ''), true);
+		}
+	}
+
+	#nextPool(database: string, {visited}: Progress): InstanceRecord | undefined {
+		const order = this.pools(database);
+		const redirect = this.#redirects.get(database);
+		if (redirect && redirect.until > this.options.clock.now() && !visited.has(redirect.name)) {
+			const owner = order.find(({name}) => name === redirect.name);
+			if (owner) {
+				return owner;
+			}
+		}
+
+		return order.find(({name}) => !visited.has(name));
+	}
+
+	#followOwner(database: string, error: BuckthornhitchError): void {
+		if (error.codeName !== 'notOwner') {
+			return;
+		}
+
+		const owner = this.pools(database).find(({name}) => error.detail === name || error.detail.includes(`"${name}"`));
+		if (owner) {
+			this.#redirects.set(database, {name: owner.name, until: this.options.clock.now() + redirectLifetime});
+		}
+	}
+
+	// The pause is short, since a new primary or owner is usually there within a second, and random, so that waiting requests do not return together.
+	async #pause(progress: Progress, remaining: Milliseconds): Promise<void> {
+		const longest = Math.min(longestPause, shortestPause * (2 ** progress.pauses));
+		progress.pauses++;
+		progress.visited.clear();
+		const pause = longest * (1 + this.options.random.fraction()) / 2;
+		await this.options.clock.sleep(Math.max(0, Math.min(pause, remaining)));
+	}
+
+	async #send(pool: Address, request: RoutedRequest, remaining: Milliseconds, limits: Limits): Promise<ExecuteResponse> {
+		const body: ExecuteRequest = {...request, deadline: remaining};
+		const answer = await this.options.linkClient.request(pool, 'execute', body, remaining + limits.statementTimeout + answerAllowance);
+		return answer as ExecuteResponse;
+	}
+
+	#limits(): Limits {
+		const limits = this.options.configuration.deployment()?.limits;
+		if (!limits) {
+			throw new BuckthornhitchError('noPool', 'No configuration has arrived yet.');
+		}
+
+		return limits;
+	}
+}
