--- /dev/null
+++ b/source/binaries/buckthornhitch-pool.ts
@@ -0,0 +1,31 @@
+#!/usr/bin/env node
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {command, run} from 'cmd-ts';
+import {createPoolBackends, PoolProcess} from '../pool/pool-process.js';
+import {poolOptions} from '../settings/pool-settings.js';
+import {FleetView} from './fleet-view.js';
+import {runProcess} from './run-process.js';
+
+const poolCommand = command({
+	name: 'buckthornhitch-pool',
+	description: 'holds the connections to backend servers',
+	args: poolOptions,
+	async handler({controls, backendUser, backendPasswordFile, ...settings}) {
+		await runProcess(settings, async runtime => {
+			const password = backendPasswordFile === undefined ? null : await readFile(backendPasswordFile, 'utf8');
+			const fleet = new FleetView(runtime, 'pool', controls);
+			const backends = createPoolBackends(runtime.clock, settings.name, {user: backendUser, password: password?.trim() ?? null});
+			const pool = new PoolProcess(runtime, fleet.directory, fleet.configuration, backends);
+			await fleet.start();
+			pool.start();
+			runtime.onShutdown(async () => pool.drain());
+			runtime.onShutdown(() => {
+				pool.stop();
+				fleet.stop();
+			});
+		});
+	},
+});
+
+await run(poolCommand, process.argv.slice(2));
