Try the pool process against three stand-in members

Refusals by a superseded primary are tried again, transactions record their request id, and confirmations end within the time that the entry waits.

--- /dev/null
+++ b/source/pool/pool-fixture.ts
@@ -0,0 +1,122 @@
+import {type Buffer} from 'node:buffer';
+import {serialize} from 'pg-protocol';
+import {Registry} from 'prom-client';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {StaticConfigurationSource} from '../configuration/configuration-source.js';
+import {type DeploymentConfiguration} from '../configuration/types.js';
+import {type LinkClient, type LinkPeer, type RequestHandler} from '../links/link-client.js';
+import {StaticInstanceDirectory} from '../membership/instance-directory.js';
+import {type InstanceRecord} from '../membership/instance-record.js';
+import {silentLogger} from '../observability/logger.js';
+import {SeededRandom} from '../random/random.js';
+import {HybridClock} from '../timeline/hybrid-clock.js';
+import {Timeline} from '../timeline/timeline.js';
+import {type ExecuteRequest, type ExecuteResponse} from './messages.js';
+import {PoolProcess, type PoolBackends, type PoolServices} from './pool-process.js';
+
+/** Name of the database in the fixtures. */
+export const testDatabase = 'notices';
+
+/** Configuration with the timing of the design page. */
+export const testDeployment: DeploymentConfiguration = {
+	deployment: 'test',
+	places: [{name: 'chc-a', region: 'canterbury'}],
+	databases: [{
+		name: testDatabase, service: 'notice-core', place: 'chc-a', memberCount: 3, slots: 3, connections: 45, connectTime: 12,
+	}],
+	limits: {
+		queueLength: 100, requestDeadline: 5000, statementTimeout: 5000, replicaWait: 50, requestIdRetention: 86_400_000, callersPerEntry: 100, drainTime: 30_000,
+	},
+	timeouts: {
+		heartbeat: 200, silence: 600, freshConnection: 400, lease: 1000, promotionStagger: 500,
+	},
+};
+
+/** Returns the record of a live pool. */
+export function poolRecord(name: string): InstanceRecord {
+	return {
+		name, role: 'pool', instance: name, dataCentre: 'chc-a', region: 'canterbury', linkAddress: `${name}:1`, gossipAddress: `${name}:2`, incarnation: 1, state: 'alive', configurationRevision: 1,
+	};
+}
+
+/** Link server that hands requests over without a socket. */
+export class LocalLinkServer {
+	readonly #handlers = new Map<string, RequestHandler>();
+	readonly #listeners = new Set<(peer: LinkPeer) => void>();
+
+	handle(name: string, handler: RequestHandler): void {
+		this.#handlers.set(name, handler);
+	}
+
+	onLinkClosed(listener: (peer: LinkPeer) => void): void {
+		this.#listeners.add(listener);
+	}
+
+	async request(name: string, body: unknown, linkId = 1): Promise<unknown> {
+		return this.#handlers.get(name)?.(body, {linkId});
+	}
+
+	closeLink(linkId: number): void {
+		for (const listener of this.#listeners) {
+			listener({linkId});
+		}
+	}
+}
+
+/** A pool process with what a test needs to drive it. */
+export type TestPool = {
+	readonly pool: PoolProcess;
+	readonly server: LocalLinkServer;
+	readonly registry: Registry;
+	readonly timeline: Timeline;
+	readonly directory: StaticInstanceDirectory;
+	execute(statement: string, request?: Partial<ExecuteRequest>): Promise<ExecuteResponse>;
+	announce(members: ReadonlyArray<{readonly name: string; readonly address: string}>, leaving?: readonly string[]): Promise<void>;
+};
+
+/** What a test pool is made of. */
+export type TestPoolOptions = {
+	readonly name?: string;
+	readonly clock: Clock;
+	readonly backends: PoolBackends;
+	readonly linkClient?: LinkClient;
+	readonly directory?: StaticInstanceDirectory;
+	readonly statementTimeout?: Milliseconds;
+};
+
+/** Starts a pool process for the members a, b and c. */
+export function startTestPool({name = 'pool-1', clock, backends, linkClient, directory = new StaticInstanceDirectory([poolRecord(name)], name), statementTimeout = 5000}: TestPoolOptions): TestPool {
+	const server = new LocalLinkServer();
+	const registry = new Registry();
+	const timeline = new Timeline(name, new HybridClock(clock));
+	const services: PoolServices = {
+		settings: {name, dataCentre: 'chc-a'}, clock, random: new SeededRandom(7), registry, timeline, linkServer: server, linkClient: linkClient!, logger: () => silentLogger,
+	};
+	const deployment = {...testDeployment, limits: {...testDeployment.limits, statementTimeout}};
+	const configuration = new StaticConfigurationSource({revision: 1, files: {}, memberSets: {[testDatabase]: ['a', 'b', 'c']}}, deployment);
+	const pool = new PoolProcess(services, directory, configuration, backends);
+	pool.start();
+	return {
+		pool,
+		server,
+		registry,
+		timeline,
+		directory,
+		async execute(statement, request = {}) {
+			return await server.request('execute', {...executeRequest(serialize.query(statement)), ...request}) as ExecuteResponse;
+		},
+		async announce(members, leaving = []) {
+			for (const {name: member, address} of members) {
+				await server.request('announce', {
+					database: testDatabase, member, address, dataCentre: 'chc-a', leaving: leaving.includes(member),
+				});
+			}
+		},
+	};
+}
+
+function executeRequest(bytes: Buffer): ExecuteRequest {
+	return {
+		database: testDatabase, sessionId: 's', transactionId: null, access: 'write', bytes, neededPoint: null, maximumAge: null, requestId: null, deadline: 5000,
+	};
+}
--- a/source/pool/recorded-requests.ts
+++ b/source/pool/recorded-requests.ts
@@ -15,7 +15,9 @@
 import {
 	mayCommit, opensTransaction, parametersOf, rawStatementTexts,
 } from './statement-text.js';
-import {readOnlySqlState, statusQueryBytes, type WriteExecutor} from './write-executor.js';
+import {
+	readOnlySqlState, statusQueryBytes, supersededSqlState, type WriteExecutor,
+} from './write-executor.js';
 
 const uniqueViolation = '23505';
 const undefinedTable = '42P01';
@@ -30,7 +32,7 @@
 	/** Runs the request or returns its recorded outcome; resolves with undefined when it was not run and may be tried again. Rejects with a numbered code. */
 	async run(request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<ExecuteResponse | undefined> {
 		this.#checkRequest(request);
-		const [, inserted, answer] = await this.#exchange(use, [query('BEGIN'), this.#insertion(request), request.bytes]);
+		const [, inserted, answer] = await this.#exchange(use, [query('BEGIN'), this.#insertion(request, 'running'), request.bytes]);
 		const failure = findErrorInResponse(inserted);
 		if (failure) {
 			await this.#exchange(use, [query('ROLLBACK')]);
@@ -40,27 +42,45 @@
 		const reported = findErrorInResponse(answer);
 		if (reported) {
 			await this.#exchange(use, [query('ROLLBACK')]);
-			return reported.sqlState === readOnlySqlState ? undefined : this.#response(answer, use, request.neededPoint);
+			return isRefusal(reported.sqlState) ? undefined : this.#response(answer, use, request.neededPoint);
 		}
 
 		return this.#commit(request, use, writes, asIdle(answer));
 	}
 
+	/** Records the id of a transaction that has just been opened, so that it commits at most once; resolves with false when the transaction was rolled back and may be tried again. Rejects with requestIdReused when a transaction with the id has committed. */
+	async recordTransaction(request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<boolean> {
+		this.#checkAge(request);
+		const [inserted] = await this.#exchange(use, [this.#insertion(request, 'transaction')]);
+		const failure = findErrorInResponse(inserted);
+		if (!failure) {
+			return true;
+		}
+
+		await this.#exchange(use, [query('ROLLBACK')]);
+		await this.#afterFailedInsertion(failure.sqlState, request, use, writes);
+		return false;
+	}
+
 	#checkRequest(request: PoolRequest): void {
-		const {clock, limits} = this.context;
 		if (mayCommit(request.bytes) || opensTransaction(request.bytes)) {
 			throw new BuckthornhitchError('unsupportedFeature', 'A request with an id must not contain statements that open or end transactions.');
 		}
 
+		this.#checkAge(request);
+	}
+
+	#checkAge(request: PoolRequest): void {
+		const {clock, limits} = this.context;
 		const createdAt = requestIdTime(request.requestId ?? '');
 		if (createdAt !== undefined && clock.wallTime() - createdAt > limits().requestIdRetention) {
 			throw new BuckthornhitchError('requestIdExpired', '');
 		}
 	}
 
-	#insertion(request: PoolRequest): Buffer {
+	#insertion(request: PoolRequest, outcome: 'running' | 'transaction'): Buffer {
 		const recordedAt = Math.floor(this.context.clock.wallTime());
-		return query(`INSERT INTO buckthornhitch_requests (request_id, outcome, recorded_at) VALUES (${quote(request.requestId ?? '')}, 'running', ${recordedAt})`);
+		return query(`INSERT INTO buckthornhitch_requests (request_id, outcome, recorded_at) VALUES (${quote(request.requestId ?? '')}, ${quote(outcome)}, ${recordedAt})`);
 	}
 
 	async #afterFailedInsertion(sqlState: string, request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<ExecuteResponse | undefined> {
@@ -74,7 +94,8 @@
 				return this.#recordedOutcome(request, use, writes);
 			}
 
-			case readOnlySqlState: {
+			case readOnlySqlState:
+			case supersededSqlState: {
 				return undefined;
 			}
 
@@ -91,7 +112,7 @@
 		const askedAt = this.context.clock.now();
 		const [, committed, statusBytes] = await this.#exchange(use, [update, query('COMMIT'), statusQueryBytes]);
 		const reported = findErrorInResponse(committed);
-		if (reported?.sqlState === readOnlySqlState) {
+		if (isRefusal(reported?.sqlState)) {
 			return undefined;
 		}
 
@@ -101,7 +122,7 @@
 
 		const point = receivedPoint(writes.checkedStatus(statusBytes, askedAt, primaryTerm));
 		use.giveBack();
-		await writes.confirm(point, member);
+		await writes.confirm(point, member, request);
 		return buildResponse(answer, 'idle', {member, role: 'primary'}, point);
 	}
 
@@ -116,7 +137,7 @@
 
 		const point = receivedPoint(writes.checkedStatus(statusBytes, askedAt, primaryTerm));
 		use.giveBack();
-		await writes.confirm(point, member);
+		await writes.confirm(point, member, request);
 		return buildResponse(readOutcome(outcome, request), 'idle', {member, role: 'primary'}, point);
 	}
 
@@ -140,6 +161,10 @@
 		throw new BuckthornhitchError('requestAbandoned', '');
 	}
 
+	if (state === 'transaction') {
+		throw new BuckthornhitchError('requestIdReused', 'The transaction with this id has committed.');
+	}
+
 	if (state !== 'done') {
 		throw outcomeUnknown('The recorded outcome is not readable.');
 	}
@@ -171,6 +196,10 @@
 	return Buffer.concat([response.subarray(0, -ready.length), ready]);
 }
 
+function isRefusal(sqlState: string | undefined): boolean {
+	return sqlState === readOnlySqlState || sqlState === supersededSqlState;
+}
+
 function commandTag(response: Buffer): string | undefined {
 	const message = splitBackendMessages(response).find(({type}) => type === 'C');
 	return message?.body.toString('utf8', 0, message.body.length - 1);
--- a/source/pool/transaction-executor.ts
+++ b/source/pool/transaction-executor.ts
@@ -73,7 +73,7 @@
 			});
 		transaction.connections.release(connection);
 		slot.releaseSlot();
-		await this.writes.confirm(point, member);
+		await this.writes.confirm(point, member, request);
 		return buildResponse(bytes, 'idle', {member, role}, point);
 	}
 
--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -14,6 +14,7 @@
 import {type ExecuteResponse} from './messages.js';
 import {type RecordedRequests} from './recorded-requests.js';
 import {PrimaryUse} from './primary-use.js';
+import {mayCommit} from './statement-text.js';
 
 /** Query for the point of a write, sent after the write on the same connection. */
 export const statusQueryBytes = serialize.query(statusQuery);
@@ -21,6 +22,9 @@
 /** SQLSTATE of a statement that a member refuses because it takes no writes. */
 export const readOnlySqlState = '25006';
 
+/** SQLSTATE of a statement that a member refuses because it has promised a later term than the one in which it is primary. */
+export const supersededSqlState = '55000';
+
 /** Pause before a write that was not sent tries again. */
 const notSentPause = 10;
 
@@ -49,11 +53,11 @@
 		}
 	}
 
-	/** Waits until the write at the point is confirmed. Rejects with outcomeUnknown. */
-	async confirm(point: LogPoint, primary: string): Promise<void> {
+	/** Waits until the write at the point is confirmed, within the time that the entry waits for the answer. Rejects with outcomeUnknown. */
+	async confirm(point: LogPoint, primary: string, request: PoolRequest): Promise<void> {
 		const {confirmation, clock, limits, metrics, database} = this.context;
 		const startedAt = clock.now();
-		const outcome = await confirmation.confirm(point, primary, limits().statementTimeout);
+		const outcome = await confirmation.confirm(point, primary, Math.max(0, request.deadlineAt + limits().statementTimeout - startedAt));
 		metrics.writes.inc({database, outcome});
 		if (outcome !== 'confirmed') {
 			throw outcomeUnknown(outcome === 'superseded' ? 'The primary was superseded before a majority held the write.' : 'No majority confirmed the write in time.');
@@ -221,14 +225,14 @@
 			throw outcomeUnknown('The statement opened a transaction outside of a transaction block.');
 		}
 
-		if (wasRefusedAsReadOnly(bytes)) {
+		if (wasRefused(request, bytes, statusBytes)) {
 			checkMember(member);
 			return undefined;
 		}
 
 		const point = receivedPoint(this.checkedStatus(statusBytes, askedAt, primaryTerm));
 		use.giveBack();
-		await this.confirm(point, member);
+		await this.confirm(point, member, request);
 		return buildResponse(bytes, 'idle', {member, role: 'primary'}, point);
 	}
 
@@ -236,12 +240,19 @@
 		const {transactions, limits, clock} = this.context;
 		const {connection, grant: {status: {member, primaryTerm}, connections}} = use;
 		const [bytes] = await connection.exchange(request.bytes, 1, limits().statementTimeout);
+		if (request.requestId !== null && connection.transactionStatus === 'open') {
+			const recorded = await this.recorded.recordTransaction(request, use, this);
+			if (!recorded) {
+				return undefined;
+			}
+		}
+
 		if (connection.transactionStatus === 'idle') {
 			const askedAt = clock.now();
 			const [statusBytes] = await connection.exchange(statusQueryBytes, 1, limits().statementTimeout);
 			const point = receivedPoint(this.checkedStatus(statusBytes, askedAt, primaryTerm));
 			use.giveBack();
-			await this.confirm(point, member);
+			await this.confirm(point, member, request);
 			return buildResponse(bytes, 'idle', {member, role: 'primary'}, point);
 		}
 
@@ -274,7 +285,19 @@
 	}
 }
 
-/** Returns whether the member refused the only statement because it takes no writes. */
+/** Returns whether a replica refused the only statement because it takes no writes. */
 export function wasRefusedAsReadOnly(bytes: Buffer): boolean {
 	return findErrorInResponse(bytes)?.sqlState === readOnlySqlState;
 }
+
+/** Returns whether a write was refused, and so not run, because the member is no longer a primary that takes writes. */
+function wasRefused(request: PoolRequest, answer: Buffer, statusBytes: Buffer): boolean {
+	const sqlState = findErrorInResponse(answer)?.sqlState;
+	if ((sqlState !== readOnlySqlState && sqlState !== supersededSqlState) || mayCommit(request.bytes)) {
+		return false;
+	}
+
+	const [row] = readTextRows(splitBackendMessages(statusBytes));
+	const status = row && readMemberStatus(row);
+	return status?.role !== 'primary' || !status.acceptingWrites;
+}
