Take announcements over HTTP and test the classification of statements

Backend servers had no way to announce themselves, and a literal or comment that hides a write would have gone unnoticed. Table tests and random literals and comments show that the classification takes no write for a read.

--- a/source/entry/entry-process.ts
+++ b/source/entry/entry-process.ts
@@ -1,5 +1,7 @@
 import {readFile} from 'node:fs/promises';
 import {type Registry} from 'prom-client';
+import {AnnouncementForwarder} from '../announcement/announcement-forwarder.js';
+import {AnnouncementServer} from '../announcement/announcement-server.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type ConfigurationSource} from '../configuration/configuration-source.js';
 import {type Address} from '../links/address.js';
@@ -46,7 +48,9 @@
 	readonly #metrics: EntryMetrics;
 	readonly #logger: Logger;
 	readonly #sessionServices: SessionServices;
+	readonly #announcementServer: AnnouncementServer;
 	#callerServer: CallerServer | undefined;
+	#announcementAddress: Address | undefined;
 	#callerAddress: Address | undefined;
 	#draining = false;
 
@@ -63,6 +67,24 @@
 		this.#sessionServices = {
 			clock, configuration, timeline, router: this.#router, admission: new EntryAdmission(), metrics: this.#metrics,
 		};
+		const forwarder = new AnnouncementForwarder({
+			linkClient,
+			configuration,
+			controls: options.settings.controls,
+			pools: database => this.#router.pools(database).map(({linkAddress}) => linkAddress),
+			onRegistered({database, member}) {
+				timeline.record('entry', 'memberProposed', `${database}/${member}`);
+			},
+		});
+		this.#announcementServer = new AnnouncementServer({
+			take: async announcement => forwarder.forward(announcement),
+			healthy: () => !this.#draining && configuration.deployment() !== undefined,
+		});
+	}
+
+	/** Address of the announcements and the health check, once started. */
+	get announcementAddress(): Address {
+		return this.#announcementAddress ?? this.options.settings.announcementAddress;
 	}
 
 	/** Address on which callers are accepted, once started. */
@@ -84,6 +106,7 @@
 			},
 		});
 		this.#callerAddress = await this.#callerServer.listen(settings.callerAddress);
+		this.#announcementAddress = await this.#announcementServer.listen(settings.announcementAddress);
 		services.timeline.record('entry', 'started', settings.name);
 		this.#logger.info(`accepting callers on ${this.#callerAddress}`);
 	}
@@ -106,6 +129,7 @@
 	/** Closes all connections; open transactions are closed at their pools. */
 	async stop(): Promise<void> {
 		await this.#callerServer?.close();
+		await this.#announcementServer.close();
 		this.#router.stop();
 	}
 
--- a/source/entry/entry-session.ts
+++ b/source/entry/entry-session.ts
@@ -50,7 +50,7 @@
 			void this.#run();
 		}
 
-		if (this.#queue.length > pipelineLimit || this.#queuedBytes > pipelineLimitBytes) {
+		if (this.#running && (this.#queue.length > pipelineLimit || this.#queuedBytes > pipelineLimitBytes)) {
 			this.output.setReading(false);
 		}
 	}
--- a/source/entry/session-executor.ts
+++ b/source/entry/session-executor.ts
@@ -215,7 +215,10 @@
 		try {
 			const request = this.#request(forwarded, unit);
 			access = request.access;
-			this.#state = withSettings(this.#state, {...before, requestId: null});
+			if (forwarded.statements.length > 0) {
+				this.#state = withSettings(this.#state, {...before, requestId: null});
+			}
+
 			const answer = await this.#send(request, unit);
 			this.#keepAnswer(request, answer);
 			this.services.metrics.countRequest(access, 'done', this.services.clock.now() - startedAt);
@@ -237,6 +240,8 @@
 		}
 
 		const access = unitAccess(this.#state, unit);
+		// A batch that only prepares statements leaves the request id to the one that runs them; reads need none.
+		const takesRequestId = access === 'write' && forwarded.statements.length > 0;
 		return {
 			database,
 			sessionId: this.id,
@@ -245,7 +250,7 @@
 			bytes: forwarded.bytes,
 			neededPoint: settings.token?.point ?? null,
 			maximumAge: access === 'read' ? settings.maximumAge : null,
-			requestId: open?.requestId ?? settings.requestId,
+			requestId: takesRequestId ? this.#transactionRequestId() ?? settings.requestId : null,
 		};
 	}
 
@@ -268,21 +273,31 @@
 	#keepAnswer(request: RoutedRequest, {response, pool, transactionId}: RoutedAnswer): void {
 		const {bytes, transactionStatus, point} = response;
 		if (bytes[bytes.length - readyForQueryBytes] !== readyForQueryType || (transactionStatus !== 'idle' && transactionId === null)) {
+			if (transactionId !== null) {
+				this.services.router.closeTransaction(pool, request.database, transactionId);
+			}
+
 			throw new BuckthornhitchError('internalFault', `The answer of ${pool} does not fit its request.`);
 		}
 
 		this.#state = afterUnit(this.#state, {
-			status: transactionStatus, point, pool, transactionId, access: request.access, requestId: request.requestId,
+			status: transactionStatus, point, pool, transactionId, access: request.access, requestId: request.requestId ?? this.#transactionRequestId(),
 		});
 		if (!this.inTransaction) {
 			this.#held = noNames;
 		}
 	}
 
+	#transactionRequestId(): string | null {
+		const {transaction} = this.#state;
+		return transaction.kind === 'open' ? transaction.requestId : null;
+	}
+
 	#failure(error: BuckthornhitchError, unit: UnitClass): BuckthornhitchError {
 		const wasOpen = this.inTransaction;
 		this.giveUpTransaction();
 		if (!wasOpen && !unit.begins) {
+			this.#recordFailure(error, error);
 			return error;
 		}
 
@@ -290,10 +305,16 @@
 		const ends = unit.commits || unit.rollsBack;
 		this.#state = afterFailure(this.#state, ends);
 		const failure = transactionError(error, unit.commits);
-		this.services.timeline.record('entry', failure.codeName, this.#state.database, `BH${error.code}`);
+		this.#recordFailure(failure, error);
 		return failure;
 	}
 
+	#recordFailure(failure: BuckthornhitchError, cause: BuckthornhitchError): void {
+		if (failure.codeName === 'transactionLost' || failure.entry.execution !== 'notRun') {
+			this.services.timeline.record('entry', failure.codeName, this.#state.database, `BH${cause.code}`);
+		}
+	}
+
 	#refusal(error: BuckthornhitchError): Buffer {
 		// As after an error of the server, an open transaction must not go on as if the statement had run.
 		this.giveUpTransaction();
--- /dev/null
+++ b/source/routing/statement-classification.spec.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fastCheck from 'fast-check';
+import {classifyStatements, combineStatements} from './statement-classification.js';
+
+function accessOf(text: string): string {
+	return combineStatements(classifyStatements(text)).access;
+}
+
+const reads = [
+	'SELECT 1',
+	'  select a from b where c = $1',
+	'(SELECT 1) UNION (SELECT 2)',
+	'VALUES (1), (2)',
+	'TABLE notices',
+	'SELECT 1; SELECT 2',
+	'WITH q(a) AS (SELECT count(*) FROM t) SELECT * FROM q AS r(b)',
+	'SELECT max(a) FILTER (WHERE a > 1) OVER (PARTITION BY (b)) FROM t',
+	'EXPLAIN UPDATE t SET a = 1',
+	'SELECT a FROM t JOIN (SELECT 1) AS s ON true WHERE a IN (1, 2) AND b LIKE (\'x\')',
+	'SELECT pg_catalog.lower(a) FROM t',
+	'SHOW server_version',
+	'SELECT \'DELETE FROM t\', $$ nextval( $$, $a$ $$ $a$, "update" FROM t -- for update',
+	String.raw`SELECT E'\'' /* insert /* nested */ into */`,
+	'BEGIN READ ONLY',
+	'START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY',
+	'BEGIN READ ONLY; SELECT 1; COMMIT',
+	'SAVEPOINT a',
+	'ROLLBACK TO a',
+];
+const writes = [
+	'INSERT INTO t VALUES (1)',
+	'SELECT a FROM t FOR UPDATE',
+	'SELECT a FROM t FOR NO KEY UPDATE',
+	'SELECT a FROM t FOR SHARE',
+	'SELECT a INTO b FROM t',
+	'WITH d AS (DELETE FROM t RETURNING a) SELECT * FROM d',
+	'SELECT nextval(\'s\')',
+	'SELECT pg_advisory_lock (1)',
+	'SELECT lo_create(1)',
+	'SELECT "lower"(a) FROM t',
+	'SELECT own.lower(a) FROM t',
+	'SELECT raise_notice(1)',
+	'SELECT join(1)',
+	'SELECT 1; DROP TABLE t',
+	'SELECT 1into t',
+	'VALUES (nextval(\'s\'))',
+	'EXPLAIN ANALYZE DELETE FROM t',
+	'CALL p()',
+	'DO $$ $$',
+	'BEGIN',
+	'BEGIN READ ONLY; COMMIT; BEGIN',
+	'COMMIT',
+	'SELECT \'open',
+	'SELECT /* open',
+	'SELECT $a$ open',
+	'SELECT E\'a\'\n\'\\\'\'; DELETE FROM t --\'',
+	'SELECT nextval/* */(\'s\')',
+	'SET TRANSACTION READ WRITE',
+	'anything',
+	'BEGIN READ ONLY, READ WRITE',
+];
+
+test('a write that is taken for a read runs on a replica or twice', () => {
+	for (const text of writes) {
+		assert.equal(accessOf(text), 'write', text);
+	}
+});
+
+test('a read that is taken for a write loads the primary', () => {
+	for (const text of reads) {
+		assert.equal(accessOf(text), 'read', text);
+	}
+});
+
+test('a feature that needs a connection of its own reaches a shared one', () => {
+	const refused = [
+		'COPY t FROM STDIN',
+		'LISTEN a',
+		'PREPARE p AS SELECT 1',
+		'EXECUTE p',
+		'SELECT set_config(\'a\', \'b\', false)',
+		'UPDATE t SET a = set_config(\'a\', \'b\', false)',
+		'CREATE TEMP TABLE t ()',
+		'CREATE OR REPLACE TEMPORARY VIEW v AS SELECT 1',
+		'SELECT 1 INTO TEMP t',
+		'DECLARE c CURSOR WITH HOLD FOR SELECT 1',
+		'COMMIT PREPARED \'a\'',
+		'SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY',
+		'SET LOCAL synchronous_commit = off',
+		'DISCARD PLANS',
+	];
+	for (const text of refused) {
+		assert.equal(classifyStatements(text)[0].kind, 'unsupported', text);
+	}
+
+	assert.equal(classifyStatements('CREATE TABLE temp ()')[0].kind, 'write');
+});
+
+test('settings are read with a wrong name or value', () => {
+	const settings: ReadonlyArray<readonly [string, string | null, string | null]> = [
+		['SET buckthornhitch.max_age = \'5s\'', 'buckthornhitch.max_age', '5s'],
+		['SET SESSION TimeZone TO UTC', 'timezone', 'utc'],
+		['SET TIME ZONE \'UTC\'', 'timezone', 'UTC'],
+		['SET NAMES \'utf8\'', 'client_encoding', 'utf8'],
+		['set datestyle = ISO, MDY', 'datestyle', 'iso, mdy'],
+		['RESET ALL', null, null],
+		['SET a TO DEFAULT', 'a', null],
+	];
+	for (const [text, name, value] of settings) {
+		assert.deepEqual(classifyStatements(text), [{kind: 'set', name, value}], text);
+	}
+});
+
+const hostile = fastCheck.array(fastCheck.constantFrom('a', 'b', '\'', '"', '$', '\\', ';', '/', '*', '-', ' ', '\n', 'into', 'e\''), {maxLength: 12}).map(parts => parts.join(''));
+const noise = fastCheck.oneof(
+	hostile.map(text => `'${text.replaceAll('\'', '\'\'')}'`),
+	hostile.map(text => `E'${text.replaceAll('\\', '\\\\').replaceAll('\'', String.raw`\'`)}'`),
+	hostile.map(text => `"${text.replaceAll('"', '""')}"`),
+	hostile.map(text => `$q$${text.replaceAll('$', '')}$q$`),
+	hostile.map(text => `/*${text.replaceAll(/[\/*]/gv, '')}*/`),
+	hostile.map(text => `--${text.replaceAll('\n', '')}\n`),
+);
+const noises = fastCheck.array(noise, {maxLength: 4}).map(parts => parts.join(', '));
+
+test('literals and comments hide a write behind them', () => {
+	const write = fastCheck.constantFrom('; DELETE FROM t', ', nextval(1)', ' INTO t', ' FOR UPDATE', '; COMMIT', '; COPY t TO STDOUT');
+	fastCheck.assert(fastCheck.property(noises, write, noises, (before, hidden, after) => {
+		const statements = classifyStatements(`SELECT 0, ${before}${hidden} ${after}`);
+		assert.equal(combineStatements(statements).access, 'write');
+	}), {seed: 1, numRuns: 2000});
+});
+
+test('text in literals and comments is taken for a write', () => {
+	fastCheck.assert(fastCheck.property(noises, text => {
+		assert.equal(accessOf(`SELECT 0, ${text}`), 'read');
+	}), {seed: 2, numRuns: 2000});
+});
+
+test('any text makes the scanner fail or loop', () => {
+	fastCheck.assert(fastCheck.property(fastCheck.string({unit: 'binary'}), text => {
+		classifyStatements(text);
+	}), {seed: 3, numRuns: 2000});
+});
--- a/source/routing/statement-classification.ts
+++ b/source/routing/statement-classification.ts
@@ -124,6 +124,10 @@
 		return {kind: 'empty'};
 	}
 
+	if (callsFunction(tokens, 'set_config')) {
+		return {kind: 'unsupported', feature: 'set_config'};
+	}
+
 	// A statement may stand in brackets: (SELECT 1) UNION (SELECT 2).
 	const first = tokens.find(token => token.text !== '(' || token.kind !== 'symbol');
 	const classifier = first?.kind === 'word' && Object.hasOwn(classifiers, first.text) ? classifiers[first.text] : undefined;
@@ -134,10 +138,6 @@
 const lockingWords = new Set(['update', 'share', 'no', 'key']);
 
 function classifyRead(tokens: readonly Token[]): Statement {
-	if (callsFunction(tokens, 'set_config')) {
-		return {kind: 'unsupported', feature: 'set_config'};
-	}
-
 	if (intoTemporary(tokens)) {
 		return {kind: 'unsupported', feature: 'temporary tables'};
 	}
@@ -237,9 +237,11 @@
 	return query === -1 ? {kind: 'write'} : classifyRead(tokens.slice(query + 1));
 }
 
+const wordsBeforeKind = new Set(['or', 'replace', 'local', 'global']);
+
 function classifyCreate(tokens: readonly Token[]): Statement {
-	const temporary = tokens.slice(1, 5).some(token => isTemporary(token));
-	return temporary ? {kind: 'unsupported', feature: 'temporary tables'} : {kind: 'write'};
+	const kind = tokens.slice(1).find(token => !wordsBeforeKind.has(token.text));
+	return isTemporary(kind) ? {kind: 'unsupported', feature: 'temporary tables'} : {kind: 'write'};
 }
 
 function classifyReset(tokens: readonly Token[]): Statement {
