Test the entry's failure paths

They are now covered with a stand-in for the pools on a manual clock, and with an unmodified pg client over loopback.

--- /dev/null
+++ b/source/announcement/announcement-forwarder.spec.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {FakePoolLinks, testConfiguration} from '../entry/entry-fixture.js';
+import {type Address} from '../links/address.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {AnnouncementForwarder} from './announcement-forwarder.js';
+import {AnnouncementServer} from './announcement-server.js';
+
+const pools = ['first:1', 'second:1', 'third:1', 'fourth:1'];
+const controls = ['control-a:1', 'control-b:1'];
+const body = {address: '10.0.0.1:5432', dataCentre: 'here', leaving: false};
+
+function forwarder(links: FakePoolLinks): AnnouncementForwarder {
+	return new AnnouncementForwarder({
+		linkClient: links, configuration: testConfiguration(), controls, pools: () => pools, onRegistered: () => undefined,
+	});
+}
+
+function namesAndAddresses(links: FakePoolLinks): ReadonlyArray<readonly [string, Address]> {
+	return links.received.map(({name, address}) => [name, address] as const);
+}
+
+test('an announcement misses one of the first three pools, or one dead pool refuses it', async () => {
+	const links = new FakePoolLinks();
+	links.answerOther = async (name, sent, address) => {
+		if (address !== 'third:1') {
+			throw new BuckthornhitchError('linkNotSent', '');
+		}
+	};
+
+	await forwarder(links).forward({...body, database: 'notices', member: 'one'});
+	assert.deepEqual(namesAndAddresses(links), pools.slice(0, 3).map(address => ['announce', address]));
+});
+
+test('an unknown member is not proposed to the leader, or is used before it was accepted', async () => {
+	const links = new FakePoolLinks();
+	links.answerOther = async (name, sent, address) => {
+		if (address === 'control-a:1') {
+			throw new BuckthornhitchError('notLeader', '');
+		}
+	};
+
+	await forwarder(links).forward({...body, database: 'notices', member: 'new'});
+	assert.deepEqual(namesAndAddresses(links).slice(0, 3), [['registerMember', 'control-a:1'], ['registerMember', 'control-b:1'], ['announce', 'first:1']]);
+	links.answerOther = async () => {
+		throw new BuckthornhitchError('memberSetFull', '');
+	};
+
+	const before = links.received.length;
+	await assert.rejects(forwarder(links).forward({...body, database: 'notices', member: 'new'}), {codeName: 'memberSetFull'});
+	assert.equal(links.received.length, before + 1);
+});
+
+async function startServer(context: TestContext, links: FakePoolLinks): Promise<string> {
+	const server = new AnnouncementServer({
+		async take(announcement) {
+			return forwarder(links).forward(announcement);
+		},
+		healthy: () => true,
+	});
+	const address = await server.listen('127.0.0.1:0');
+	context.after(async () => server.close());
+	return `http://${address}`;
+}
+
+test('a malformed announcement reaches a pool or gets no numbered answer', async context => {
+	const links = new FakePoolLinks();
+	const server = await startServer(context, links);
+	const put = async (path: string, text: string): Promise<readonly [number, unknown]> => {
+		const response = await fetch(server + path, {method: 'PUT', body: text});
+		const answer = await response.json() as {readonly code: number};
+		return [response.status, answer.code];
+	};
+
+	const valid = JSON.stringify(body);
+	const path = '/backend-servers/notices/one';
+	assert.deepEqual(await put(path, '{'), [400, 1004]);
+	assert.deepEqual(await put(path, JSON.stringify({...body, leaving: 'no'})), [400, 1004]);
+	assert.deepEqual(await put(path, JSON.stringify({...body, other: 1})), [400, 1004]);
+	assert.deepEqual(await put(path, JSON.stringify({...body, address: 'nowhere'})), [400, 1004]);
+	assert.deepEqual(await put(path, valid.padEnd(20_000)), [413, 1002]);
+	assert.deepEqual(await put('/backend-servers/%ff/one', valid), [400, 1004]);
+	assert.deepEqual(await put('/backend-servers/other/one', valid), [404, 1005]);
+	assert.deepEqual(await put('/other', valid), [404, 6003]);
+	assert.equal(links.received.length, 0);
+	assert.deepEqual(await put(path, valid), [200, 0]);
+	assert.deepEqual(links.received[0].body, {...body, database: 'notices', member: 'one'});
+	const health = await fetch(`${server}/health`);
+	assert.equal(health.status, 200);
+});
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -44,6 +44,11 @@
 		});
 	}
 
+	/** Open connections, those in their start-up included. */
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
 	/** Callers that completed their start-up. */
 	get callerCount(): number {
 		return this.#connections.size - this.#starting.size;
--- a/source/entry/entry-fixture.ts
+++ b/source/entry/entry-fixture.ts
@@ -1,16 +1,28 @@
 import {Buffer} from 'node:buffer';
+import {setImmediate} from 'node:timers';
+import {Registry} from 'prom-client';
+import {ManualClock} from '../clock/manual-clock.js';
 import {StaticConfigurationSource} from '../configuration/configuration-source.js';
 import {type DeploymentConfiguration} from '../configuration/types.js';
 import {type Address} from '../links/address.js';
 import {LinkClient} from '../links/link-client.js';
+import {StaticInstanceDirectory} from '../membership/instance-directory.js';
 import {type InstanceRecord, type ProcessRole} from '../membership/instance-record.js';
 import {type ExecuteRequest, type ExecuteResponse, type TransactionStatus} from '../pool/messages.js';
 import {
 	FrontendReader, readBind, readParse, readQuery, readTarget, type FrontendMessage,
 } from '../postgres-protocol/frontend-messages.js';
+import {SeededRandom} from '../random/random.js';
+import {HybridClock} from '../timeline/hybrid-clock.js';
+import {Timeline} from '../timeline/timeline.js';
 import {
-	bindComplete, closeComplete, commandComplete, errorResponse, noParameters, parseComplete, readyForQuery, textDataRow, textRowDescription,
+	answerParts, bindComplete, closeComplete, commandComplete, errorResponse, noParameters, parseComplete, readyForQuery, textDataRow, textRowDescription,
 } from './caller-messages.js';
+import {EntryAdmission} from './entry-admission.js';
+import {EntryMetrics} from './entry-metrics.js';
+import {CallerOutput} from './entry-session.js';
+import {PoolRouter} from './pool-router.js';
+import {RetryBudget} from './retry-budget.js';
 
 /** Answers one `execute` request of a pool; tests replace it to bring about failures. */
 export type PoolBehaviour = (request: ExecuteRequest, address: Address) => Promise<ExecuteResponse>;
@@ -167,3 +179,51 @@
 		name, role, instance: name, dataCentre: 'here', region: 'region', linkAddress: `${name}:1`, gossipAddress: `${name}:2`, incarnation: 0, state: 'alive', configurationRevision: 1, ...change,
 	};
 }
+
+/** Services of a session over the stand-in pools, on a clock that only the test moves. */
+export function testServices(links: LinkClient, directory = new StaticInstanceDirectory([testRecord('first'), testRecord('second')])) {
+	const clock = new ManualClock();
+	const configuration = testConfiguration();
+	const timeline = new Timeline('entry', new HybridClock(clock));
+	const metrics = new EntryMetrics(new Registry());
+	const router = new PoolRouter({
+		clock, random: new SeededRandom(1), linkClient: links, directory, configuration, budget: new RetryBudget(clock), onRetry: () => undefined,
+	});
+	return {
+		clock, configuration, directory, timeline, metrics, router, admission: new EntryAdmission(),
+	};
+}
+
+/** Output that keeps what a session sends, as the type letters of the messages. */
+export class RecordingOutput extends CallerOutput {
+	readonly answers: Buffer[] = [];
+	ended = false;
+	reading = true;
+
+	/** Type letters of all messages sent so far, one text for each answer. */
+	get types(): readonly string[] {
+		return this.answers.map(bytes => [...answerParts(bytes)].map(({type}) => type).join(''));
+	}
+
+	override send(bytes: Buffer): undefined {
+		this.answers.push(bytes);
+	}
+
+	override setReading(reading: boolean): void {
+		this.reading = reading;
+	}
+
+	override end(bytes?: Buffer): void {
+		this.ended = true;
+		if (bytes) {
+			this.answers.push(bytes);
+		}
+	}
+}
+
+/** Lets pending promises settle. */
+export async function settle(): Promise<void> {
+	return new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
--- a/source/entry/entry-process.spec.ts
+++ b/source/entry/entry-process.spec.ts
@@ -1,14 +1,26 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createConnection} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {test, type TestContext} from 'node:test';
 import {Client} from 'pg';
+import {createStartupMessage} from 'pg-gateway';
 import {Registry} from 'prom-client';
+import {ManualClock} from '../clock/manual-clock.js';
 import {SystemClock} from '../clock/system-clock.js';
 import {StaticInstanceDirectory} from '../membership/instance-directory.js';
 import {silentLogger} from '../observability/logger.js';
 import {SystemRandom} from '../random/random.js';
+import {initialSettings} from '../session/session-settings.js';
 import {HybridClock} from '../timeline/hybrid-clock.js';
 import {Timeline} from '../timeline/timeline.js';
-import {FakePoolLinks, testConfiguration, testRecord} from './entry-fixture.js';
+import {CallerServer, startupTimeout} from './caller-server.js';
+import {
+	FakePoolLinks, settle, testConfiguration, testDeployment, testRecord,
+} from './entry-fixture.js';
 import {EntryProcess, type EntryProcessOptions} from './entry-process.js';
 
 type Running = {
@@ -17,6 +29,10 @@
 	readonly connect: (options?: Readonly<Record<string, unknown>>) => Promise<Client>;
 };
 
+const testSettings = {
+	name: 'entry', callerAddress: '127.0.0.1:0', announcementAddress: '127.0.0.1:0', controls: ['control:1'], passwordFile: undefined,
+};
+
 async function startEntry(context: TestContext, change: Partial<EntryProcessOptions> = {}): Promise<Running> {
 	const clock = new SystemClock();
 	const links = new FakePoolLinks();
@@ -26,9 +42,7 @@
 		},
 		directory: new StaticInstanceDirectory([testRecord('entry', 'entry'), testRecord('first'), testRecord('second')], 'entry'),
 		configuration: testConfiguration(),
-		settings: {
-			name: 'entry', callerAddress: '127.0.0.1:0', announcementAddress: '127.0.0.1:0', controls: ['control:1'], passwordFile: undefined,
-		},
+		settings: testSettings,
 		...change,
 	});
 	await entry.start();
@@ -73,3 +87,117 @@
 	assert.deepEqual(ids, [ids[0], ids[0], ids[0], null]);
 	assert.equal(new Set(links.received.map(({address}) => address)).size, 1);
 });
+
+test('a token does not reach the caller, or another session can not go on with it', async context => {
+	const {connect, links} = await startEntry(context);
+	const client = await connect();
+	const tokens: string[] = [];
+	client.connection.on('parameterStatus', ({parameterName, parameterValue}: Readonly<Record<string, string>>) => {
+		tokens.push(`${parameterName}=${parameterValue}`);
+	});
+	await client.query('INSERT');
+	await client.query('INSERT');
+	assert.deepEqual(tokens, ['buckthornhitch.token=notices@1.1', 'buckthornhitch.token=notices@1.2']);
+	const roaming = await connect({options: '-c buckthornhitch.token=notices@1.2 -c buckthornhitch.max_age=5s'});
+	await roaming.query('SELECT 1');
+	assert.deepEqual(links.executed.at(-1)?.neededPoint, {term: 1, position: 2});
+	assert.equal(links.executed.at(-1)?.maximumAge, 5000);
+	const {rows} = await roaming.query('SHOW buckthornhitch.token');
+	assert.deepEqual(rows, [{'buckthornhitch.token': 'notices@1.2'}]);
+});
+
+test('a named statement of an unmodified client fails on another connection', async context => {
+	const {connect} = await startEntry(context);
+	const client = await connect();
+	for (const value of ['first', 'second']) {
+		const {rows} = await client.query({name: 'named', text: 'SELECT $1', values: [value]});
+		assert.deepEqual(rows, [{text: 'SELECT $1'}]);
+	}
+});
+
+test('a caller connects that must be refused', async context => {
+	const {connect} = await startEntry(context, {configuration: testConfiguration({...testDeployment, limits: {...testDeployment.limits, callersPerEntry: 1}})});
+	await assert.rejects(connect({database: 'other'}), {code: '3D000'});
+	await assert.rejects(connect({options: '-c search_path=other'}), {code: '0A000'});
+	await assert.rejects(connect({options: '-c buckthornhitch.token=other@1.1'}), {code: '22023'});
+	await connect();
+	await assert.rejects(connect(), {code: '53300'});
+});
+
+test('a wrong password is accepted, or a right one refused', async context => {
+	const folder = await mkdtemp(path.join(tmpdir(), 'entry-'));
+	context.after(async () => rm(folder, {recursive: true}));
+	const passwordFile = path.join(folder, 'passwords');
+	await writeFile(passwordFile, '# callers\ncaller:secret:1\n');
+	const {connect} = await startEntry(context, {settings: {...testSettings, passwordFile}});
+	const client = await connect({password: 'secret:1'});
+	const {rows} = await client.query('SELECT 1');
+	assert.deepEqual(rows, [{text: 'SELECT 1'}]);
+	await assert.rejects(connect({password: 'wrong'}), {code: '28P01'});
+	await assert.rejects(connect({user: 'other', password: 'secret:1'}), {code: '28P01'});
+});
+
+test('shutdown interrupts an open transaction or takes new callers', async context => {
+	const directory = new StaticInstanceDirectory([testRecord('entry', 'entry'), testRecord('first')], 'entry');
+	const {connect, entry} = await startEntry(context, {directory});
+	const idle = await connect();
+	const idleEnded = once(idle, 'error');
+	const busy = await connect();
+	await busy.query('BEGIN');
+	const drained = entry.drain();
+	const [ended] = await idleEnded as readonly unknown[];
+	assert.equal((ended as Readonly<Record<string, string>>).code, '57P01');
+	assert.equal(directory.records()[0].state, 'draining');
+	await assert.rejects(connect(), {code: '57P01'});
+	const health = await fetch(`http://${entry.announcementAddress}/health`);
+	assert.equal(health.status, 503);
+	await busy.query('INSERT');
+	await busy.query('COMMIT');
+	await drained;
+});
+
+test('a malformed frame after the start-up hangs the connection', async context => {
+	const {entry} = await startEntry(context);
+	const [host, port] = entry.callerAddress.split(':');
+	const socket = createConnection({host, port: Number(port)});
+	socket.write(createStartupMessage({majorVersion: 3, minorVersion: 0, parameters: {user: 'caller', database: 'notices'}}));
+	await once(socket, 'data');
+	socket.write('?');
+	socket.write(Buffer.alloc(4));
+	const chunks: Buffer[] = [];
+	for await (const chunk of socket as AsyncIterable<Buffer>) {
+		chunks.push(chunk);
+	}
+
+	assert.match(Buffer.concat(chunks).toString(), /FATAL.*08P01.*BH1001/sv);
+});
+
+test('half a start-up packet holds its connection for ever', async context => {
+	const clock = new ManualClock();
+	const server = new CallerServer({
+		clock,
+		policy: {passwords: undefined, accept: () => ({database: 'notices', settings: initialSettings})},
+		createExecutor() {
+			throw new Error('The start-up is never complete.');
+		},
+		callerLimit: () => 10,
+		onCallerCount: () => undefined,
+	});
+	const address = await server.listen('127.0.0.1:0');
+	const [host, port] = address.split(':');
+	context.after(async () => server.close());
+	const socket = createConnection({host, port: Number(port)});
+	const closed = new Promise(resolve => {
+		socket.on('close', resolve);
+	});
+	socket.on('error', () => undefined);
+	socket.write(Buffer.from([0, 0, 0, 50, 0, 3]));
+	while (server.connectionCount === 0) {
+		await settle();
+	}
+
+	clock.advance(startupTimeout - 1);
+	assert.equal(server.connectionCount, 1);
+	clock.advance(1001);
+	await closed;
+});
--- /dev/null
+++ b/source/entry/pool-router.spec.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {type Address} from '../links/address.js';
+import {type ExecuteRequest} from '../pool/messages.js';
+import {frontendMessage} from '../postgres-protocol/frontend-messages.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {resultCodes, type ResultCodeName} from '../result-codes/result-codes.js';
+import {
+	FakePoolLinks, settle, testRecord, testServices,
+} from './entry-fixture.js';
+import {type RoutedRequest} from './pool-router.js';
+import {finalError, mayRepeat} from './retry-rules.js';
+
+function request(change: Partial<RoutedRequest> = {}): RoutedRequest {
+	const bytes = frontendMessage('Q', Buffer.from('SELECT 1\0'));
+	return {
+		database: 'notices', sessionId: 'session', transactionId: null, access: 'read', bytes, neededPoint: null, maximumAge: null, requestId: null, ...change,
+	};
+}
+
+type Script = (attempt: number, address: Address, body: ExecuteRequest) => ResultCodeName | undefined;
+
+// Runs a request against pools that fail as scripted, moving the clock until it ends.
+async function run(sent: RoutedRequest, script: Script, {onlyBegins = false} = {}) {
+	const links = new FakePoolLinks();
+	const services = testServices(links);
+	links.behaviour = async (body, address) => {
+		const codeName = script(links.received.length, address, body);
+		if (codeName) {
+			throw new BuckthornhitchError(codeName, codeName === 'notOwner' ? 'second' : '');
+		}
+
+		return links.execute(body);
+	};
+
+	const outcome = outcomeOf(services.router.execute(sent, mayRepeat({...sent, begins: sent.transactionId !== null, onlyBegins})));
+	await settle();
+	await services.clock.advanceInSteps(1200, 10);
+	return {
+		code: await outcome, links, attempts: links.received.length, pools: links.received.map(({address}) => address),
+	};
+}
+
+async function outcomeOf(answer: Promise<unknown>): Promise<ResultCodeName> {
+	try {
+		await answer;
+		return 'done';
+	} catch (error) {
+		return (error as BuckthornhitchError).codeName;
+	}
+}
+
+test('a request stays with a pool that is not the owner', async () => {
+	const result = await run(request(), (attempt, address) => address === 'second:1' ? undefined : 'notOwner');
+	assert.equal(result.code, 'done');
+	assert.equal(result.pools.at(-1), 'second:1');
+	assert.ok(result.attempts <= 2);
+});
+
+test('a request is given up though nothing was sent and another pool serves', async () => {
+	const result = await run(request({access: 'write'}), attempt => attempt === 1 ? 'linkNotSent' : undefined);
+	assert.deepEqual([result.code, new Set(result.pools).size], ['done', 2]);
+});
+
+test('a write without an id runs twice after its link was lost', async () => {
+	const result = await run(request({access: 'write'}), () => 'linkOutcomeUnknown');
+	assert.deepEqual([result.code, result.attempts], ['outcomeUnknown', 1]);
+});
+
+test('a write with an id is not resolved under the same id', async () => {
+	const sent = request({access: 'write', requestId: 'id-1'});
+	const result = await run(sent, attempt => attempt < 4 ? 'linkOutcomeUnknown' : undefined);
+	assert.deepEqual([result.code, result.attempts], ['done', 4]);
+	assert.ok(result.links.executed.every(({requestId}) => requestId === 'id-1'));
+	const unresolved = await run(sent, () => 'linkOutcomeUnknown');
+	assert.equal(unresolved.code, 'outcomeUnknown');
+});
+
+test('"not run" is claimed though an earlier attempt may have run', async () => {
+	for (const later of ['queueFull', 'noPrimary', 'linkNotSent', 'requestIdExpired'] as const) {
+		const result = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : later);
+		assert.equal(result.code, 'outcomeUnknown', later);
+	}
+
+	const abandoned = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : 'requestAbandoned');
+	assert.equal(abandoned.code, 'requestAbandoned');
+});
+
+test('a failure whose outcome is unknown is reported as "not run"', () => {
+	for (const [codeName, entry] of Object.entries(resultCodes)) {
+		const error = finalError(new BuckthornhitchError(codeName as ResultCodeName, ''), false);
+		assert.equal(error.entry.execution === 'notRun', entry.execution === 'notRun', codeName);
+	}
+});
+
+test('a read fails with its link while another pool could serve it', async () => {
+	const result = await run(request(), attempt => attempt === 1 ? 'linkOutcomeUnknown' : undefined);
+	assert.deepEqual([result.code, new Set(result.pools).size], ['done', 2]);
+});
+
+test('retries of reads go beyond their budget', async () => {
+	const result = await run(request(), () => 'linkOutcomeUnknown');
+	assert.equal(result.code, 'outcomeUnknown');
+	assert.ok(result.attempts <= 25, `${result.attempts} attempts`);
+});
+
+test('a write does not wait for the next primary, or beyond its deadline', async () => {
+	const served = await run(request({access: 'write'}), attempt => attempt < 8 ? 'noPrimary' : undefined);
+	assert.equal(served.code, 'done');
+	const refused = await run(request({access: 'write'}), () => 'noPrimary');
+	assert.equal(refused.code, 'noPrimary');
+	assert.ok(refused.links.executed.every(({deadline}) => deadline > 0 && deadline <= 1000));
+});
+
+test('a full queue is asked again, which adds to the overload', async () => {
+	const result = await run(request(), () => 'queueFull');
+	assert.deepEqual([result.code, result.attempts], ['queueFull', 1]);
+});
+
+test('a repeated BEGIN leaves a transaction open or uses its id at a second pool', async () => {
+	const sent = request({access: 'write', transactionId: 'first-id'});
+	const result = await run(sent, attempt => attempt === 1 ? 'linkOutcomeUnknown' : undefined, {onlyBegins: true});
+	assert.equal(result.code, 'done');
+	assert.deepEqual(result.links.notices, [{address: result.pools[0], name: 'closeTransaction', body: {database: 'notices', transactionId: 'first-id'}}]);
+	assert.notEqual(result.links.executed[1].transactionId, 'first-id');
+});
+
+test('a draining or failed pool gets new work', () => {
+	const services = testServices(new FakePoolLinks());
+	services.directory.replace([testRecord('first', 'pool', {state: 'draining'}), testRecord('second', 'pool', {state: 'failed'}), testRecord('third'), testRecord('entry', 'entry')]);
+	assert.deepEqual(services.router.pools('notices').map(({name}) => name), ['third']);
+});
