Apply a copy of the example files

Cause: apply notes the accepted revision in the folder, and the launcher applied the example itself, so the check of the examples failed on the extra file. Change: the launcher applies a copy.

--- a/stand-in/process-fleet.ts
+++ b/stand-in/process-fleet.ts
@@ -1,5 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createWriteStream, mkdirSync} from 'node:fs';
+import {cpSync, createWriteStream, mkdirSync} from 'node:fs';
 import {join} from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
@@ -54,6 +54,11 @@
 		mkdirSync(options.folder, {recursive: true});
 	}
 
+	/** Folder with the configuration files that this fleet has applied. */
+	get configurationFolder(): string {
+		return join(this.options.folder, 'configuration');
+	}
+
 	/** Starts all processes, bootstraps the control instances and applies the configuration. */
 	async start(): Promise<void> {
 		const {controls, configurationFolder} = this.options;
@@ -65,7 +70,9 @@
 
 		await this.operate(['bootstrap']);
 		if (configurationFolder !== undefined) {
-			await this.operate(['apply', configurationFolder, '--expected-revision', '0']);
+			// The command notes the accepted revision in the folder, which must not change the example.
+			cpSync(configurationFolder, this.configurationFolder, {recursive: true});
+			await this.operate(['apply', this.configurationFolder, '--expected-revision', '0']);
 		}
 
 		for (let index = 0; index < this.options.pools; index++) {
