Check request ids by model checking; an expired id is an unknown outcome

Cause: the specification of request ids found that a caller who retries through another entry after the retention time was told "not run" for a request that had run (5 steps).

Change: requestIdExpired moves from 2010 (not run) to 3004 (outcome unknown) and ends the retries at once.

--- a/source/entry/retry-rules.ts
+++ b/source/entry/retry-rules.ts
@@ -17,6 +17,10 @@
 
 /** Returns what follows a failed attempt of a request that has no open transaction. */
 export function stepAfterFailure(error: BuckthornhitchError, mayRepeat: boolean): NextStep {
+	if (error.codeName === 'requestIdExpired') {
+		return 'fail';
+	}
+
 	if (error.entry.execution !== 'notRun') {
 		return mayRepeat ? 'repeat' : 'fail';
 	}
@@ -49,7 +53,7 @@
 /** Returns the error for the caller: "not run" only when no attempt can have run. */
 export function finalError(error: BuckthornhitchError, anyMayHaveRun: boolean): BuckthornhitchError {
 	if (error.entry.execution !== 'notRun') {
-		return error.codeName === 'outcomeUnknown' ? error : new BuckthornhitchError('outcomeUnknown', `BH${error.code}: ${error.detail}`, {cause: error});
+		return error.codeName === 'outcomeUnknown' || error.codeName === 'requestIdExpired' ? error : new BuckthornhitchError('outcomeUnknown', `BH${error.code}: ${error.detail}`, {cause: error});
 	}
 
 	if (anyMayHaveRun && !recordedOutcomes.has(error.codeName)) {
--- a/source/result-codes/result-codes.ts
+++ b/source/result-codes/result-codes.ts
@@ -60,9 +60,6 @@
 	requestAbandoned: {
 		code: 2009, execution: 'notRun', sqlState: '40000', text: 'Not run: the request id was recorded as abandoned.', action: 'Send the request again under a new id.',
 	},
-	requestIdExpired: {
-		code: 2010, execution: 'notRun', sqlState: '22023', text: 'Not run: the request id is older than the retention time.', action: 'Find out the outcome by a read.',
-	},
 	outcomeUnknown: {
 		code: 3001, execution: 'unknown', sqlState: '08007', text: 'The outcome is unknown: the request was sent, its answer was lost.', action: 'Read the data, or retry under the same request id.',
 	},
@@ -72,6 +69,9 @@
 	requestIdReused: {
 		code: 3003, execution: 'notRun', sqlState: '22023', text: 'Not run: the request id was used for another request.', action: 'Use a new id for each request.',
 	},
+	requestIdExpired: {
+		code: 3004, execution: 'unknown', sqlState: '08007', text: 'The outcome is unknown: the request id is older than the retention time.', action: 'Find out the outcome by a read.',
+	},
 	configurationInvalid: {
 		code: 4001, execution: 'notRun', sqlState: '22023', text: 'The configuration is not valid.', action: 'Correct the file, line and key that the message names.',
 	},
--- a/specification/verify.ts
+++ b/specification/verify.ts
@@ -2,8 +2,9 @@
 import process from 'node:process';
 import {databaseGroupCases} from './database-group.js';
 import {type VerificationCase} from './registry.js';
+import {requestIdCases} from './request-id.js';
 
-const cases: readonly VerificationCase[] = [...databaseGroupCases];
+const cases: readonly VerificationCase[] = [...requestIdCases, ...databaseGroupCases];
 
 /** Runs one case, prints its figures and returns whether it ended as expected. */
 function runCase(verificationCase: VerificationCase): boolean {
