--- a/stand-in/client-session.ts
+++ b/stand-in/client-session.ts
@@ -3,34 +3,24 @@
 import {
 	backendMessages, FrontendReader, startupCodes, type BodyReader, type FrontendMessage, type ResultColumn,
 } from './postgres-messages.js';
+import {SessionTransaction, type TransactionHost} from './session-transaction.js';
 import {SqlError} from './sql-error.js';
 import {type Result} from './statement-executor.js';
 import {parseStatements, type ParsedStatement} from './statement-parser.js';
 import {type Transaction, type Value} from './tables.js';
 
 /** What a session asks of its member. */
-export type SessionHost = {
+export type SessionHost = TransactionHost & {
 	/** Takes the session in once its connection is set up. Rejects with 53300. */
 	admit(session: ClientSession): Promise<void>;
 	/** Forgets a session that has ended. */
 	forget(session: ClientSession): void;
-	beginTransaction(): Transaction;
-	/** Throws when the member may not take the transaction's writes. */
-	commit(transaction: Transaction): void;
 	describe(statement: ParsedStatement, transaction: Transaction): readonly ResultColumn[] | undefined;
-	execute(statement: ParsedStatement, values: readonly Value[], session: SessionTransaction): Promise<Result>;
+	execute(statement: ParsedStatement, values: readonly Value[], transaction: SessionTransaction): Promise<Result>;
 	/** Takes over a connection that starts replication. */
 	serveFollower(socket: Socket, received: Buffer): void;
 };
 
-/** State of a session that the execution of a statement needs. */
-export type SessionTransaction = {
-	readonly transaction: Transaction;
-	readonly isReadOnly: boolean;
-	/** Throws 57P01 when the member has closed the connection meanwhile. */
-	assertOpen(): void;
-};
-
 type Prepared = {readonly statement: ParsedStatement | undefined; readonly parameterTypes: readonly number[]};
 type Portal = Prepared & {readonly values: readonly Value[]; result?: Result; sent: number};
 
@@ -46,11 +36,6 @@
 export class ClientSession {
 	/** Name that the client gave at the start. */
 	applicationName = '';
-	#transaction: Transaction | undefined;
-	/** Whether the transaction was begun by a statement; otherwise it ends with the Query or at Sync. */
-	#isExplicit = false;
-	#isReadOnly = false;
-	#isFailed = false;
 	/** Whether messages up to the next Sync are skipped after an error. */
 	#isSkipping = false;
 	#isPumping = false;
@@ -58,9 +43,11 @@
 	#isTerminated = false;
 	#output: Buffer[] = [];
 	readonly #reader = new FrontendReader();
+	readonly #transaction: SessionTransaction;
 	readonly #prepared = new Map<string, Prepared>();
 	readonly #portals = new Map<string, Portal>();
 	constructor(private readonly socket: Socket, private readonly host: SessionHost) {
+		this.#transaction = new SessionTransaction(host);
 		socket.setNoDelay(true);
 		socket.on('data', chunk => {
 			this.#reader.add(chunk);
@@ -80,7 +67,7 @@
 		if (!this.#isTerminated) {
 			this.#isTerminated = true;
 			this.#isEnded = true;
-			this.#endTransaction();
+			this.#transaction.terminate();
 			this.host.forget(this);
 			this.socket.write(backendMessages.error('FATAL', '57P01', 'terminating connection due to administrator command'));
 			this.socket.destroySoon();
@@ -103,7 +90,7 @@
 
 		this.#isPumping = false;
 		if (this.#isEnded) {
-			this.#endTransaction();
+			this.#transaction.rollBack();
 			this.host.forget(this);
 		}
 	}
@@ -219,7 +206,7 @@
 		for (const [index, statement] of statements.entries()) {
 			const result = await this.#execute(statement, []);
 			if (index === statements.length - 1) {
-				this.#commitImplicit();
+				this.#transaction.finishImplicit();
 			}
 
 			if (result.columns) {
@@ -232,38 +219,26 @@
 	}
 
 	async #extended({type, body}: FrontendMessage): Promise<void> {
-		switch (type) {
-			case 'P': {
+		const handlers: Readonly<Record<string, () => void | Promise<void>>> = {
+			P: () => {
 				this.#parse(body);
-				break;
-			}
-
-			case 'B': {
+			},
+			B: () => {
 				this.#bind(body);
-				break;
-			}
-
-			case 'D': {
+			},
+			C: () => {
+				this.#close(body);
+			},
+			D: () => {
 				this.#describe(body);
-				break;
-			}
-
-			case 'E': {
-				await this.#executePortal(body);
-				break;
-			}
-
-			case 'C': {
-				const [names, name] = body.fixedText(1) === 'S' ? [this.#prepared, body.text()] : [this.#portals, body.text()];
-				names.delete(name);
-				this.#send(backendMessages.closeComplete);
-				break;
-			}
-
-			default: {
-				throw new SqlError('08P01', `message type "${type}" is not supported`);
-			}
+			},
+			E: async () => this.#executePortal(body),
+		};
+		if (!(type in handlers)) {
+			throw new SqlError('08P01', `message type "${type}" is not supported`);
 		}
+
+		await handlers[type]();
 	}
 
 	#parse(body: BodyReader): void {
@@ -299,6 +274,12 @@
 		this.#send(backendMessages.bindComplete);
 	}
 
+	#close(body: BodyReader): void {
+		const names = body.fixedText(1) === 'S' ? this.#prepared : this.#portals;
+		names.delete(body.text());
+		this.#send(backendMessages.closeComplete);
+	}
+
 	#describe(body: BodyReader): void {
 		const kind = body.fixedText(1);
 		const name = body.text();
@@ -307,7 +288,7 @@
 			this.#send(backendMessages.parameterDescription(parameterTypes.map(id => id || textTypeId)));
 		}
 
-		const columns = statement && this.host.describe(statement, this.#currentTransaction());
+		const columns = statement && this.host.describe(statement, this.#transaction.current);
 		this.#send(columns ? backendMessages.rowDescription(columns) : backendMessages.noData);
 	}
 
@@ -346,74 +327,28 @@
 
 	async #execute(statement: ParsedStatement, values: readonly Value[]): Promise<Result> {
 		const isEnd = statement.type === 'commit' || statement.type === 'rollback';
-		if (this.#isFailed && !isEnd) {
-			throw new SqlError('25P02', 'current transaction is aborted, commands ignored until end of transaction block');
+		if (!isEnd) {
+			this.#transaction.assertNotFailed();
 		}
 
-		const result = await this.host.execute(statement, values, {
-			transaction: this.#currentTransaction(),
-			isReadOnly: this.#isReadOnly,
-			assertOpen: () => {
-				if (this.#isTerminated) {
-					throw new SqlError('57P01', 'terminating connection due to administrator command');
-				}
-			},
-		});
+		const result = await this.host.execute(statement, values, this.#transaction);
 		if (statement.type === 'begin' || statement.type === 'start transaction') {
-			this.#isReadOnly = statement.type === 'begin' && statement.writeable === 'read only';
-			this.#isExplicit = true;
-		}
-
-		return isEnd ? this.#finish(statement.type === 'commit') : result;
-	}
-
-	#finish(isCommit: boolean): Result {
-		const commits = isCommit && !this.#isFailed;
-		try {
-			if (commits && this.#transaction) {
-				this.host.commit(this.#transaction);
-			}
-		} finally {
-			this.#endTransaction();
-		}
-
-		return {tag: commits ? 'COMMIT' : 'ROLLBACK', rows: []};
-	}
-
-	#commitImplicit(): void {
-		if (this.#transaction && !this.#isExplicit) {
-			this.#finish(true);
+			this.#transaction.begin(statement.type === 'begin' && statement.writeable === 'read only');
 		}
-	}
 
-	#currentTransaction(): Transaction {
-		this.#transaction ??= this.host.beginTransaction();
-		return this.#transaction;
-	}
-
-	#endTransaction(): void {
-		this.#transaction?.end();
-		this.#transaction = undefined;
-		this.#isExplicit = false;
-		this.#isReadOnly = false;
-		this.#isFailed = false;
-		this.#portals.clear();
+		return isEnd ? {tag: this.#transaction.finish(statement.type === 'commit'), rows: []} : result;
 	}
 
 	#fail(error: unknown): void {
 		const {sqlState, message} = toSqlError(error);
 		this.#send(backendMessages.error('ERROR', sqlState, message));
-		if (this.#isExplicit) {
-			this.#isFailed = true;
-		} else {
-			this.#endTransaction();
-		}
+		this.#transaction.fail();
 	}
 
 	#sync(): void {
 		this.#isSkipping = false;
 		try {
-			this.#commitImplicit();
+			this.#transaction.finishImplicit();
 		} catch (error) {
 			this.#fail(error);
 		}
@@ -428,7 +363,11 @@
 	}
 
 	#ready(): void {
-		this.#send(backendMessages.readyForQuery(this.#isExplicit ? (this.#isFailed ? 'E' : 'T') : 'I'));
+		if (this.#transaction.status === 'I') {
+			this.#portals.clear();
+		}
+
+		this.#send(backendMessages.readyForQuery(this.#transaction.status));
 		this.#flush();
 	}
 
--- a/stand-in/fault-relay.spec.ts
+++ b/stand-in/fault-relay.spec.ts
@@ -4,6 +4,7 @@
 	createConnection, createServer, type AddressInfo, type Socket,
 } from 'node:net';
 import {test, type TestContext} from 'node:test';
+import {setTimeout} from 'node:timers/promises';
 import {ManualClock} from '../source/clock/manual-clock.js';
 import {parseAddress} from '../source/links/address.js';
 import {SeededRandom} from '../source/random/random.js';
@@ -84,6 +85,8 @@
 	assert.equal(hanging.answer(), '');
 	relay.cut('toServer');
 	idle.socket.destroy();
+	// Gives the relay time to lose the close; the test passes as well when it comes later.
+	await setTimeout(50);
 	await relay.heal();
 	await waitUntil(() => openAtServer() === 1);
 	assert.equal(received(), 'abcd');
--- a/stand-in/member.spec.ts
+++ b/stand-in/member.spec.ts
@@ -25,7 +25,7 @@
 test('a pg client gets wrong rows or types from simple, parameterised or prepared statements', {timeout}, async context => {
 	const {address} = await startPrimary(context);
 	const client = await connectClient(address);
-	await client.query('CREATE TABLE IF NOT EXISTS notices (id int PRIMARY KEY, raised bigint, place text)');
+	await client.query('CREATE TABLE IF NOT EXISTS notices (id int PRIMARY KEY, raised bigint, place text DEFAULT \'unknown\')');
 	await client.query('INSERT INTO notices VALUES (1, 10, \'Hokitika\'), (2, NULL, \'it\'\'s\')');
 	await client.query('INSERT INTO notices (id, place) VALUES ($1, $2) ON CONFLICT DO NOTHING', [1, 'other']);
 	await client.query('UPDATE notices SET raised = raised + $1 WHERE id = $2', [5, 1]);
@@ -37,6 +37,8 @@
 		assert.deepEqual(prepared.rows, [{id}]);
 	}
 
+	await client.query('/*buckthornhitch request_id=x*/ INSERT INTO notices (id) VALUES (3)');
+	assert.deepEqual(await rows(client, 'SELECT place FROM notices WHERE id = 3'), [['unknown']]);
 	const {rowCount} = await client.query('DELETE FROM notices WHERE id = 1');
 	assert.equal(rowCount, 1);
 	assert.deepEqual(await rows(client, 'SHOW buckthornhitch.token'), [['off']]);
@@ -106,9 +108,10 @@
 	await lost;
 	clock.advance(50);
 	member.serviceTime = 0;
-	assert.deepEqual(await rows(other, 'SELECT count(*) FROM t'), [['0']]);
 	await assert.rejects(former.query('SELECT 1'));
 	assert.equal(member.status().receivedPosition, 2);
+	// The row is free: no rest of the lost transaction owns it.
+	await other.query('INSERT INTO t VALUES (1)');
 });
 
 test('a member that leaves is announced as if it stayed', {timeout}, async context => {
--- a/stand-in/member.ts
+++ b/stand-in/member.ts
@@ -5,14 +5,16 @@
 import {type MemberStatus} from '../source/database-group/types.js';
 import {parseAddress, type Address} from '../source/links/address.js';
 import {Announcer, type AnnouncerOptions} from './announcer.js';
-import {ClientSession, type SessionHost, type SessionTransaction} from './client-session.js';
+import {ClientSession, type SessionHost} from './client-session.js';
+import {calledFunction} from './expressions.js';
 import {MemberLease} from './member-lease.js';
 import {typeIds, type ResultColumn} from './postgres-messages.js';
 import {ReplicatedState} from './replicated-state.js';
+import {type SessionTransaction} from './session-transaction.js';
 import {SlotGate} from './slot-gate.js';
 import {SqlError} from './sql-error.js';
 import {
-	calledFunction, describeStatement, executeStatement, isWrite, type Result,
+	describeStatement, executeStatement, isWrite, type Result,
 } from './statement-executor.js';
 import {type ParsedStatement} from './statement-parser.js';
 import {type Transaction, type Value} from './tables.js';
@@ -174,41 +176,29 @@
 	/** Calls a group function. Throws 55000 when the member refuses, 42883 for an unknown name. */
 	callGroupFunction(name: string, values: readonly Value[]): MemberStatus {
 		const [first, second, third] = values;
-		switch (name) {
-			case 'group_status': {
-				break;
-			}
-
-			case 'group_lease': {
+		const calls: Readonly<Record<string, () => void>> = {
+			group_status: () => undefined,
+			group_lease: () => {
 				this.#closeConnectionsOf(this.#lease.grant(String(first), Number(second)));
-				break;
-			}
-
-			case 'group_release': {
+			},
+			group_release: () => {
 				this.#lease.release(String(first));
-				break;
-			}
-
-			case 'group_promise': {
+			},
+			group_promise: () => {
 				this.#state.promise(Number(first));
-				break;
-			}
-
-			case 'group_promote': {
+			},
+			group_promote: () => {
 				this.#state.promote(Number(first));
-				break;
-			}
-
-			case 'group_follow': {
+			},
+			group_follow: () => {
 				this.#state.follow(Number(first), String(second), String(third));
-				break;
-			}
-
-			default: {
-				throw new SqlError('42883', `function ${name} does not exist`);
-			}
+			},
+		};
+		if (!(name in calls)) {
+			throw new SqlError('42883', `function ${name} does not exist`);
 		}
 
+		calls[name]();
 		return this.status();
 	}
 
@@ -237,24 +227,24 @@
 	}
 
 	describe(statement: ParsedStatement, transaction: Transaction): readonly ResultColumn[] | undefined {
-		return calledFunction(statement, [])?.name.startsWith('group_') ? statusColumns : describeStatement(statement, transaction);
+		return calledFunction(statement)?.name.startsWith('group_') ? statusColumns : describeStatement(statement, transaction);
 	}
 
-	async execute(statement: ParsedStatement, values: readonly Value[], session: SessionTransaction): Promise<Result> {
-		const call = calledFunction(statement, values);
+	async execute(statement: ParsedStatement, values: readonly Value[], transaction: SessionTransaction): Promise<Result> {
+		const call = calledFunction(statement);
 		if (call?.name.startsWith('group_')) {
-			return statusResult(this.callGroupFunction(call.name, call.values));
+			return statusResult(this.callGroupFunction(call.name, call.values(values)));
 		}
 
 		this.statementsReceived++;
-		const sleepTime = call?.name === 'pg_sleep' ? Number(call.values[0]) * 1000 : 0;
+		const sleepTime = call?.name === 'pg_sleep' ? Number(call.values(values)[0]) * 1000 : 0;
 		return this.#gate.run(async () => {
 			if (this.serviceTime + sleepTime > 0) {
 				await this.#clock.sleep(this.serviceTime + sleepTime);
 			}
 
-			session.assertOpen();
-			return this.#executeNow(statement, values, session);
+			transaction.assertOpen();
+			return this.#executeNow(statement, values, transaction);
 		});
 	}
 
@@ -262,19 +252,19 @@
 		this.#state.serveFollower(socket, received);
 	}
 
-	#executeNow(statement: ParsedStatement, values: readonly Value[], {transaction, isReadOnly}: SessionTransaction): Result {
+	#executeNow(statement: ParsedStatement, values: readonly Value[], {current, isReadOnly}: SessionTransaction): Result {
 		if (['begin', 'start transaction', 'commit', 'rollback'].includes(statement.type)) {
 			return {tag: statement.type.toUpperCase(), rows: []};
 		}
 
 		if (isWrite(statement)) {
-			this.#state.assertWritable(transaction.term);
+			this.#state.assertWritable(current.term);
 			if (isReadOnly) {
 				throw new SqlError('25006', 'cannot execute a write in a read-only transaction');
 			}
 		}
 
-		return executeStatement(statement, transaction, values);
+		return executeStatement(statement, current, values);
 	}
 
 	#closeConnectionsOf(holder: string | undefined): void {
--- a/stand-in/replication.spec.ts
+++ b/stand-in/replication.spec.ts
@@ -95,6 +95,21 @@
 	await assert.rejects(client.query('INSERT INTO t VALUES (4)'), {code: '25006'});
 });
 
+test('a replica that has promised a higher term goes on to receive entries of the lower one', {timeout}, async context => {
+	const [a, b, c] = await startGroup(context);
+	promoteFirst(1, [a, b, c]);
+	const client = await connectClient(a.address);
+	await client.query('CREATE TABLE t (id int PRIMARY KEY)');
+	await Promise.all([reaches(b, 1, 2), reaches(c, 1, 2)]);
+	b.callGroupFunction('group_promise', [2]);
+	for (const id of [1, 2, 3]) {
+		await client.query('INSERT INTO t VALUES ($1)', [id]);
+	}
+
+	await reaches(c, 1, 5);
+	assert.deepEqual(point(b), [1, 2, 2]);
+});
+
 test('a term is promised twice, given two primaries, or followed below the promise', {timeout}, async context => {
 	const [a, b] = await startGroup(context);
 	a.callGroupFunction('group_promise', [5]);
@@ -128,8 +143,12 @@
 	const log = join(dataFolder, 'log');
 	writeFileSync(log, readFileSync(log).subarray(0, -1));
 	const [second] = await startMembers(['a'], {dataFolder});
-	context.after(async () => second.stop());
 	assert.deepEqual(point(second), [1, 3, 3]);
 	assert.equal(second.status().promisedTerm, 7);
 	assert.deepEqual(await ids(second), [1]);
+	promoteFirst(8, [second]);
+	await second.stop();
+	const [third] = await startMembers(['a'], {dataFolder});
+	context.after(async () => third.stop());
+	assert.deepEqual(point(third), [8, 4, 4]);
 });
--- a/stand-in/statement-parser.ts
+++ b/stand-in/statement-parser.ts
@@ -7,7 +7,7 @@
 /** Statement that the stand-in may run. */
 export type ParsedStatement = Statement | SettingStatement;
 
-/** Parsing takes longer than running a statement, so this many texts are kept. */
+/** Number of texts kept: parsing one takes most of a millisecond, far longer than running it, so loads should use parameters. */
 const cacheSize = 2000;
 const cache = new Map<string, readonly ParsedStatement[]>();
 
@@ -44,7 +44,9 @@
 	}
 
 	try {
-		return parse(synonyms.get(bare.toLowerCase()) ?? text);
+		return parse(synonyms.get(bare.toLowerCase()) ?? text).map(statement => statement.type === 'set'
+			? {type: 'setting', tag: 'SET', name: statement.variable.name}
+			: statement);
 	} catch {
 		throw new SqlError('42601', 'syntax error');
 	}
--- a/stand-in/tables.ts
+++ b/stand-in/tables.ts
@@ -1,3 +1,4 @@
+import {type Expr} from 'pgsql-ast-parser';
 import {SqlError} from './sql-error.js';
 
 /** Value of a column. */
@@ -7,7 +8,7 @@
 export type Row = Readonly<Record<string, Value>>;
 
 /** Column of a table. */
-export type Column = {readonly name: string; readonly type: 'int4' | 'int8' | 'text'};
+export type Column = {readonly name: string; readonly type: 'int4' | 'int8' | 'text'; readonly defaultValue?: Expr};
 
 /** Table with the columns of its primary key, which may be none. */
 export type TableShape = {readonly name: string; readonly columns: readonly Column[]; readonly key: readonly string[]};
@@ -114,15 +115,16 @@
 		this.#created.set(shape.name, shape);
 	}
 
-	/** Claims a row before it is changed. Throws 40001. */
+	/** Claims a row until the transaction ends. Throws 40001. */
 	own(table: string, key: string): void {
 		const rowName = `${table} ${key}`;
 		this.tables.own(rowName, this);
 		this.#owned.add(rowName);
 	}
 
-	/** Writes a row that this transaction owns; null removes it. */
+	/** Writes a row, or removes it with null. Throws 40001. */
 	put(table: string, key: string, row: Row | null): void {
+		this.own(table, key);
 		const written = this.#written.get(table) ?? new Map<string, Row | null>();
 		written.set(key, row);
 		this.#written.set(table, written);
