Ignore messages that follow a fatal error in the stand-in

After a refused start-up the session handled what the client had sent behind it as another start-up packet. A fatal error now ends the session at once.

--- a/stand-in/client-session.ts
+++ b/stand-in/client-session.ts
@@ -46,6 +46,7 @@
 	readonly #transaction: SessionTransaction;
 	readonly #prepared = new Map<string, Prepared>();
 	readonly #portals = new Map<string, Portal>();
+
 	constructor(private readonly socket: Socket, private readonly host: SessionHost) {
 		this.#transaction = new SessionTransaction(host);
 		socket.setNoDelay(true);
@@ -97,9 +98,10 @@
 
 	#fatal(error: unknown): void {
 		const {sqlState, message} = toSqlError(error);
-		this.#isEnded = true;
 		this.#send(backendMessages.error('FATAL', sqlState, message));
 		this.#flush();
+		this.#isEnded = true;
+		this.#isTerminated = true;
 		this.socket.destroySoon();
 	}
 
