Check random sequences of failures at the entry, and end callers truthfully

Single failures were tested, their combinations were not, and the forced end of the entry closed sockets without saying what became of a request on its way. A caller whose request is on its way when the entry stops now gets outcomeUnknown. A session holds at most 1,000 prepared statements.

--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -81,7 +81,7 @@
 	async close(): Promise<void> {
 		this.#cancelSweep?.();
 		for (const connection of this.#connections) {
-			connection.destroy();
+			connection.shutDown();
 		}
 
 		return new Promise(resolve => {
@@ -192,6 +192,11 @@
 		this.#session?.drain();
 	}
 
+	shutDown(): void {
+		this.#session?.shutDown();
+		this.socket.destroySoon();
+	}
+
 	destroy(): void {
 		this.socket.destroy();
 	}
--- a/source/entry/entry-session.spec.ts
+++ b/source/entry/entry-session.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
+import fastCheck from 'fast-check';
 import {type ExecuteResponse} from '../pool/messages.js';
 import {frontendMessage, FrontendReader} from '../postgres-protocol/frontend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -231,3 +232,52 @@
 	assert.equal(output.ended, true);
 	assert.match(lastText(), /57P01/v);
 });
+
+test('the end of the entry claims "not run" for a request on its way', async () => {
+	const {links, session, send, lastText} = openSession();
+	links.behaviour = async () => new Promise<ExecuteResponse>(() => {
+		// Never answers.
+	});
+	await send(query('INSERT'));
+	session.shutDown();
+	assert.match(lastText(), /FATAL.*BH3001/sv);
+});
+
+const texts = ['SELECT 1', 'INSERT', 'BEGIN', 'COMMIT', 'ROLLBACK', 'COPY t FROM STDIN', 'SET buckthornhitch.max_age = \'5s\''];
+const failures: ReadonlyArray<ResultCodeName | undefined> = [undefined, undefined, undefined, 'linkOutcomeUnknown', 'linkNotSent', 'queueFull', 'noPrimary'];
+
+test('some sequence of failures repeats a write, moves a transaction, loses an answer or claims a false "not run"', async () => {
+	const steps = fastCheck.array(fastCheck.tuple(fastCheck.constantFrom(...texts), fastCheck.constantFrom(...failures), fastCheck.boolean()), {maxLength: 12});
+	await fastCheck.assert(fastCheck.asyncProperty(steps, async sequence => {
+		const {links, services, output, send} = openSession();
+		const pools = new Map<string, Set<string>>();
+		for (const [index, [text, codeName, runsAnyway]] of sequence.entries()) {
+			let ran = 0;
+			let attempts = 0;
+			links.behaviour = async (request, address) => {
+				const failure = attempts++ === 0 ? codeName : undefined;
+				const mayRun = !failure || failure === 'linkOutcomeUnknown';
+				ran += !failure || (mayRun && runsAnyway) ? 1 : 0;
+				if (request.transactionId !== null && mayRun) {
+					pools.set(request.transactionId, new Set([...pools.get(request.transactionId) ?? [], address]));
+				}
+
+				if (failure) {
+					throw new BuckthornhitchError(failure, '');
+				}
+
+				return links.execute(request);
+			};
+
+			await send(query(text));
+			await services.clock.advanceInSteps(200, 50);
+			assert.equal(output.answers.length, index + 1);
+			const answer = output.answers[index].toString('latin1');
+			assert.match(answer, /Z.{4}[ITE]$/sv);
+			assert.ok(text !== 'INSERT' || ran <= 1, 'a write ran twice');
+			assert.ok(ran === 0 || !answer.includes('Not run'), 'a request that ran is reported as not run');
+		}
+
+		assert.ok([...pools.values()].every(addresses => addresses.size <= 1), 'a transaction was sent to two pools');
+	}), {seed: 4, numRuns: 300});
+});
--- a/source/entry/entry-session.ts
+++ b/source/entry/entry-session.ts
@@ -70,6 +70,18 @@
 		}
 	}
 
+	/** Ends the session at once and says truly what became of its work. */
+	shutDown(): void {
+		if (this.#closed) {
+			return;
+		}
+
+		const codeName = this.executor.inTransaction ? 'transactionLost' : 'draining';
+		const error = new BuckthornhitchError(this.#running ? 'outcomeUnknown' : codeName, 'The entry stops.');
+		this.close();
+		this.output.end(numberedErrorResponse(error, 'FATAL'));
+	}
+
 	#collect(messages: readonly FrontendMessage[]): void {
 		this.#collector ??= new UnitCollector();
 		for (const message of messages) {
--- a/source/entry/extended-batch.ts
+++ b/source/entry/extended-batch.ts
@@ -7,6 +7,9 @@
 import {leadingComment} from '../session/session-settings.js';
 import {answerParts} from './caller-messages.js';
 
+/** Prepared statements that a session may have; they are kept in memory while it is idle. */
+export const largestStatementCount = 1000;
+
 /** A prepared statement of a caller: what is sent to prepare it on any connection, and what it does. */
 export type PreparedStatement = {
 	readonly name: string;
@@ -133,6 +136,10 @@
 		const {statement: name, text} = readParse(message);
 		const statements = classifyStatements(text);
 		refuseUnsupported(statements);
+		if (this.context.known.size >= largestStatementCount && !this.context.known.has(name)) {
+			throw new BuckthornhitchError('unsupportedFeature', `A session has at most ${largestStatementCount} prepared statements.`);
+		}
+
 		const statement: PreparedStatement = {
 			name, parse: message.bytes, statements, comment: leadingComment(text),
 		};
--- a/source/entry/local-statements.ts
+++ b/source/entry/local-statements.ts
@@ -76,7 +76,13 @@
 	return settings;
 }
 
-function withoutStatement(prepared: ReadonlyMap<string, PreparedStatement>, name: string | null): ReadonlyMap<string, PreparedStatement> {
+/** Returns the prepared statements with one added or replaced. */
+export function withStatement(prepared: ReadonlyMap<string, PreparedStatement>, statement: PreparedStatement): ReadonlyMap<string, PreparedStatement> {
+	return new Map(prepared).set(statement.name, statement);
+}
+
+/** Returns the prepared statements without one, or without any for null. */
+export function withoutStatement(prepared: ReadonlyMap<string, PreparedStatement>, name: string | null): ReadonlyMap<string, PreparedStatement> {
 	return new Map([...prepared].filter(([known]) => name !== null && known !== name));
 }
 
@@ -85,7 +91,7 @@
 	switch (step.kind) {
 		case 'parse': {
 			const {statement} = step;
-			const prepared = new Map(context.prepared).set(statement.name, {...statement, parse: Buffer.from(statement.parse)});
+			const prepared = withStatement(context.prepared, {...statement, parse: Buffer.from(statement.parse)});
 			return {
 				...context, prepared, bytes: parseComplete, column: undefined,
 			};
--- a/source/entry/session-executor.ts
+++ b/source/entry/session-executor.ts
@@ -23,7 +23,7 @@
 } from './extended-batch.js';
 import {type ForwardingUnit} from './forwarding-units.js';
 import {
-	isLocalStatement, runLocalStatement, runLocalStep, type LocalContext,
+	isLocalStatement, runLocalStatement, runLocalStep, withoutStatement, withStatement, type LocalContext,
 } from './local-statements.js';
 import {type PoolRouter, type RoutedAnswer, type RoutedRequest} from './pool-router.js';
 import {mayRepeat, transactionError} from './retry-rules.js';
@@ -323,33 +323,30 @@
 	}
 
 	#applyChanges(changes: readonly StoreChange[]): void {
-		const prepared = new Map(this.#prepared);
-		const held = new Set(this.#held);
 		for (const change of changes) {
-			this.#applyChange(change, prepared, held);
-		}
+			if (change.kind === 'parsed') {
+				const {statement} = change;
+				// The copy keeps no receive buffer alive.
+				this.#prepared = withStatement(this.#prepared, {...statement, parse: Buffer.from(statement.parse)});
+			}
 
-		this.#prepared = prepared.size > 0 ? prepared : noStatements;
-		this.#held = this.inTransaction ? held : noNames;
-	}
+			if (change.kind === 'closed') {
+				this.#prepared = withoutStatement(this.#prepared, change.name);
+			}
 
-	#applyChange(change: StoreChange, prepared: Map<string, PreparedStatement>, held: Set<string>): void {
-		if (change.kind === 'parsed') {
-			const {statement} = change;
-			// The copy keeps no receive buffer alive.
-			prepared.set(statement.name, {...statement, parse: Buffer.from(statement.parse)});
-			held.add(statement.name);
-			return;
+			this.#applyToConnection(change);
 		}
+	}
 
-		if (change.kind === 'restored') {
-			held.add(change.name);
+	#applyToConnection(change: StoreChange): void {
+		if (!this.inTransaction) {
 			return;
 		}
 
-		if (change.kind === 'closed') {
-			prepared.delete(change.name);
-			held.delete(change.name);
+		if (change.kind === 'parsed' || change.kind === 'restored') {
+			this.#held = new Set([...this.#held, change.kind === 'parsed' ? change.statement.name : change.name]);
+		} else if (change.kind === 'closed') {
+			this.#held = withoutName(this.#held, change.name);
 		}
 	}
 
