Bound the pools that a waiting request asks and the time it loses on dead ones

While a database had no owner, each waiting request asked every pool of the fleet in each round, and each request waited anew for the connect timeout of a dead pool. The cached ownership orders would also have grown with databases times pools. A round now ends after three answers, an unreachable pool is tried last for 500 ms, and the router keeps the first eight pools of each order and recomputes them only when the pools change.

--- a/source/entry/pool-router.spec.ts
+++ b/source/entry/pool-router.spec.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
 import {type Address} from '../links/address.js';
+import {StaticInstanceDirectory} from '../membership/instance-directory.js';
 import {type ExecuteRequest} from '../pool/messages.js';
 import {frontendMessage} from '../postgres-protocol/frontend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -9,7 +10,7 @@
 import {
 	FakePoolLinks, settle, testRecord, testServices,
 } from './entry-fixture.js';
-import {type RoutedRequest} from './pool-router.js';
+import {unreachableLifetime, type RoutedRequest} from './pool-router.js';
 import {finalError, mayRepeat} from './retry-rules.js';
 
 function request(change: Partial<RoutedRequest> = {}): RoutedRequest {
@@ -131,3 +132,40 @@
 	services.directory.replace([testRecord('first', 'pool', {state: 'draining'}), testRecord('second', 'pool', {state: 'failed'}), testRecord('third'), testRecord('entry', 'entry')]);
 	assert.deepEqual(services.router.pools('notices').map(({name}) => name), ['third']);
 });
+
+test('every request waits anew for a pool that can not be reached', async () => {
+	const links = new FakePoolLinks();
+	const services = testServices(links);
+	const [first] = services.router.pools('notices');
+	links.behaviour = async (body, address) => {
+		if (address === first.linkAddress) {
+			throw new BuckthornhitchError('linkNotSent', '');
+		}
+
+		return links.execute(body);
+	};
+
+	await services.router.execute(request(), true);
+	await services.router.execute(request(), true);
+	const second = services.router.pools('notices')[1].linkAddress;
+	assert.deepEqual(links.received.map(({address}) => address), [first.linkAddress, second, second]);
+	services.clock.advance(unreachableLifetime);
+	await services.router.execute(request(), true);
+	assert.equal(links.received.at(-2)?.address, first.linkAddress);
+});
+
+test('a request that waits for an owner asks all pools of the fleet again and again', async () => {
+	const links = new FakePoolLinks();
+	const directory = new StaticInstanceDirectory(Array.from({length: 20}, (unused, index) => testRecord(`pool-${index}`)));
+	const services = testServices(links, directory);
+	links.behaviour = async () => {
+		throw new BuckthornhitchError('notOwner', '');
+	};
+
+	const outcome = outcomeOf(services.router.execute(request({access: 'write'}), false));
+	await settle();
+	assert.equal(links.received.length, 3);
+	await services.clock.advanceInSteps(1200, 10);
+	assert.equal(await outcome, 'noPool');
+	assert.equal(new Set(links.received.map(({address}) => address)).size, 3);
+});
--- a/source/entry/pool-router.ts
+++ b/source/entry/pool-router.ts
@@ -40,11 +40,18 @@
 /** Time for the answer to travel, on top of the deadline and the statement timeout, in milliseconds. */
 export const answerAllowance: Milliseconds = 1000;
 
+/** A pool that could not be reached is tried last for this many milliseconds, so that not every request waits for its connect timeout. */
+export const unreachableLifetime: Milliseconds = 500;
+
+// Pools beyond the third are told no member addresses, so asking more of them only adds load.
+const answersPerRound = 3;
+// Enough when several in a row can not be reached; the whole order of each database would fill the memory of a large fleet.
+const orderLength = 8;
 const shortestPause: Milliseconds = 10;
 const longestPause: Milliseconds = 80;
 
 type Redirect = {
-	readonly name: string;
+	readonly owner: InstanceRecord;
 	readonly until: Milliseconds;
 };
 
@@ -53,6 +60,8 @@
 	readonly limits: Limits;
 	readonly visited: Set<string>;
 	transactionId: string | null;
+	/** Pools that answered since the last pause. */
+	answered: number;
 	/** Pool of the last attempt. */
 	pool: Address;
 	attempts: number;
@@ -63,16 +72,22 @@
 
 /** Finds the pool that owns a database and sends requests to it, again where that is safe. */
 export class PoolRouter {
+	#candidates: readonly InstanceRecord[];
 	readonly #orders = new Map<string, readonly InstanceRecord[]>();
 	readonly #redirects = new Map<string, Redirect>();
+	readonly #unreachableUntil = new Map<Address, Milliseconds>();
 	readonly #stopWatching: ReadonlyArray<() => void>;
 
 	constructor(private readonly options: PoolRouterOptions) {
-		const forgetOrders = (): void => {
-			this.#orders.clear();
-		};
-
-		this.#stopWatching = [options.directory.watch(forgetOrders), options.configuration.watch(forgetOrders)];
+		this.#candidates = poolsForNewWork(options.directory);
+		this.#stopWatching = [
+			options.directory.watch(() => {
+				this.#takeRecords();
+			}),
+			options.configuration.watch(() => {
+				this.#orders.clear();
+			}),
+		];
 	}
 
 	/** Ends the subscriptions. */
@@ -82,16 +97,18 @@
 		}
 	}
 
-	/** Returns the pools that may own the database, in ownership order. */
+	/** Returns the first pools that may own the database, in ownership order. */
 	pools(database: string): readonly InstanceRecord[] {
 		const known = this.#orders.get(database);
 		if (known) {
 			return known;
 		}
 
-		const records = this.options.directory.records().filter(record => record.role === 'pool' && takesNewWork(record));
 		const place = this.options.configuration.deployment()?.databases.find(({name}) => name === database)?.place;
-		const order = ownershipOrder(database, records, place);
+		const preferred = this.#candidates.filter(({dataCentre}) => dataCentre === place);
+		// Those of the preferred data centre come first in any case; the others are hashed only when they are needed.
+		const candidates = preferred.length >= orderLength ? preferred : this.#candidates;
+		const order = ownershipOrder(database, candidates, place).slice(0, orderLength);
 		this.#orders.set(database, order);
 		return order;
 	}
@@ -104,6 +121,7 @@
 			limits,
 			visited: new Set(),
 			transactionId: request.transactionId,
+			answered: 0,
 			pool: '',
 			attempts: 0,
 			pauses: 0,
@@ -152,6 +170,7 @@
 		const {transactionId} = progress;
 		try {
 			const response = await this.#send(pool.linkAddress, {...request, transactionId}, remaining, progress.limits);
+			this.#unreachableUntil.delete(pool.linkAddress);
 			return {response, pool: pool.linkAddress, transactionId};
 		} catch (error) {
 			await this.#afterFailure(request, repeatable, progress, toBuckthornhitchError(error));
@@ -161,6 +180,12 @@
 
 	async #afterFailure(request: RoutedRequest, repeatable: boolean, progress: Progress, error: BuckthornhitchError): Promise<void> {
 		progress.failure = error;
+		if (error.codeName === 'linkNotSent') {
+			this.#unreachableUntil.set(progress.pool, this.options.clock.now() + unreachableLifetime);
+		} else {
+			progress.answered++;
+		}
+
 		switch (stepAfterFailure(error, repeatable)) {
 			case 'nextPool': {
 				this.#redirects.delete(request.database);
@@ -204,17 +229,44 @@
 		}
 	}
 
-	#nextPool(database: string, {visited}: Progress): InstanceRecord | undefined {
-		const order = this.pools(database);
+	#nextPool(database: string, {visited, answered}: Progress): InstanceRecord | undefined {
 		const redirect = this.#redirects.get(database);
-		if (redirect && redirect.until > this.options.clock.now() && !visited.has(redirect.name)) {
-			const owner = order.find(({name}) => name === redirect.name);
-			if (owner) {
-				return owner;
+		if (redirect && redirect.until > this.options.clock.now() && !visited.has(redirect.owner.name)) {
+			return redirect.owner;
+		}
+
+		if (answered >= answersPerRound) {
+			return undefined;
+		}
+
+		const rest = this.pools(database).filter(({name}) => !visited.has(name));
+		return rest.find(({linkAddress}) => !this.#isUnreachable(linkAddress)) ?? rest.at(0);
+	}
+
+	#takeRecords(): void {
+		const candidates = poolsForNewWork(this.options.directory);
+		if (candidates.length === this.#candidates.length && candidates.every((record, index) => isSamePool(record, this.#candidates[index]))) {
+			return;
+		}
+
+		this.#candidates = candidates;
+		this.#orders.clear();
+		this.#redirects.clear();
+		for (const [address, until] of this.#unreachableUntil) {
+			if (until <= this.options.clock.now()) {
+				this.#unreachableUntil.delete(address);
 			}
 		}
+	}
 
-		return order.find(({name}) => !visited.has(name));
+	#isUnreachable(address: Address): boolean {
+		const until = this.#unreachableUntil.get(address);
+		if (until === undefined || until > this.options.clock.now()) {
+			return until !== undefined;
+		}
+
+		this.#unreachableUntil.delete(address);
+		return false;
 	}
 
 	#followOwner(database: string, error: BuckthornhitchError): void {
@@ -222,9 +274,9 @@
 			return;
 		}
 
-		const owner = this.pools(database).find(({name}) => error.detail === name || error.detail.includes(`"${name}"`));
+		const owner = this.#candidates.find(({name}) => error.detail === name || error.detail.includes(`"${name}"`));
 		if (owner) {
-			this.#redirects.set(database, {name: owner.name, until: this.options.clock.now() + redirectLifetime});
+			this.#redirects.set(database, {owner, until: this.options.clock.now() + redirectLifetime});
 		}
 	}
 
@@ -233,6 +285,7 @@
 		const longest = Math.min(longestPause, shortestPause * (2 ** progress.pauses));
 		progress.pauses++;
 		progress.visited.clear();
+		progress.answered = 0;
 		const pause = longest * (1 + this.options.random.fraction()) / 2;
 		await this.options.clock.sleep(Math.max(0, Math.min(pause, remaining)));
 	}
@@ -252,3 +305,11 @@
 		return limits;
 	}
 }
+
+function poolsForNewWork(directory: InstanceDirectory): readonly InstanceRecord[] {
+	return directory.records().filter(record => record.role === 'pool' && takesNewWork(record));
+}
+
+function isSamePool(first: InstanceRecord, second: InstanceRecord): boolean {
+	return first.name === second.name && first.linkAddress === second.linkAddress && first.dataCentre === second.dataCentre;
+}
