Report the end of blocks exactly and bound the events of an outage

A failed query that ends one block and begins another left the session idle, so statements behind it would have run on their own, and a write behind ROLLBACK in one query could be reported as rolled back. Both follow from the statements now. Functions by which pools control a group are refused to callers. Lost transactions and unknown outcomes make one event a second for each code and database.

--- a/source/entry/entry-fixture.ts
+++ b/source/entry/entry-fixture.ts
@@ -21,6 +21,7 @@
 import {EntryAdmission} from './entry-admission.js';
 import {EntryMetrics} from './entry-metrics.js';
 import {CallerOutput} from './entry-session.js';
+import {FailureEvents} from './failure-events.js';
 import {PoolRouter} from './pool-router.js';
 import {RetryBudget} from './retry-budget.js';
 
@@ -190,7 +191,7 @@
 		clock, random: new SeededRandom(1), linkClient: links, directory, configuration, budget: new RetryBudget(clock), onRetry: () => undefined,
 	});
 	return {
-		clock, configuration, directory, timeline, metrics, router, admission: new EntryAdmission(),
+		clock, configuration, directory, timeline, metrics, router, admission: new EntryAdmission(), failureEvents: new FailureEvents(clock, timeline),
 	};
 }
 
--- a/source/entry/entry-process.ts
+++ b/source/entry/entry-process.ts
@@ -17,6 +17,7 @@
 import {type AcceptedCaller} from './caller-startup.js';
 import {EntryAdmission} from './entry-admission.js';
 import {EntryMetrics} from './entry-metrics.js';
+import {FailureEvents} from './failure-events.js';
 import {PasswordList} from './password-list.js';
 import {PoolRouter} from './pool-router.js';
 import {RetryBudget} from './retry-budget.js';
@@ -65,7 +66,7 @@
 			},
 		});
 		this.#sessionServices = {
-			clock, configuration, timeline, router: this.#router, admission: new EntryAdmission(), metrics: this.#metrics,
+			clock, configuration, router: this.#router, admission: new EntryAdmission(), metrics: this.#metrics, failureEvents: new FailureEvents(clock, timeline),
 		};
 		const forwarder = new AnnouncementForwarder({
 			linkClient,
@@ -105,8 +106,14 @@
 				this.#metrics.callers.set(count);
 			},
 		});
-		this.#callerAddress = await this.#callerServer.listen(settings.callerAddress);
-		this.#announcementAddress = await this.#announcementServer.listen(settings.announcementAddress);
+		try {
+			this.#callerAddress = await this.#callerServer.listen(settings.callerAddress);
+			this.#announcementAddress = await this.#announcementServer.listen(settings.announcementAddress);
+		} catch (error) {
+			await this.stop();
+			throw error;
+		}
+
 		services.timeline.record('entry', 'started', settings.name);
 		this.#logger.info(`accepting callers on ${this.#callerAddress}`);
 	}
--- a/source/entry/entry-session.spec.ts
+++ b/source/entry/entry-session.spec.ts
@@ -139,6 +139,23 @@
 	assert.deepEqual(links.executed.map(({requestId}) => requestId), ['id-1', 'id-1', 'id-1']);
 });
 
+test('a write behind ROLLBACK in the same query is reported as rolled back', async () => {
+	const {send, fail, lastText} = openSession();
+	await send(query('BEGIN'));
+	fail('linkOutcomeUnknown');
+	await send(query('ROLLBACK; INSERT'));
+	assert.match(lastText(), /BH3001.*I$/sv);
+});
+
+test('an outage pushes all other events out of the timeline', async () => {
+	const {services, send, fail} = openSession();
+	fail('linkOutcomeUnknown');
+	await send(query('INSERT'), query('INSERT'), query('INSERT'));
+	services.clock.advance(1000);
+	await send(query('INSERT'));
+	assert.deepEqual(services.timeline.events().map(({detail}) => detail), ['BH6002', 'BH6002, 2 more since the last event']);
+});
+
 test('COMMIT that was not sent is reported as unknown', async () => {
 	const {send, fail, lastText} = openSession();
 	await send(query('BEGIN'));
--- a/source/entry/session-executor.ts
+++ b/source/entry/session-executor.ts
@@ -12,7 +12,6 @@
 	afterFailure, afterUnit, newSession, sessionStatus, unitAccess, withSettings, type SessionState,
 } from '../session/session-state.js';
 import {formatSessionToken} from '../session/session-token.js';
-import {type Timeline} from '../timeline/timeline.js';
 import {
 	errorResponse, numberedErrorResponse, parameterStatus, readyForQuery, readyForQueryBytes, textRowDescription,
 } from './caller-messages.js';
@@ -21,6 +20,7 @@
 import {
 	planBatch, readBatchAnswer, refuseUnsupported, type LocalStep, type PreparedStatement, type StoreChange,
 } from './extended-batch.js';
+import {type FailureEvents} from './failure-events.js';
 import {type ForwardingUnit} from './forwarding-units.js';
 import {
 	isLocalStatement, runLocalStatement, runLocalStep, withoutStatement, withStatement, type LocalContext,
@@ -35,7 +35,7 @@
 	readonly router: PoolRouter;
 	readonly admission: EntryAdmission;
 	readonly metrics: EntryMetrics;
-	readonly timeline: Timeline;
+	readonly failureEvents: FailureEvents;
 };
 
 /** Unit that is answered, as opposed to the end of the session. */
@@ -302,8 +302,7 @@
 		}
 
 		// A failed BEGIN leaves a failed block, so that statements sent behind it do not run on their own.
-		const ends = unit.commits || unit.rollsBack;
-		this.#state = afterFailure(this.#state, ends);
+		this.#state = afterFailure(this.#state, unit.ends);
 		const failure = transactionError(error, unit.commits);
 		this.#recordFailure(failure, error);
 		return failure;
@@ -311,7 +310,7 @@
 
 	#recordFailure(failure: BuckthornhitchError, cause: BuckthornhitchError): void {
 		if (failure.codeName === 'transactionLost' || failure.entry.execution !== 'notRun') {
-			this.services.timeline.record('entry', failure.codeName, this.#state.database, `BH${cause.code}`);
+			this.services.failureEvents.record(failure, cause, this.#state.database);
 		}
 	}
 
--- a/source/routing/statement-classification.spec.ts
+++ b/source/routing/statement-classification.spec.ts
@@ -97,6 +97,23 @@
 	assert.equal(classifyStatements('CREATE TABLE temp ()')[0].kind, 'write');
 });
 
+test('statements sent behind a failed end of a block run on their own', () => {
+	const cases: ReadonlyArray<readonly [string, boolean]> = [
+		['COMMIT', true],
+		['ROLLBACK', true],
+		['BEGIN; INSERT; END', true],
+		['COMMIT AND NO CHAIN', true],
+		['BEGIN', false],
+		['COMMIT; BEGIN', false],
+		['COMMIT AND CHAIN', false],
+		['ROLLBACK TO a', false],
+		['INSERT', false],
+	];
+	for (const [text, ends] of cases) {
+		assert.equal(combineStatements(classifyStatements(text)).ends, ends, text);
+	}
+});
+
 test('settings are read with a wrong name or value', () => {
 	const settings: ReadonlyArray<readonly [string, string | null, string | null]> = [
 		['SET buckthornhitch.max_age = \'5s\'', 'buckthornhitch.max_age', '5s'],
--- a/source/routing/statement-classification.ts
+++ b/source/routing/statement-classification.ts
@@ -4,7 +4,9 @@
 
 /** What one statement does, as far as routing needs it. */
 export type Statement =
-	| {readonly kind: 'empty' | 'read' | 'write' | 'commit' | 'rollback' | 'savepoint' | 'discardAll'}
+	| {readonly kind: 'empty' | 'read' | 'write' | 'savepoint' | 'discardAll'}
+	/** End of a transaction; it chains when another one begins at once. */
+	| {readonly kind: 'commit' | 'rollback'; readonly chains: boolean}
 	| {readonly kind: 'begin'; readonly readOnly: boolean}
 	/** Session setting; a value of null restores the default, a name of null all of them. */
 	| {readonly kind: 'set'; readonly name: string | null; readonly value: string | null}
@@ -22,8 +24,10 @@
 	readonly begins: boolean;
 	/** Whether the only transaction that the unit begins is read-only. */
 	readonly beginsReadOnly: boolean;
+	/** Whether the unit may commit something, also by a statement of its own behind a ROLLBACK. */
 	readonly commits: boolean;
-	readonly rollsBack: boolean;
+	/** Whether a block that is open or begun is closed after the unit. */
+	readonly ends: boolean;
 	/** Whether the unit holds exactly one statement, which begins a transaction. */
 	readonly onlyBegins: boolean;
 };
@@ -47,12 +51,17 @@
 		writes: statements.some(statement => !controlKinds.has(statement.kind) && !isRead(statement, false)),
 		begins: begins.length > 0,
 		beginsReadOnly,
-		commits: statements.some(statement => statement.kind === 'commit'),
-		rollsBack: statements.some(statement => statement.kind === 'rollback'),
+		commits: statements.some(({kind}) => kind === 'commit' || (kind === 'rollback' && statements.length > 1)),
+		ends: endsBlock(statements),
 		onlyBegins: begins.length === 1 && statements.length === 1,
 	};
 }
 
+function endsBlock(statements: readonly Statement[]): boolean {
+	const last = statements.findLast(({kind}) => kind === 'begin' || kind === 'commit' || kind === 'rollback');
+	return (last?.kind === 'commit' || last?.kind === 'rollback') && !last.chains;
+}
+
 const controlKinds: ReadonlySet<Statement['kind']> = new Set(['begin', 'commit', 'rollback', 'savepoint']);
 const alwaysRead: ReadonlySet<Statement['kind']> = new Set(['read', 'show', 'empty', 'savepoint', 'rollback']);
 
@@ -98,7 +107,7 @@
 	commit: classifyCommit,
 	end: classifyCommit,
 	rollback: classifyRollback,
-	abort: same({kind: 'rollback'}),
+	abort: classifyRollback,
 	savepoint: same({kind: 'savepoint'}),
 	release: same({kind: 'savepoint'}),
 	set: classifySet,
@@ -119,13 +128,17 @@
 	create: classifyCreate,
 };
 
+// The first changes the session of a shared connection, the others are how pools control a group.
+const refusedFunctions = ['set_config', 'group_lease', 'group_release', 'group_promise', 'group_promote', 'group_follow'];
+
 function classifyStatement(tokens: readonly Token[]): Statement {
 	if (tokens.length === 0) {
 		return {kind: 'empty'};
 	}
 
-	if (callsFunction(tokens, 'set_config')) {
-		return {kind: 'unsupported', feature: 'set_config'};
+	const refusedFunction = refusedFunctions.find(name => callsFunction(tokens, name));
+	if (refusedFunction !== undefined) {
+		return {kind: 'unsupported', feature: refusedFunction};
 	}
 
 	// A statement may stand in brackets: (SELECT 1) UNION (SELECT 2).
@@ -211,7 +224,7 @@
 }
 
 function classifyCommit(tokens: readonly Token[]): Statement {
-	return isWord(tokens[1], 'prepared') ? {kind: 'unsupported', feature: 'two-phase commit'} : {kind: 'commit'};
+	return isWord(tokens[1], 'prepared') ? {kind: 'unsupported', feature: 'two-phase commit'} : {kind: 'commit', chains: chains(tokens)};
 }
 
 function classifyRollback(tokens: readonly Token[]): Statement {
@@ -219,7 +232,11 @@
 		return {kind: 'unsupported', feature: 'two-phase commit'};
 	}
 
-	return {kind: tokens.some(token => isWord(token, 'to')) ? 'savepoint' : 'rollback'};
+	return tokens.some(token => isWord(token, 'to')) ? {kind: 'savepoint'} : {kind: 'rollback', chains: chains(tokens)};
+}
+
+function chains(tokens: readonly Token[]): boolean {
+	return isWord(tokens.at(-1), 'chain') && !isWord(tokens.at(-2), 'no');
 }
 
 function classifyDeallocate(tokens: readonly Token[]): Statement {
@@ -267,7 +284,7 @@
 	}
 
 	const {name, value} = settingAssignment(rest);
-	if (local && refusedLocally.has(name)) {
+	if (local && (refusedLocally.has(name) || name.startsWith('buckthornhitch.'))) {
 		return {kind: 'unsupported', feature: `SET LOCAL ${name}`};
 	}
 
