Scan statements in one pass with few objects

The scanner now makes one pass without objects for each step and keeps at most 50,000 tokens of a statement; a longer read counts as a write.

--- a/source/entry/caller-messages.ts
+++ b/source/entry/caller-messages.ts
@@ -78,7 +78,7 @@
 	return backendMessage('D', Buffer.concat([head, text]));
 }
 
-/** Answers without contents. */
+/** Answer to Parse. */
 export const parseComplete = backendMessage('1');
 /** Answer to Bind. */
 export const bindComplete = backendMessage('2');
--- a/source/routing/sql-tokens.ts
+++ b/source/routing/sql-tokens.ts
@@ -7,163 +7,254 @@
 	readonly text: string;
 };
 
-/** Tokens of a text; incomplete when a literal or a comment has no end. */
-export type TokenList = {
-	readonly tokens: readonly Token[];
-	readonly complete: boolean;
-};
-
-type Step = {
-	readonly end: number;
-	readonly token?: Token;
-	readonly incomplete?: boolean;
-};
+const asciiLimit = 128;
+const other = 0;
+const space = 1;
+const letter = 2;
+const digit = 3;
+const asciiClasses = Uint8Array.from({length: asciiLimit}, (unused, code) => asciiClass(String.fromCodePoint(code)));
+const symbolTokens: readonly Token[] = Array.from({length: asciiLimit}, (unused, code) => ({kind: 'symbol', text: String.fromCodePoint(code)}));
 
-// White space and names as the server's lexer defines them: any byte beyond ASCII belongs to a name.
-const space = /[ \t\n\r\f\v]+/vy;
-const lineComment = /--[^\n\r]*/vy;
-const word = /[A-Za-z_\u{80}-\u{10FFFF}][\w$\u{80}-\u{10FFFF}]*/vy;
-// Digits only: older servers read "1into" as a number and a word.
-const numeral = /\d[\d.]*/vy;
-const parameter = /\$\d+/vy;
 const dollarTag = /\$(?:[A-Za-z_\u{80}-\u{10FFFF}][\w\u{80}-\u{10FFFF}]*)?\$/vy;
-const continuation = /(?:[ \t\f\v]|--[^\n\r]*)*[\n\r](?:[ \t\n\r\f\v]|--[^\n\r]*[\n\r])*'/vy;
-
-/** Splits a statement text into tokens without comments and white space. Backslashes escape only in E'' strings. */
-export function tokenize(text: string): TokenList {
-	const tokens: Token[] = [];
-	let offset = 0;
-	while (offset < text.length) {
-		const step = nextStep(text, offset);
-		if (step.token) {
-			tokens.push(step.token);
-		}
+// A comment before the line break reaches up to it, so there is at most one; a repetition here would take exponential time.
+const continuation = /[ \t\f\v]*(?:--[^\n\r]*)?[\n\r](?:[ \t\n\r\f\v]|--[^\n\r]*[\n\r])*'/vy;
+const commentMark = /\/\*|\*\//gv;
 
-		if (step.incomplete) {
-			return {tokens, complete: false};
-		}
+function asciiClass(character: string): number {
+	if (/[ \t\n\r\f\v]/v.test(character)) {
+		return space;
+	}
 
-		offset = step.end;
+	if (/[A-Z_a-z]/v.test(character)) {
+		return letter;
 	}
 
-	return {tokens, complete: true};
+	return /\d/v.test(character) ? digit : other;
+}
+
+// Anything beyond ASCII belongs to a name, as in the server's lexer.
+function classAt(text: string, offset: number): number {
+	const code = text.codePointAt(offset);
+	return code === undefined || code < asciiLimit ? asciiClasses[code ?? 0] : letter;
 }
 
-function nextStep(text: string, offset: number): Step {
-	const skipped = matchAt(space, text, offset) ?? matchAt(lineComment, text, offset);
-	if (skipped !== undefined) {
-		return {end: offset + skipped.length};
+/**
+Splits a statement text into tokens without comments and white space. Backslashes escape only in E'' strings.
+
+The entry scans texts of up to 16 MiB between other callers' requests, so the scanner makes one pass and few objects.
+*/
+export class SqlScanner {
+	#offset = 0;
+	#complete = true;
+
+	constructor(private readonly text: string) {}
+
+	/** Whether every literal and comment so far had its end. */
+	get complete(): boolean {
+		return this.#complete;
 	}
 
-	if (text.startsWith('/*', offset)) {
-		return blockComment(text, offset);
+	/** Returns the next token, or undefined at the end of the text. */
+	next(): Token | undefined {
+		while (this.#offset < this.text.length) {
+			const token = this.#step();
+			if (token) {
+				return token;
+			}
+		}
+
+		return undefined;
 	}
 
-	if (text[offset] === '\'') {
-		return quoted(text, offset, '\'', 'string');
+	#step(): Token | undefined {
+		switch (classAt(this.text, this.#offset)) {
+			case space: {
+				this.#offset++;
+				return undefined;
+			}
+
+			case letter: {
+				return this.#word();
+			}
+
+			case digit: {
+				return this.#number();
+			}
+
+			default: {
+				return this.#other();
+			}
+		}
 	}
 
-	if (text[offset] === '"') {
-		return quoted(text, offset, '"', 'quotedName');
+	#other(): Token | undefined {
+		const start = this.#offset;
+		switch (this.text[start]) {
+			case '\'': {
+				return this.#quoted('\'', 'string');
+			}
+
+			case '"': {
+				return this.#quoted('"', 'quotedName');
+			}
+
+			case '$': {
+				return this.#dollar();
+			}
+
+			case '-':
+			case '/': {
+				return this.#commentOrSymbol();
+			}
+
+			default: {
+				return this.#symbol();
+			}
+		}
 	}
 
-	return text[offset] === '$' ? dollarStep(text, offset) : plainStep(text, offset);
-}
+	#commentOrSymbol(): Token | undefined {
+		if (this.text.startsWith('--', this.#offset)) {
+			this.#skipLineComment();
+			return undefined;
+		}
+
+		if (this.text.startsWith('/*', this.#offset)) {
+			this.#skipBlockComment();
+			return undefined;
+		}
 
-function plainStep(text: string, offset: number): Step {
-	const name = matchAt(word, text, offset);
-	if (name !== undefined) {
-		const end = offset + name.length;
-		const isEscapeString = name.length === 1 && name.toLowerCase() === 'e' && text[end] === '\'';
-		return isEscapeString ? escapeString(text, end) : {end, token: {kind: 'word', text: lowerCaseAscii(name)}};
+		return this.#symbol();
 	}
 
-	const digits = matchAt(numeral, text, offset);
-	if (digits !== undefined) {
-		return {end: offset + digits.length, token: {kind: 'number', text: digits}};
+	#symbol(): Token {
+		return symbolTokens[this.text.codePointAt(this.#offset++) ?? 0];
 	}
 
-	return {end: offset + 1, token: {kind: 'symbol', text: text[offset]}};
-}
+	#word(): Token | undefined {
+		const start = this.#offset;
+		let end = start + 1;
+		while (classAt(this.text, end) >= letter || this.text[end] === '$') {
+			end++;
+		}
 
-function dollarStep(text: string, offset: number): Step {
-	const number = matchAt(parameter, text, offset);
-	if (number !== undefined) {
-		return {end: offset + number.length, token: {kind: 'parameter', text: number}};
+		this.#offset = end;
+		const name = this.text.slice(start, end);
+		const isEscapeString = end - start === 1 && (name === 'e' || name === 'E') && this.text[end] === '\'';
+		return isEscapeString ? this.#escapeString() : {kind: 'word', text: lowerCaseAscii(name)};
 	}
 
-	const tag = matchAt(dollarTag, text, offset);
-	if (tag === undefined) {
-		return {end: offset + 1, token: {kind: 'symbol', text: '$'}};
+	// Digits and points only: older servers read "1into" as a number and a word.
+	#number(): Token {
+		const start = this.#offset;
+		let end = start + 1;
+		while (classAt(this.text, end) === digit || this.text[end] === '.') {
+			end++;
+		}
+
+		this.#offset = end;
+		return {kind: 'number', text: this.text.slice(start, end)};
 	}
 
-	const start = offset + tag.length;
-	const close = text.indexOf(tag, start);
-	return close === -1 ? {end: text.length, incomplete: true} : {end: close + tag.length, token: {kind: 'string', text: text.slice(start, close)}};
-}
+	#skipLineComment(): void {
+		let end = this.#offset;
+		while (end < this.text.length && this.text[end] !== '\n' && this.text[end] !== '\r') {
+			end++;
+		}
 
-function blockComment(text: string, start: number): Step {
-	let depth = 1;
-	let offset = start + 2;
-	while (depth > 0) {
-		const close = text.indexOf('*/', offset);
-		if (close === -1) {
-			return {end: text.length, incomplete: true};
+		this.#offset = end;
+	}
+
+	#skipBlockComment(): void {
+		let depth = 0;
+		commentMark.lastIndex = this.#offset;
+		for (let mark = commentMark.exec(this.text); mark; mark = commentMark.exec(this.text)) {
+			depth += mark[0] === '/*' ? 1 : -1;
+			if (depth === 0) {
+				this.#offset = commentMark.lastIndex;
+				return;
+			}
 		}
 
-		const open = text.indexOf('/*', offset);
-		const nested = open !== -1 && open < close;
-		depth += nested ? 1 : -1;
-		offset = (nested ? open : close) + 2;
+		this.#stopIncomplete();
 	}
 
-	return {end: offset};
-}
+	#quoted(quote: string, kind: TokenKind): Token | undefined {
+		const start = this.#offset + 1;
+		let close = this.text.indexOf(quote, start);
+		let doubled = false;
+		while (close !== -1 && this.text[close + 1] === quote) {
+			doubled = true;
+			close = this.text.indexOf(quote, close + 2);
+		}
 
-function quoted(text: string, start: number, quote: string, kind: TokenKind): Step {
-	let offset = start + 1;
-	for (;;) {
-		const close = text.indexOf(quote, offset);
 		if (close === -1) {
-			return {end: text.length, incomplete: true};
+			this.#stopIncomplete();
+			return undefined;
 		}
 
-		if (text[close + 1] !== quote) {
-			return {end: close + 1, token: {kind, text: text.slice(start + 1, close).replaceAll(quote + quote, quote)}};
+		this.#offset = close + 1;
+		const text = this.text.slice(start, close);
+		return {kind, text: doubled ? text.replaceAll(quote + quote, quote) : text};
+	}
+
+	#escapeString(): Token | undefined {
+		const start = this.#offset + 1;
+		let end = start;
+		while (end < this.text.length) {
+			if (this.text[end] === '\\' || (this.text[end] === '\'' && this.text[end + 1] === '\'')) {
+				end += 2;
+			} else if (this.text[end] === '\'') {
+				// A string that goes on after a line break keeps its escapes.
+				continuation.lastIndex = end + 1;
+				if (!continuation.test(this.text)) {
+					this.#offset = end + 1;
+					return {kind: 'string', text: this.text.slice(start, end)};
+				}
+
+				end = continuation.lastIndex;
+			} else {
+				end++;
+			}
 		}
 
-		offset = close + 2;
+		this.#stopIncomplete();
 	}
-}
 
-function escapeString(text: string, start: number): Step {
-	for (let offset = start + 1; offset < text.length; offset++) {
-		if (text[offset] === '\\') {
-			offset++;
-		} else if (text[offset] === '\'') {
-			if (text[offset + 1] === '\'') {
-				offset++;
-				continue;
+	#dollar(): Token | undefined {
+		const start = this.#offset;
+		if (classAt(this.text, start + 1) === digit) {
+			let end = start + 2;
+			while (classAt(this.text, end) === digit) {
+				end++;
 			}
 
-			// A string that goes on after a line break keeps its escapes.
-			const joined = matchAt(continuation, text, offset + 1);
-			if (joined === undefined) {
-				return {end: offset + 1, token: {kind: 'string', text: text.slice(start + 1, offset)}};
-			}
+			this.#offset = end;
+			return {kind: 'parameter', text: this.text.slice(start, end)};
+		}
 
-			offset += joined.length;
+		dollarTag.lastIndex = start;
+		const tag = dollarTag.exec(this.text)?.[0];
+		if (tag === undefined) {
+			return this.#symbol();
 		}
-	}
 
-	return {end: text.length, incomplete: true};
-}
+		const close = this.text.indexOf(tag, start + tag.length);
+		if (close === -1) {
+			this.#stopIncomplete();
+			return undefined;
+		}
 
-function matchAt(pattern: RegExp, text: string, offset: number): string | undefined {
-	pattern.lastIndex = offset;
-	return pattern.exec(text)?.[0];
+		this.#offset = close + tag.length;
+		return {kind: 'string', text: this.text.slice(start + tag.length, close)};
+	}
+
+	#stopIncomplete(): void {
+		this.#complete = false;
+		this.#offset = this.text.length;
+	}
 }
 
 function lowerCaseAscii(text: string): string {
-	return text.replaceAll(/[A-Z]+/gv, letters => letters.toLowerCase());
+	return /[A-Z]/v.test(text) ? text.replaceAll(/[A-Z]+/gv, letters => letters.toLowerCase()) : text;
 }
--- a/source/routing/statement-classification.spec.ts
+++ b/source/routing/statement-classification.spec.ts
@@ -159,3 +159,15 @@
 		classifyStatements(text);
 	}), {seed: 3, numRuns: 2000});
 });
+
+test('a text that is built for it makes the scanner take longer than in proportion', () => {
+	const parts = 50_000;
+	const texts = [`E'a'${' --'.repeat(parts)}`, `${'/*'.repeat(parts)}${'*/'.repeat(parts)}`, '$a$'.repeat(parts + 1), '\'\''.repeat(parts), `SELECT ${'('.repeat(parts)}`];
+	for (const text of texts) {
+		classifyStatements(text);
+	}
+
+	const values = '(1, \'a\'), '.repeat(parts);
+	assert.equal(accessOf(`VALUES ${values}(nextval(1))`), 'write');
+	assert.equal(classifyStatements(`INSERT INTO t VALUES ${values}(set_config('a', 'b', false))`)[0].kind, 'unsupported');
+});
--- a/source/routing/statement-classification.ts
+++ b/source/routing/statement-classification.ts
@@ -1,6 +1,6 @@
 import {type Access} from '../pool/messages.js';
 import {infixWords, readOnlyFunctions, reservedBeforeBracket} from './read-only-functions.js';
-import {tokenize, type Token} from './sql-tokens.js';
+import {SqlScanner, type Token} from './sql-tokens.js';
 
 /** What one statement does, as far as routing needs it. */
 export type Statement =
@@ -34,12 +34,48 @@
 
 /** Classifies the statements of a query text; what is not surely a read is a write. */
 export function classifyStatements(text: string): readonly Statement[] {
-	const {tokens, complete} = tokenize(text);
-	if (!complete) {
+	const scanner = new SqlScanner(text);
+	const statements: ScannedStatement[] = [];
+	let current = new ScannedStatement();
+	for (let token = scanner.next(); token; token = scanner.next()) {
+		if (token.kind === 'symbol' && token.text === ';') {
+			statements.push(current);
+			current = new ScannedStatement();
+		} else {
+			current.add(token);
+		}
+	}
+
+	if (!scanner.complete) {
 		return [{kind: 'write'}];
 	}
 
-	return splitStatements(tokens).map(statement => classifyStatement(statement));
+	const filled = [...statements, current].filter(({tokens}) => tokens.length > 0);
+	return filled.length > 0 ? filled.map(statement => classifyStatement(statement)) : [{kind: 'empty'}];
+}
+
+// Bounds the memory for a statement with very many values; such a statement counts as a write.
+const largestTokenCount = 50_000;
+
+/** Tokens of one statement, up to the limit. */
+class ScannedStatement {
+	readonly tokens: Token[] = [];
+	truncated = false;
+	refusedFunction: string | undefined;
+	#previous: Token | undefined;
+
+	add(token: Token): void {
+		if (isSymbol(token, '(') && this.#previous?.kind !== 'string' && refusedFunctions.has(this.#previous?.text ?? '')) {
+			this.refusedFunction = this.#previous?.text;
+		}
+
+		this.#previous = token;
+		if (this.tokens.length < largestTokenCount) {
+			this.tokens.push(token);
+		} else {
+			this.truncated = true;
+		}
+	}
 }
 
 /** Returns what statements do as one unit; the access is that of the strongest. */
@@ -77,20 +113,6 @@
 	return alwaysRead.has(statement.kind) || (statement.kind === 'commit' && beginsReadOnly);
 }
 
-function splitStatements(tokens: readonly Token[]): ReadonlyArray<readonly Token[]> {
-	const statements: Token[][] = [[]];
-	for (const token of tokens) {
-		if (token.kind === 'symbol' && token.text === ';') {
-			statements.push([]);
-		} else {
-			statements.at(-1)!.push(token);
-		}
-	}
-
-	const filled = statements.filter(statement => statement.length > 0);
-	return filled.length > 0 ? filled : [[]];
-}
-
 type Classifier = (tokens: readonly Token[]) => Statement;
 
 const refuse = (feature: string): Classifier => () => ({kind: 'unsupported', feature});
@@ -129,14 +151,9 @@
 };
 
 // The first changes the session of a shared connection, the others are how pools control a group.
-const refusedFunctions = ['set_config', 'group_lease', 'group_release', 'group_promise', 'group_promote', 'group_follow'];
-
-function classifyStatement(tokens: readonly Token[]): Statement {
-	if (tokens.length === 0) {
-		return {kind: 'empty'};
-	}
+const refusedFunctions: ReadonlySet<string> = new Set(['set_config', 'group_lease', 'group_release', 'group_promise', 'group_promote', 'group_follow']);
 
-	const refusedFunction = refusedFunctions.find(name => callsFunction(tokens, name));
+function classifyStatement({tokens, truncated, refusedFunction}: ScannedStatement): Statement {
 	if (refusedFunction !== undefined) {
 		return {kind: 'unsupported', feature: refusedFunction};
 	}
@@ -144,7 +161,8 @@
 	// A statement may stand in brackets: (SELECT 1) UNION (SELECT 2).
 	const first = tokens.find(token => token.text !== '(' || token.kind !== 'symbol');
 	const classifier = first?.kind === 'word' && Object.hasOwn(classifiers, first.text) ? classifiers[first.text] : undefined;
-	return classifier?.(tokens) ?? {kind: 'write'};
+	const statement = classifier?.(tokens) ?? {kind: 'write'};
+	return truncated && statement.kind === 'read' ? {kind: 'write'} : statement;
 }
 
 const writingWords = new Set(['insert', 'update', 'delete', 'merge', 'into', 'truncate', 'copy']);
@@ -197,10 +215,6 @@
 	return token.kind === 'symbol' ? token.text === ')' : token.kind !== 'word' || (token.text !== 'by' && !reservedBeforeBracket.has(token.text));
 }
 
-function callsFunction(tokens: readonly Token[], name: string): boolean {
-	return tokens.some((token, index) => token.text === name && token.kind !== 'string' && isSymbol(tokens[index + 1], '('));
-}
-
 function intoTemporary(tokens: readonly Token[]): boolean {
 	return tokens.some((token, index) => isWord(token, 'into') && isTemporary(tokens[index + 1]));
 }
