Seek late reads on another member and close connections that stopped responding

A connection that stops responding for good held its slot until the statement timeout. A read without an answer for the silence time now runs on a second member, and once the monitor connection to a member has stopped responding while a fresh one works, idle connections are checked before use and stuck ones are closed.

--- a/source/database-group/group-state.ts
+++ b/source/database-group/group-state.ts
@@ -30,6 +30,8 @@
 	readonly floors: readonly FreshnessFloor[];
 	/** Members that failed on a fresh connection too. */
 	readonly suspects: ReadonlySet<string>;
+	/** Member whose monitor connection last stopped responding while a fresh one worked. */
+	readonly unresponsiveConnection: string | undefined;
 	/** Time on this pool's clock until which it may use each member. */
 	readonly leases: ReadonlyMap<string, Milliseconds>;
 	readonly ownership: Ownership;
@@ -56,6 +58,7 @@
 		observations: new Map(),
 		floors: [],
 		suspects: new Set(),
+		unresponsiveConnection: undefined,
 		leases: new Map(),
 		ownership: {rank: -1, order: []},
 		yielding: false,
--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -136,7 +136,9 @@
 	}
 
 	#watch(member: GroupMember): void {
-		const {clock, clients, database, holder, timeouts} = this.options;
+		const {
+			board, clock, clients, database, holder, timeouts,
+		} = this.options;
 		const name = member.member;
 		const monitor = new MemberMonitor({
 			clock, client: clients.create(database, name, member.address), holder, timeouts,
@@ -149,6 +151,7 @@
 			},
 			onConnectionReplaced: reason => {
 				this.#record('connection discarded', name, `monitor connection: ${reason}`);
+				board.write('unresponsiveConnection', name);
 			},
 			onSuspected: reason => {
 				this.#suspect(name, reason);
--- a/source/pool/connection-table.ts
+++ b/source/pool/connection-table.ts
@@ -51,6 +51,11 @@
 		for (const name of ['members', 'leases', 'suspects', 'observations'] as const) {
 			this.#cancels.push(board.watch(name, update));
 		}
+
+		// What stopped one connection from responding may have stopped the others to the member too.
+		this.#cancels.push(board.watch('unresponsiveConnection', member => {
+			this.of(member ?? '')?.distrust();
+		}));
 	}
 
 	override stop(): void {
--- a/source/pool/member-connections.ts
+++ b/source/pool/member-connections.ts
@@ -51,6 +51,8 @@
 	#failures = 0;
 	#connectNotBefore: Milliseconds = 0;
 	#generation = 0;
+	/** Connections idle since an earlier time are checked before use. */
+	#trustedSince: Milliseconds = 0;
 
 	constructor(private readonly options: MemberConnectionsOptions) {}
 
@@ -64,8 +66,8 @@
 		for (;;) {
 			const idle = this.#takeIdle();
 			const connection = idle?.connection ?? await this.#wait(deadlineAt);
-			const idleFor = idle ? this.options.clock.now() - idle.since : 0;
-			if (idleFor <= verifyAfter || await this.#verify(connection)) {
+			const isTrusted = !idle || (idle.since >= this.#trustedSince && this.options.clock.now() - idle.since <= verifyAfter);
+			if (isTrusted || await this.#verify(connection)) {
 				return connection;
 			}
 		}
@@ -111,6 +113,20 @@
 		}
 	}
 
+	/** Has the idle connections checked by a round trip before their next use, and closes those that do not finish the exchange in progress within the time that a check may take. */
+	distrust(): void {
+		const {clock, verifyTimeout} = this.options;
+		const since = clock.now();
+		this.#trustedSince = since;
+		clock.schedule(verifyTimeout(), () => {
+			for (const connection of this.#open) {
+				if (connection.busySince !== undefined && connection.busySince < since) {
+					this.discard(connection, 'it stopped responding together with another connection');
+				}
+			}
+		});
+	}
+
 	/** Closes all connections; exchanges in progress fail. */
 	closeAll(reason: string): void {
 		this.#generation++;
--- a/source/pool/read-executor.ts
+++ b/source/pool/read-executor.ts
@@ -21,9 +21,18 @@
 	readonly failedMembers: Set<string>;
 	/** Point that the read needs; undefined while it follows from the stated age at each attempt. */
 	readonly fixedPoint: LogPoint | undefined;
+	/** Called with the member when its answer is late. */
+	readonly onLate: (member: string) => void;
 	mayHaveRun: boolean;
+	/** Whether another run of the read was faster. */
+	isAbandoned: boolean;
+	/** Closes the connection in use. */
+	closeConnection: () => void;
 };
 
+/** Members on which a read runs at the same time when an answer is late. */
+const parallelReads = 2;
+
 /** A result, or undefined when a replica refused the statement as a write. */
 type ReadResult = ExecuteResponse | undefined;
 
@@ -33,7 +42,46 @@
 
 	/** Runs the read on an eligible member; resolves with undefined when a replica refused it as a write. Rejects with a numbered code. */
 	async execute(request: PoolRequest): Promise<ReadResult> {
-		const progress: ReadProgress = {failedMembers: new Set(), fixedPoint: await this.#fixedPoint(request), mayHaveRun: false};
+		const fixedPoint = await this.#fixedPoint(request);
+		return request.transactionId === null ? this.#race(request, fixedPoint) : this.#attempt(request, createProgress(fixedPoint));
+	}
+
+	/** Runs the read; a connection may have stopped responding for good, so a late answer is sought on another member as well. */
+	async #race(request: PoolRequest, fixedPoint: LogPoint | undefined): Promise<ReadResult> {
+		const {retryBudget, metrics, database} = this.context;
+		return new Promise((resolve, reject) => {
+			const runs: ReadProgress[] = [];
+			let failures = 0;
+			const start = (failedMembers: readonly string[]): void => {
+				const progress = createProgress(fixedPoint, failedMembers, member => {
+					if (runs.length < parallelReads && retryBudget.tryRetry()) {
+						metrics.retries.inc({database});
+						start([member]);
+					}
+				});
+				runs.push(progress);
+				void runOnce(progress);
+			};
+
+			const runOnce = async (progress: ReadProgress): Promise<void> => {
+				try {
+					resolve(await this.#attempt(request, progress));
+					for (const other of runs.filter(run => run !== progress)) {
+						abandon(other);
+					}
+				} catch (error) {
+					failures++;
+					if (failures === runs.length) {
+						reject(toBuckthornhitchError(error));
+					}
+				}
+			};
+
+			start([]);
+		});
+	}
+
+	async #attempt(request: PoolRequest, progress: ReadProgress): Promise<ReadResult> {
 		for (;;) {
 			const grant = await this.#takeMember(request, progress);
 			try {
@@ -106,6 +154,10 @@
 
 	#tryMember(request: PoolRequest, progress: ReadProgress, startedAt: Milliseconds): MemberGrant | undefined {
 		const {clock, limits, connectionsOf, slots} = this.context;
+		if (progress.isAbandoned) {
+			throw new BuckthornhitchError('deadlinePassed', 'Another run of the read was faster.');
+		}
+
 		const now = clock.now();
 		const neededPoint = progress.fixedPoint ?? this.#pointOfAge(request, now);
 		if (!neededPoint) {
@@ -163,7 +215,7 @@
 	}
 
 	async #run(request: PoolRequest, grant: MemberGrant, progress: ReadProgress): Promise<ReadResult> {
-		const {board, clock, limits} = this.context;
+		const {board, clock, limits, timeouts} = this.context;
 		const connection = await grant.connections.acquire(request.deadlineAt);
 		if (!mayUseMember(board, grant.status.member, clock.now())) {
 			grant.connections.release(connection);
@@ -173,6 +225,13 @@
 		const needsPoint = progress.fixedPoint !== undefined && request.transactionId === null;
 		const askedAt = clock.now();
 		progress.mayHaveRun = true;
+		progress.closeConnection = () => {
+			grant.connections.discard(connection, 'read: no answer while another member has answered');
+		};
+
+		const cancelLate = clock.schedule(timeouts().silence, () => {
+			progress.onLate(grant.status.member);
+		});
 		try {
 			const sent = needsPoint ? Buffer.concat([request.bytes, statusQueryBytes]) : request.bytes;
 			const [bytes, statusBytes] = await connection.exchange(sent, needsPoint ? 2 : 1, limits().statementTimeout);
@@ -182,6 +241,9 @@
 		} catch (error) {
 			grant.connections.discard(connection, `read: ${toBuckthornhitchError(error).detail}`);
 			throw error;
+		} finally {
+			cancelLate();
+			progress.closeConnection = () => undefined;
 		}
 	}
 
@@ -232,7 +294,7 @@
 			throw progress.mayHaveRun ? outcomeUnknown('The read was sent and its answer was lost.') : failure;
 		}
 
-		if (failure.codeName === 'outcomeUnknown') {
+		if (failure.codeName === 'outcomeUnknown' || progress.isAbandoned) {
 			throw failure;
 		}
 
@@ -250,6 +312,17 @@
 	}
 }
 
+function createProgress(fixedPoint: LogPoint | undefined, failedMembers: readonly string[] = [], onLate: ReadProgress['onLate'] = () => undefined): ReadProgress {
+	return {
+		failedMembers: new Set(failedMembers), fixedPoint, onLate, mayHaveRun: false, isAbandoned: false, closeConnection: () => undefined,
+	};
+}
+
+function abandon(progress: ReadProgress): void {
+	progress.isAbandoned = true;
+	progress.closeConnection();
+}
+
 /** Returns the pool to which a read should go because another one holds all leases, or undefined. */
 export function otherOwner(context: ExecutionContext): string | undefined {
 	const members = [...context.board.read('members').keys()];
--- a/source/postgres-protocol/backend-connection.ts
+++ b/source/postgres-protocol/backend-connection.ts
@@ -11,6 +11,9 @@
 	/** State of the transaction after the latest exchange. */
 	abstract get transactionStatus(): TransactionStatus;
 
+	/** Time at which the exchange in progress began, or undefined without one. */
+	abstract get busySince(): Milliseconds | undefined;
+
 	/**
 	Sends the bytes and resolves with one buffer for each expected ReadyForQuery.
 
--- a/source/postgres-protocol/backend-socket-connector.ts
+++ b/source/postgres-protocol/backend-socket-connector.ts
@@ -13,6 +13,7 @@
 export const longestResponse = 15 * 1024 * 1024;
 
 type Exchange = {
+	readonly startedAt: Milliseconds;
 	readonly readyCount: number;
 	readonly responses: Buffer[];
 	readonly resolve: (responses: readonly Buffer[]) => void;
@@ -50,6 +51,10 @@
 		return this.#status;
 	}
 
+	override get busySince(): Milliseconds | undefined {
+		return this.#exchange?.startedAt;
+	}
+
 	override async exchange(bytes: Buffer, readyCount: number, timeout: Milliseconds): Promise<readonly Buffer[]> {
 		if (this.#closed || this.#exchange) {
 			throw new BuckthornhitchError('linkNotSent', `The connection to ${this.address} is ${this.#closed ? 'closed' : 'in use'}.`);
@@ -60,7 +65,7 @@
 				this.#end(`No complete response within ${Math.round(timeout)} ms.`);
 			});
 			this.#exchange = {
-				readyCount, responses: [], resolve, reject, cancelTimeout, parts: [], length: 0,
+				startedAt: this.clock.now(), readyCount, responses: [], resolve, reject, cancelTimeout, parts: [], length: 0,
 			};
 			this.socket.write(bytes);
 		});
