--- /dev/null
+++ b/source/admission/admission.spec.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {AdmissionQueue} from './admission-queue.js';
+import {RetryBudget} from './retry-budget.js';
+import {reservedWriteSlots, SlotTable} from './slot-table.js';
+
+test('a full queue rejects a request as not run and never attempts it afterwards', async () => {
+	const clock = new ManualClock();
+	const queue = new AdmissionQueue<string>(clock, () => 1);
+	let isOpen = false;
+	const attempted: string[] = [];
+	const enter = async (name: string) => queue.enter({
+		attempt() {
+			attempted.push(name);
+			return isOpen ? name : undefined;
+		},
+		deadlineAt: 1000,
+	});
+	const first = enter('first');
+	await assert.rejects(enter('second'), {codeName: 'queueFull'});
+	isOpen = true;
+	queue.dispatch();
+	assert.equal(await first, 'first');
+	assert.ok(!attempted.includes('second'));
+});
+
+test('a request whose deadline passed is rejected as not run and never admitted later', async () => {
+	const clock = new ManualClock();
+	const queue = new AdmissionQueue<boolean>(clock, () => 10);
+	let isOpen = false;
+	const waiting = queue.enter({attempt: () => isOpen || undefined, deadlineAt: 100});
+	clock.advance(100);
+	isOpen = true;
+	queue.dispatch();
+	await assert.rejects(waiting, {codeName: 'deadlinePassed'});
+	assert.equal(queue.length, 0);
+	await assert.rejects(queue.enter({attempt: () => true, deadlineAt: 100}), {codeName: 'deadlinePassed'});
+});
+
+test('a request does not overtake those that wait, except within an open transaction', async () => {
+	const clock = new ManualClock();
+	const queue = new AdmissionQueue<number>(clock, () => 10);
+	let free = 0;
+	const order: string[] = [];
+	const enter = async (name: string, urgent: boolean): Promise<void> => {
+		await queue.enter({attempt: () => free > 0 ? free-- : undefined, deadlineAt: 1000, urgent});
+		order.push(name);
+	};
+
+	const all = [enter('first', false), enter('second', false), enter('urgent', true)];
+	for (let turn = 0; turn < 3; turn++) {
+		free = 1;
+		queue.dispatch();
+		await Promise.resolve();
+	}
+
+	await Promise.all(all);
+	assert.deepEqual(order, ['urgent', 'first', 'second']);
+});
+
+test('a flood of reads leaves the reserved slots of the primary to writes', () => {
+	const slots = new SlotTable();
+	slots.resize('a', 3);
+	while (slots.free('a', 'read', true) > 0) {
+		slots.take('a', 'read');
+	}
+
+	assert.equal(slots.free('a', 'write', true), 1);
+	assert.deepEqual([1, 2, 3, 6, 9].map(count => reservedWriteSlots(count)), [0, 1, 1, 2, 3]);
+});
+
+test('a slot that is given back twice is counted once', () => {
+	const slots = new SlotTable();
+	slots.resize('a', 3);
+	const release = slots.take('a', 'write');
+	slots.take('a', 'write');
+	release();
+	release();
+	assert.equal(slots.free('a', 'write', true), 2);
+});
+
+test('retries stay within a tenth of the requests, so that they cannot multiply an overload', () => {
+	const clock = new ManualClock();
+	const budget = new RetryBudget(clock);
+	const allowed = (): number => {
+		let count = 0;
+		while (budget.tryRetry()) {
+			count++;
+		}
+
+		return count;
+	};
+
+	assert.equal(allowed(), 10);
+	clock.advance(1000);
+	for (let request = 0; request < 500; request++) {
+		budget.countRequest();
+	}
+
+	assert.equal(allowed(), 50);
+	clock.advance(500);
+	assert.equal(allowed(), 0);
+	clock.advance(600);
+	assert.equal(allowed(), 10);
+});
--- /dev/null
+++ b/source/database-group/group-fake.ts
@@ -0,0 +1,179 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Address} from '../links/address.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {MemberClient, MemberClientFactory} from './member-client.js';
+import {type MemberRole, type MemberStatus} from './types.js';
+
+/** A member of a group in memory, for tests of the controllers. */
+export class FakeMember {
+	promisedTerm = 0;
+	logTerm = 0;
+	position = 0;
+	appliedPosition: number | undefined;
+	role: MemberRole = 'replica';
+	primaryTerm = 0;
+	primaryMember = '';
+	leaseHolder = '';
+	leaseUntil: Milliseconds = 0;
+	/** Whether calls on connections opened before the last reset get an answer. */
+	isSilent = false;
+	/** Whether calls on fresh connections get no answer either. */
+	isUnreachable = false;
+	/** Names of the calls received. */
+	readonly calls: string[] = [];
+
+	constructor(readonly name: string, private readonly clock: Clock) {}
+
+	status(): MemberStatus {
+		const {name, promisedTerm, logTerm, position, appliedPosition, role, primaryTerm, primaryMember, leaseHolder} = this;
+		return {
+			member: name,
+			promisedTerm,
+			logTerm,
+			receivedPosition: position,
+			appliedPosition: appliedPosition ?? position,
+			role,
+			primaryTerm,
+			primaryMember,
+			acceptingWrites: role === 'primary' && promisedTerm === primaryTerm,
+			slots: 3,
+			connectionLimit: 45,
+			connections: 1,
+			leaseHolder: this.leaseUntil > this.clock.now() ? leaseHolder : '',
+			leaseRemaining: Math.max(0, this.leaseUntil - this.clock.now()),
+		};
+	}
+
+	lease(holder: string, duration: Milliseconds): void {
+		refuseIf(this.leaseHolder !== holder && this.leaseUntil > this.clock.now());
+		this.leaseHolder = holder;
+		this.leaseUntil = this.clock.now() + duration;
+	}
+
+	promise(term: number): void {
+		refuseIf(term <= this.promisedTerm);
+		this.promisedTerm = term;
+	}
+
+	promote(term: number): void {
+		refuseIf(term !== this.promisedTerm);
+		this.role = 'primary';
+		this.primaryTerm = term;
+		this.primaryMember = this.name;
+		this.logTerm = term;
+		this.position++;
+	}
+
+	follow(term: number, primary: FakeMember): void {
+		refuseIf(term < this.promisedTerm);
+		this.promisedTerm = term;
+		this.role = 'replica';
+		this.primaryTerm = term;
+		this.primaryMember = primary.name;
+		this.logTerm = primary.logTerm;
+		this.position = primary.position;
+	}
+}
+
+/** Group of three members in memory. */
+export class FakeGroup extends MemberClientFactory {
+	readonly members: ReadonlyMap<string, FakeMember>;
+
+	constructor(private readonly clock: Clock, names: readonly string[] = ['a', 'b', 'c']) {
+		super();
+		this.members = new Map(names.map(name => [name, new FakeMember(name, clock)]));
+	}
+
+	member(name: string): FakeMember {
+		return this.members.get(name)!;
+	}
+
+	/** Makes the member primary of the term and the others its followers. */
+	establish(primary: string, term: number): void {
+		for (const member of this.members.values()) {
+			member.promise(term);
+		}
+
+		this.member(primary).promote(term);
+		for (const member of this.members.values()) {
+			if (member.name !== primary) {
+				member.follow(term, this.member(primary));
+			}
+		}
+	}
+
+	override create(_database: string, member: string): MemberClient {
+		return new FakeMemberClient(this.clock, this, this.member(member));
+	}
+}
+
+class FakeMemberClient extends MemberClient {
+	#isFresh = true;
+
+	constructor(private readonly clock: Clock, private readonly group: FakeGroup, private readonly target: FakeMember) {
+		super();
+	}
+
+	override async status(timeout: Milliseconds): Promise<MemberStatus> {
+		return this.#call('status', timeout, () => undefined);
+	}
+
+	override async acquireLease(holder: string, duration: Milliseconds, timeout: Milliseconds): Promise<MemberStatus> {
+		return this.#call('lease', timeout, () => {
+			this.target.lease(holder, duration);
+		});
+	}
+
+	override async releaseLease(_holder: string, timeout: Milliseconds): Promise<MemberStatus> {
+		return this.#call('release', timeout, () => {
+			this.target.leaseUntil = 0;
+		});
+	}
+
+	override async promise(term: number, timeout: Milliseconds): Promise<MemberStatus> {
+		return this.#call('promise', timeout, () => {
+			this.target.promise(term);
+		});
+	}
+
+	override async promote(term: number, timeout: Milliseconds): Promise<MemberStatus> {
+		return this.#call('promote', timeout, () => {
+			this.target.promote(term);
+		});
+	}
+
+	override async follow(term: number, primary: string, _address: Address, timeout: Milliseconds): Promise<MemberStatus> {
+		return this.#call('follow', timeout, () => {
+			this.target.follow(term, this.group.member(primary));
+		});
+	}
+
+	override reset(): void {
+		this.#isFresh = true;
+	}
+
+	override close(): void {
+		this.reset();
+	}
+
+	async #call(name: string, timeout: Milliseconds, action: () => void): Promise<MemberStatus> {
+		const {target} = this;
+		target.calls.push(name);
+		if (target.isUnreachable || (target.isSilent && !this.#isFresh)) {
+			this.#isFresh = false;
+			await this.clock.sleep(timeout);
+			throw new BuckthornhitchError('memberUnreachable', target.name);
+		}
+
+		this.#isFresh = false;
+		await Promise.resolve();
+		action();
+		return target.status();
+	}
+}
+
+function refuseIf(condition: boolean): void {
+	if (condition) {
+		throw new BuckthornhitchError('memberRefused', 'refused');
+	}
+}
--- /dev/null
+++ b/source/pool/member-connections.spec.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {serialize} from 'pg-protocol';
+import {ManualClock} from '../clock/manual-clock.js';
+import {FakeGroup} from '../database-group/group-fake.js';
+import {SeededRandom} from '../random/random.js';
+import {FakeConnector} from './backend-fake.js';
+import {MemberConnections} from './member-connections.js';
+
+function createConnections(limit = 2) {
+	const clock = new ManualClock();
+	const connector = new FakeConnector(clock, new FakeGroup(clock));
+	const discarded: string[] = [];
+	const connections = new MemberConnections({
+		address: 'a',
+		database: 'd',
+		applicationName: 'n',
+		connector,
+		clock,
+		random: new SeededRandom(1),
+		limit: () => limit,
+		connectTimeout: () => 400,
+		verifyTimeout: () => 600,
+		onDiscarded(reason) {
+			discarded.push(reason);
+		},
+		onConnectFailed: () => undefined,
+	});
+	return {
+		clock, connector, connections, discarded,
+	};
+}
+
+const statement = serialize.query('SELECT 1');
+
+test('a connection with an unfinished or overdue exchange is closed and never used again', async () => {
+	const {clock, connector, connections} = createConnections();
+	const first = await connections.acquire(1000);
+	connector.answerFault = 'withheld';
+	const exchange = assert.rejects(first.exchange(statement, 1, 300), {codeName: 'memberUnreachable'});
+	await clock.advanceInSteps(300, 100);
+	await exchange;
+	connections.release(first);
+	assert.equal(first.closed, true);
+	assert.notEqual(await connections.acquire(1000), first);
+});
+
+test('a connection that is given back within a transaction is closed, so that transactions never mix', async () => {
+	const {connections} = createConnections();
+	const first = await connections.acquire(1000);
+	await first.exchange(serialize.query('BEGIN'), 1, 300);
+	connections.release(first);
+	assert.equal(first.closed, true);
+	assert.notEqual(await connections.acquire(1000), first);
+});
+
+test('a connection that stopped responding while idle is found by a round trip before it carries a statement', async () => {
+	const {clock, connector, connections, discarded} = createConnections();
+	const first = await connections.acquire(1000);
+	connections.release(first);
+	clock.advance(6000);
+	connector.answerFault = 'withheld';
+	const acquired = connections.acquire(20_000);
+	await clock.advanceInSteps(600, 100);
+	connector.answerFault = 'none';
+	assert.notEqual(await acquired, first);
+	assert.equal(discarded.length, 1);
+});
+
+test('no more connections are opened than the member accepts', async () => {
+	const {clock, connector, connections} = createConnections(2);
+	const first = await connections.acquire(1000);
+	await connections.acquire(1000);
+	const third = connections.acquire(1000);
+	const fourth = assert.rejects(connections.acquire(500), {codeName: 'deadlinePassed'});
+	connections.release(first);
+	assert.equal(await third, first);
+	await clock.advanceInSteps(500, 100);
+	await fourth;
+	assert.equal(connector.connections.length, 2);
+});
+
+test('connections that are busy since before another one stopped responding are closed when they do not finish', async () => {
+	const {clock, connector, connections} = createConnections();
+	const stuck = await connections.acquire(1000);
+	connector.answerFault = 'withheld';
+	const exchange = assert.rejects(stuck.exchange(statement, 1, 60_000), {codeName: 'memberUnreachable'});
+	clock.advance(1);
+	connections.distrust();
+	await clock.advanceInSteps(600, 100);
+	await exchange;
+	assert.equal(stuck.closed, true);
+});
--- /dev/null
+++ b/source/pool/pool-process.spec.ts
@@ -0,0 +1,209 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {FakeGroup} from '../database-group/group-fake.js';
+import {LinkClient} from '../links/link-client.js';
+import {StaticInstanceDirectory} from '../membership/instance-directory.js';
+import {ownershipOrder} from '../ownership/rendezvous.js';
+import {FakeConnector} from './backend-fake.js';
+import {
+	poolRecord, startTestPool, testDatabase, type TestPool,
+} from './pool-fixture.js';
+
+const addresses = ['a', 'b', 'c'].map(name => ({name, address: name}));
+
+async function startPool() {
+	const clock = new ManualClock();
+	const group = new FakeGroup(clock);
+	group.establish('a', 1);
+	const connector = new FakeConnector(clock, group);
+	const pool = startTestPool({clock, backends: {connector, clients: group}});
+	await pool.announce(addresses);
+	await clock.advanceInSteps(500, 10);
+	return {
+		clock, group, connector, pool, keepAnnouncing: async (duration: number) => advanceAnnounced(clock, [pool], duration),
+	};
+}
+
+async function advanceAnnounced(clock: ManualClock, pools: readonly TestPool[], duration: number): Promise<void> {
+	for (let passed = 0; passed < duration; passed += 1000) {
+		await Promise.all(pools.map(async pool => pool.announce(addresses)));
+		await clock.advanceInSteps(Math.min(1000, duration - passed), 10);
+	}
+}
+
+const rejectsWith = async (response: Promise<unknown>, codeName: string) => assert.rejects(response, {codeName});
+
+test('a write on an isolated primary is never acknowledged', async () => {
+	const {connector, pool, keepAnnouncing} = await startPool();
+	connector.isReplicating = false;
+	const write = rejectsWith(pool.execute('INSERT 1', {deadline: 1000}), 'outcomeUnknown');
+	await keepAnnouncing(7000);
+	await write;
+	assert.equal(connector.count('INSERT 1'), 1);
+});
+
+test('a write on a primary that is superseded before a majority has it is not acknowledged', async () => {
+	const {clock, group, connector, pool} = await startPool();
+	connector.isReplicating = false;
+	const write = rejectsWith(pool.execute('INSERT 1'), 'outcomeUnknown');
+	await clock.advanceInSteps(20, 1);
+	for (const name of ['b', 'c']) {
+		group.member(name).promise(9);
+	}
+
+	group.member('b').promote(9);
+	group.member('c').follow(9, group.member('b'));
+	await clock.advanceInSteps(400, 10);
+	await write;
+});
+
+test('a write whose answer was lost is reported as unknown and not sent again', async () => {
+	const {clock, connector, pool} = await startPool();
+	connector.answerFault = 'lost';
+	const write = rejectsWith(pool.execute('INSERT 1'), 'outcomeUnknown');
+	await clock.advanceInSteps(20, 1);
+	connector.answerFault = 'none';
+	await clock.advanceInSteps(2000, 10);
+	await write;
+	assert.equal(connector.count('INSERT 1'), 1);
+});
+
+test('a read whose answer was lost is sent to another member', async () => {
+	const {clock, connector, pool} = await startPool();
+	connector.answerFault = 'lost';
+	const read = pool.execute('SELECT 1', {access: 'read', neededPoint: {term: 1, position: 1}});
+	await clock.advanceInSteps(1, 1);
+	connector.answerFault = 'none';
+	await clock.advanceInSteps(100, 1);
+	const {servedByRole} = await read;
+	assert.equal(servedByRole, 'replica');
+	assert.deepEqual(connector.executed.map(text => text.charAt(0)).toSorted((first, second) => first.localeCompare(second)), ['b', 'c']);
+});
+
+test('a write without a primary is rejected as not run and does not run later', async () => {
+	const {group, connector, pool, keepAnnouncing} = await startPool();
+	for (const member of group.members.values()) {
+		member.isUnreachable = true;
+	}
+
+	await keepAnnouncing(1500);
+	const write = rejectsWith(pool.execute('INSERT 1', {deadline: 500}), 'noPrimary');
+	await keepAnnouncing(600);
+	await write;
+	for (const member of group.members.values()) {
+		member.isUnreachable = false;
+	}
+
+	await keepAnnouncing(3000);
+	assert.equal(connector.count('INSERT 1'), 0);
+});
+
+test('a member whose lease lapsed gets no statement, and its connections are closed', async () => {
+	const {clock, group, connector, pool, keepAnnouncing} = await startPool();
+	group.member('b').isUnreachable = true;
+	group.member('c').isUnreachable = true;
+	await keepAnnouncing(1200);
+	assert.ok(connector.connections.filter(({member}) => member.name !== 'a').every(({closed}) => closed));
+	const read = pool.execute('SELECT 1', {access: 'read', maximumAge: 5000});
+	await clock.advanceInSteps(100, 10);
+	const {servedBy} = await read;
+	assert.equal(servedBy, 'a');
+});
+
+test('a read with a stated age is rejected once no majority has answered for that long', async () => {
+	const {group, pool, keepAnnouncing} = await startPool();
+	group.member('b').isUnreachable = true;
+	group.member('c').isUnreachable = true;
+	await keepAnnouncing(3000);
+	const read = rejectsWith(pool.execute('SELECT 1', {access: 'read', maximumAge: 2000, deadline: 100}), 'noFreshMember');
+	await keepAnnouncing(200);
+	await read;
+});
+
+test('a leaving member gets no new statement', async () => {
+	const {clock, connector, pool} = await startPool();
+	await pool.announce(addresses, ['b']);
+	const reads = Array.from({length: 6}, async () => pool.execute('SELECT 1', {access: 'read', maximumAge: 5000}));
+	await clock.advanceInSteps(100, 10);
+	await Promise.all(reads);
+	assert.equal(connector.executed.filter(text => text.startsWith('b')).length, 0);
+});
+
+test('a leaving primary hands its role over without a rejected write', async () => {
+	const {clock, group, pool} = await startPool();
+	await pool.announce(addresses, ['a']);
+	const write = pool.execute('INSERT 1');
+	await clock.advanceInSteps(500, 10);
+	const {servedBy} = await write;
+	assert.notEqual(servedBy, 'a');
+	assert.equal(group.member('a').role, 'replica');
+});
+
+test('a statement of a lost transaction is not run on its own', async () => {
+	const {clock, connector, pool} = await startPool();
+	const begin = pool.execute('BEGIN', {transactionId: 't'});
+	await clock.advanceInSteps(50, 10);
+	await begin;
+	await pool.server.request('closeTransaction', {database: testDatabase, transactionId: 't'});
+	await rejectsWith(pool.execute('INSERT 1', {transactionId: 't'}), 'transactionLost');
+	await rejectsWith(pool.execute('INSERT 2', {transactionId: 'unknown'}), 'transactionLost');
+	assert.equal(connector.count('INSERT'), 0);
+});
+
+test('a commit whose answer was lost is reported as unknown, other statements as a lost transaction', async () => {
+	const {clock, connector, pool} = await startPool();
+	for (const [id, statement, codeName] of [['t1', 'COMMIT', 'outcomeUnknown'], ['t2', 'SELECT 1', 'transactionLost']]) {
+		const begin = pool.execute('BEGIN', {transactionId: id});
+		await clock.advanceInSteps(50, 10);
+		await begin;
+		connector.answerFault = 'lost';
+		const statementEnd = rejectsWith(pool.execute(statement, {transactionId: id}), codeName);
+		await clock.advanceInSteps(20, 1);
+		connector.answerFault = 'none';
+		await statementEnd;
+	}
+});
+
+class LocalLinkClient extends LinkClient {
+	readonly pools = new Map<string, TestPool>();
+
+	override async request(address: string, name: string, body: unknown): Promise<unknown> {
+		return this.pools.get(address)?.server.request(name, body);
+	}
+
+	override notify(): void {
+		throw new Error('The test sends no notices.');
+	}
+}
+
+test('a pool that becomes the owner gets the leases from the holder, and only one pool serves at a time', async () => {
+	const clock = new ManualClock();
+	const group = new FakeGroup(clock);
+	group.establish('a', 1);
+	const backends = {connector: new FakeConnector(clock, group), clients: group};
+	const [owner, second] = ownershipOrder(testDatabase, [poolRecord('pool-1'), poolRecord('pool-2')], 'chc-a');
+	const linkClient = new LocalLinkClient();
+	const directory = new StaticInstanceDirectory([second]);
+	const start = (record: typeof owner): TestPool => {
+		const pool = startTestPool({
+			name: record.name, clock, backends, linkClient, directory,
+		});
+		linkClient.pools.set(record.linkAddress, pool);
+		return pool;
+	};
+
+	const secondPool = start(second);
+	const pools = [secondPool];
+	await advanceAnnounced(clock, pools, 1000);
+	assert.equal(secondPool.pool.status().databases[0].leaseHeld, true);
+	directory.replace([owner, second]);
+	const ownerPool = start(owner);
+	pools.push(ownerPool);
+	await advanceAnnounced(clock, pools, 3000);
+	assert.equal(ownerPool.pool.status().databases[0].leaseHeld, true);
+	await assert.rejects(secondPool.execute('INSERT 1'), {codeName: 'notOwner', detail: owner.name});
+	const write = ownerPool.execute('INSERT 2');
+	await clock.advanceInSteps(50, 10);
+	await write;
+});
--- /dev/null
+++ b/source/postgres-protocol/backend-messages.spec.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {BackendMessageSplitter} from './backend-message-splitter.js';
+import {findErrorInResponse} from './backend-rows.js';
+import {continueStartup} from './backend-startup.js';
+import {
+	buildCommandComplete, buildErrorResponse, buildMessage, buildReadyForQuery, readTransactionStatus,
+} from './error-response.js';
+
+test('messages cut at any byte are put together again without loss', () => {
+	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 40}), {minLength: 1, maxLength: 8}), fc.array(fc.integer({min: 1, max: 30}), {minLength: 1}), (bodies, cuts) => {
+		const stream = Buffer.concat(bodies.map(body => buildMessage('D', Buffer.from(body))));
+		const splitter = new BackendMessageSplitter();
+		const received: Buffer[] = [];
+		let offset = 0;
+		for (let index = 0; offset < stream.length; index++) {
+			const end = offset + cuts[index % cuts.length];
+			received.push(...splitter.push(stream.subarray(offset, end)).map(({body}) => Buffer.from(body)));
+			offset = end;
+		}
+
+		assert.deepEqual(received, bodies.map(body => Buffer.from(body)));
+	}), {seed: 3});
+});
+
+test('a message with an impossible or excessive length is rejected and not waited for', () => {
+	assert.throws(() => new BackendMessageSplitter().push(Buffer.from([0x44, 0, 0, 0, 3])), {codeName: 'malformedMessage'});
+	assert.throws(() => new BackendMessageSplitter(100).push(Buffer.from([0x44, 0, 0, 1, 0])), {codeName: 'messageTooLarge'});
+});
+
+test('an error is found among the messages of a response', () => {
+	const response = Buffer.concat([buildErrorResponse({severity: 'ERROR', sqlState: '25006', message: 'read only'}), buildReadyForQuery('failed')]);
+	assert.deepEqual(findErrorInResponse(response), {sqlState: '25006', message: 'read only'});
+	assert.equal(findErrorInResponse(buildCommandComplete('INSERT 0 1')), undefined);
+	assert.equal(readTransactionStatus(response.subarray(-1)), 'failed');
+});
+
+test('a password is sent only when one is configured, and never for an unsupported method', () => {
+	const request = (method: number) => new BackendMessageSplitter().push(buildMessage('R', Buffer.from([0, 0, 0, method])))[0];
+	assert.equal(continueStartup(request(3), {user: 'u', password: 'p'}).kind, 'send');
+	assert.equal(continueStartup(request(0), {user: 'u', password: null}).kind, 'wait');
+	assert.throws(() => continueStartup(request(3), {user: 'u', password: null}), {codeName: 'linkNotSent'});
+	assert.throws(() => continueStartup(request(5), {user: 'u', password: 'p'}), {codeName: 'linkNotSent'});
+});
