--- a/source/control-log/leadership.ts
+++ b/source/control-log/leadership.ts
@@ -153,14 +153,14 @@
 		return this.#options.clock.now() - this.#acknowledgedAt(voterKey(identity)) < within;
 	}
 
-	/** Returns what a change of the list is decided by. */
-	changeQuestion(): ChangeQuestion {
+	/** Returns what a change of the list is decided by; the round index is the commit index up to which a learner must have caught up. */
+	changeQuestion(roundIndex: number): ChangeQuestion {
 		const {log, commitIndex} = this.state;
 		return {
 			list: log.list,
 			listCommitted: commitIndex >= log.listIndex,
 			openingCommitted: this.openingCommitted,
-			commitIndex,
+			roundIndex,
 			matchIndex: this.#matchIndex,
 			live: new Set(log.list.voters.filter(voter => this.heardFrom(voter, this.timing.lease)).map(voter => voterKey(voter))),
 		};
--- a/source/control-log/log-rules.ts
+++ b/source/control-log/log-rules.ts
@@ -113,15 +113,16 @@
 	readonly listCommitted: boolean;
 	/** Whether the leader has committed an entry of its own term. */
 	readonly openingCommitted: boolean;
-	readonly commitIndex: number;
+	/** Commit index at the start of the present round of catching up. Under load a learner never holds the very last entry, so that it cannot be asked for. */
+	readonly roundIndex: number;
 	readonly matchIndex: (key: string) => number;
 	/** Voters that acknowledged the leader within its lease, the leader included. */
 	readonly live: ReadonlySet<string>;
 };
 
-/** Returns whether a learner holds every committed entry. */
+/** Returns whether a learner holds every entry that was committed when the round began. */
 export function isCaughtUp(question: ChangeQuestion, learner: VoterIdentity): boolean {
-	return question.matchIndex(voterKey(learner)) >= question.commitIndex;
+	return question.matchIndex(voterKey(learner)) >= question.roundIndex;
 }
 
 /** Returns whether the list may change at all: one change at a time, by a leader that has committed in its own term. */
--- a/source/control-log/voter-repair.ts
+++ b/source/control-log/voter-repair.ts
@@ -13,6 +13,10 @@
 	readonly #cancel: Cancel;
 	/** New identities found, by the key of the lost one. */
 	readonly #found = new Map<string, VoterRecord>();
+	/** Commit index at the last check. */
+	#checkedIndex = Number.POSITIVE_INFINITY;
+	/** Commit index at the check before it, up to which a learner must have caught up. */
+	#roundIndex = Number.POSITIVE_INFINITY;
 	#changing = false;
 	#stopped = false;
 
@@ -37,6 +41,8 @@
 			}
 		}
 
+		this.#roundIndex = this.#checkedIndex;
+		this.#checkedIndex = this.state.commitIndex;
 		void this.#change();
 	}
 
@@ -85,7 +91,7 @@
 	}
 
 	#nextList(): VoterList | undefined {
-		const question = this.leadership.changeQuestion();
+		const question = this.leadership.changeQuestion(this.#roundIndex);
 		const {list} = question;
 		if (!mayChangeList(question)) {
 			return undefined;
@@ -108,7 +114,7 @@
 	}
 
 	#nextListWithoutLost(): VoterList | undefined {
-		const question = this.leadership.changeQuestion();
+		const question = this.leadership.changeQuestion(this.#roundIndex);
 		for (const voter of question.list.voters) {
 			const replacement = this.#found.get(voterKey(voter));
 			const list = replacement && listWithoutLost(question, voter, replacement);
--- a/source/control/control-test-group.ts
+++ b/source/control/control-test-group.ts
@@ -54,7 +54,7 @@
 		}
 
 		return new Promise((resolve, reject) => {
-			clock.schedule(timeout, () => {
+			const cancel = clock.schedule(timeout, () => {
 				reject(new BuckthornhitchError('linkOutcomeUnknown', address));
 			});
 			if (!this.network.delivers(this.from, address)) {
@@ -68,6 +68,7 @@
 					}
 
 					clock.schedule(latency, () => {
+						cancel();
 						if (message instanceof BuckthornhitchError) {
 							reject(errorFromCode(message.code, message.detail));
 						} else {
