--- a/source/entry/pool-router.spec.ts
+++ b/source/entry/pool-router.spec.ts
@@ -79,11 +79,13 @@
 });
 
 test('"not run" is claimed though an earlier attempt may have run', async () => {
-	for (const later of ['queueFull', 'noPrimary', 'linkNotSent', 'requestIdExpired'] as const) {
+	for (const later of ['queueFull', 'noPrimary', 'linkNotSent'] as const) {
 		const result = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : later);
 		assert.equal(result.code, 'outcomeUnknown', later);
 	}
 
+	const expired = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : 'requestIdExpired');
+	assert.deepEqual([expired.code, resultCodes.requestIdExpired.execution], ['requestIdExpired', 'unknown']);
 	const abandoned = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : 'requestAbandoned');
 	assert.equal(abandoned.code, 'requestAbandoned');
 });
