--- /dev/null
+++ b/bench/pool-scale.ts
@@ -0,0 +1,239 @@
+import {fork, type ChildProcess} from 'node:child_process';
+import {Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {
+	array, command, flag, multioption, number, option, run,
+} from 'cmd-ts';
+import {StaticConfigurationSource} from '../source/configuration/configuration-source.js';
+import {type DeploymentConfiguration} from '../source/configuration/types.js';
+import {StaticInstanceDirectory} from '../source/membership/instance-directory.js';
+import {PoolProcess} from '../source/pool/pool-process.js';
+import {LocalServices} from '../stand-in/local-services.js';
+import {type HostAnswer, type HostCommand} from './member-host.js';
+
+const membersPerDatabase = 3;
+const settleTime = 4000;
+const announcementPeriod = 2000;
+const promotionLimit = 30_000;
+
+type Measurement = {
+	readonly measure: string;
+	readonly size: number;
+	readonly value: number;
+	readonly unit: string;
+	readonly method: string;
+};
+
+async function pause(duration: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, duration);
+	});
+}
+
+/** A separate process with the stand-in members, so that their cost is not counted. */
+class MemberHost {
+	readonly #child: ChildProcess = fork(fileURLToPath(new URL('member-host.js', import.meta.url)));
+
+	async send(hostCommand: HostCommand): Promise<HostAnswer> {
+		return new Promise(resolve => {
+			this.#child.once('message', answer => {
+				resolve(answer as HostAnswer);
+			});
+			this.#child.send(hostCommand);
+		});
+	}
+
+	close(): void {
+		this.#child.kill();
+	}
+}
+
+function databaseName(index: number): string {
+	return `database-${index + 1}`;
+}
+
+function memberNames(database: string): readonly string[] {
+	return Array.from({length: membersPerDatabase}, (_, index) => `${database}-member-${index + 1}`);
+}
+
+function createConfiguration(count: number): StaticConfigurationSource {
+	const databases = Array.from({length: count}, (_, index) => databaseName(index));
+	const deployment: DeploymentConfiguration = {
+		deployment: 'scale',
+		places: [{name: 'place', region: 'region'}],
+		databases: databases.map(name => ({
+			name, service: 'scale', place: 'place', memberCount: membersPerDatabase, slots: 3, connections: 45, connectTime: 0,
+		})),
+		limits: {
+			queueLength: 1000, requestDeadline: 5000, statementTimeout: 30_000, replicaWait: 50, requestIdRetention: 86_400_000, callersPerEntry: 12_000, drainTime: 1000,
+		},
+		timeouts: {
+			heartbeat: 200, silence: 600, freshConnection: 400, lease: 1000, promotionStagger: 500,
+		},
+	};
+	return new StaticConfigurationSource({revision: 1, files: {}, memberSets: Object.fromEntries(databases.map(name => [name, memberNames(name)]))}, deployment);
+}
+
+/** Bytes sent and received on all open sockets of this process. */
+function bytesOnSockets(): number {
+	const handles = (process as unknown as {_getActiveHandles(): readonly unknown[]})._getActiveHandles();
+	let bytes = 0;
+	for (const handle of handles) {
+		if (handle instanceof Socket) {
+			bytes += handle.bytesRead + handle.bytesWritten;
+		}
+	}
+
+	return bytes;
+}
+
+/** One pool that owns a number of idle databases. */
+class ScaleRun {
+	readonly #host = new MemberHost();
+	readonly #services = new LocalServices('pool-1', 'place', 1, undefined);
+	readonly #configuration: StaticConfigurationSource;
+	readonly #pool: PoolProcess;
+	readonly #databases: readonly string[];
+	#announcing: ReturnType<typeof setInterval> | undefined;
+
+	constructor(private readonly count: number, private readonly duration: number) {
+		this.#databases = Array.from({length: count}, (_, index) => databaseName(index));
+		this.#configuration = createConfiguration(count);
+		const directory = new StaticInstanceDirectory([{
+			name: 'pool-1', role: 'pool', instance: 'pool-1', dataCentre: 'place', region: 'region', linkAddress: '127.0.0.1:1', gossipAddress: '127.0.0.1:1', incarnation: 1, state: 'alive', configurationRevision: 1,
+		}]);
+		this.#pool = new PoolProcess(this.#services, directory, this.#configuration);
+	}
+
+	async measure(promotions: readonly number[]): Promise<readonly Measurement[]> {
+		const memoryBefore = memoryNow();
+		const address = await this.#services.listen();
+		this.#pool.start();
+		const names = this.#databases.flatMap(database => memberNames(database));
+		const {addresses} = await this.#host.send({kind: 'start', names});
+		await this.#announce(address, addresses);
+		this.#announcing = setInterval(() => {
+			void this.#announce(address, addresses);
+		}, announcementPeriod);
+		await this.#waitUntilWritable(this.#databases);
+		await pause(settleTime);
+		const idle = await this.#measureIdle(memoryBefore);
+		const gaps: Measurement[] = [];
+		for (const size of promotions.filter(number => number <= this.count)) {
+			gaps.push(...await this.#measurePromotions(size));
+		}
+
+		await this.#stop();
+		return [...idle, ...gaps];
+	}
+
+	async #measureIdle(memoryBefore: number): Promise<readonly Measurement[]> {
+		const method = `one pool process, ${this.count} databases of 3 stand-in members in another process, ${this.duration / 1000} s without statements`;
+		const processorBefore = process.cpuUsage();
+		const bytesBefore = bytesOnSockets();
+		const start = performance.now();
+		await pause(this.duration);
+		const seconds = (performance.now() - start) / 1000;
+		const {user, system} = process.cpuUsage(processorBefore);
+		return [
+			{
+				measure: 'pool processor share', size: this.count, value: (user + system) / 1e6 / seconds, unit: 'core', method,
+			},
+			{
+				measure: 'pool traffic with members', size: this.count, value: (bytesOnSockets() - bytesBefore) / seconds, unit: 'byte/s', method,
+			},
+			{
+				measure: 'pool memory', size: this.count, value: memoryNow() - memoryBefore, unit: 'byte', method,
+			},
+		];
+	}
+
+	async #measurePromotions(size: number): Promise<readonly Measurement[]> {
+		const databases = this.#databases.slice(0, size);
+		const primaries = databases.map(database => this.#primaryOf(database));
+		await this.#host.send({kind: 'stop', names: primaries});
+		const start = performance.now();
+		const waits: number[] = [];
+		await Promise.all(databases.map(async (database, index) => {
+			await this.#waitUntilPrimaryIsNot(database, primaries[index]);
+			waits.push(performance.now() - start);
+		}));
+		await this.#host.send({kind: 'start', names: primaries});
+		await this.#waitUntilWritable(databases);
+		await pause(settleTime);
+		const sorted = waits.toSorted((first, second) => first - second);
+		const method = `primaries of ${size} of ${this.count} databases stopped together; time until each has a new primary that takes writes`;
+		return [
+			{
+				measure: 'promotion time, median', size, value: sorted[Math.floor(sorted.length / 2)], unit: 'ms', method,
+			},
+			{
+				measure: 'promotion time, longest', size, value: sorted.at(-1)!, unit: 'ms', method,
+			},
+		];
+	}
+
+	#primaryOf(database: string): string {
+		return this.#pool.status().databases.find(report => report.database === database)!.primary!;
+	}
+
+	async #waitUntilPrimaryIsNot(database: string, former: string): Promise<void> {
+		const limit = performance.now() + promotionLimit;
+		for (;;) {
+			const primary = this.#pool.status().databases.find(report => report.database === database)?.primary;
+			if ((primary ?? former) !== former || performance.now() > limit) {
+				return;
+			}
+
+			await pause(5);
+		}
+	}
+
+	async #waitUntilWritable(databases: readonly string[]): Promise<void> {
+		await Promise.all(databases.map(async database => this.#pool.serviceOf(database).whenWritable(promotionLimit)));
+	}
+
+	async #announce(pool: string, addresses: Readonly<Record<string, string>>): Promise<void> {
+		await Promise.all(this.#databases.flatMap(database => memberNames(database).map(async member => this.#services.linkClient.request(pool, 'announce', {
+			database, member, address: addresses[member], dataCentre: 'place', leaving: false,
+		}, announcementPeriod).catch(() => undefined))));
+	}
+
+	async #stop(): Promise<void> {
+		clearInterval(this.#announcing);
+		this.#pool.stop();
+		await this.#services.close();
+		this.#host.close();
+	}
+}
+
+function memoryNow(): number {
+	globalThis.gc?.();
+	return process.memoryUsage.rss();
+}
+
+const program = command({
+	name: 'pool-scale',
+	description: 'measures the cost of watching databases and the time of promotions by number of databases',
+	args: {
+		json: flag({long: 'json', description: 'one JSON object a line'}),
+		sizes: multioption({
+			type: array(number), long: 'size', description: 'number of databases; may be given several times', defaultValue: () => [3, 30, 300],
+		}),
+		seconds: option({
+			type: number, long: 'seconds', description: 'time of each idle measurement', defaultValue: () => 10,
+		}),
+	},
+	async handler({json, sizes, seconds}) {
+		for (const size of sizes) {
+			const scaleRun = new ScaleRun(size, seconds * 1000);
+			for (const measurement of await scaleRun.measure([1, 10, 50])) {
+				console.log(json ? JSON.stringify(measurement) : `${measurement.measure}, ${measurement.size}: ${measurement.value.toPrecision(4)} ${measurement.unit}`);
+			}
+		}
+	},
+});
+
+await run(program, process.argv.slice(2));
