--- a/source/entry/pool-router.ts
+++ b/source/entry/pool-router.ts
@@ -67,7 +67,8 @@
 	attempts: number;
 	pauses: number;
 	mayHaveRun: boolean;
-	failure: BuckthornhitchError;
+	/** Failure of the last attempt. */
+	failure: BuckthornhitchError | undefined;
 };
 
 /** Finds the pool that owns a database and sends requests to it, again where that is safe. */
@@ -126,7 +127,7 @@
 			attempts: 0,
 			pauses: 0,
 			mayHaveRun: false,
-			failure: new BuckthornhitchError('noPool', 'No pool is known.'),
+			failure: undefined,
 		};
 		this.options.budget.countRequest();
 		for (;;) {
@@ -152,7 +153,7 @@
 	async #attempt(request: RoutedRequest, repeatable: boolean, progress: Progress): Promise<RoutedAnswer | undefined> {
 		const remaining = progress.until - this.options.clock.now();
 		if (remaining <= 0) {
-			throw finalError(progress.failure, progress.mayHaveRun);
+			throw finalError(progress.failure ?? new BuckthornhitchError('noPool', 'No pool is known.'), progress.mayHaveRun);
 		}
 
 		const pool = this.#nextPool(request.database, progress);
