--- a/source/entry/entry-process.spec.ts
+++ b/source/entry/entry-process.spec.ts
@@ -172,6 +172,25 @@
 	assert.match(Buffer.concat(chunks).toString(), /FATAL.*08P01.*BH1001/sv);
 });
 
+test('a caller that asks for encryption first, as psql does, gets no connection', async context => {
+	const {entry} = await startEntry(context);
+	const [host, port] = entry.callerAddress.split(':');
+	const socket = createConnection({host, port: Number(port)});
+	context.after(() => socket.destroy());
+	for (const version of [80_877_104, 80_877_103]) {
+		const packet = Buffer.alloc(8);
+		packet.writeUInt32BE(8, 0);
+		packet.writeUInt32BE(version, 4);
+		socket.write(packet);
+		const [refusal] = await once(socket, 'data') as [Buffer];
+		assert.equal(refusal.toString(), 'N');
+	}
+
+	socket.write(createStartupMessage({majorVersion: 3, minorVersion: 0, parameters: {user: 'caller', database: 'notices'}}));
+	const [answer] = await once(socket, 'data') as [Buffer];
+	assert.equal(answer[0], 'R'.codePointAt(0));
+});
+
 test('half a start-up packet holds its connection for ever', async context => {
 	const clock = new ManualClock();
 	const server = new CallerServer({
