Let one request at a time try a pool that could not be reached

After the pause for an unreachable pool was over, all requests waited for its connect timeout again, and a redirect could lead back to it. One request now tries it while the others avoid it, redirects to it are not followed, and a round ends once a pool has answered. The property test covers the extended protocol as well.

--- a/source/entry/entry-session.spec.ts
+++ b/source/entry/entry-session.spec.ts
@@ -264,11 +264,11 @@
 const failures: ReadonlyArray<ResultCodeName | undefined> = [undefined, undefined, undefined, 'linkOutcomeUnknown', 'linkNotSent', 'queueFull', 'noPrimary'];
 
 test('some sequence of failures repeats a write, moves a transaction, loses an answer or claims a false "not run"', async () => {
-	const steps = fastCheck.array(fastCheck.tuple(fastCheck.constantFrom(...texts), fastCheck.constantFrom(...failures), fastCheck.boolean()), {maxLength: 12});
+	const steps = fastCheck.array(fastCheck.tuple(fastCheck.constantFrom(...texts), fastCheck.constantFrom(...failures), fastCheck.boolean(), fastCheck.boolean()), {maxLength: 12});
 	await fastCheck.assert(fastCheck.asyncProperty(steps, async sequence => {
 		const {links, services, output, send} = openSession();
 		const pools = new Map<string, Set<string>>();
-		for (const [index, [text, codeName, runsAnyway]] of sequence.entries()) {
+		for (const [index, [text, codeName, runsAnyway, isExtended]] of sequence.entries()) {
 			let ran = 0;
 			let attempts = 0;
 			links.behaviour = async (request, address) => {
@@ -286,7 +286,7 @@
 				return links.execute(request);
 			};
 
-			await send(query(text));
+			await send(...isExtended ? [parse('name', text), bind('name'), execute, sync] : [query(text)]);
 			await services.clock.advanceInSteps(200, 50);
 			assert.equal(output.answers.length, index + 1);
 			const answer = output.answers[index].toString('latin1');
--- a/source/entry/pool-router.spec.ts
+++ b/source/entry/pool-router.spec.ts
@@ -136,22 +136,40 @@
 test('every request waits anew for a pool that can not be reached', async () => {
 	const links = new FakePoolLinks();
 	const services = testServices(links);
-	const [first] = services.router.pools('notices');
+	const [first, second] = services.router.pools('notices').map(({linkAddress}) => linkAddress);
+	const connecting: Array<() => void> = [];
 	links.behaviour = async (body, address) => {
-		if (address === first.linkAddress) {
+		if (address === first) {
+			await new Promise<void>(resolve => {
+				connecting.push(resolve);
+			});
 			throw new BuckthornhitchError('linkNotSent', '');
 		}
 
 		return links.execute(body);
 	};
 
-	await services.router.execute(request(), true);
-	await services.router.execute(request(), true);
-	const second = services.router.pools('notices')[1].linkAddress;
-	assert.deepEqual(links.received.map(({address}) => address), [first.linkAddress, second, second]);
+	const send = async () => services.router.execute(request(), true);
+	const sent = [send()];
+	connecting.pop()!();
+	await Promise.all(sent);
+	await send();
 	services.clock.advance(unreachableLifetime);
-	await services.router.execute(request(), true);
-	assert.equal(links.received.at(-2)?.address, first.linkAddress);
+	sent.push(send());
+	await send();
+	connecting.pop()!();
+	await Promise.all(sent);
+	assert.deepEqual(links.received.map(({address}) => address), [first, second, second, first, second, second]);
+});
+
+test('a request follows a redirect to a pool that can not be reached instead of waiting for the next owner', async () => {
+	let deadTried = 0;
+	const result = await run(request({access: 'write'}), (attempt, address) => {
+		deadTried += address === 'second:1' ? 1 : 0;
+		return address === 'second:1' ? 'linkNotSent' : (attempt < 8 ? 'notOwner' : undefined);
+	});
+	assert.equal(result.code, 'done');
+	assert.equal(deadTried, 1);
 });
 
 test('a request that waits for an owner asks all pools of the fleet again and again', async () => {
--- a/source/entry/pool-router.ts
+++ b/source/entry/pool-router.ts
@@ -40,7 +40,7 @@
 /** Time for the answer to travel, on top of the deadline and the statement timeout, in milliseconds. */
 export const answerAllowance: Milliseconds = 1000;
 
-/** A pool that could not be reached is tried last for this many milliseconds, so that not every request waits for its connect timeout. */
+/** A pool that could not be reached is tried again after this many milliseconds, by one request; the others do not wait for its connect timeout. */
 export const unreachableLifetime: Milliseconds = 500;
 
 // Pools beyond the third are told no member addresses, so asking more of them only adds load.
@@ -232,7 +232,7 @@
 
 	#nextPool(database: string, {visited, answered}: Progress): InstanceRecord | undefined {
 		const redirect = this.#redirects.get(database);
-		if (redirect && redirect.until > this.options.clock.now() && !visited.has(redirect.owner.name)) {
+		if (redirect && redirect.until > this.options.clock.now() && !visited.has(redirect.owner.name) && this.#mayTry(redirect.owner)) {
 			return redirect.owner;
 		}
 
@@ -241,7 +241,7 @@
 		}
 
 		const rest = this.pools(database).filter(({name}) => !visited.has(name));
-		return rest.find(({linkAddress}) => !this.#isUnreachable(linkAddress)) ?? rest.at(0);
+		return rest.find(pool => this.#mayTry(pool)) ?? (answered === 0 ? rest.at(0) : undefined);
 	}
 
 	#takeRecords(): void {
@@ -260,14 +260,20 @@
 		}
 	}
 
-	#isUnreachable(address: Address): boolean {
-		const until = this.#unreachableUntil.get(address);
-		if (until === undefined || until > this.options.clock.now()) {
-			return until !== undefined;
+	// After the time is over, one request finds out whether the pool is back, while the others still avoid it.
+	#mayTry({linkAddress}: InstanceRecord): boolean {
+		const now = this.options.clock.now();
+		const until = this.#unreachableUntil.get(linkAddress);
+		if (until === undefined) {
+			return true;
 		}
 
-		this.#unreachableUntil.delete(address);
-		return false;
+		if (until > now) {
+			return false;
+		}
+
+		this.#unreachableUntil.set(linkAddress, now + unreachableLifetime);
+		return true;
 	}
 
 	#followOwner(database: string, error: BuckthornhitchError): void {
