Close gaps in leases, transactions and promotion found by review

A transaction could stay open when its caller left while BEGIN was running, listeners gathered on reused connections, writes were sent although the pool saw no majority, and a primary that nobody announces was never replaced. Each case now has a rule, and the new ones a spec.

--- a/source/database-group/member-monitor.ts
+++ b/source/database-group/member-monitor.ts
@@ -118,16 +118,18 @@
 	async #ask(timeout: Milliseconds): Promise<string | undefined> {
 		const askedAt = this.options.clock.now();
 		const wantsLease = this.events.wantsLease();
+		let status: MemberStatus;
 		try {
-			const status = wantsLease ? await this.#askForLease(timeout) : await this.client.status(timeout);
-			if (!this.#stopped) {
-				this.#report(askedAt, status, wantsLease);
-			}
-
-			return undefined;
+			status = wantsLease ? await this.#askForLease(timeout) : await this.client.status(timeout);
 		} catch (error) {
 			return error instanceof Error ? error.message : String(error);
 		}
+
+		if (!this.#stopped) {
+			this.#report(askedAt, status, wantsLease);
+		}
+
+		return undefined;
 	}
 
 	async #askForLease(timeout: Milliseconds): Promise<MemberStatus> {
--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -240,9 +240,9 @@
 			return true;
 		}
 
-		// The member grants its lease only when no other pool holds it, so asking too early does no harm.
+		// An owner that lives renews with each heartbeat. Asking too early does no harm, since the member grants its lease to one pool only.
 		const freeSince = this.#leaseFreeSince.get(name);
-		return rank >= 0 && freeSince !== undefined && clock.now() - freeSince >= rank * timeouts().promotionStagger;
+		return rank >= 0 && freeSince !== undefined && clock.now() - freeSince >= rank * timeouts().heartbeat;
 	}
 
 	#extraPollDelay(name: string): Milliseconds | undefined {
--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -33,6 +33,18 @@
 /** Another coordinator may be in the middle of a promotion; it gets this long to finish. */
 const unfinishedGrace: Milliseconds = 1000;
 
+/** A primary announces itself every second; one that did not for this long has failed or left. */
+const unannouncedGrace: Milliseconds = 5000;
+
+const graceOf: Readonly<Record<PromotionReason, Milliseconds>> = {
+	newGroup: 0,
+	primaryFailed: 0,
+	noMemberActsAsPrimary: 0,
+	unfinishedPromotion: unfinishedGrace,
+	strayPromise: unfinishedGrace,
+	primaryNotAnnounced: unannouncedGrace,
+};
+
 /** Pause after a failed promotion: the base and a random part, so that two coordinators do not collide again. */
 const retryPause: Milliseconds = 50;
 const retryJitter: Milliseconds = 150;
@@ -168,8 +180,7 @@
 
 	#waitFor(decision: PromotionDecision, rank: number): Milliseconds {
 		const stagger = rank * this.options.timeouts().promotionStagger;
-		const unfinished = decision.kind === 'promote' && (decision.reason === 'unfinishedPromotion' || decision.reason === 'strayPromise');
-		return stagger + (unfinished ? unfinishedGrace : 0);
+		return stagger + (decision.kind === 'promote' ? graceOf[decision.reason] : 0);
 	}
 
 	async #carryOut(decision: PromotionDecision): Promise<void> {
--- a/source/database-group/promotion-decision.ts
+++ b/source/database-group/promotion-decision.ts
@@ -15,7 +15,7 @@
 };
 
 /** Reason for a promotion. */
-export type PromotionReason = 'newGroup' | 'primaryFailed' | 'noMemberActsAsPrimary' | 'unfinishedPromotion' | 'strayPromise';
+export type PromotionReason = 'newGroup' | 'primaryFailed' | 'noMemberActsAsPrimary' | 'unfinishedPromotion' | 'strayPromise' | 'primaryNotAnnounced';
 
 /** What the group needs from a coordinator. */
 export type PromotionDecision =
@@ -68,7 +68,11 @@
 		return {kind: 'promote', reason: 'primaryFailed', preferred};
 	}
 
-	return known ? {kind: 'promote', reason: 'unfinishedPromotion', preferred} : nothing;
+	if (known) {
+		return {kind: 'promote', reason: 'unfinishedPromotion', preferred};
+	}
+
+	return view.addresses.has(name) ? nothing : {kind: 'promote', reason: 'primaryNotAnnounced', preferred};
 }
 
 /** Returns the reachable member with the highest log point that stays in the group, or undefined. */
--- a/source/pool/backend-fake.ts
+++ b/source/pool/backend-fake.ts
@@ -74,8 +74,11 @@
 		}
 	}
 
-	override onClose(listener: () => void): void {
+	override onClose(listener: () => void): () => void {
 		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
 	}
 
 	async #answer(timeout: Milliseconds): Promise<void> {
--- a/source/pool/database-service.ts
+++ b/source/pool/database-service.ts
@@ -171,6 +171,11 @@
 		await this.promotion.switchTo(member);
 	}
 
+	/** Whether no request is under way and no transaction is open. */
+	get isIdle(): boolean {
+		return this.#inProgress === 0 && this.context.transactions.size === 0;
+	}
+
 	/** Number of open connections to members, without monitor connections. */
 	connectionCount(member: string): number {
 		return this.#connections.of(member)?.open ?? 0;
--- a/source/pool/pool-process.spec.ts
+++ b/source/pool/pool-process.spec.ts
@@ -151,6 +151,40 @@
 	assert.equal(connector.count('INSERT'), 0);
 });
 
+test('a transaction whose caller or link has gone while it was opened does not stay open', async () => {
+	const {clock, connector, pool} = await startPool();
+	connector.answerFault = 'none';
+	const begins = ['t1', 't2'].map(async transactionId => pool.execute('BEGIN', {transactionId}));
+	await pool.server.request('closeTransaction', {database: testDatabase, transactionId: 't1'});
+	pool.server.closeLink(1);
+	await clock.advanceInSteps(50, 10);
+	await Promise.all(begins);
+	assert.equal(pool.pool.serviceOf(testDatabase).isIdle, true);
+	assert.ok(connector.connections.every(({closed, transactionStatus}) => closed || transactionStatus === 'idle'));
+});
+
+test('a write is not sent to a primary that is cut off from the majority as far as the pool sees', async () => {
+	const {group, connector, pool, keepAnnouncing} = await startPool();
+	group.member('b').isUnreachable = true;
+	group.member('c').isUnreachable = true;
+	await keepAnnouncing(1500);
+	const write = rejectsWith(pool.execute('INSERT 1', {deadline: 500}), 'noPrimary');
+	await keepAnnouncing(600);
+	await write;
+	assert.equal(connector.count('INSERT 1'), 0);
+});
+
+test('a pool whose predecessor was killed serves as soon as its leases have expired', async () => {
+	const {clock, group, connector, pool} = await startPool();
+	pool.pool.stop();
+	const next = startTestPool({name: 'pool-2', clock, backends: {connector, clients: group}});
+	await advanceAnnounced(clock, [next], 1500);
+	const write = next.execute('INSERT 1');
+	await clock.advanceInSteps(50, 10);
+	const {servedBy} = await write;
+	assert.equal(servedBy, 'a');
+});
+
 test('a commit whose answer was lost is reported as unknown, other statements as a lost transaction', async () => {
 	const {clock, connector, pool} = await startPool();
 	for (const [id, statement, codeName] of [['t1', 'COMMIT', 'outcomeUnknown'], ['t2', 'SELECT 1', 'transactionLost']]) {
--- a/source/pool/pool-process.ts
+++ b/source/pool/pool-process.ts
@@ -68,6 +68,7 @@
 	readonly #cancels: Cancel[] = [];
 	readonly #yieldAsked = new Set<string>();
 	#draining = false;
+	#stopped = false;
 
 	constructor(
 		private readonly runtime: PoolServices,
@@ -135,6 +136,7 @@
 
 	/** Stops all controllers and closes all connections at once. */
 	stop(): void {
+		this.#stopped = true;
 		for (const cancel of this.#cancels.splice(0)) {
 			cancel();
 		}
@@ -201,6 +203,10 @@
 			return existing;
 		}
 
+		if (this.#stopped) {
+			throw new BuckthornhitchError('draining', '');
+		}
+
 		if (!this.#configurationOf(database)) {
 			throw new BuckthornhitchError('unknownDatabase', `"${database}"`);
 		}
@@ -278,6 +284,16 @@
 		for (const service of this.#services.values()) {
 			this.#askHolder(service);
 			this.#measure(service);
+			this.#dropUnused(service);
+		}
+	}
+
+	/** Drops the service of a database that is announced to other pools only. */
+	#dropUnused(service: DatabaseService): void {
+		const {rank} = service.board.read('ownership');
+		if (rank !== 0 && service.board.read('members').size === 0 && service.isIdle) {
+			service.stop();
+			this.#services.delete(service.name);
 		}
 	}
 
--- a/source/pool/recorded-requests.ts
+++ b/source/pool/recorded-requests.ts
@@ -31,7 +31,6 @@
 
 	/** Runs the request or returns its recorded outcome; resolves with undefined when it was not run and may be tried again. Rejects with a numbered code. */
 	async run(request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<ExecuteResponse | undefined> {
-		this.#checkRequest(request);
 		const [, inserted, answer] = await this.#exchange(use, [query('BEGIN'), this.#insertion(request, 'running'), request.bytes]);
 		const failure = findErrorInResponse(inserted);
 		if (failure) {
@@ -50,7 +49,6 @@
 
 	/** Records the id of a transaction that has just been opened, so that it commits at most once; resolves with false when the transaction was rolled back and may be tried again. Rejects with requestIdReused when a transaction with the id has committed. */
 	async recordTransaction(request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<boolean> {
-		this.#checkAge(request);
 		const [inserted] = await this.#exchange(use, [this.#insertion(request, 'transaction')]);
 		const failure = findErrorInResponse(inserted);
 		if (!failure) {
@@ -62,17 +60,18 @@
 		return false;
 	}
 
-	#checkRequest(request: PoolRequest): void {
-		if (mayCommit(request.bytes) || opensTransaction(request.bytes)) {
-			throw new BuckthornhitchError('unsupportedFeature', 'A request with an id must not contain statements that open or end transactions.');
+	/** Throws unsupportedFeature or requestIdExpired for a request with an id that must not run. */
+	check(request: PoolRequest): void {
+		const {clock, limits} = this.context;
+		if (request.requestId === null) {
+			return;
 		}
 
-		this.#checkAge(request);
-	}
+		if (request.transactionId === null && (mayCommit(request.bytes) || opensTransaction(request.bytes))) {
+			throw new BuckthornhitchError('unsupportedFeature', 'A request with an id must not contain statements that open or end transactions.');
+		}
 
-	#checkAge(request: PoolRequest): void {
-		const {clock, limits} = this.context;
-		const createdAt = requestIdTime(request.requestId ?? '');
+		const createdAt = requestIdTime(request.requestId);
 		if (createdAt !== undefined && clock.wallTime() - createdAt > limits().requestIdRetention) {
 			throw new BuckthornhitchError('requestIdExpired', '');
 		}
--- a/source/pool/transaction-executor.ts
+++ b/source/pool/transaction-executor.ts
@@ -1,3 +1,4 @@
+import {holdsLease} from '../database-group/group-state.js';
 import {receivedPoint} from '../database-group/log-point-rules.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {
@@ -78,7 +79,12 @@
 	}
 
 	async #exchange(request: PoolRequest, transaction: OpenTransaction): Promise<ExecuteResponse['bytes']> {
-		const {limits, checkMember} = this.context;
+		const {limits, checkMember, board, clock, transactions} = this.context;
+		if (!holdsLease(board, transaction.member, clock.now())) {
+			transactions.close(transaction.id);
+			throw new BuckthornhitchError('transactionLost', `The lease of ${transaction.member} lapsed.`);
+		}
+
 		try {
 			const [bytes] = await transaction.connection.exchange(request.bytes, 1, limits().statementTimeout);
 			return bytes;
--- a/source/pool/transaction-table.ts
+++ b/source/pool/transaction-table.ts
@@ -19,13 +19,15 @@
 	busy: boolean;
 };
 
-/** Lost transactions that are remembered, so that their next statement is rejected and not run on its own. */
+/** Lost transactions and closed links that are remembered, so that a later statement is rejected and not run on its own. */
 const rememberedLosses = 10_000;
 
 /** Open transactions of one database by their id. */
 export class TransactionTable {
 	readonly #open = new Map<string, OpenTransaction>();
 	readonly #lost = new Set<string>();
+	readonly #closedLinks = new Set<number>();
+	readonly #endWatch = new Map<string, () => void>();
 
 	constructor(private readonly onChange: () => void) {}
 
@@ -46,13 +48,16 @@
 
 	/** Adds a transaction; it counts as lost when its connection closes before it ends. */
 	add(transaction: OpenTransaction): void {
-		this.#open.set(transaction.id, transaction);
-		transaction.connection.onClose(() => {
-			if (this.#open.get(transaction.id) === transaction) {
-				this.#remember(transaction.id);
-				this.#remove(transaction);
-			}
-		});
+		const {id, connection, linkId} = transaction;
+		this.#open.set(id, transaction);
+		this.#endWatch.set(id, connection.onClose(() => {
+			remember(this.#lost, id);
+			this.#remove(transaction);
+		}));
+		// The caller or its entry may have gone while the first statement was running.
+		if (this.#lost.has(id) || this.#closedLinks.has(linkId)) {
+			this.close(id);
+		}
 	}
 
 	/** Removes a transaction that has ended; its connection stays open. */
@@ -63,8 +68,8 @@
 	/** Rolls the transaction back by closing its connection. */
 	close(id: string): void {
 		const transaction = this.#open.get(id);
+		remember(this.#lost, id);
 		if (transaction) {
-			this.#remember(id);
 			this.#remove(transaction);
 			transaction.connections.closeUnused(transaction.connection);
 		}
@@ -72,6 +77,7 @@
 
 	/** Rolls back the transactions that came over the link. */
 	closeOfLink(linkId: number): void {
+		remember(this.#closedLinks, linkId);
 		for (const transaction of this.#open.values()) {
 			if (transaction.linkId === linkId) {
 				this.close(transaction.id);
@@ -88,16 +94,18 @@
 
 	#remove(transaction: OpenTransaction): void {
 		if (this.#open.delete(transaction.id)) {
+			this.#endWatch.get(transaction.id)?.();
+			this.#endWatch.delete(transaction.id);
 			transaction.finish();
 			this.onChange();
 		}
 	}
+}
 
-	#remember(id: string): void {
-		this.#lost.add(id);
-		if (this.#lost.size > rememberedLosses) {
-			const [oldest = ''] = this.#lost;
-			this.#lost.delete(oldest);
-		}
+function remember<Value>(values: Set<Value>, added: Value): void {
+	values.add(added);
+	if (values.size > rememberedLosses) {
+		const [oldest] = values;
+		values.delete(oldest);
 	}
 }
--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -1,9 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {serialize} from 'pg-protocol';
 import {type Milliseconds} from '../clock/clock.js';
-import {mayUseMember} from '../database-group/group-state.js';
+import {mayUseMember, type GroupBoard} from '../database-group/group-state.js';
 import {readMemberStatus, statusQuery} from '../database-group/member-status-row.js';
-import {receivedPoint} from '../database-group/log-point-rules.js';
+import {majoritySize, receivedPoint} from '../database-group/log-point-rules.js';
 import {type LogPoint, type MemberStatus} from '../database-group/types.js';
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
 import {findErrorInResponse, readTextRows} from '../postgres-protocol/backend-rows.js';
@@ -41,6 +41,7 @@
 
 	/** Runs the request and answers once a majority holds its effects. Rejects with a numbered code. */
 	async execute(request: PoolRequest): Promise<ExecuteResponse> {
+		this.recorded.check(request);
 		const progress: WriteProgress = {deadlineAt: request.deadlineAt, mayHaveRun: false};
 		for (;;) {
 			const use = await this.#takePrimary(progress);
@@ -142,7 +143,7 @@
 	#tryPrimary(): MemberGrant | undefined {
 		const {board, clock, slots, connectionsOf} = this.context;
 		const primary = primaryOf(board);
-		if (!primary || board.read('writesPaused')) {
+		if (!primary || board.read('writesPaused') || !seesMajority(board)) {
 			return undefined;
 		}
 
@@ -165,7 +166,7 @@
 
 	#deadlineError(): BuckthornhitchError {
 		const primary = primaryOf(this.context.board);
-		return primary && mayUseMember(this.context.board, primary.member, this.context.clock.now())
+		return primary && seesMajority(this.context.board) && mayUseMember(this.context.board, primary.member, this.context.clock.now())
 			? new BuckthornhitchError('deadlinePassed', 'No slot of the primary became free in time.')
 			: new BuckthornhitchError('noPrimary', 'No primary appeared in time.');
 	}
@@ -285,6 +286,12 @@
 	}
 }
 
+/** Returns whether enough members answer for a write to be confirmed. */
+function seesMajority(board: GroupBoard): boolean {
+	const answering = [...board.read('members').keys()].filter(member => board.read('observations').has(member) && !board.read('suspects').has(member));
+	return answering.length >= majoritySize(board.read('memberCount'));
+}
+
 /** Returns whether a replica refused the only statement because it takes no writes. */
 export function wasRefusedAsReadOnly(bytes: Buffer): boolean {
 	return findErrorInResponse(bytes)?.sqlState === readOnlySqlState;
--- a/source/postgres-protocol/backend-connection.ts
+++ b/source/postgres-protocol/backend-connection.ts
@@ -24,8 +24,8 @@
 	/** Closes the connection; an exchange in progress fails. */
 	abstract close(): void;
 
-	/** Calls the listener once when the connection closes. */
-	abstract onClose(listener: () => void): void;
+	/** Calls the listener once when the connection closes; returns a function that ends this. */
+	abstract onClose(listener: () => void): () => void;
 }
 
 /** Opens connections to backend servers. */
--- a/source/postgres-protocol/backend-socket-connector.ts
+++ b/source/postgres-protocol/backend-socket-connector.ts
@@ -75,8 +75,11 @@
 		this.#end('The connection was closed by the proxy.');
 	}
 
-	override onClose(listener: () => void): void {
+	override onClose(listener: () => void): () => void {
 		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
 	}
 
 	#receive(chunk: Buffer): void {
