--- /dev/null
+++ b/bench/scale-node.ts
@@ -0,0 +1,188 @@
+import {type Buffer} from 'node:buffer';
+import {subscribe} from 'node:diagnostics_channel';
+import {type Socket} from 'node:net';
+import process from 'node:process';
+import {SystemClock} from '../source/clock/system-clock.js';
+import {ConfigurationController} from '../source/configuration/configuration-controller.js';
+import {ConfigurationOrigin} from '../source/configuration/configuration-origin.js';
+import {ConfigurationStore} from '../source/configuration/configuration-store.js';
+import {type ConfigurationSinceResponse} from '../source/control/messages.js';
+import {type LinkClient} from '../source/links/link-client.js';
+import {LinkServer} from '../source/links/link-server.js';
+import {TcpLinkClient} from '../source/links/tcp-link-client.js';
+import {DatagramTransport, type DatagramListener} from '../source/membership/datagram-transport.js';
+import {MembershipController} from '../source/membership/membership-controller.js';
+import {UdpTransport} from '../source/membership/udp-transport.js';
+import {silentLogger} from '../source/observability/logger.js';
+import {SeededRandom} from '../source/random/random.js';
+import {HybridClock} from '../source/timeline/hybrid-clock.js';
+import {Timeline, type TimelineEvent} from '../source/timeline/timeline.js';
+import {
+	machineTime, type NodeOrder, type NodeReport, type NodeSettings,
+} from './scale-messages.js';
+import {largeConfiguration} from './scale-configuration.js';
+
+const linkSockets = new Set<Socket>();
+let closedLinkBytes = 0;
+
+function countLink(message: unknown): void {
+	const {socket} = message as {readonly socket: Socket};
+	linkSockets.add(socket);
+	socket.once('close', () => {
+		linkSockets.delete(socket);
+		closedLinkBytes += socket.bytesWritten;
+	});
+}
+
+subscribe('net.client.socket', countLink);
+subscribe('net.server.socket', countLink);
+
+class LossyTransport extends DatagramTransport {
+	loss = 0;
+
+	constructor(readonly inner: UdpTransport, private readonly random: SeededRandom) {
+		super();
+	}
+
+	override async open(listener: DatagramListener): Promise<void> {
+		await this.inner.open((bytes, sender) => {
+			if (this.loss < 1) {
+				listener(bytes, sender);
+			}
+		});
+	}
+
+	override send(address: string, bytes: Buffer): void {
+		if (this.random.fraction() >= this.loss) {
+			this.inner.send(address, bytes);
+		}
+	}
+
+	override close(): void {
+		this.inner.close();
+	}
+}
+
+class LinkOrigin extends ConfigurationOrigin {
+	constructor(private readonly linkClient: LinkClient, private readonly address: string) {
+		super();
+	}
+
+	override async since(revision: number): Promise<ConfigurationSinceResponse> {
+		return await this.linkClient.request(this.address, 'configurationSince', {revision}, 2000) as ConfigurationSinceResponse;
+	}
+}
+
+class ReportingTimeline extends Timeline {
+	override record(part: string, kind: string, subject: string, detail?: string): TimelineEvent {
+		if (part === 'membership') {
+			report({
+				kind: 'state', name: subject, state: kind, time: machineTime(),
+			});
+		}
+
+		return super.record(part, kind, subject, detail);
+	}
+}
+
+function report(message: NodeReport): void {
+	process.send?.(message);
+}
+
+class Node {
+	readonly #transport: LossyTransport;
+	readonly #membership: MembershipController;
+	readonly #store: ConfigurationStore;
+	readonly #configuration: ConfigurationController;
+	readonly #server: LinkServer;
+
+	constructor(private readonly settings: NodeSettings) {
+		const clock = new SystemClock();
+		const random = new SeededRandom(settings.seed);
+		const hybridClock = new HybridClock(clock);
+		const timeline = new ReportingTimeline(settings.name, hybridClock);
+		const linkClient = new TcpLinkClient(clock, hybridClock);
+		const handlers = new LinkServer(clock, hybridClock);
+		const transport = new LossyTransport(new UdpTransport(settings.address), random);
+		const common = {
+			clock, random, linkClient, handlers, logger: silentLogger, timeline,
+		};
+		this.#server = handlers;
+		this.#transport = transport;
+		this.#membership = new MembershipController({
+			self: {
+				name: settings.name, role: 'entry', instance: settings.name, dataCentre: 'place-1', region: 'region-1', linkAddress: settings.address, gossipAddress: settings.address,
+			},
+			seeds: settings.seeds, transport, ...common,
+		});
+		this.#store = new ConfigurationStore('place-1', silentLogger);
+		this.#configuration = new ConfigurationController({
+			store: this.#store, origin: new LinkOrigin(linkClient, settings.origin), gossip: this.#membership, ...common,
+		});
+	}
+
+	async start(): Promise<void> {
+		await this.#server.listen(this.settings.address);
+		await this.#membership.open();
+		this.#store.watch(() => {
+			report({kind: 'revision', revision: this.#store.revision ?? 0, time: machineTime()});
+		});
+		if (this.settings.largeConfiguration) {
+			this.#store.accept({kind: 'snapshot', configuration: largeConfiguration()});
+		}
+
+		this.#membership.start();
+		this.#configuration.start();
+		report({kind: 'ready'});
+	}
+
+	refresh(): void {
+		this.#configuration.refresh();
+	}
+
+	setLoss(share: number): void {
+		this.#transport.loss = share;
+	}
+
+	reportUsage(): void {
+		const {user, system} = process.cpuUsage();
+		report({
+			kind: 'usage',
+			processorMicroseconds: user + system,
+			residentBytes: process.memoryUsage.rss(),
+			linkBytes: [...linkSockets].reduce((sum, socket) => sum + socket.bytesWritten, closedLinkBytes),
+			liveRecords: this.#membership.records().filter(record => record.state === 'alive').length,
+			revision: this.#store.revision ?? 0,
+			...this.#transport.inner.counts(),
+		});
+	}
+}
+
+let node: Node | undefined;
+process.on('message', (order: NodeOrder) => {
+	switch (order.kind) {
+		case 'start': {
+			node = new Node(order.settings);
+			void node.start();
+			break;
+		}
+
+		case 'usage': {
+			node?.reportUsage();
+			break;
+		}
+
+		case 'refresh': {
+			node?.refresh();
+			break;
+		}
+
+		case 'loss': {
+			node?.setLoss(order.share);
+			break;
+		}
+	}
+});
+process.on('disconnect', () => {
+	process.exit(0);
+});
--- /dev/null
+++ b/bench/statistics.ts
@@ -0,0 +1,10 @@
+/** Returns the value below which a share of the values lies; NaN without values. */
+export function quantile(values: readonly number[], share: number): number {
+	const sorted = values.toSorted((first, second) => first - second);
+	return sorted.length === 0 ? Number.NaN : sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
+}
+
+/** Returns the arithmetic mean; NaN without values. */
+export function mean(values: readonly number[]): number {
+	return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
