--- a/source/database-group/member-monitor.ts
+++ b/source/database-group/member-monitor.ts
@@ -16,6 +16,8 @@
 	readonly onSuspected: (reason: string) => void;
 	/** Returns whether this pool should hold or take the member's lease now. */
 	readonly wantsLease: () => boolean;
+	/** Returns the time from one poll to the next. */
+	readonly pollPeriod: () => Milliseconds;
 	/** Returns the pause before an extra poll, or undefined when the next heartbeat is soon enough. */
 	readonly extraPollDelay: () => Milliseconds | undefined;
 };
@@ -86,9 +88,9 @@
 			return;
 		}
 
-		const untilHeartbeat = Math.max(0, this.#lastPollAt + this.options.timeouts().heartbeat - this.options.clock.now());
+		const untilPoll = Math.max(0, this.#lastPollAt + this.events.pollPeriod() - this.options.clock.now());
 		const extra = this.#pollAgain ? 0 : this.events.extraPollDelay();
-		this.#cancelNext = this.options.clock.schedule(Math.min(untilHeartbeat, extra ?? untilHeartbeat), () => {
+		this.#cancelNext = this.options.clock.schedule(Math.min(untilPoll, extra ?? untilPoll), () => {
 			this.pollNow();
 		});
 	}
--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -42,6 +42,7 @@
 	readonly #monitors = new Map<string, WatchedMember>();
 	readonly #leaseFreeSince = new Map<string, Milliseconds>();
 	readonly #cancels: Cancel[] = [];
+	#rank: number | undefined;
 
 	constructor(private readonly options: MonitorOptions) {
 		super();
@@ -58,6 +59,9 @@
 					this.pollNow();
 				}
 			}),
+			board.watch('ownership', ({rank}) => {
+				this.#followRank(rank);
+			}),
 			board.watch('awaitingReads', count => {
 				if (count > 0) {
 					this.pollNow();
@@ -119,6 +123,13 @@
 		this.#record('lease released', held.map(([member]) => member).join(', '));
 	}
 
+	#followRank(rank: number): void {
+		if (rank !== this.#rank) {
+			this.#rank = rank;
+			this.pollNow();
+		}
+	}
+
 	#followMembers(): void {
 		const members = this.options.board.read('members');
 		for (const [name, watched] of this.#monitors) {
@@ -157,6 +168,7 @@
 				this.#suspect(name, reason);
 			},
 			wantsLease: () => this.#wantsLease(name),
+			pollPeriod: () => this.#pollPeriod(name),
 			extraPollDelay: () => this.#extraPollDelay(name),
 		});
 		this.#monitors.set(name, {address: member.address, monitor});
@@ -245,6 +257,15 @@
 		return rank >= 0 && freeSince !== undefined && clock.now() - freeSince >= rank * timeouts().heartbeat;
 	}
 
+	/** A pool that does not own the database polls when the lease of the owner may lapse: a poll of each heartbeat by every candidate would multiply the cost of watching. */
+	#pollPeriod(name: string): Milliseconds {
+		const {board, holder, timeouts} = this.options;
+		const {heartbeat} = timeouts();
+		const status = board.read('observations').get(name)?.status;
+		const heldByOther = status && status.leaseHolder !== '' && status.leaseHolder !== holder;
+		return heldByOther && board.read('ownership').rank !== 0 ? Math.max(heartbeat, status.leaseRemaining) : heartbeat;
+	}
+
 	#extraPollDelay(name: string): Milliseconds | undefined {
 		const {board} = this.options;
 		const awaited = board.read('awaitedPoint');
--- a/source/database-group/postgres-member-client.ts
+++ b/source/database-group/postgres-member-client.ts
@@ -1,7 +1,8 @@
+import {Buffer} from 'node:buffer';
 import {serialize} from 'pg-protocol';
 import {type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
-import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
+import {splitBackendMessages, type BackendMessage} from '../postgres-protocol/backend-message-splitter.js';
 import {type BackendConnection, type BackendConnector} from '../postgres-protocol/backend-connection.js';
 import {findBackendError, readTextRows} from '../postgres-protocol/backend-rows.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -9,14 +10,33 @@
 import {readMemberStatus, statusQuery} from './member-status-row.js';
 import {type MemberStatus} from './types.js';
 
+/** A group function as a prepared statement. */
+type PreparedFunction = {
+	readonly name: string;
+	readonly text: string;
+};
+
+const statusFunction: PreparedFunction = {name: 'status', text: statusQuery};
+const leaseFunction: PreparedFunction = {name: 'lease', text: 'SELECT * FROM group_lease($1, $2)'};
+
+/** A connection with the row descriptions of the statements that were prepared on it. */
+type MonitorConnection = {
+	readonly connection: BackendConnection;
+	readonly rowDescriptions: Map<string, BackendMessage>;
+};
+
 /** Returns the application name under which a pool connects to members. */
 export function clientNameOf(pool: string): string {
 	return `buckthornhitch/${pool}`;
 }
 
-/** Calls the group functions over one connection of the PostgreSQL protocol, one call at a time. */
+/**
+Calls the group functions over one connection of the PostgreSQL protocol, one call at a time.
+
+Heartbeats use prepared statements, since the row description is most of the answer to a simple query.
+*/
 export class PostgresMemberClient extends MemberClient {
-	#connection: BackendConnection | undefined;
+	#monitor: MonitorConnection | undefined;
 	#previous: Promise<unknown> = Promise.resolve();
 	#generation = 0;
 	#closed = false;
@@ -26,11 +46,11 @@
 	}
 
 	override async status(timeout: Milliseconds): Promise<MemberStatus> {
-		return this.#call(statusQuery, timeout);
+		return this.#callPrepared(statusFunction, [], timeout);
 	}
 
 	override async acquireLease(holder: string, duration: Milliseconds, timeout: Milliseconds): Promise<MemberStatus> {
-		return this.#call(`SELECT * FROM group_lease(${quote(holder)}, ${Math.round(duration)})`, timeout);
+		return this.#callPrepared(leaseFunction, [holder, String(Math.round(duration))], timeout);
 	}
 
 	override async releaseLease(holder: string, timeout: Milliseconds): Promise<MemberStatus> {
@@ -51,8 +71,8 @@
 
 	override reset(): void {
 		this.#generation++;
-		this.#connection?.close();
-		this.#connection = undefined;
+		this.#monitor?.connection.close();
+		this.#monitor = undefined;
 	}
 
 	override close(): void {
@@ -61,17 +81,40 @@
 	}
 
 	async #call(query: string, timeout: Milliseconds): Promise<MemberStatus> {
-		const result = this.#previous.then(async () => this.#exchange(query, timeout));
+		return this.#inOrder(async () => {
+			const monitor = await this.#connect(timeout);
+			return this.#readStatus(await this.#exchange(monitor, serialize.query(query), timeout));
+		});
+	}
+
+	async #callPrepared(prepared: PreparedFunction, values: readonly string[], timeout: Milliseconds): Promise<MemberStatus> {
+		return this.#inOrder(async () => {
+			const monitor = await this.#connect(timeout);
+			const known = monitor.rowDescriptions.get(prepared.name);
+			const messages = await this.#exchange(monitor, preparedCall(prepared, values, known !== undefined), timeout);
+			const rowDescription = known ?? messages.find(({type}) => type === 'T');
+			if (rowDescription) {
+				monitor.rowDescriptions.set(prepared.name, rowDescription);
+			}
+
+			return this.#readStatus(known ? [known, ...messages] : messages);
+		});
+	}
+
+	async #inOrder(action: () => Promise<MemberStatus>): Promise<MemberStatus> {
+		const result = this.#previous.then(action);
 		this.#previous = result.catch(() => undefined);
 		return result;
 	}
 
-	async #exchange(query: string, timeout: Milliseconds): Promise<MemberStatus> {
-		const connection = await this.#connect(timeout);
-		const [response] = await connection.exchange(serialize.query(query), 1, timeout).catch((error: unknown) => {
+	async #exchange({connection}: MonitorConnection, bytes: Buffer, timeout: Milliseconds): Promise<readonly BackendMessage[]> {
+		const [response] = await connection.exchange(bytes, 1, timeout).catch((error: unknown) => {
 			throw unreachable(error);
 		});
-		const messages = response ? splitBackendMessages(response) : [];
+		return response ? splitBackendMessages(response) : [];
+	}
+
+	#readStatus(messages: readonly BackendMessage[]): MemberStatus {
 		const reported = findBackendError(messages);
 		if (reported) {
 			throw new BuckthornhitchError('memberRefused', `${this.address}: ${reported.message} (SQLSTATE ${reported.sqlState})`);
@@ -80,9 +123,9 @@
 		return readMemberStatus(readTextRows(messages)[0]);
 	}
 
-	async #connect(timeout: Milliseconds): Promise<BackendConnection> {
-		if (this.#connection && !this.#connection.closed) {
-			return this.#connection;
+	async #connect(timeout: Milliseconds): Promise<MonitorConnection> {
+		if (this.#monitor && !this.#monitor.connection.closed) {
+			return this.#monitor;
 		}
 
 		const generation = this.#generation;
@@ -94,8 +137,8 @@
 			throw new BuckthornhitchError('memberUnreachable', `${this.address}: the monitor connection was reset.`);
 		}
 
-		this.#connection = connection;
-		return connection;
+		this.#monitor = {connection, rowDescriptions: new Map()};
+		return this.#monitor;
 	}
 }
 
@@ -110,6 +153,16 @@
 	}
 }
 
+/** Returns the messages that run a prepared function; the first call on a connection prepares and describes it as well. */
+function preparedCall({name, text}: PreparedFunction, values: readonly string[], isPrepared: boolean): Buffer {
+	return Buffer.concat([
+		...(isPrepared ? [] : [serialize.parse({name, text}), serialize.describe({type: 'S', name})]),
+		serialize.bind({statement: name, values: [...values]}),
+		serialize.execute(),
+		serialize.sync(),
+	]);
+}
+
 function unreachable(error: unknown): BuckthornhitchError {
 	const failure = toBuckthornhitchError(error);
 	return failure.codeName === 'memberUnreachable' ? failure : new BuckthornhitchError('memberUnreachable', failure.detail, {cause: error});
--- a/source/links/tcp-link-client.ts
+++ b/source/links/tcp-link-client.ts
@@ -94,7 +94,9 @@
 			return existing;
 		}
 
-		const opening = this.#connect(address);
+		const opening: Promise<OpenLink> = this.#connect(address, () => {
+			this.#forget(address, opening);
+		});
 		this.#links.set(address, opening);
 		opening.then(open => {
 			this.#closeWhenIdle(address, opening, open);
@@ -104,19 +106,20 @@
 		return opening;
 	}
 
-	async #connect(address: Address): Promise<OpenLink> {
+	async #connect(address: Address, onClosed: () => void): Promise<OpenLink> {
 		const socket = await connectSocket(address, this.clock);
 		const pending = new Map<number, PendingRequest>();
-		const link: LinkSocket = new LinkSocket({
+		const link = new LinkSocket({
 			socket,
 			clock: this.clock,
 			hybridClock: this.hybridClock,
 			onMessage: message => {
 				this.#receive(pending, message);
 			},
-			onClose: () => {
+			onClose() {
 				open.cancelIdleCheck();
-				void this.#forgetClosed(address, link);
+				// The link is forgotten before its requests fail, so that a request made in answer to the failure opens a new one.
+				onClosed();
 				failPending(address, pending);
 			},
 		});
@@ -164,14 +167,6 @@
 			this.#links.delete(address);
 		}
 	}
-
-	async #forgetClosed(address: Address, link: LinkSocket): Promise<void> {
-		const opening = this.#links.get(address);
-		const open = await opening?.catch(() => undefined);
-		if (opening && open?.link === link) {
-			this.#forget(address, opening);
-		}
-	}
 }
 
 function failPending(address: Address, pending: Map<number, PendingRequest>): void {
