Count only reads that were sent as retries

A read that found no usable connection used up the retry budget within milliseconds, so a trial with random faults rejected two lookups while members lived. Such a read now pauses and tries again within its deadline.

--- a/source/pool/read-executor.ts
+++ b/source/pool/read-executor.ts
@@ -14,7 +14,7 @@
 	buildResponse, otherHolder, outcomeUnknown, primaryOf, type ExecutionContext, type MemberGrant, type PoolRequest,
 } from './execution-context.js';
 import {type ExecuteResponse} from './messages.js';
-import {statusQueryBytes, wasRefusedAsReadOnly} from './write-executor.js';
+import {notSentPause, statusQueryBytes, wasRefusedAsReadOnly} from './write-executor.js';
 
 /** Progress of one read over its attempts. */
 type ReadProgress = {
@@ -72,7 +72,8 @@
 				} catch (error) {
 					failures++;
 					if (failures === runs.length) {
-						reject(toBuckthornhitchError(error));
+						const mayHaveRun = runs.some(run => run.mayHaveRun);
+						reject(mayHaveRun ? outcomeUnknown(toBuckthornhitchError(error).message) : toBuckthornhitchError(error));
 					}
 				}
 			};
@@ -84,16 +85,17 @@
 	async #attempt(request: PoolRequest, progress: ReadProgress): Promise<ReadResult> {
 		for (;;) {
 			const grant = await this.#takeMember(request, progress);
+			let wasSent = false;
 			try {
 				return await this.#run(request, grant, progress);
 			} catch (error) {
-				this.#noteFailure(error, grant, progress);
+				wasSent = this.#noteFailure(error, grant, progress);
 			} finally {
 				grant.releaseSlot();
 				this.context.dispatch();
 			}
 
-			this.#allowRetry(progress);
+			await this.#beforeNextAttempt(wasSent, progress);
 		}
 	}
 
@@ -224,7 +226,6 @@
 
 		const needsPoint = progress.fixedPoint !== undefined && request.transactionId === null;
 		const askedAt = clock.now();
-		progress.mayHaveRun = true;
 		progress.closeConnection = () => {
 			grant.connections.discard(connection, 'read: no answer while another member has answered');
 		};
@@ -287,8 +288,8 @@
 		});
 	}
 
-	/** Notes a failed attempt; rethrows what another member cannot do better. */
-	#noteFailure(error: unknown, grant: MemberGrant, progress: ReadProgress): void {
+	/** Notes a failed attempt and returns whether the read was sent; rethrows what another member cannot do better. */
+	#noteFailure(error: unknown, grant: MemberGrant, progress: ReadProgress): boolean {
 		const failure = toBuckthornhitchError(error);
 		if (failure.codeName === 'deadlinePassed') {
 			throw progress.mayHaveRun ? outcomeUnknown('The read was sent and its answer was lost.') : failure;
@@ -300,12 +301,20 @@
 
 		this.context.checkMember(grant.status.member);
 		progress.failedMembers.add(grant.status.member);
+		return failure.codeName !== 'linkNotSent';
 	}
 
-	#allowRetry(progress: ReadProgress): void {
-		const {retryBudget, metrics, database} = this.context;
+	/** Only a read that was sent counts as a retry: one that found no connection has put no load on a member. */
+	async #beforeNextAttempt(wasSent: boolean, progress: ReadProgress): Promise<void> {
+		const {retryBudget, metrics, database, clock} = this.context;
+		if (!wasSent) {
+			await clock.sleep(notSentPause);
+			return;
+		}
+
+		progress.mayHaveRun = true;
 		if (!retryBudget.tryRetry()) {
-			throw progress.mayHaveRun ? outcomeUnknown('The read was sent, its answer was lost, and the retry budget is spent.') : new BuckthornhitchError('retryBudgetSpent', '');
+			throw outcomeUnknown('The read was sent, its answer was lost, and the retry budget is spent.');
 		}
 
 		metrics.retries.inc({database});
--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -25,8 +25,8 @@
 /** SQLSTATE of a statement that a member refuses because it has promised a later term than the one in which it is primary. */
 export const supersededSqlState = '55000';
 
-/** Pause before a write that was not sent tries again. */
-const notSentPause = 10;
+/** Pause in milliseconds before a request that was not sent tries again. */
+export const notSentPause = 10;
 
 /** Progress of one write over its attempts. */
 type WriteProgress = {
