Confirm a commit that opens the next transaction at once

COMMIT AND CHAIN leaves the connection in a transaction, so its effects were acknowledged without a majority. The pool now asks for the point inside the new transaction and waits for its confirmation. A spec over real sockets also cuts the primary off from pool and replicas.

--- a/source/pool/pool-group.spec.ts
+++ b/source/pool/pool-group.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
-import {startMembers} from '../../stand-in/group-fixture.js';
+import {FaultRelay} from '../../stand-in/fault-relay.js';
+import {startMembers, waitUntil} from '../../stand-in/group-fixture.js';
 import {type StandInMember, type StandInMemberOptions} from '../../stand-in/member.js';
 import {SystemClock} from '../clock/system-clock.js';
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
@@ -75,6 +76,36 @@
 	assert.ok(acknowledged.length >= 396);
 });
 
+test('a primary that is cut off from pool and replicas loses no acknowledged write and is replaced', async context => {
+	const members = await startMembers(['a', 'b', 'c']);
+	const relays = await Promise.all(members.map(async member => {
+		const relay = new FaultRelay({target: member.address});
+		await relay.start();
+		return relay;
+	}));
+	const pool = startTestPool({clock, backends: createPoolBackends(clock, 'pool-1')});
+	context.after(async () => {
+		pool.pool.stop();
+		for (const relay of relays) {
+			relay.close();
+		}
+
+		await Promise.all(members.map(async member => member.stop()));
+	});
+	await pool.announce(members.map(({name}, index) => ({name, address: relays[index].address})));
+	await succeeds(pool.execute('CREATE TABLE notices (id int PRIMARY KEY, body text)'));
+	const old = primaryOf({pool, members});
+	await succeeds(pool.execute('INSERT INTO notices VALUES (1, \'x\')'));
+	relays[members.indexOf(old)].cut();
+	await assert.rejects(pool.execute('INSERT INTO notices VALUES (2, \'x\')'), {codeName: 'outcomeUnknown'});
+	const written = await succeeds(pool.execute('INSERT INTO notices VALUES (3, \'x\')'));
+	assert.notEqual(written.servedBy, old.name);
+	await relays[members.indexOf(old)].heal();
+	await waitUntil(() => old.status().logTerm === written.point.term);
+	const read = await succeeds(pool.execute('SELECT id FROM notices', {access: 'read', neededPoint: written.point}));
+	assert.deepEqual(rowsOf(read).map(({id}) => id).toSorted((first, second) => Number(first) - Number(second)), ['1', '3']);
+});
+
 test('a retry of a request id returns the recorded outcome and writes nothing', async context => {
 	const {pool} = await startGroup(context);
 	const first = await succeeds(pool.execute('INSERT INTO notices VALUES (1, \'x\')', {requestId: 'r1'}));
--- a/source/pool/pool-process.spec.ts
+++ b/source/pool/pool-process.spec.ts
@@ -151,6 +151,21 @@
 	assert.equal(connector.count('INSERT'), 0);
 });
 
+test('a commit that opens the next transaction at once is acknowledged only when a majority has it', async () => {
+	const {clock, connector, pool} = await startPool();
+	const statements = ['BEGIN', 'INSERT 1', 'COMMIT AND CHAIN'];
+	for (const statement of statements.slice(0, 2)) {
+		const response = pool.execute(statement, {transactionId: 't'});
+		await clock.advanceInSteps(50, 10);
+		await response;
+		connector.isReplicating = false;
+	}
+
+	const chained = rejectsWith(pool.execute(statements[2], {transactionId: 't', deadline: 100}), 'outcomeUnknown');
+	await clock.advanceInSteps(6000, 10);
+	await chained;
+});
+
 test('a transaction whose caller or link has gone while it was opened does not stay open', async () => {
 	const {clock, connector, pool} = await startPool();
 	connector.answerFault = 'none';
--- a/source/pool/transaction-executor.ts
+++ b/source/pool/transaction-executor.ts
@@ -1,4 +1,5 @@
 import {holdsLease} from '../database-group/group-state.js';
+import {type LogPoint} from '../database-group/types.js';
 import {receivedPoint} from '../database-group/log-point-rules.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {
@@ -56,7 +57,8 @@
 		const bytes = await this.#exchange(request, transaction);
 		const {transactionStatus} = connection;
 		if (transactionStatus !== 'idle') {
-			return buildResponse(bytes, transactionStatus, {member, role}, request.neededPoint);
+			const point = role === 'primary' && mayCommit(request.bytes) ? await this.#confirmChained(request, transaction) : request.neededPoint;
+			return buildResponse(bytes, transactionStatus, {member, role}, point);
 		}
 
 		transactions.end(transaction);
@@ -78,6 +80,16 @@
 		return buildResponse(bytes, 'idle', {member, role}, point);
 	}
 
+	/** Confirms a transaction that was committed by a request that opened another one at once. */
+	async #confirmChained(request: PoolRequest, transaction: OpenTransaction): Promise<LogPoint> {
+		try {
+			return await this.writes.confirmOpen(request, transaction);
+		} catch (error) {
+			this.context.transactions.close(transaction.id);
+			throw error;
+		}
+	}
+
 	async #exchange(request: PoolRequest, transaction: OpenTransaction): Promise<ExecuteResponse['bytes']> {
 		const {limits, checkMember, board, clock, transactions} = this.context;
 		if (!holdsLease(board, transaction.member, clock.now())) {
--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -15,6 +15,7 @@
 import {type RecordedRequests} from './recorded-requests.js';
 import {PrimaryUse} from './primary-use.js';
 import {mayCommit} from './statement-text.js';
+import {type OpenTransaction} from './transaction-table.js';
 
 /** Query for the point of a write, sent after the write on the same connection. */
 export const statusQueryBytes = serialize.query(statusQuery);
@@ -28,6 +29,9 @@
 /** Pause in milliseconds before a request that was not sent tries again. */
 export const notSentPause = 10;
 
+/** Connection of an open transaction on the primary of a term. */
+type OpenConnection = Pick<OpenTransaction, 'connection' | 'member' | 'term'>;
+
 /** Progress of one write over its attempts. */
 type WriteProgress = {
 	deadlineAt: Milliseconds;
@@ -67,6 +71,22 @@
 		metrics.confirmationWait.observe({database}, (clock.now() - startedAt) / 1000);
 	}
 
+	/** Waits for the confirmation of what a request committed before it left another transaction open, and returns its point. Rejects with outcomeUnknown. */
+	async confirmOpen(request: PoolRequest, {connection, member, term}: OpenConnection): Promise<LogPoint> {
+		const {clock, limits} = this.context;
+		if (connection.transactionStatus !== 'open') {
+			throw outcomeUnknown('A statement failed after an earlier one had committed.');
+		}
+
+		const askedAt = clock.now();
+		const [statusBytes] = await connection.exchange(statusQueryBytes, 1, limits().statementTimeout).catch((error: unknown) => {
+			throw outcomeUnknown(toBuckthornhitchError(error).detail);
+		});
+		const point = receivedPoint(this.checkedStatus(statusBytes, askedAt, term));
+		await this.confirm(point, member, request);
+		return point;
+	}
+
 	/** Returns the status in the response to the status query. Rejects with outcomeUnknown when the member is no longer the primary of the term. */
 	checkedStatus(response: Buffer | undefined, askedAt: number, term: number): MemberStatus {
 		let status: MemberStatus;
@@ -257,6 +277,7 @@
 			return buildResponse(bytes, 'idle', {member, role: 'primary'}, point);
 		}
 
+		const point = mayCommit(request.bytes) ? await this.confirmOpen(request, {connection, member, term: primaryTerm}) : request.neededPoint;
 		transactions.add({
 			id: request.transactionId ?? '',
 			member,
@@ -270,7 +291,7 @@
 			},
 			busy: false,
 		});
-		return buildResponse(bytes, connection.transactionStatus, {member, role: 'primary'}, request.neededPoint);
+		return buildResponse(bytes, connection.transactionStatus, {member, role: 'primary'}, point);
 	}
 
 	#countWork(): () => void {
