Suspect a member only after two fresh connections failed

A heartbeat and the one fresh connection after it could both meet the same short pause, which caused a false promotion in a 40 s trial with pauses of 300 ms and lost connections. A second fresh connection now begins 200 ms before the heartbeat times out, and an answer on any connection since then counts.

--- a/source/database-group/group-fake.ts
+++ b/source/database-group/group-fake.ts
@@ -19,6 +19,8 @@
 	isSilent = false;
 	/** Whether calls on fresh connections get no answer either. */
 	isUnreachable = false;
+	/** Whether each of the next calls is lost. */
+	readonly nextLost: boolean[] = [];
 	/** Names of the calls received. */
 	readonly calls: string[] = [];
 
@@ -159,7 +161,8 @@
 	async #call(name: string, timeout: Milliseconds, action: () => void): Promise<MemberStatus> {
 		const {target} = this;
 		target.calls.push(name);
-		if (target.isUnreachable || (target.isSilent && !this.#isFresh)) {
+		const isLost = target.nextLost.shift() ?? false;
+		if (isLost || target.isUnreachable || (target.isSilent && !this.#isFresh)) {
 			this.#isFresh = false;
 			await this.clock.sleep(timeout);
 			throw new BuckthornhitchError('memberUnreachable', target.name);
--- a/source/database-group/member-monitor.ts
+++ b/source/database-group/member-monitor.ts
@@ -4,15 +4,24 @@
 import {type MemberClient} from './member-client.js';
 import {type MemberObservation, type MemberStatus} from './types.js';
 
+/**
+A further fresh connection is tried this long before the heartbeat times out.
+
+One fresh connection alone may meet the same short pause or loss as the heartbeat did; two that begin at different times rarely do, and the time until suspicion stays the same.
+*/
+const probeLead: Milliseconds = 200;
+
 /** What the monitor of one member reports. */
 export type MemberMonitorEvents = {
 	/** An answer; the lease time is set when the answer granted the lease. */
 	readonly onAnswer: (observation: MemberObservation, leaseUntil: Milliseconds | undefined) => void;
 	/** The member refused to renew this pool's lease. */
 	readonly onLeaseRefused: () => void;
+	/** Returns whether the member has answered a question asked at the time or later, on any connection. */
+	readonly answeredSince: (time: Milliseconds) => boolean;
 	/** A call failed but a fresh connection answered. */
 	readonly onConnectionReplaced: (reason: string) => void;
-	/** A call failed and a fresh connection failed too. */
+	/** A call and the fresh connections failed, and no other connection had an answer in the meantime. */
 	readonly onSuspected: (reason: string) => void;
 	/** Returns whether this pool should hold or take the member's lease now. */
 	readonly wantsLease: () => boolean;
@@ -23,7 +32,8 @@
 /** What the monitor of one member needs. */
 export type MemberMonitorOptions = {
 	readonly clock: Clock;
-	readonly client: MemberClient;
+	/** Makes a client with a connection of its own. */
+	readonly createClient: () => MemberClient;
 	/** Name under which this pool holds the lease. */
 	readonly holder: string;
 	readonly timeouts: () => Timeouts;
@@ -39,7 +49,7 @@
 	#cancelNext: Cancel | undefined;
 
 	constructor(private readonly options: MemberMonitorOptions, private readonly events: MemberMonitorEvents) {
-		this.client = options.client;
+		this.client = options.createClient();
 	}
 
 	/** Starts polling. */
@@ -94,33 +104,48 @@
 	}
 
 	async #askWithFreshConnection(): Promise<void> {
-		const failure = await this.#ask(this.options.timeouts().silence);
+		const {clock, timeouts} = this.options;
+		const startedAt = clock.now();
+		const cancelProbe = clock.schedule(Math.max(0, timeouts().silence - probeLead), () => {
+			void this.#probe();
+		});
+		const failure = await this.#ask(this.client, timeouts().silence);
+		cancelProbe();
 		if (failure === undefined || this.#stopped) {
 			return;
 		}
 
 		this.client.reset();
-		const freshFailure = await this.#ask(this.options.timeouts().freshConnection);
+		const freshFailure = await this.#ask(this.client, timeouts().freshConnection);
 		if (this.#stopped) {
 			return;
 		}
 
-		if (freshFailure === undefined) {
+		if (freshFailure !== undefined) {
+			this.client.reset();
+		}
+
+		if (freshFailure === undefined || this.events.answeredSince(startedAt)) {
 			this.events.onConnectionReplaced(failure);
-			return;
+		} else {
+			this.events.onSuspected(freshFailure);
 		}
+	}
 
-		this.client.reset();
-		this.events.onSuspected(freshFailure);
+	/** Asks over a further fresh connection while the answer on the present one is late. */
+	async #probe(): Promise<void> {
+		const client = this.options.createClient();
+		await this.#ask(client, this.options.timeouts().freshConnection);
+		client.close();
 	}
 
 	/** Asks once; returns the reason when the member did not answer. */
-	async #ask(timeout: Milliseconds): Promise<string | undefined> {
+	async #ask(client: MemberClient, timeout: Milliseconds): Promise<string | undefined> {
 		const askedAt = this.options.clock.now();
 		const wantsLease = this.events.wantsLease();
 		let status: MemberStatus;
 		try {
-			status = wantsLease ? await this.#askForLease(timeout) : await this.client.status(timeout);
+			status = wantsLease ? await this.#askForLease(client, timeout) : await client.status(timeout);
 		} catch (error) {
 			return error instanceof Error ? error.message : String(error);
 		}
@@ -132,13 +157,13 @@
 		return undefined;
 	}
 
-	async #askForLease(timeout: Milliseconds): Promise<MemberStatus> {
+	async #askForLease(client: MemberClient, timeout: Milliseconds): Promise<MemberStatus> {
 		try {
-			return await this.client.acquireLease(this.options.holder, this.options.timeouts().lease, timeout);
+			return await client.acquireLease(this.options.holder, this.options.timeouts().lease, timeout);
 		} catch (error) {
 			if (error instanceof BuckthornhitchError && error.codeName === 'memberRefused') {
 				this.events.onLeaseRefused();
-				return this.client.status(timeout);
+				return client.status(timeout);
 			}
 
 			throw error;
--- a/source/database-group/monitor-controller.spec.ts
+++ b/source/database-group/monitor-controller.spec.ts
@@ -52,6 +52,16 @@
 	assert.equal(board.read('suspects').size, 0);
 });
 
+test('a member is not suspected when a heartbeat and one fresh connection are lost but another one is answered', async () => {
+	const {clock, group, board, kinds} = await startMonitor();
+	group.member('a').nextLost.push(true, false, true);
+	await clock.advanceInSteps(2000, 10);
+	assert.equal(group.member('a').nextLost.length, 0);
+	assert.ok(!kinds().includes('member suspected'));
+	assert.ok(!kinds().includes('lease lost'));
+	assert.equal(mayUseMember(board, 'a', clock.now()), true);
+});
+
 test('a member is not used after the lease time has passed since the last renewal was sent', async () => {
 	const {clock, group, board, kinds} = await startMonitor();
 	const until = board.read('leases').get('b') ?? 0;
--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -141,7 +141,7 @@
 		} = this.options;
 		const name = member.member;
 		const monitor = new MemberMonitor({
-			clock, client: clients.create(database, name, member.address), holder, timeouts,
+			clock, createClient: () => clients.create(database, name, member.address), holder, timeouts,
 		}, {
 			onAnswer: (observation, leaseUntil) => {
 				this.#answered(name, observation, leaseUntil);
@@ -149,6 +149,7 @@
 			onLeaseRefused: () => {
 				this.#loseLease(name, 'the member refused to renew it');
 			},
+			answeredSince: time => (board.read('observations').get(name)?.askedAt ?? -1) >= time,
 			onConnectionReplaced: reason => {
 				this.#record('connection discarded', name, `monitor connection: ${reason}`);
 				board.write('unresponsiveConnection', name);
