Keep the cost of waiting lookups independent of the queue length

Lookups now have a queue of their own, which is scanned only while a replica has a free slot, and wait without extra polls.

--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -59,7 +59,8 @@
 				}
 			}),
 			board.watch('awaitingReads', count => {
-				if (count > 0) {
+				// Further reads are served by the extra polls that go on while any read waits.
+				if (count === 1) {
 					this.pollNow();
 				}
 			}),
--- a/source/pool/database-report.ts
+++ b/source/pool/database-report.ts
@@ -15,7 +15,7 @@
 		primary: primary?.member ?? null,
 		term: Math.max(0, ...[...board.read('observations').values()].map(({status}) => status.primaryTerm)),
 		members: members.map(member => reportMember(service, member)),
-		waitingReads: context.readQueue.length,
+		waitingReads: context.readQueue.length + context.lookupQueue.length,
 		waitingWrites: context.writeQueue.length + context.confirmation.length,
 	};
 }
--- a/source/pool/database-service.ts
+++ b/source/pool/database-service.ts
@@ -45,6 +45,9 @@
 	readonly logger: Logger;
 };
 
+/** Reads that are tried on the primary each time that something becomes free. */
+const primaryAttemptsPerDispatch = 4;
+
 /** Stages of giving a database up: no new transactions while open ones finish, then nothing new. */
 type ServiceState = 'serving' | 'finishing' | 'releasing';
 
@@ -227,6 +230,7 @@
 		const queueLength = (): number => limits().queueLength;
 		const slots = new SlotTable();
 		const readQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
+		const lookupQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
 		const writeQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
 		return {
 			database: this.name,
@@ -236,6 +240,7 @@
 			clock,
 			slots,
 			readQueue,
+			lookupQueue,
 			writeQueue,
 			confirmation: new WriteConfirmation(this.board, clock),
 			transactions: new TransactionTable(() => {
@@ -254,14 +259,22 @@
 			},
 			dispatch: () => {
 				writeQueue.dispatch();
-				readQueue.dispatch(() => this.#hasReadSlot());
+				readQueue.dispatch(this.#readCapacity());
+				lookupQueue.dispatch(this.#readCapacity());
 			},
 		};
 	}
 
-	#hasReadSlot(): boolean {
+	/** Returns a test of whether waiting reads can still be admitted. While only the primary has free slots, just the longest waiting reads are tried, since later ones may not use it yet. */
+	#readCapacity(): () => boolean {
+		const {slots} = this.context;
 		const primary = primaryOf(this.board)?.member;
-		return [...this.board.read('members').keys()].some(member => this.context.slots.free(member, 'read', member === primary) > 0);
+		const now = this.options.clock.now();
+		const usable = [...this.board.read('members').values()].filter(({member, leaving}) => !leaving && mayUseMember(this.board, member, now));
+		const replicas = usable.filter(({member}) => member !== primary);
+		let primaryAttempts = primaryAttemptsPerDispatch;
+		return () => replicas.some(({member}) => slots.free(member, 'read', false) > 0)
+			|| (primary !== undefined && slots.free(primary, 'read', true) > 0 && primaryAttempts-- > 0);
 	}
 
 	#setState(state: ServiceState): void {
--- a/source/pool/execution-context.ts
+++ b/source/pool/execution-context.ts
@@ -32,7 +32,10 @@
 	readonly board: GroupBoard;
 	readonly clock: Clock;
 	readonly slots: SlotTable;
+	/** Reads that need the session's own writes, and statements of read-only transactions. */
 	readonly readQueue: AdmissionQueue<MemberGrant>;
+	/** Reads with a stated maximum age; apart from the others, so that neither kind fills the queue of the other. */
+	readonly lookupQueue: AdmissionQueue<MemberGrant>;
 	readonly writeQueue: AdmissionQueue<MemberGrant>;
 	readonly confirmation: WriteConfirmation;
 	readonly transactions: TransactionTable;
--- a/source/pool/pool-process.ts
+++ b/source/pool/pool-process.ts
@@ -324,6 +324,7 @@
 		const {name, context, board} = service;
 		const {queueLength, slotsInUse, connections} = this.#metrics;
 		queueLength.set({database: name, access: 'read'}, context.readQueue.length);
+		queueLength.set({database: name, access: 'lookup'}, context.lookupQueue.length);
 		queueLength.set({database: name, access: 'write'}, context.writeQueue.length);
 		slotsInUse.set({database: name}, context.slots.inUse());
 		let open = 0;
--- a/source/pool/read-executor.ts
+++ b/source/pool/read-executor.ts
@@ -121,9 +121,11 @@
 	}
 
 	async #takeMember(request: PoolRequest, progress: ReadProgress): Promise<MemberGrant> {
-		const {readQueue, clock, limits, dispatch} = this.context;
+		const {clock, limits, dispatch} = this.context;
+		const isLookup = progress.fixedPoint === undefined;
+		const queue = isLookup ? this.context.lookupQueue : this.context.readQueue;
 		const startedAt = clock.now();
-		const immediate = readQueue.length === 0 ? this.#tryMember(request, progress, startedAt) : undefined;
+		const immediate = queue.length === 0 ? this.#tryMember(request, progress, startedAt) : undefined;
 		if (immediate) {
 			return immediate;
 		}
@@ -131,11 +133,13 @@
 		const slotWaitEnd = startedAt + ((request.deadlineAt - startedAt) / 2);
 		const cancels = [startedAt + limits().replicaWait, slotWaitEnd].map(at => clock.schedule(at - startedAt, dispatch));
 		try {
-			return await this.#whileAwaiting(async () => readQueue.enter({
+			const enter = async (): Promise<MemberGrant> => queue.enter({
 				attempt: () => this.#tryMember(request, progress, startedAt),
 				deadlineAt: request.deadlineAt,
 				onDeadline: () => this.#deadlineError(request, progress),
-			}));
+			});
+			// A lookup that has a floor waits for a slot only, which polls do not bring nearer.
+			return await (isLookup && this.#pointOfAge(request, startedAt) ? enter() : this.#whileAwaiting(enter));
 		} finally {
 			for (const cancel of cancels) {
 				cancel();
