Remove old records of request ids that carry their time

Records were kept for good. Once a minute the pool that may use the primary removes records older than the retention time and an hour, but only of UUIDs of version 7, whose repetition is rejected by age; any other id could not be told from a new one.

--- a/source/pool/database-service.ts
+++ b/source/pool/database-service.ts
@@ -23,6 +23,7 @@
 import {type PoolMetrics} from './pool-metrics.js';
 import {otherOwner, ReadExecutor} from './read-executor.js';
 import {RecordedRequests} from './recorded-requests.js';
+import {RequestRetentionController} from './request-retention-controller.js';
 import {opensTransaction} from './statement-text.js';
 import {TransactionExecutor} from './transaction-executor.js';
 import {TransactionTable} from './transaction-table.js';
@@ -57,6 +58,7 @@
 	readonly board: GroupBoard;
 	readonly promotion: PromotionController;
 	readonly context: ExecutionContext;
+	readonly retention: RequestRetentionController;
 	readonly #monitor: MonitorController;
 	readonly #connections: ConnectionTable;
 	readonly #gap: FailoverGapController;
@@ -91,6 +93,13 @@
 		});
 		this.#reads = new ReadExecutor(this.context);
 		this.#writes = new WriteExecutor(this.context, new RecordedRequests(this.context));
+		this.retention = new RequestRetentionController({
+			context: this.context,
+			execute: async request => this.#writes.execute(request),
+			record(kind, detail) {
+				timeline.record('pool', kind, configuration().name, detail);
+			},
+		});
 		this.#transactions = new TransactionExecutor(this.context, this.#writes);
 	}
 
@@ -99,6 +108,7 @@
 		this.#connections.start();
 		this.#gap.start();
 		this.promotion.start();
+		this.retention.start();
 		this.#monitor.start();
 		const dispatch = (): void => {
 			this.context.dispatch();
@@ -117,6 +127,7 @@
 		this.context.transactions.closeAll();
 		this.#monitor.stop();
 		this.promotion.stop();
+		this.retention.stop();
 		this.#gap.stop();
 		this.#connections.stop();
 		this.context.confirmation.stop();
--- a/source/pool/pool-group.spec.ts
+++ b/source/pool/pool-group.spec.ts
@@ -114,6 +114,25 @@
 	await assert.rejects(pool.execute('INSERT INTO notices VALUES (2, \'x\')', {requestId: 'r1'}), {codeName: 'requestIdReused'});
 });
 
+test('old records of request ids are removed only when a repeated id would be rejected by its age', async context => {
+	const {pool} = await startGroup(context);
+	const idOf = (age: number): string => {
+		const digits = Math.floor(Date.now() - age).toString(16).padStart(12, '0');
+		return `${digits.slice(0, 8)}-${digits.slice(8)}-7000-8000-000000000000`;
+	};
+
+	const day = 86_400_000;
+	await assert.rejects(pool.execute('INSERT INTO notices VALUES (1, \'x\')', {requestId: idOf(2 * day)}), {codeName: 'requestIdExpired'});
+	await succeeds(pool.execute('INSERT INTO notices VALUES (1, \'x\')', {requestId: idOf(0)}));
+	for (const [id, age] of [[idOf(2 * day), 2 * day], ['free-text', 2 * day]] as const) {
+		await succeeds(pool.execute(`INSERT INTO buckthornhitch_requests (request_id, outcome, recorded_at) VALUES ('${id}', 'done', ${Date.now() - age})`));
+	}
+
+	await pool.pool.serviceOf(testDatabase).retention.removeOld();
+	const read = await succeeds(pool.execute('SELECT request_id FROM buckthornhitch_requests', {access: 'read'}));
+	assert.deepEqual(rowsOf(read).map(row => row.request_id?.slice(14)).toSorted((first, second) => String(first).localeCompare(String(second))), ['', '7000-8000-000000000000']);
+});
+
 test('a write with a request id is resolved after the primary was killed', async context => {
 	const group = await startGroup(context, {serviceTime: 20});
 	await succeeds(group.pool.execute('INSERT INTO notices VALUES (0, \'x\')', {requestId: 'r0'}));
--- a/source/pool/recorded-requests.ts
+++ b/source/pool/recorded-requests.ts
@@ -20,7 +20,8 @@
 } from './write-executor.js';
 
 const uniqueViolation = '23505';
-const undefinedTable = '42P01';
+/** SQLSTATE of a statement on a table that does not exist. */
+export const undefinedTableSqlState = '42P01';
 const createTable = 'CREATE TABLE IF NOT EXISTS buckthornhitch_requests (request_id text PRIMARY KEY, outcome text NOT NULL, recorded_at bigint NOT NULL)';
 const fingerprintLength = 24;
 const uuidVersion7Pattern = /^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/iv;
@@ -84,7 +85,7 @@
 
 	async #afterFailedInsertion(sqlState: string, request: PoolRequest, use: PrimaryUse, writes: WriteExecutor): Promise<ExecuteResponse | undefined> {
 		switch (sqlState) {
-			case undefinedTable: {
+			case undefinedTableSqlState: {
 				await this.#exchange(use, [query(createTable)]);
 				return undefined;
 			}
