Run reads on the primary as read-only

A read that calls a function which writes would have changed data on the primary without waiting for a majority. Reads on the primary are now enclosed in settings that make it refuse writes; a refused read runs as a write.

--- a/source/pool/pool-process.spec.ts
+++ b/source/pool/pool-process.spec.ts
@@ -81,6 +81,16 @@
 	assert.deepEqual(connector.executed.map(text => text.charAt(0)).toSorted((first, second) => first.localeCompare(second)), ['b', 'c']);
 });
 
+test('a read on the primary cannot write without a confirmation', async () => {
+	const {clock, connector, pool} = await startPool();
+	await pool.announce(addresses, ['b', 'c']);
+	const read = pool.execute('SELECT 1', {access: 'read', maximumAge: 5000});
+	await clock.advanceInSteps(50, 10);
+	await read;
+	const setting = 'a SET default_transaction_read_only =';
+	assert.deepEqual(connector.executed, [`${setting} on`, 'a SELECT 1', `${setting} off`]);
+});
+
 test('a write without a primary is rejected as not run and does not run later', async () => {
 	const {group, connector, pool, keepAnnouncing} = await startPool();
 	for (const member of group.members.values()) {
--- a/source/pool/read-executor.ts
+++ b/source/pool/read-executor.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {serialize} from 'pg-protocol';
 import {type Milliseconds} from '../clock/clock.js';
 import {waitUntil} from '../blackboard/wait-until.js';
 import {mayUseMember} from '../database-group/group-state.js';
@@ -30,17 +31,24 @@
 	closeConnection: () => void;
 };
 
+/** Statements around a read on the primary. A function called by the read might write otherwise, and its effects would not be confirmed. */
+const readOnlyGuard = {
+	before: [serialize.query('SET default_transaction_read_only = on')],
+	after: [serialize.query('SET default_transaction_read_only = off')],
+};
+const noGuard: typeof readOnlyGuard = {before: [], after: []};
+
 /** Members on which a read runs at the same time when an answer is late. */
 const parallelReads = 2;
 
-/** A result, or undefined when a replica refused the statement as a write. */
+/** A result, or undefined when the member refused the statement as a write. */
 type ReadResult = ExecuteResponse | undefined;
 
 /** Runs reads outside of transactions, and statements that open a read-only transaction. */
 export class ReadExecutor {
 	constructor(private readonly context: ExecutionContext) {}
 
-	/** Runs the read on an eligible member; resolves with undefined when a replica refused it as a write. Rejects with a numbered code. */
+	/** Runs the read on an eligible member; resolves with undefined when the member refused it as a write. Rejects with a numbered code. */
 	async execute(request: PoolRequest): Promise<ReadResult> {
 		const fixedPoint = await this.#fixedPoint(request);
 		return request.transactionId === null ? this.#race(request, fixedPoint) : this.#attempt(request, createProgress(fixedPoint));
@@ -238,8 +246,11 @@
 			progress.onLate(grant.status.member);
 		});
 		try {
-			const sent = needsPoint ? Buffer.concat([request.bytes, statusQueryBytes]) : request.bytes;
-			const [bytes, statusBytes] = await connection.exchange(sent, needsPoint ? 2 : 1, limits().statementTimeout);
+			const parts = needsPoint ? [request.bytes, statusQueryBytes] : [request.bytes];
+			const guard = grant.isPrimary && request.transactionId === null ? readOnlyGuard : noGuard;
+			const sent = [...guard.before, ...parts, ...guard.after];
+			const responses = await connection.exchange(Buffer.concat(sent), sent.length, limits().statementTimeout);
+			const [bytes, statusBytes] = responses.slice(guard.before.length, guard.before.length + parts.length);
 			const status = statusBytes ? this.#observedStatus(statusBytes, askedAt) : grant.status;
 			const point = laterLogPoint(progress.fixedPoint ?? appliedPoint(status), appliedPoint(status));
 			return this.#answer(request, grant, connection, {bytes, point});
@@ -265,7 +276,7 @@
 		const {transactionStatus} = connection;
 		if (transactionStatus === 'idle') {
 			grant.connections.release(connection);
-			if (!grant.isPrimary && wasRefusedAsReadOnly(bytes)) {
+			if (wasRefusedAsReadOnly(bytes)) {
 				return undefined;
 			}
 		} else if (request.transactionId === null) {
