Spare a planned change one round trip to the old primary

The change of the primary asked the old one for the end of its log while writes were held up. The pool that holds the lease knows that end from its own writes, and the promises show a longer log if there is one: then the target is not promoted and the request says so.

--- a/source/database-group/group-state.ts
+++ b/source/database-group/group-state.ts
@@ -1,6 +1,7 @@
 import {Blackboard} from '../blackboard/blackboard.js';
 import {type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
+import {emptyLogPoint} from './log-point-rules.js';
 import {type FreshnessFloor, type LogPoint, type MemberObservation} from './types.js';
 
 /** A member of the accepted set whose address is known. */
@@ -39,6 +40,8 @@
 	readonly yielding: boolean;
 	/** Highest point of the writes that wait for their confirmation. */
 	readonly awaitedPoint: LogPoint | undefined;
+	/** Highest point that a write of this pool has reached on the primary. */
+	readonly latestWritePoint: LogPoint;
 	/** Reads that wait for a fresher member or a new floor. */
 	readonly awaitingReads: number;
 	/** Whether new writes wait because a planned change of the primary is under way. */
@@ -63,6 +66,7 @@
 		ownership: {rank: -1, order: []},
 		yielding: false,
 		awaitedPoint: undefined,
+		latestWritePoint: emptyLogPoint,
 		awaitingReads: 0,
 		writesPaused: false,
 		writesInProgress: 0,
--- a/source/database-group/promotion-controller.spec.ts
+++ b/source/database-group/promotion-controller.spec.ts
@@ -139,6 +139,7 @@
 	const {board, promotion} = startCoordinator(group, clock, 'pool-1', 0);
 	await clock.advanceInSteps(400, 10);
 	group.member('a').position = 9;
+	await clock.advanceInSteps(400, 10);
 	const change = promotion.switchTo('b');
 	await clock.advanceInSteps(300, 10);
 	assert.equal(board.read('writesPaused'), true);
@@ -149,3 +150,16 @@
 	assert.deepEqual(primaries(group).map(({name}) => name), ['b']);
 	assert.equal(board.read('writesPaused'), false);
 });
+
+test('a planned change does not promote a member without the end of a log that this pool did not know', async () => {
+	const clock = new ManualClock();
+	const group = new FakeGroup(clock);
+	group.establish('a', 1);
+	const {promotion} = startCoordinator(group, clock, 'pool-1', 0);
+	await clock.advanceInSteps(400, 10);
+	group.member('a').position = 9;
+	const change = assert.rejects(promotion.switchTo('b'), {codeName: 'memberRefused'});
+	await clock.advanceInSteps(300, 10);
+	await change;
+	assert.deepEqual(primaries(group).map(({name}) => name), ['a']);
+});
--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -7,7 +7,9 @@
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {type GroupBoard} from './group-state.js';
-import {coversLogPoint, receivedPoint} from './log-point-rules.js';
+import {
+	coversLogPoint, emptyLogPoint, laterLogPoint, receivedPoint,
+} from './log-point-rules.js';
 import {type MonitorController} from './monitor-controller.js';
 import {
 	decidePromotion, preferredMember, type PromotionDecision, type PromotionReason, type PromotionView,
@@ -115,8 +117,9 @@
 		try {
 			const until = clock.now() + switchTimeout;
 			await this.#waitForTarget(primary.member, target, until);
-			if (!await this.#promote('planned', target)) {
-				throw new BuckthornhitchError('memberRefused', 'The promotion did not succeed; see the time line.');
+			const promoted = await this.#promote('planned', target);
+			if (promoted !== target) {
+				throw new BuckthornhitchError('memberRefused', promoted === undefined ? 'The promotion did not succeed; see the time line.' : `"${promoted}" was promoted, since its log is longer.`);
 			}
 		} catch (error) {
 			this.#record('planned change failed', target, toBuckthornhitchError(error).message);
@@ -134,12 +137,13 @@
 			throw new BuckthornhitchError('deadlinePassed', 'Transactions are still open on the primary.');
 		}
 
-		const idleSince = clock.now();
+		// Only the holder of the primary's lease writes, so this pool knows the end of the log; if it does not, the promises show the longer log and the target is not promoted.
+		const source = board.read('observations').get(primary);
+		const end = laterLogPoint(board.read('latestWritePoint'), source ? receivedPoint(source.status) : emptyLogPoint);
 		board.write('awaitingReads', board.read('awaitingReads') + 1);
 		const hasAll = (): boolean => {
-			const source = board.read('observations').get(primary);
 			const copy = board.read('observations').get(target);
-			return Boolean(source && copy && source.askedAt >= idleSince && coversLogPoint(receivedPoint(copy.status), receivedPoint(source.status)));
+			return Boolean(copy && coversLogPoint(receivedPoint(copy.status), end));
 		};
 
 		const caughtUp = await waitUntil({board, names: ['observations'], condition: hasAll}, clock, until - clock.now());
@@ -187,7 +191,7 @@
 		if (decision.kind === 'follow') {
 			await this.#makeFollow(decision.primary, decision.members);
 			this.#pause(this.options.timeouts().heartbeat, 0);
-		} else if (decision.kind === 'promote' && !await this.#promote(decision.reason, decision.preferred)) {
+		} else if (decision.kind === 'promote' && await this.#promote(decision.reason, decision.preferred) === undefined) {
 			this.#pause(retryPause, retryJitter);
 		}
 	}
@@ -208,8 +212,8 @@
 		}
 	}
 
-	/** Promotes a member; returns whether it succeeded. */
-	async #promote(reason: PromotionReason | 'planned', preferred: string | undefined): Promise<boolean> {
+	/** Promotes a member; returns its name, or undefined when it did not succeed. */
+	async #promote(reason: PromotionReason | 'planned', preferred: string | undefined): Promise<string | undefined> {
 		const {board, database, monitor} = this.options;
 		const term = nextTerm([...board.read('observations').values()].map(({status}) => status));
 		this.#record('promotion started', database, `term ${term}, reason ${reason}`);
@@ -218,18 +222,18 @@
 		if (!chosen) {
 			this.#record('promotion failed', database, `term ${term}: ${answers.length} of ${board.read('memberCount')} members promised`);
 			monitor.pollNow();
-			return false;
+			return undefined;
 		}
 
 		const promoted = await this.#call(chosen.member, 'promote', async client => client.promote(term, promoteTimeout));
 		if (!promoted) {
-			return false;
+			return undefined;
 		}
 
 		this.#record('member promoted', chosen.member, `term ${term}`);
 		const others = answers.map(answer => answer.member).filter(member => member !== chosen.member);
 		await this.#makeFollow(promoted, others);
-		return true;
+		return chosen.member;
 	}
 
 	async #collectPromises(term: number): Promise<readonly MemberStatus[]> {
--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -3,7 +3,7 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {mayUseMember, type GroupBoard} from '../database-group/group-state.js';
 import {readMemberStatus, statusQuery} from '../database-group/member-status-row.js';
-import {majoritySize, receivedPoint} from '../database-group/log-point-rules.js';
+import {laterLogPoint, majoritySize, receivedPoint} from '../database-group/log-point-rules.js';
 import {type LogPoint, type MemberStatus} from '../database-group/types.js';
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
 import {findErrorInResponse, readTextRows} from '../postgres-protocol/backend-rows.js';
@@ -89,6 +89,7 @@
 
 	/** Returns the status in the response to the status query. Rejects with outcomeUnknown when the member is no longer the primary of the term. */
 	checkedStatus(response: Buffer | undefined, askedAt: number, term: number): MemberStatus {
+		const {board, observe} = this.context;
 		let status: MemberStatus;
 		try {
 			status = readMemberStatus(readTextRows(splitBackendMessages(response ?? Buffer.alloc(0)))[0]);
@@ -96,11 +97,12 @@
 			throw outcomeUnknown(`The point of the write could not be read: ${toBuckthornhitchError(error).detail}`);
 		}
 
-		this.context.observe({askedAt, status});
+		observe({askedAt, status});
 		if (status.role !== 'primary' || status.primaryTerm !== term || status.logTerm !== term) {
 			throw outcomeUnknown(`${status.member} was superseded as primary of term ${term}.`);
 		}
 
+		board.write('latestWritePoint', laterLogPoint(board.read('latestWritePoint'), receivedPoint(status)));
 		return status;
 	}
 
