--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -63,7 +63,8 @@
 				this.#followRank(rank);
 			}),
 			board.watch('awaitingReads', count => {
-				if (count > 0) {
+				// Further reads are served by the extra polls that go on while any read waits.
+				if (count === 1) {
 					this.pollNow();
 				}
 			}),
@@ -152,7 +153,7 @@
 		} = this.options;
 		const name = member.member;
 		const monitor = new MemberMonitor({
-			clock, client: clients.create(database, name, member.address), holder, timeouts,
+			clock, createClient: () => clients.create(database, name, member.address), holder, timeouts,
 		}, {
 			onAnswer: (observation, leaseUntil) => {
 				this.#answered(name, observation, leaseUntil);
@@ -160,6 +161,7 @@
 			onLeaseRefused: () => {
 				this.#loseLease(name, 'the member refused to renew it');
 			},
+			answeredSince: time => (board.read('observations').get(name)?.askedAt ?? -1) >= time,
 			onConnectionReplaced: reason => {
 				this.#record('connection discarded', name, `monitor connection: ${reason}`);
 				board.write('unresponsiveConnection', name);
