Check the control log by model checking

Adds a specification of three voters that restart, lose disks and are replaced, which calls the product's rules for votes, log matching, commit, the voter list and the outcome of changes. The rule for outcomes moved into a module of its own for that purpose.

--- a/source/control-log/state-machine.ts
+++ b/source/control-log/state-machine.ts
@@ -2,6 +2,7 @@
 import {type AcceptedConfiguration, type ConfigurationFiles} from '../configuration/types.js';
 import {type ApplyResponse, type ConfigurationDelta, type ConfigurationSinceResponse} from '../control/messages.js';
 import {resultCodes, type ResultCodeName} from '../result-codes/result-codes.js';
+import {changeOutcome} from './change-rules.js';
 import {StateMachine} from './storage.js';
 import {type ApplyCommand, type LogEntry, type RegisterMemberCommand} from './types.js';
 
@@ -93,22 +94,30 @@
 	#applyChange(command: ApplyCommand): ApplyResponse {
 		const digest = digestOf(command);
 		const known = this.#changes.get(command.changeId);
-		if (known) {
-			return known.digest === digest ? known.answer : this.#answer('changeIdReused', `"${command.changeId}"`);
-		}
-
 		const {revision, files} = this.#accepted;
-		const current = command.expectedRevision >= this.#filesRevision && command.expectedRevision <= revision;
-		if (current) {
-			this.#advance({files: differences(files, command.files), memberSets: {}}, command.files);
-			this.#filesRevision = this.#accepted.revision;
-		}
+		const outcome = changeOutcome({
+			knownDigest: known?.digest, digest, expectedRevision: command.expectedRevision, filesRevision: this.#filesRevision, revision,
+		});
+		switch (outcome) {
+			case 'known': {
+				return known!.answer;
+			}
+
+			case 'changeIdReused': {
+				return this.#answer('changeIdReused', `"${command.changeId}"`);
+			}
 
-		const answer = current
-			? this.#answer('done', '')
-			: this.#answer('revisionConflict', `Revision ${command.expectedRevision} was expected, the current one is ${revision}.`);
-		this.#remember(command.changeId, {digest, answer});
-		return answer;
+			case 'revisionConflict': {
+				const detail = `Revision ${command.expectedRevision} was expected, the current one is ${revision}.`;
+				return this.#remember(command.changeId, {digest, answer: this.#answer('revisionConflict', detail)});
+			}
+
+			case 'accepted': {
+				this.#advance({files: differences(files, command.files), memberSets: {}}, command.files);
+				this.#filesRevision = this.#accepted.revision;
+				return this.#remember(command.changeId, {digest, answer: this.#answer('done', '')});
+			}
+		}
 	}
 
 	#registerMember({database, member, memberCount}: RegisterMemberCommand): ApplyResponse {
@@ -140,12 +149,14 @@
 		}
 	}
 
-	#remember(changeId: string, change: KnownChange): void {
+	#remember(changeId: string, change: KnownChange): ApplyResponse {
 		this.#changes.set(changeId, change);
 		if (this.#changes.size > keptAnswers) {
 			const [oldest] = this.#changes.keys();
 			this.#changes.delete(oldest);
 		}
+
+		return change.answer;
 	}
 }
 
--- a/source/control-log/voter.ts
+++ b/source/control-log/voter.ts
@@ -60,6 +60,11 @@
 		return this.#state.log.list;
 	}
 
+	/** Whether a change of the voter list has not ended: the list is not known to be committed, or holds a learner. */
+	get listChanging(): boolean {
+		return this.#state.commitIndex < this.#state.log.listIndex || this.list.learners.length > 0;
+	}
+
 	/** The leader as far as this voter knows. */
 	get leader(): VoterRecord | undefined {
 		return this.#leadership ? this.self : this.#state.leader;
--- a/source/control/control-process.spec.ts
+++ b/source/control/control-process.spec.ts
@@ -20,10 +20,10 @@
 	await group.start(name, new MemoryStorage(diskId));
 }
 
-/** Returns whether the list in force has these voters and no change is under way. */
+/** Returns whether the list in force has these voters and is committed. */
 function hasVoters(group: TestGroup, keys: readonly string[]): boolean {
-	const list = group.leader?.voter.list;
-	return list?.learners.length === 0 && keys.every(key => list.voters.some(voter => voterKey(voter) === key));
+	const voter = group.leader?.voter;
+	return voter?.listChanging === false && keys.every(key => voter.list.voters.some(record => voterKey(record) === key));
 }
 
 test('an accepted change is lost when the leader is killed', async () => {
--- a/specification/verify.ts
+++ b/specification/verify.ts
@@ -1,9 +1,10 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {controlLogCases} from './control-log-cases.js';
 import {databaseGroupCases} from './database-group.js';
 import {type VerificationCase} from './registry.js';
 
-const cases: readonly VerificationCase[] = [...databaseGroupCases];
+const cases: readonly VerificationCase[] = [...databaseGroupCases, ...controlLogCases];
 
 /** Runs one case, prints its figures and returns whether it ended as expected. */
 function runCase(verificationCase: VerificationCase): boolean {
