--- a/source/configuration/configuration-controller.ts
+++ b/source/configuration/configuration-controller.ts
@@ -15,9 +15,6 @@
 /** Name of the request that returns the changes after a revision; every process answers it from what it holds. */
 export const configurationFromPeerName = 'configurationFromPeer';
 
-/** Revisions are compared with a random peer once in this many milliseconds, so that lost announcements are repaired. */
-export const comparisonPeriod: Milliseconds = 2000;
-
 /** Peers that one process serves at a time; the others wait and ask another one. */
 export const largestPeerServing = 4;
 
@@ -50,6 +47,7 @@
 	#announced = 0;
 	#fetching = false;
 	#refreshing = false;
+	#refreshDue = false;
 	#stopped = false;
 	#wake: (() => void) | undefined;
 
@@ -61,14 +59,9 @@
 	start(): void {
 		const {clock, gossip, handlers, originPeriod} = this.options;
 		handlers.handle(configurationFromPeerName, async body => this.#answerPeer(body));
-		this.#cancels.push(
-			gossip.onRevision((revision, holder) => {
-				this.#noteAnnouncement(revision, holder);
-			}),
-			clock.repeat(comparisonPeriod, () => {
-				gossip.compareRevisions();
-			}),
-		);
+		this.#cancels.push(gossip.onRevision((revision, holder) => {
+			this.#noteAnnouncement(revision, holder);
+		}));
 		if (originPeriod !== undefined) {
 			this.#cancels.push(clock.repeat(originPeriod, () => {
 				this.refresh();
@@ -91,17 +84,25 @@
 	refresh(): void {
 		if (this.options.store.revision === undefined) {
 			this.#wake?.();
-		} else if (!this.#refreshing) {
+		} else {
+			this.#refreshDue = true;
 			void this.#refresh();
 		}
 	}
 
 	async #refresh(): Promise<void> {
+		if (this.#refreshing) {
+			return;
+		}
+
 		this.#refreshing = true;
-		try {
-			await this.#fetchFromOrigin();
-		} catch (error) {
-			this.options.logger.debug(`control gave no changes: ${String(error)}`);
+		while (this.#refreshDue && !this.#stopped) {
+			this.#refreshDue = false;
+			try {
+				await this.#fetchFromOrigin();
+			} catch (error) {
+				this.options.logger.debug(`control gave no changes: ${String(error)}`);
+			}
 		}
 
 		this.#refreshing = false;
--- a/source/control-log/state-machine.ts
+++ b/source/control-log/state-machine.ts
@@ -73,14 +73,14 @@
 		this.#deltaCharacters = 0;
 	}
 
-	/** Returns the changes after a revision, or everything when they are no longer kept. */
+	/** Returns the changes after a revision, or everything when they are no longer kept or the asking process holds nothing yet. */
 	since(revision: number): ConfigurationSinceResponse {
 		const missing = this.#accepted.revision - revision;
 		if (missing <= 0) {
 			return {kind: 'deltas', deltas: []};
 		}
 
-		return missing <= this.#deltas.length
+		return revision > 0 && missing <= this.#deltas.length
 			? {kind: 'deltas', deltas: this.#deltas.slice(-missing)}
 			: {kind: 'snapshot', configuration: this.#accepted};
 	}
--- a/source/control/control-process.ts
+++ b/source/control/control-process.ts
@@ -131,15 +131,15 @@
 	async registerMember({database, member}: RegisterMemberRequest): Promise<ApplyResponse> {
 		await this.voter.confirmLeadership(confirmationTimeout);
 		const {files, memberSets, revision} = this.#machine.accepted;
+		if (memberSets[database]?.includes(member)) {
+			return {code: 0, revision, detail: ''};
+		}
+
 		const memberCount = this.options.validator.memberCount(files, database);
 		if (memberCount === undefined) {
 			throw new BuckthornhitchError('unknownDatabase', `"${database}"`);
 		}
 
-		if (memberSets[database]?.includes(member)) {
-			return {code: 0, revision, detail: ''};
-		}
-
 		return await this.voter.propose({
 			kind: 'registerMember', database, member, memberCount,
 		}, confirmationTimeout) as ApplyResponse;
