Bound batches, records and the log by size, and try each control process in each round

Causes: concurrent changes with large files could make a record longer than the longest one that is read back; 1,000 entries with large files could take more memory than the instance has; two voters that named each other as leader kept a client from the third, and a process that was just starting ended a client's request with unknownRequest.

The specification lets a lost disk come back.

--- a/source/control-log/file-storage.ts
+++ b/source/control-log/file-storage.ts
@@ -1,4 +1,4 @@
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {
 	mkdir, open, readFile, rename, type FileHandle,
 } from 'node:fs/promises';
@@ -75,16 +75,17 @@
 			await this.#replace(snapshotFile, encodeRecord(snapshot));
 			const bytes = this.#logBytes;
 			this.#logBytes = undefined;
-			const record = entries.length > 0 ? encodeRecord({entries} satisfies LogRecord) : undefined;
-			if (bytes === 0 && !record) {
+			const records = entries.map(entry => encodeRecord({entries: [entry]} satisfies LogRecord));
+			if (bytes === 0 && records.length === 0) {
 				this.#logBytes = 0;
 				return;
 			}
 
-			await this.#replace(logFile, record);
+			const log = Buffer.concat(records);
+			await this.#replace(logFile, log);
 			await this.#log!.close();
 			this.#log = await this.openFile(this.#path(logFile), 'r+');
-			this.#logBytes = record?.length ?? 0;
+			this.#logBytes = log.length;
 		});
 	}
 
@@ -107,7 +108,7 @@
 		}
 
 		await this.#replace(promiseFile, encodeRecord({term: 0, votedFor: null} satisfies VoterPromise));
-		await this.#replace(logFile, undefined);
+		await this.#replace(logFile, Buffer.alloc(0));
 		const diskId = uniqueId();
 		await this.#replace(diskFile, encodeRecord({diskId}));
 		await this.#syncFolder(path.dirname(this.folder));
@@ -159,14 +160,11 @@
 	}
 
 	/** Replaces a file by write, sync, rename and sync of the folder. */
-	async #replace(file: string, bytes: Buffer | undefined): Promise<void> {
+	async #replace(file: string, bytes: Buffer): Promise<void> {
 		const temporary = this.#path(`${file}.new`);
 		const handle = await this.openFile(temporary, 'w');
 		try {
-			if (bytes) {
-				await writeFully(handle, bytes, 0);
-			}
-
+			await writeFully(handle, bytes, 0);
 			await handle.sync();
 		} finally {
 			await handle.close();
--- a/source/control-log/leadership.ts
+++ b/source/control-log/leadership.ts
@@ -1,5 +1,6 @@
 import {type Cancel, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {firstBatch} from './entry-size.js';
 import {
 	isLeaseLive, nextCommitIndex, quorumValue, type ChangeQuestion,
 } from './log-rules.js';
@@ -137,13 +138,19 @@
 		return new Promise((resolve, reject) => {
 			this.#proposals.push({command, resolve, reject});
 			if (this.#proposals.length === 1) {
-				void this.state.serially(async () => this.#appendProposals()).catch(() => undefined);
+				this.#scheduleAppend();
 			}
 		});
 	}
 
 	/** Sends the log to a learner that is not in the list yet. */
 	addLearner(learner: VoterRecord): void {
+		for (const [key, other] of this.#learners) {
+			if (other.name === learner.name) {
+				this.#learners.delete(key);
+			}
+		}
+
 		this.#learners.set(voterKey(learner), learner);
 		this.replicate();
 	}
@@ -201,13 +208,22 @@
 		return this.#learners.has(key) || [...voters, ...learners].some(other => voterKey(other) === key);
 	}
 
+	/** What is proposed until the storage is free is appended in one sync. */
+	#scheduleAppend(): void {
+		void this.state.serially(async () => this.#appendProposals()).catch(() => undefined);
+	}
+
 	async #appendProposals(): Promise<void> {
-		const proposals = this.#proposals;
-		this.#proposals = [];
+		const proposals = firstBatch(this.#proposals);
+		this.#proposals = this.#proposals.slice(proposals.length);
 		if (this.#stopped || proposals.length === 0) {
 			return;
 		}
 
+		if (this.#proposals.length > 0) {
+			this.#scheduleAppend();
+		}
+
 		const first = this.state.log.end.index + 1;
 		const entries: LogEntry[] = [];
 		for (const [offset, proposal] of proposals.entries()) {
@@ -219,7 +235,7 @@
 			this.replicate();
 		});
 		this.#advanceCommit();
-		await this.state.compact(this.timing.compactAfter);
+		await this.state.compact(this.timing);
 	}
 
 	#heartbeat(): void {
--- a/source/control-log/peer.ts
+++ b/source/control-log/peer.ts
@@ -1,11 +1,9 @@
 import {type Milliseconds} from '../clock/clock.js';
+import {firstBatch} from './entry-size.js';
 import {type AppendRequest, type AppendResponse, type SnapshotRequest} from './messages.js';
-import {type LogEntry, type VoterRecord} from './types.js';
+import {type VoterRecord} from './types.js';
 import {type VoterState} from './voter-state.js';
 
-/** Characters of files in one message, so that it stays well within the longest frame. */
-const charactersPerMessage = 2 * 1024 * 1024;
-
 /** A message to a peer. */
 export type PeerMessage =
 	| {readonly name: 'appendEntries'; readonly body: AppendRequest}
@@ -44,7 +42,7 @@
 		return {
 			name: 'appendEntries',
 			body: {
-				...common, previousIndex, previousTerm, entries: entriesWithin(log.entriesAfter(previousIndex, entryLimit)), commitIndex: state.commitIndex,
+				...common, previousIndex, previousTerm, entries: firstBatch(log.entriesAfter(previousIndex, entryLimit)), commitIndex: state.commitIndex,
 			},
 		};
 	}
@@ -61,16 +59,3 @@
 		this.nextIndex = Math.max(this.matchIndex, response.index) + 1;
 	}
 }
-
-function entriesWithin(entries: readonly LogEntry[]): readonly LogEntry[] {
-	let characters = 0;
-	const end = entries.findIndex((entry, position) => {
-		characters += fileCharacters(entry);
-		return position > 0 && characters > charactersPerMessage;
-	});
-	return end === -1 ? entries : entries.slice(0, end);
-}
-
-function fileCharacters({command}: LogEntry): number {
-	return command.kind === 'apply' ? Object.values(command.files).join('').length : 0;
-}
--- a/source/control-log/record-format.ts
+++ b/source/control-log/record-format.ts
@@ -20,9 +20,13 @@
 	readonly tornBytes: number;
 };
 
-/** Encodes a value as length, CRC-32 of length and body, and body. */
+/** Encodes a value as length, CRC-32 of length and body, and body. Throws messageTooLarge. */
 export function encodeRecord(value: unknown): Buffer {
 	const body = encoder.encode(value);
+	if (body.length > maximumRecordBytes) {
+		throw new BuckthornhitchError('messageTooLarge', `The record has ${body.length} bytes, at most ${maximumRecordBytes} are allowed.`);
+	}
+
 	const record = Buffer.allocUnsafe(headerBytes + body.length);
 	record.writeUInt32BE(body.length, 0);
 	body.copy(record, headerBytes);
--- a/source/control-log/state-machine.ts
+++ b/source/control-log/state-machine.ts
@@ -121,7 +121,7 @@
 	}
 
 	#registerMember({database, member, memberCount}: RegisterMemberCommand): ApplyResponse {
-		const members = this.#accepted.memberSets[database] ?? [];
+		const members = membersOf(this.#accepted, database);
 		if (members.includes(member)) {
 			return this.#answer('done', '');
 		}
@@ -160,6 +160,11 @@
 	}
 }
 
+/** Returns the agreed members of a database group. */
+export function membersOf({memberSets}: AcceptedConfiguration, database: string): readonly string[] {
+	return Object.hasOwn(memberSets, database) ? memberSets[database] : [];
+}
+
 function digestOf({expectedRevision, files}: ApplyCommand): string {
 	const names = Object.keys(files).sort();
 	const content = JSON.stringify([expectedRevision, names.map(name => [name, files[name]])]);
@@ -169,8 +174,9 @@
 function differences(before: ConfigurationFiles, after: ConfigurationFiles): Readonly<Record<string, string | null>> {
 	const changed: Record<string, string | null> = {};
 	for (const name of new Set([...Object.keys(before), ...Object.keys(after)])) {
-		if (before[name] !== after[name]) {
-			changed[name] = after[name] ?? null;
+		const text = Object.hasOwn(after, name) ? after[name] : null;
+		if (!Object.hasOwn(before, name) || before[name] !== text) {
+			changed[name] = text;
 		}
 	}
 
--- a/source/control-log/voter-log.ts
+++ b/source/control-log/voter-log.ts
@@ -1,3 +1,4 @@
+import {fileCharacters} from './entry-size.js';
 import {listInForce} from './log-rules.js';
 import {
 	type LogEnd, type LogEntry, type Snapshot, type StoredState, type VoterList,
@@ -10,6 +11,7 @@
 	#snapshot: Snapshot | undefined;
 	#entries: LogEntry[] = [];
 	#list: VoterList = emptyList;
+	#characters = 0;
 
 	/** The snapshot that the entries follow. */
 	get snapshot(): Snapshot | undefined {
@@ -36,9 +38,9 @@
 		return this.#entries.findLast(entry => entry.command.kind === 'changeVoters')?.index ?? this.baseIndex;
 	}
 
-	/** Number of entries after the snapshot. */
-	get length(): number {
-		return this.#entries.length;
+	/** Characters of files in the entries after the snapshot. */
+	get characters(): number {
+		return this.#characters;
 	}
 
 	/** Takes over what was read from storage. */
@@ -50,7 +52,7 @@
 	reset(snapshot: Snapshot | undefined, entries: readonly LogEntry[]): void {
 		this.#snapshot = snapshot;
 		this.#entries = [...entries];
-		this.#refreshList();
+		this.#refresh();
 	}
 
 	/** Returns the term of a held entry, or undefined when it is not held or covered by the snapshot's inside. */
@@ -77,7 +79,7 @@
 
 		this.#entries.length = Math.max(0, entries[0].index - this.baseIndex - 1);
 		this.#entries.push(...entries);
-		this.#refreshList();
+		this.#refresh();
 	}
 
 	/** Returns the voter list in force at an index. */
@@ -85,7 +87,12 @@
 		return listInForce(this.#snapshot?.list ?? emptyList, this.#entries.filter(entry => entry.index <= index));
 	}
 
-	#refreshList(): void {
+	#refresh(): void {
+		this.#characters = 0;
+		for (const {command} of this.#entries) {
+			this.#characters += fileCharacters(command);
+		}
+
 		this.#list = listInForce(this.#snapshot?.list ?? emptyList, this.#entries);
 	}
 }
--- a/source/control-log/voter-options.ts
+++ b/source/control-log/voter-options.ts
@@ -20,6 +20,8 @@
 	readonly checkPeriod: Milliseconds;
 	/** Entries kept in the log before they are replaced by a snapshot. */
 	readonly compactAfter: number;
+	/** Characters of files in these entries before they are replaced by a snapshot. */
+	readonly compactAfterCharacters: number;
 };
 
 /** Times and bounds in use. */
@@ -32,6 +34,7 @@
 	snapshotTimeout: 5000,
 	checkPeriod: 1000,
 	compactAfter: 1000,
+	compactAfterCharacters: 8 * 1024 * 1024,
 };
 
 /** Receives what happens to a voter. */
--- a/source/control-log/voter-state.ts
+++ b/source/control-log/voter-state.ts
@@ -1,6 +1,6 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type VoterOptions} from './voter-options.js';
+import {type VoterOptions, type VoterTiming} from './voter-options.js';
 import {
 	voterKey, type LogEntry, type Snapshot, type VoterPromise, type VoterRecord, type VoterRole,
 } from './types.js';
@@ -183,10 +183,11 @@
 		return answers;
 	}
 
-	/** Replaces the carried out entries by a snapshot when there are more than the limit. */
-	async compact(limit: number): Promise<void> {
+	/** Replaces the carried out entries by a snapshot when they are more, or hold more characters, than the limits. */
+	async compact(limits: Pick<VoterTiming, 'compactAfter' | 'compactAfterCharacters'>): Promise<void> {
 		const index = this.#appliedIndex;
-		if (index - this.log.baseIndex <= limit) {
+		const isSmall = index - this.log.baseIndex <= limits.compactAfter && this.log.characters <= limits.compactAfterCharacters;
+		if (isSmall || index === this.log.baseIndex) {
 			return;
 		}
 
--- a/source/control-log/voter.ts
+++ b/source/control-log/voter.ts
@@ -219,7 +219,7 @@
 			const index = request.previousIndex + request.entries.length;
 			this.#state.commit(Math.min(request.commitIndex, index));
 			this.#state.setRole(this.#state.restingRole());
-			await this.#state.compact(this.#timing.compactAfter);
+			await this.#state.compact(this.#timing);
 			return {term, accepted: true, index};
 		});
 	}
--- a/source/control/control-client.ts
+++ b/source/control/control-client.ts
@@ -25,7 +25,8 @@
 	readonly error: BuckthornhitchError | undefined;
 };
 
-const retriedCodes: ReadonlySet<ResultCodeName> = new Set(['notLeader', 'notConfirmed', 'linkNotSent', 'linkOutcomeUnknown', 'storageFailed', 'notBootstrapped', 'draining']);
+// A process that is just starting does not know its requests yet.
+const retriedCodes: ReadonlySet<ResultCodeName> = new Set(['notLeader', 'notConfirmed', 'linkNotSent', 'linkOutcomeUnknown', 'storageFailed', 'notBootstrapped', 'draining', 'unknownRequest']);
 
 /** Sends requests to the leader of the control processes. */
 export class ControlClient {
@@ -110,7 +111,9 @@
 		let outcomeUnknown = false;
 		let failure = new BuckthornhitchError('invalidSetting', 'No control instance is given.');
 		while (this.controls.length > 0 && this.clock.now() < deadline) {
-			for (const address of this.#order()) {
+			const asked = new Set<Address>();
+			for (let address = this.#nextAddress(asked); address !== undefined && this.clock.now() < deadline; address = this.#nextAddress(asked)) {
+				asked.add(address);
 				const attempt = await this.#attempt(address, name, body, deadline - this.clock.now());
 				if (!(attempt instanceof BuckthornhitchError)) {
 					return attempt;
@@ -118,9 +121,7 @@
 
 				failure = attempt;
 				outcomeUnknown ||= attempt.entry.execution === 'unknown';
-				if (this.#followsLeader(failure, address)) {
-					break;
-				}
+				this.#leader = attempt.codeName === 'notLeader' && attempt.detail !== '' ? attempt.detail : undefined;
 			}
 
 			await this.clock.sleep(Math.min(retryPause, Math.max(0, deadline - this.clock.now())));
@@ -147,21 +148,11 @@
 		}
 	}
 
-	/** Takes note of the leader that a response names; returns whether it is to be asked next. */
-	#followsLeader(failure: BuckthornhitchError, asked: Address): boolean {
-		const named = failure.codeName === 'notLeader' && failure.detail !== '' && failure.detail !== asked ? failure.detail : undefined;
-		const isNew = named !== undefined && named !== this.#leader;
-		if (isNew || asked === this.#leader) {
-			this.#leader = named;
-		}
-
-		return isNew;
-	}
-
-	#order(): readonly Address[] {
-		return this.#leader === undefined
-			? this.controls
-			: [this.#leader, ...this.controls.filter(address => address !== this.#leader)];
+	/** Returns the supposed leader or else the next control process that was not asked in this round. */
+	#nextAddress(asked: ReadonlySet<Address>): Address | undefined {
+		return this.#leader !== undefined && !asked.has(this.#leader)
+			? this.#leader
+			: this.controls.find(address => !asked.has(address));
 	}
 }
 
--- a/source/control/control-process.spec.ts
+++ b/source/control/control-process.spec.ts
@@ -322,3 +322,12 @@
 		await group.until(() => [...group.members.values()].every(member => member.process.revision >= Math.max(0, ...accepted)));
 	}), {seed: 21, numRuns: 15});
 });
+
+test('each of many concurrent changes waits for a sync of its own', async () => {
+	const group = await bootstrapped(14);
+	const storage = group.members.get(leaderName(group))!.storage as MemoryStorage;
+	const before = storage.syncs;
+	const answers = await group.finish(Promise.all(Array.from({length: 50}, async (_, number) => group.leader!.registerMember({database: `d${number}`, member: 'm'}))));
+	assert.equal(new Set(answers.map(answer => answer.revision)).size, 50);
+	assert.ok(storage.syncs - before <= 3, `${storage.syncs - before} syncs`);
+});
--- a/source/control/control-process.ts
+++ b/source/control/control-process.ts
@@ -2,7 +2,7 @@
 import {Controller} from '../blackboard/blackboard.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Storage} from '../control-log/storage.js';
-import {ConfigurationStateMachine} from '../control-log/state-machine.js';
+import {ConfigurationStateMachine, membersOf} from '../control-log/state-machine.js';
 import {type ApplyCommand, type LogEntry} from '../control-log/types.js';
 import {type VoterTiming} from '../control-log/voter-options.js';
 import {Voter} from '../control-log/voter.js';
@@ -130,8 +130,8 @@
 	/** Answers `registerMember`. Rejects with unknownDatabase, memberSetFull, notLeader or notConfirmed. */
 	async registerMember({database, member}: RegisterMemberRequest): Promise<ApplyResponse> {
 		await this.voter.confirmLeadership(confirmationTimeout);
-		const {files, memberSets, revision} = this.#machine.accepted;
-		if (memberSets[database]?.includes(member)) {
+		const {files, revision} = this.#machine.accepted;
+		if (membersOf(this.#machine.accepted, database).includes(member)) {
 			return {code: 0, revision, detail: ''};
 		}
 
@@ -157,7 +157,7 @@
 		return {
 			name: self.name,
 			diskId: self.diskId,
-			role: role === 'failed' ? 'waiting' : role,
+			role,
 			term: promise.term,
 			leader: leader?.name ?? null,
 			leaseLive,
--- a/source/control/messages.ts
+++ b/source/control/messages.ts
@@ -42,7 +42,7 @@
 export type ControlStatusResponse = {
 	readonly name: string;
 	readonly diskId: string;
-	readonly role: 'leader' | 'follower' | 'learner' | 'candidate' | 'waiting';
+	readonly role: 'leader' | 'follower' | 'learner' | 'candidate' | 'waiting' | 'failed';
 	readonly term: number;
 	readonly leader: string | null;
 	readonly leaseLive: boolean;
--- a/specification/control-log-cases.ts
+++ b/specification/control-log-cases.ts
@@ -3,7 +3,7 @@
 import {type VerificationCase} from './registry.js';
 
 const small: ControlBounds = {
-	terms: 2, changes: [], restarts: false, lostDisks: 0, entriesPerMessage: 9, lostAnswers: false, states: 1_000_000,
+	terms: 2, changes: [], restarts: false, lostDisks: 0, returnedDisks: false, entriesPerMessage: 9, lostAnswers: false, states: 1_000_000,
 };
 
 function controlCase(name: string, mutation: ControlMutation, description: string | null, bounds: Partial<ControlBounds>): VerificationCase {
@@ -21,6 +21,7 @@
 	controlCase('a resent change, restarts and lost answers', 'none', null, {changes: ['a', 'a', 'b'], restarts: true, lostAnswers: true}),
 	controlCase('a lost disk and restarts', 'none', null, {changes: ['a'], lostDisks: 1, restarts: true}),
 	controlCase('a lost disk in three terms', 'none', null, {terms: 3, lostDisks: 1}),
+	controlCase('a lost disk that comes back', 'none', null, {lostDisks: 1, returnedDisks: true}),
 	controlCase('two lost disks', 'none', null, {lostDisks: 2}),
 ];
 
--- a/specification/control-log-state.ts
+++ b/specification/control-log-state.ts
@@ -31,6 +31,8 @@
 	readonly committed: readonly CommittedEntry[];
 	readonly submitted: number;
 	readonly lostDisks: number;
+	/** Lost disks that may come back, by voter. */
+	readonly shelf: ReadonlyArray<VoterModel | null>;
 	readonly broken: string | null;
 };
 
--- a/specification/control-log.spec.ts
+++ b/specification/control-log.spec.ts
@@ -12,7 +12,7 @@
 
 test('the control log breaks an invariant within small bounds', () => {
 	const {violation, counterexample} = explore(new ControlLogSpecification('none', {
-		terms: 2, changes: ['a'], restarts: false, lostDisks: 1, entriesPerMessage: 9, lostAnswers: false, states: 100_000,
+		terms: 2, changes: ['a'], restarts: false, lostDisks: 1, returnedDisks: false, entriesPerMessage: 9, lostAnswers: false, states: 100_000,
 	}));
 	assert.deepEqual({violation, counterexample}, {violation: undefined, counterexample: []});
 });
--- a/specification/control-log.ts
+++ b/specification/control-log.ts
@@ -28,6 +28,8 @@
 	readonly changes: readonly string[];
 	readonly restarts: boolean;
 	readonly lostDisks: number;
+	/** Whether a lost disk may come back in place of the new one. */
+	readonly returnedDisks: boolean;
 	/** Entries in one message. */
 	readonly entriesPerMessage: number;
 	/** Whether a follower's answer may be lost. */
@@ -42,6 +44,7 @@
 	| {readonly type: 'submit'; readonly leader: number}
 	| {readonly type: 'restart'; readonly voter: number}
 	| {readonly type: 'loseDisk'; readonly voter: number}
+	| {readonly type: 'returnDisk'; readonly voter: number}
 	| {readonly type: 'remove'; readonly voter: number; readonly leader: number}
 	| {readonly type: 'add'; readonly voter: number; readonly leader: number};
 
@@ -67,6 +70,7 @@
 			committed: [{...list, by: 0}],
 			submitted: 0,
 			lostDisks: 0,
+			shelf: [null, null, null],
 			broken: null,
 		};
 	}
@@ -83,6 +87,10 @@
 				steps.push({type: 'loseDisk', voter});
 			}
 
+			if (this.bounds.returnedDisks) {
+				steps.push({type: 'returnDisk', voter});
+			}
+
 			for (const other of voterIds.filter(id => id !== voter)) {
 				steps.push({type: 'vote', voter, candidate: other}, {
 					type: 'append', voter, leader: other, answerLost: false,
@@ -129,6 +137,10 @@
 				return this.#loseDisk(state, step.voter);
 			}
 
+			case 'returnDisk': {
+				return this.#returnDisk(state, step.voter);
+			}
+
 			case 'remove': {
 				return this.#remove(state, step.voter, step.leader);
 			}
@@ -251,9 +263,19 @@
 					...volatileState, disk: state.voters[id].disk + 1, term: 0, votedFor: null, log: [],
 				}),
 				lostDisks: state.lostDisks + 1,
+				shelf: this.bounds.returnedDisks
+					? state.shelf.map((disk, position) => position === id ? {...state.voters[id], ...volatileState} : disk)
+					: state.shelf,
 			};
 	}
 
+	#returnDisk(state: ControlState, id: number): ControlState {
+		const returned = state.shelf[id];
+		return returned
+			? {...withVoter(state, id, returned), shelf: state.shelf.map((disk, position) => position === id ? {...state.voters[id], ...volatileState} : disk)}
+			: state;
+	}
+
 	#question(state: ControlState, leaderId: number): ChangeQuestion {
 		const leader = state.voters[leaderId];
 		const list = listOfLog(leader.log);
