Check at every step of the control specs that only one process holds a lease

Cause: no spec covered a voter that restarts within the minimum election timeout; it has forgotten that it heard from a leader. Change: the test group fails as soon as two processes may speak for the group, cuts single pairs of processes, and two new specs cover restarts under a live lease and two disks lost at once in a group of five. The random faults also kill two processes at once.

--- a/source/control/control-process.spec.ts
+++ b/source/control/control-process.spec.ts
@@ -65,11 +65,7 @@
 	const group = await bootstrapped(4);
 	const old = group.leader!;
 	group.network.isolated.add(old.voter.self.name);
-	await group.until(() => {
-		const live = [...group.members.values()].filter(member => member.process.voter.leaseLive);
-		assert.ok(live.length <= 1);
-		return live.length === 1 && live[0].process !== old;
-	});
+	await group.until(() => group.leader !== undefined && group.leader !== old);
 	await assert.rejects(group.finish(old.configurationSince({revision: 0})), {codeName: /notConfirmed|notLeader/v});
 	assert.equal(await group.change('during', 0), 1);
 	await group.run(5000);
@@ -78,6 +74,23 @@
 	await group.until(() => old.revision === 1);
 });
 
+test('a voter that restarted elects another leader while the lease of the old one lives', async () => {
+	const group = await bootstrapped(16);
+	for (let round = 0; round < 20; round++) {
+		const leader = leaderName(group);
+		const [restarted, other] = group.others(leader);
+		group.network.cutPairs.add(`${leader} ${other}`);
+		await group.run(1000 + (round * 35));
+		await group.kill(restarted);
+		await group.start(restarted);
+		group.network.isolated.add(leader);
+		await group.until(() => group.leader?.voter.self.name === other || group.leader?.voter.self.name === restarted);
+		group.network.isolated.clear();
+		group.network.cutPairs.clear();
+		await group.run(1000);
+	}
+});
+
 test('a change that an isolated leader could not confirm is reported as done or as not run', async () => {
 	const group = await bootstrapped(5);
 	const old = group.leader!;
@@ -124,6 +137,20 @@
 	assert.equal(group.leader!.voter.list.voters.length, 3);
 });
 
+test('two voters that lost their disks at once are replaced in one change', async () => {
+	const group = new TestGroup(15, ['one', 'two', 'three', 'four', 'five']);
+	await group.bootstrap();
+	await group.change('first', 0);
+	const [first, second] = group.others(leaderName(group));
+	await loseDisk(group, first, 'new-first');
+	await loseDisk(group, second, 'new-second');
+	await group.until(() => hasVoters(group, [`${first}/new-first`, `${second}/new-second`]));
+	const changes = group.timeline.events().filter(event => event.kind === 'votersChanged');
+	const sizes = changes.map(({detail}) => detail.split(';')[0].split(',').length);
+	assert.deepEqual(sizes, [4, 5, 4, 5]);
+	assert.equal(await group.change('second', 1), 2);
+});
+
 test('voters are replaced although two disks are lost and no quorum holds the accepted changes', async () => {
 	const group = await bootstrapped(8);
 	await group.change('first', 0);
@@ -235,7 +262,7 @@
 });
 
 const faults = fastCheck.record({
-	kind: fastCheck.constantFrom('kill', 'isolate', 'loseDisk', 'fullDisk', 'loss'),
+	kind: fastCheck.constantFrom('kill', 'killTwo', 'isolate', 'loseDisk', 'fullDisk', 'loss'),
 	victim: fastCheck.nat(2),
 	duration: fastCheck.integer({min: 50, max: 4000}),
 });
@@ -252,6 +279,16 @@
 			break;
 		}
 
+		case 'killTwo': {
+			const other = group.names[(fault.victim + 1) % group.names.length];
+			await group.kill(name);
+			await group.kill(other);
+			await group.run(fault.duration);
+			await group.start(other);
+			await group.start(name);
+			break;
+		}
+
 		case 'isolate': {
 			network.isolated.add(name);
 			await group.run(fault.duration);
--- a/source/control/control-test-group.ts
+++ b/source/control/control-test-group.ts
@@ -27,6 +27,8 @@
 	readonly handlers = new Map<string, Map<string, RequestHandler>>();
 	/** Names of processes that receive nothing and whose messages do not arrive. */
 	readonly isolated = new Set<string>();
+	/** Pairs of processes, as `one two`, between which no message arrives. */
+	readonly cutPairs = new Set<string>();
 	/** Requests whose answers are dropped, by name. */
 	readonly lostAnswers = new Set<string>();
 	/** Share of the messages that are lost. */
@@ -36,7 +38,8 @@
 
 	/** Returns whether one message arrives. */
 	delivers(from: string, to: string): boolean {
-		const open = from === to || (!this.isolated.has(from) && !this.isolated.has(to));
+		const isCut = this.cutPairs.has(`${from} ${to}`) || this.cutPairs.has(`${to} ${from}`);
+		const open = from === to || (!isCut && !this.isolated.has(from) && !this.isolated.has(to));
 		return open && this.random.fraction() >= this.loss;
 	}
 }
@@ -208,13 +211,16 @@
 				throw new Error(`The condition did not come true: ${String(condition)}`);
 			}
 
-			await this.clock.advanceInSteps(stepLength, stepLength);
+			await this.#step();
 		}
 	}
 
 	/** Moves time by a duration. */
 	async run(duration: Milliseconds): Promise<void> {
-		await this.clock.advanceInSteps(duration, stepLength);
+		const end = this.clock.now() + duration;
+		while (this.clock.now() < end) {
+			await this.#step();
+		}
 	}
 
 	/** Moves time until the promise is settled. */
@@ -241,6 +247,15 @@
 
 		return revision;
 	}
+
+	/** Moves time by one step; fails when two processes may speak for the group. */
+	async #step(): Promise<void> {
+		await this.clock.advanceInSteps(stepLength, stepLength);
+		const live = [...this.members.values()].filter(member => member.process.voter.leaseLive);
+		if (live.length > 1) {
+			throw new Error(`At ${this.clock.now()} ms, ${live.map(member => member.process.voter.self.name).join(' and ')} hold a lease.`);
+		}
+	}
 }
 
 function onWire(body: unknown): unknown {
