Run failure scenarios on a deployment of separate processes

Callers roam over three entries while a scenario kills, stops, cuts or drains processes; the history of all callers is checked against the content of the group after the repair.

--- a/stand-in/process-fleet.ts
+++ b/stand-in/process-fleet.ts
@@ -19,6 +19,8 @@
 	/** Databases that get a group of three stand-in members. */
 	readonly databases: readonly string[];
 	readonly memberFlags: readonly string[];
+	/** Returns further flags of one member, for example an announced address. */
+	readonly flagsOfMember?: (name: string, address: Address) => Promise<readonly string[]>;
 };
 
 /** One started process. */
@@ -162,10 +164,10 @@
 		const addresses = await freeAddresses(membersPerDatabase);
 		for (const [index, address] of addresses.entries()) {
 			const name = `${database}-member-${index + 1}`;
+			const ownFlags = await this.options.flagsOfMember?.(name, address) ?? [];
 			this.memberAddresses.set(name, address);
-			this.#spawn(name, modules.member, [
-				'--name', name, '--address', address, '--database', database, '--data-centre', this.#place(index).name, '--entries', this.announcementAddresses.join(','), ...this.options.memberFlags,
-			]);
+			const announcement = ['--database', database, '--data-centre', this.#place(index).name, '--entries', this.announcementAddresses.join(',')];
+			this.#spawn(name, modules.member, ['--name', name, '--address', address, ...announcement, ...this.options.memberFlags, ...ownFlags]);
 		}
 	}
 
--- a/verification/history-checker.ts
+++ b/verification/history-checker.ts
@@ -128,8 +128,11 @@
 	});
 }
 
+/** Subject of a check and the rule that a missing write breaks. */
+type Finding = {readonly subject: string; readonly rule: Violation['rule']};
+
 /** Checks that a register holds a write that may have run and is no older than the floor. */
-function checkRegisterValue(attempts: readonly Operation[], value: string | undefined, floor: number, {subject, rule}: {readonly subject: string; readonly rule: Violation['rule']}): readonly Violation[] {
+function checkRegisterValue(attempts: readonly Operation[], value: string | undefined, floor: number, {subject, rule}: Finding): readonly Violation[] {
 	const {key} = attempts[0];
 	const sequence = value === undefined ? 0 : registerSequence(key, value);
 	const writers = attempts.filter(attempt => attempt.value === value);
@@ -141,7 +144,8 @@
 		return [{rule, detail: `${subject}: holds write ${sequence}, write ${floor} was acknowledged`}];
 	}
 
-	return writers.length > 0 && hasNotRun(writers) && !hasRun(writers) ? [{rule: 'notRunButRan', detail: `${subject}: holds ${value}, which was refused as not run`}] : [];
+	const isRefused = writers.length > 0 && hasNotRun(writers) && !hasRun(writers);
+	return isRefused ? [{rule: 'notRunButRan', detail: `${subject}: holds ${value}, which was refused as not run`}] : [];
 }
 
 function checkLookup(index: WriteIndex, lookup: Operation): readonly Violation[] {
--- /dev/null
+++ b/verification/scenarios/all.ts
@@ -0,0 +1,37 @@
+import {type Scenario} from '../scenario.js';
+import {cutControlScenarios, isolatedLeaderScenario} from './control-isolation.js';
+import {cutPrimaryScenarios} from './cut-primary.js';
+import {freezeScenarios} from './freeze-process.js';
+import {killScenarios, killTwiceScenarios} from './kill-process.js';
+import {leavingScenarios} from './leaving-member.js';
+import {pairScenarios} from './pairs.js';
+import {plannedPromotionScenario, plannedStopScenarios} from './planned-stop.js';
+import {proxyInTransactionScenarios} from './proxy-in-transaction.js';
+import {resendScenario} from './resend-change.js';
+import {restartAfterChangesScenario} from './restart-after-changes.js';
+import {killSequence, plannedSequence} from './sequences.js';
+import {silenceScenarios} from './silence-connections.js';
+import {twoOperatorsScenario} from './two-operators.js';
+import {voterDiskScenarios} from './voter-disk.js';
+
+/** All scenarios in the order in which they run. */
+export const scenarios: readonly Scenario[] = [
+	...killScenarios,
+	...proxyInTransactionScenarios,
+	...plannedStopScenarios,
+	plannedPromotionScenario,
+	...leavingScenarios,
+	...cutPrimaryScenarios,
+	...silenceScenarios,
+	...freezeScenarios,
+	twoOperatorsScenario,
+	resendScenario,
+	restartAfterChangesScenario,
+	...cutControlScenarios,
+	isolatedLeaderScenario,
+	...voterDiskScenarios,
+	...killTwiceScenarios,
+	...pairScenarios,
+	killSequence,
+	plannedSequence,
+];
--- /dev/null
+++ b/verification/scenarios/changes.ts
@@ -0,0 +1,54 @@
+import {type ApplyResponse, type ApplyRequest} from '../../source/control/messages.js';
+import {baseFile, eventually, type VerifiedFleet} from '../verified-fleet.js';
+
+/** Returns a valid change of the files that is told apart by its text. */
+export function changeRequest(text: string, expectedRevision: number): ApplyRequest {
+	return {
+		changeId: `change-${text}`, expectedRevision, files: {base: `${baseFile}# change ${text}\n`}, operator: 'verification',
+	};
+}
+
+/** Returns the accepted revision, confirmed by a quorum. */
+export async function acceptedRevision(fleet: VerifiedFleet): Promise<number> {
+	const {revision} = await acceptedConfiguration(fleet);
+	return revision;
+}
+
+/** Returns the text of the accepted base file. */
+export async function acceptedBase(fleet: VerifiedFleet): Promise<string> {
+	const {files} = await acceptedConfiguration(fleet);
+	return files.base;
+}
+
+/** Applies a change to the present revision. Rejects when it is not accepted. */
+export async function applyChange(fleet: VerifiedFleet, text: string): Promise<number> {
+	const answer: ApplyResponse = await fleet.controlClient.apply(changeRequest(text, await acceptedRevision(fleet)));
+	if (answer.code !== 0) {
+		throw new Error(`change ${text} was answered by BH${answer.code}`);
+	}
+
+	return answer.revision;
+}
+
+/** Returns the processes that do not reach the revision in time, as faults. */
+export async function laggingProcesses(fleet: VerifiedFleet, revision: number): Promise<readonly string[]> {
+	try {
+		await eventually(`revision ${revision} in every process`, async () => {
+			const known = await fleet.revisions();
+			return known.length === 9 && known.every(({revision: own}) => own >= revision) ? true : undefined;
+		}, 10_000);
+		return [];
+	} catch {
+		const known = await fleet.revisions();
+		return [`not every process has revision ${revision}: ${known.map(({name, revision: own}) => `${name} ${own}`).join(', ')}`];
+	}
+}
+
+async function acceptedConfiguration(fleet: VerifiedFleet) {
+	const answer = await fleet.controlClient.configurationSince({revision: -1});
+	if (answer.kind !== 'snapshot') {
+		throw new Error('the control leader sent changes in place of a snapshot');
+	}
+
+	return answer.configuration;
+}
--- /dev/null
+++ b/verification/scenarios/cut-primary.ts
@@ -0,0 +1,40 @@
+import {type Milliseconds} from '../../source/clock/clock.js';
+import {type RelayDirection} from '../../stand-in/fault-relay.js';
+import {type Scenario} from '../scenario.js';
+import {pause} from '../verified-fleet.js';
+
+const cutTime: Milliseconds = 5000;
+const settleTime: Milliseconds = 2000;
+
+const cuts: ReadonlyArray<readonly [name: string, directions: readonly RelayDirection[]]> = [
+	['both-ways', ['toServer', 'toClient']],
+	['to-primary', ['toServer']],
+	['from-primary', ['toClient']],
+];
+
+/** Cut between the primary and everything else, after which the old primary comes back. */
+export const cutPrimaryScenarios: readonly Scenario[] = [
+	...cuts.map(([name, directions]): Scenario => ({
+		name: `cut-primary-${name}`,
+		async run({fleet}) {
+			const relay = fleet.relays.get(await fleet.primary())!;
+			relay.cut(...directions);
+			await pause(cutTime);
+			await relay.heal();
+			return [];
+		},
+	})),
+	{
+		name: 'cut-primary-twice',
+		async run({fleet}) {
+			for (let round = 0; round < 2; round++) {
+				const relay = fleet.relays.get(await fleet.primary())!;
+				relay.cut();
+				await pause(settleTime);
+				await relay.heal();
+			}
+
+			return [];
+		},
+	},
+];
