--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -136,7 +136,9 @@
 	}
 
 	#watch(member: GroupMember): void {
-		const {clock, clients, database, holder, timeouts} = this.options;
+		const {
+			board, clock, clients, database, holder, timeouts,
+		} = this.options;
 		const name = member.member;
 		const monitor = new MemberMonitor({
 			clock, client: clients.create(database, name, member.address), holder, timeouts,
@@ -149,6 +151,7 @@
 			},
 			onConnectionReplaced: reason => {
 				this.#record('connection discarded', name, `monitor connection: ${reason}`);
+				board.write('unresponsiveConnection', name);
 			},
 			onSuspected: reason => {
 				this.#suspect(name, reason);
@@ -237,9 +240,9 @@
 			return true;
 		}
 
-		// The member grants its lease only when no other pool holds it, so asking too early does no harm.
+		// An owner that lives renews with each heartbeat. Asking too early does no harm, since the member grants its lease to one pool only.
 		const freeSince = this.#leaseFreeSince.get(name);
-		return rank >= 0 && freeSince !== undefined && clock.now() - freeSince >= rank * timeouts().promotionStagger;
+		return rank >= 0 && freeSince !== undefined && clock.now() - freeSince >= rank * timeouts().heartbeat;
 	}
 
 	#extraPollDelay(name: string): Milliseconds | undefined {
--- a/source/entry/pool-router.spec.ts
+++ b/source/entry/pool-router.spec.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
 import {type Address} from '../links/address.js';
+import {StaticInstanceDirectory} from '../membership/instance-directory.js';
 import {type ExecuteRequest} from '../pool/messages.js';
 import {frontendMessage} from '../postgres-protocol/frontend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -9,7 +10,7 @@
 import {
 	FakePoolLinks, settle, testRecord, testServices,
 } from './entry-fixture.js';
-import {type RoutedRequest} from './pool-router.js';
+import {unreachableLifetime, type RoutedRequest} from './pool-router.js';
 import {finalError, mayRepeat} from './retry-rules.js';
 
 function request(change: Partial<RoutedRequest> = {}): RoutedRequest {
@@ -78,11 +79,13 @@
 });
 
 test('"not run" is claimed though an earlier attempt may have run', async () => {
-	for (const later of ['queueFull', 'noPrimary', 'linkNotSent', 'requestIdExpired'] as const) {
+	for (const later of ['queueFull', 'noPrimary', 'linkNotSent'] as const) {
 		const result = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : later);
 		assert.equal(result.code, 'outcomeUnknown', later);
 	}
 
+	const expired = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : 'requestIdExpired');
+	assert.deepEqual([expired.code, resultCodes.requestIdExpired.execution], ['requestIdExpired', 'unknown']);
 	const abandoned = await run(request({access: 'write', requestId: 'id-1'}), attempt => attempt === 1 ? 'linkOutcomeUnknown' : 'requestAbandoned');
 	assert.equal(abandoned.code, 'requestAbandoned');
 });
@@ -131,3 +134,58 @@
 	services.directory.replace([testRecord('first', 'pool', {state: 'draining'}), testRecord('second', 'pool', {state: 'failed'}), testRecord('third'), testRecord('entry', 'entry')]);
 	assert.deepEqual(services.router.pools('notices').map(({name}) => name), ['third']);
 });
+
+test('every request waits anew for a pool that can not be reached', async () => {
+	const links = new FakePoolLinks();
+	const services = testServices(links);
+	const [first, second] = services.router.pools('notices').map(({linkAddress}) => linkAddress);
+	const connecting: Array<() => void> = [];
+	links.behaviour = async (body, address) => {
+		if (address === first) {
+			await new Promise<void>(resolve => {
+				connecting.push(resolve);
+			});
+			throw new BuckthornhitchError('linkNotSent', '');
+		}
+
+		return links.execute(body);
+	};
+
+	const send = async () => services.router.execute(request(), true);
+	const sent = [send()];
+	connecting.pop()!();
+	await Promise.all(sent);
+	await send();
+	services.clock.advance(unreachableLifetime);
+	sent.push(send());
+	await send();
+	connecting.pop()!();
+	await Promise.all(sent);
+	assert.deepEqual(links.received.map(({address}) => address), [first, second, second, first, second, second]);
+});
+
+test('a request follows a redirect to a pool that can not be reached instead of waiting for the next owner', async () => {
+	let deadTried = 0;
+	const result = await run(request({access: 'write'}), (attempt, address) => {
+		deadTried += address === 'second:1' ? 1 : 0;
+		return address === 'second:1' ? 'linkNotSent' : (attempt < 8 ? 'notOwner' : undefined);
+	});
+	assert.equal(result.code, 'done');
+	assert.equal(deadTried, 1);
+});
+
+test('a request that waits for an owner asks all pools of the fleet again and again', async () => {
+	const links = new FakePoolLinks();
+	const directory = new StaticInstanceDirectory(Array.from({length: 20}, (unused, index) => testRecord(`pool-${index}`)));
+	const services = testServices(links, directory);
+	links.behaviour = async () => {
+		throw new BuckthornhitchError('notOwner', '');
+	};
+
+	const outcome = outcomeOf(services.router.execute(request({access: 'write'}), false));
+	await settle();
+	assert.equal(links.received.length, 3);
+	await services.clock.advanceInSteps(1200, 10);
+	assert.equal(await outcome, 'noPool');
+	assert.equal(new Set(links.received.map(({address}) => address)).size, 3);
+});
--- a/source/entry/session-executor.ts
+++ b/source/entry/session-executor.ts
@@ -12,7 +12,6 @@
 	afterFailure, afterUnit, newSession, sessionStatus, unitAccess, withSettings, type SessionState,
 } from '../session/session-state.js';
 import {formatSessionToken} from '../session/session-token.js';
-import {type Timeline} from '../timeline/timeline.js';
 import {
 	errorResponse, numberedErrorResponse, parameterStatus, readyForQuery, readyForQueryBytes, textRowDescription,
 } from './caller-messages.js';
@@ -21,9 +20,10 @@
 import {
 	planBatch, readBatchAnswer, refuseUnsupported, type LocalStep, type PreparedStatement, type StoreChange,
 } from './extended-batch.js';
+import {type FailureEvents} from './failure-events.js';
 import {type ForwardingUnit} from './forwarding-units.js';
 import {
-	isLocalStatement, runLocalStatement, runLocalStep, type LocalContext,
+	isLocalStatement, runLocalStatement, runLocalStep, withoutStatement, withStatement, type LocalContext,
 } from './local-statements.js';
 import {type PoolRouter, type RoutedAnswer, type RoutedRequest} from './pool-router.js';
 import {mayRepeat, transactionError} from './retry-rules.js';
@@ -35,7 +35,7 @@
 	readonly router: PoolRouter;
 	readonly admission: EntryAdmission;
 	readonly metrics: EntryMetrics;
-	readonly timeline: Timeline;
+	readonly failureEvents: FailureEvents;
 };
 
 /** Unit that is answered, as opposed to the end of the session. */
@@ -302,8 +302,7 @@
 		}
 
 		// A failed BEGIN leaves a failed block, so that statements sent behind it do not run on their own.
-		const ends = unit.commits || unit.rollsBack;
-		this.#state = afterFailure(this.#state, ends);
+		this.#state = afterFailure(this.#state, unit.ends);
 		const failure = transactionError(error, unit.commits);
 		this.#recordFailure(failure, error);
 		return failure;
@@ -311,7 +310,7 @@
 
 	#recordFailure(failure: BuckthornhitchError, cause: BuckthornhitchError): void {
 		if (failure.codeName === 'transactionLost' || failure.entry.execution !== 'notRun') {
-			this.services.timeline.record('entry', failure.codeName, this.#state.database, `BH${cause.code}`);
+			this.services.failureEvents.record(failure, cause, this.#state.database);
 		}
 	}
 
@@ -323,33 +322,30 @@
 	}
 
 	#applyChanges(changes: readonly StoreChange[]): void {
-		const prepared = new Map(this.#prepared);
-		const held = new Set(this.#held);
 		for (const change of changes) {
-			this.#applyChange(change, prepared, held);
-		}
+			if (change.kind === 'parsed') {
+				const {statement} = change;
+				// The copy keeps no receive buffer alive.
+				this.#prepared = withStatement(this.#prepared, {...statement, parse: Buffer.from(statement.parse)});
+			}
 
-		this.#prepared = prepared.size > 0 ? prepared : noStatements;
-		this.#held = this.inTransaction ? held : noNames;
-	}
+			if (change.kind === 'closed') {
+				this.#prepared = withoutStatement(this.#prepared, change.name);
+			}
 
-	#applyChange(change: StoreChange, prepared: Map<string, PreparedStatement>, held: Set<string>): void {
-		if (change.kind === 'parsed') {
-			const {statement} = change;
-			// The copy keeps no receive buffer alive.
-			prepared.set(statement.name, {...statement, parse: Buffer.from(statement.parse)});
-			held.add(statement.name);
-			return;
+			this.#applyToConnection(change);
 		}
+	}
 
-		if (change.kind === 'restored') {
-			held.add(change.name);
+	#applyToConnection(change: StoreChange): void {
+		if (!this.inTransaction) {
 			return;
 		}
 
-		if (change.kind === 'closed') {
-			prepared.delete(change.name);
-			held.delete(change.name);
+		if (change.kind === 'parsed' || change.kind === 'restored') {
+			this.#held = new Set([...this.#held, change.kind === 'parsed' ? change.statement.name : change.name]);
+		} else if (change.kind === 'closed') {
+			this.#held = withoutName(this.#held, change.name);
 		}
 	}
 
--- a/source/postgres-protocol/backend-connection.ts
+++ b/source/postgres-protocol/backend-connection.ts
@@ -11,6 +11,9 @@
 	/** State of the transaction after the latest exchange. */
 	abstract get transactionStatus(): TransactionStatus;
 
+	/** Time at which the exchange in progress began, or undefined without one. */
+	abstract get busySince(): Milliseconds | undefined;
+
 	/**
 	Sends the bytes and resolves with one buffer for each expected ReadyForQuery.
 
@@ -21,8 +24,8 @@
 	/** Closes the connection; an exchange in progress fails. */
 	abstract close(): void;
 
-	/** Calls the listener once when the connection closes. */
-	abstract onClose(listener: () => void): void;
+	/** Calls the listener once when the connection closes; returns a function that ends this. */
+	abstract onClose(listener: () => void): () => void;
 }
 
 /** Opens connections to backend servers. */
--- a/source/routing/statement-classification.spec.ts
+++ b/source/routing/statement-classification.spec.ts
@@ -97,6 +97,23 @@
 	assert.equal(classifyStatements('CREATE TABLE temp ()')[0].kind, 'write');
 });
 
+test('statements sent behind a failed end of a block run on their own', () => {
+	const cases: ReadonlyArray<readonly [string, boolean]> = [
+		['COMMIT', true],
+		['ROLLBACK', true],
+		['BEGIN; INSERT; END', true],
+		['COMMIT AND NO CHAIN', true],
+		['BEGIN', false],
+		['COMMIT; BEGIN', false],
+		['COMMIT AND CHAIN', false],
+		['ROLLBACK TO a', false],
+		['INSERT', false],
+	];
+	for (const [text, ends] of cases) {
+		assert.equal(combineStatements(classifyStatements(text)).ends, ends, text);
+	}
+});
+
 test('settings are read with a wrong name or value', () => {
 	const settings: ReadonlyArray<readonly [string, string | null, string | null]> = [
 		['SET buckthornhitch.max_age = \'5s\'', 'buckthornhitch.max_age', '5s'],
@@ -142,3 +159,15 @@
 		classifyStatements(text);
 	}), {seed: 3, numRuns: 2000});
 });
+
+test('a text that is built for it makes the scanner take longer than in proportion', () => {
+	const parts = 50_000;
+	const texts = [`E'a'${' --'.repeat(parts)}`, `${'/*'.repeat(parts)}${'*/'.repeat(parts)}`, '$a$'.repeat(parts + 1), '\'\''.repeat(parts), `SELECT ${'('.repeat(parts)}`];
+	for (const text of texts) {
+		classifyStatements(text);
+	}
+
+	const values = '(1, \'a\'), '.repeat(parts);
+	assert.equal(accessOf(`VALUES ${values}(nextval(1))`), 'write');
+	assert.equal(classifyStatements(`INSERT INTO t VALUES ${values}(set_config('a', 'b', false))`)[0].kind, 'unsupported');
+});
--- a/source/routing/statement-classification.ts
+++ b/source/routing/statement-classification.ts
@@ -1,10 +1,12 @@
 import {type Access} from '../pool/messages.js';
 import {infixWords, readOnlyFunctions, reservedBeforeBracket} from './read-only-functions.js';
-import {tokenize, type Token} from './sql-tokens.js';
+import {SqlScanner, type Token} from './sql-tokens.js';
 
 /** What one statement does, as far as routing needs it. */
 export type Statement =
-	| {readonly kind: 'empty' | 'read' | 'write' | 'commit' | 'rollback' | 'savepoint' | 'discardAll'}
+	| {readonly kind: 'empty' | 'read' | 'write' | 'savepoint' | 'discardAll'}
+	/** End of a transaction; it chains when another one begins at once. */
+	| {readonly kind: 'commit' | 'rollback'; readonly chains: boolean}
 	| {readonly kind: 'begin'; readonly readOnly: boolean}
 	/** Session setting; a value of null restores the default, a name of null all of them. */
 	| {readonly kind: 'set'; readonly name: string | null; readonly value: string | null}
@@ -22,20 +24,58 @@
 	readonly begins: boolean;
 	/** Whether the only transaction that the unit begins is read-only. */
 	readonly beginsReadOnly: boolean;
+	/** Whether the unit may commit something, also by a statement of its own behind a ROLLBACK. */
 	readonly commits: boolean;
-	readonly rollsBack: boolean;
+	/** Whether a block that is open or begun is closed after the unit. */
+	readonly ends: boolean;
 	/** Whether the unit holds exactly one statement, which begins a transaction. */
 	readonly onlyBegins: boolean;
 };
 
 /** Classifies the statements of a query text; what is not surely a read is a write. */
 export function classifyStatements(text: string): readonly Statement[] {
-	const {tokens, complete} = tokenize(text);
-	if (!complete) {
+	const scanner = new SqlScanner(text);
+	const statements: ScannedStatement[] = [];
+	let current = new ScannedStatement();
+	for (let token = scanner.next(); token; token = scanner.next()) {
+		if (token.kind === 'symbol' && token.text === ';') {
+			statements.push(current);
+			current = new ScannedStatement();
+		} else {
+			current.add(token);
+		}
+	}
+
+	if (!scanner.complete) {
 		return [{kind: 'write'}];
 	}
 
-	return splitStatements(tokens).map(statement => classifyStatement(statement));
+	const filled = [...statements, current].filter(({tokens}) => tokens.length > 0);
+	return filled.length > 0 ? filled.map(statement => classifyStatement(statement)) : [{kind: 'empty'}];
+}
+
+// Bounds the memory for a statement with very many values; such a statement counts as a write.
+const largestTokenCount = 50_000;
+
+/** Tokens of one statement, up to the limit. */
+class ScannedStatement {
+	readonly tokens: Token[] = [];
+	truncated = false;
+	refusedFunction: string | undefined;
+	#previous: Token | undefined;
+
+	add(token: Token): void {
+		if (isSymbol(token, '(') && this.#previous?.kind !== 'string' && refusedFunctions.has(this.#previous?.text ?? '')) {
+			this.refusedFunction = this.#previous?.text;
+		}
+
+		this.#previous = token;
+		if (this.tokens.length < largestTokenCount) {
+			this.tokens.push(token);
+		} else {
+			this.truncated = true;
+		}
+	}
 }
 
 /** Returns what statements do as one unit; the access is that of the strongest. */
@@ -47,12 +87,17 @@
 		writes: statements.some(statement => !controlKinds.has(statement.kind) && !isRead(statement, false)),
 		begins: begins.length > 0,
 		beginsReadOnly,
-		commits: statements.some(statement => statement.kind === 'commit'),
-		rollsBack: statements.some(statement => statement.kind === 'rollback'),
+		commits: statements.some(({kind}) => kind === 'commit' || (kind === 'rollback' && statements.length > 1)),
+		ends: endsBlock(statements),
 		onlyBegins: begins.length === 1 && statements.length === 1,
 	};
 }
 
+function endsBlock(statements: readonly Statement[]): boolean {
+	const last = statements.findLast(({kind}) => kind === 'begin' || kind === 'commit' || kind === 'rollback');
+	return (last?.kind === 'commit' || last?.kind === 'rollback') && !last.chains;
+}
+
 const controlKinds: ReadonlySet<Statement['kind']> = new Set(['begin', 'commit', 'rollback', 'savepoint']);
 const alwaysRead: ReadonlySet<Statement['kind']> = new Set(['read', 'show', 'empty', 'savepoint', 'rollback']);
 
@@ -68,20 +113,6 @@
 	return alwaysRead.has(statement.kind) || (statement.kind === 'commit' && beginsReadOnly);
 }
 
-function splitStatements(tokens: readonly Token[]): ReadonlyArray<readonly Token[]> {
-	const statements: Token[][] = [[]];
-	for (const token of tokens) {
-		if (token.kind === 'symbol' && token.text === ';') {
-			statements.push([]);
-		} else {
-			statements.at(-1)!.push(token);
-		}
-	}
-
-	const filled = statements.filter(statement => statement.length > 0);
-	return filled.length > 0 ? filled : [[]];
-}
-
 type Classifier = (tokens: readonly Token[]) => Statement;
 
 const refuse = (feature: string): Classifier => () => ({kind: 'unsupported', feature});
@@ -98,7 +129,7 @@
 	commit: classifyCommit,
 	end: classifyCommit,
 	rollback: classifyRollback,
-	abort: same({kind: 'rollback'}),
+	abort: classifyRollback,
 	savepoint: same({kind: 'savepoint'}),
 	release: same({kind: 'savepoint'}),
 	set: classifySet,
@@ -119,19 +150,19 @@
 	create: classifyCreate,
 };
 
-function classifyStatement(tokens: readonly Token[]): Statement {
-	if (tokens.length === 0) {
-		return {kind: 'empty'};
-	}
+// The first changes the session of a shared connection, the others are how pools control a group.
+const refusedFunctions: ReadonlySet<string> = new Set(['set_config', 'group_lease', 'group_release', 'group_promise', 'group_promote', 'group_follow']);
 
-	if (callsFunction(tokens, 'set_config')) {
-		return {kind: 'unsupported', feature: 'set_config'};
+function classifyStatement({tokens, truncated, refusedFunction}: ScannedStatement): Statement {
+	if (refusedFunction !== undefined) {
+		return {kind: 'unsupported', feature: refusedFunction};
 	}
 
 	// A statement may stand in brackets: (SELECT 1) UNION (SELECT 2).
 	const first = tokens.find(token => token.text !== '(' || token.kind !== 'symbol');
 	const classifier = first?.kind === 'word' && Object.hasOwn(classifiers, first.text) ? classifiers[first.text] : undefined;
-	return classifier?.(tokens) ?? {kind: 'write'};
+	const statement = classifier?.(tokens) ?? {kind: 'write'};
+	return truncated && statement.kind === 'read' ? {kind: 'write'} : statement;
 }
 
 const writingWords = new Set(['insert', 'update', 'delete', 'merge', 'into', 'truncate', 'copy']);
@@ -184,10 +215,6 @@
 	return token.kind === 'symbol' ? token.text === ')' : token.kind !== 'word' || (token.text !== 'by' && !reservedBeforeBracket.has(token.text));
 }
 
-function callsFunction(tokens: readonly Token[], name: string): boolean {
-	return tokens.some((token, index) => token.text === name && token.kind !== 'string' && isSymbol(tokens[index + 1], '('));
-}
-
 function intoTemporary(tokens: readonly Token[]): boolean {
 	return tokens.some((token, index) => isWord(token, 'into') && isTemporary(tokens[index + 1]));
 }
@@ -211,7 +238,7 @@
 }
 
 function classifyCommit(tokens: readonly Token[]): Statement {
-	return isWord(tokens[1], 'prepared') ? {kind: 'unsupported', feature: 'two-phase commit'} : {kind: 'commit'};
+	return isWord(tokens[1], 'prepared') ? {kind: 'unsupported', feature: 'two-phase commit'} : {kind: 'commit', chains: chains(tokens)};
 }
 
 function classifyRollback(tokens: readonly Token[]): Statement {
@@ -219,7 +246,11 @@
 		return {kind: 'unsupported', feature: 'two-phase commit'};
 	}
 
-	return {kind: tokens.some(token => isWord(token, 'to')) ? 'savepoint' : 'rollback'};
+	return tokens.some(token => isWord(token, 'to')) ? {kind: 'savepoint'} : {kind: 'rollback', chains: chains(tokens)};
+}
+
+function chains(tokens: readonly Token[]): boolean {
+	return isWord(tokens.at(-1), 'chain') && !isWord(tokens.at(-2), 'no');
 }
 
 function classifyDeallocate(tokens: readonly Token[]): Statement {
@@ -267,7 +298,7 @@
 	}
 
 	const {name, value} = settingAssignment(rest);
-	if (local && refusedLocally.has(name)) {
+	if (local && (refusedLocally.has(name) || name.startsWith('buckthornhitch.'))) {
 		return {kind: 'unsupported', feature: `SET LOCAL ${name}`};
 	}
 
