Give a process without configuration the whole of it

Cause: a process that holds nothing asks for the changes since revision 0 and cannot use changes without the configuration they belong to; the operators' fetch asks since revision -1, which the request schema refused.

--- a/source/control/request-schemas.ts
+++ b/source/control/request-schemas.ts
@@ -26,7 +26,8 @@
 		changeId: z.string().min(1).max(200), expectedRevision: wholeNumber, files, operator: z.string().max(200),
 	}),
 	registerMember: z.object({database: z.string().min(1).max(200), member: z.string().min(1).max(200)}),
-	configurationSince: z.object({revision: wholeNumber}),
+	// A revision below 0 asks for the whole configuration.
+	configurationSince: z.object({revision: z.number().int()}),
 	bootstrap: z.object({voters: z.array(record).min(1)}),
 	requestVote: voterRequest.extend({
 		candidate: record, lastIndex: wholeNumber, lastTerm: wholeNumber, preliminary: z.boolean(),
