--- a/source/entry/pool-router.ts
+++ b/source/entry/pool-router.ts
@@ -40,7 +40,7 @@
 /** Time for the answer to travel, on top of the deadline and the statement timeout, in milliseconds. */
 export const answerAllowance: Milliseconds = 1000;
 
-/** A pool that could not be reached is tried last for this many milliseconds, so that not every request waits for its connect timeout. */
+/** A pool that could not be reached is tried again after this many milliseconds, by one request; the others do not wait for its connect timeout. */
 export const unreachableLifetime: Milliseconds = 500;
 
 // Pools beyond the third are told no member addresses, so asking more of them only adds load.
@@ -67,7 +67,8 @@
 	attempts: number;
 	pauses: number;
 	mayHaveRun: boolean;
-	failure: BuckthornhitchError;
+	/** Failure of the last attempt. */
+	failure: BuckthornhitchError | undefined;
 };
 
 /** Finds the pool that owns a database and sends requests to it, again where that is safe. */
@@ -126,7 +127,7 @@
 			attempts: 0,
 			pauses: 0,
 			mayHaveRun: false,
-			failure: new BuckthornhitchError('noPool', 'No pool is known.'),
+			failure: undefined,
 		};
 		this.options.budget.countRequest();
 		for (;;) {
@@ -152,7 +153,7 @@
 	async #attempt(request: RoutedRequest, repeatable: boolean, progress: Progress): Promise<RoutedAnswer | undefined> {
 		const remaining = progress.until - this.options.clock.now();
 		if (remaining <= 0) {
-			throw finalError(progress.failure, progress.mayHaveRun);
+			throw finalError(progress.failure ?? new BuckthornhitchError('noPool', 'No pool is known.'), progress.mayHaveRun);
 		}
 
 		const pool = this.#nextPool(request.database, progress);
@@ -231,7 +232,7 @@
 
 	#nextPool(database: string, {visited, answered}: Progress): InstanceRecord | undefined {
 		const redirect = this.#redirects.get(database);
-		if (redirect && redirect.until > this.options.clock.now() && !visited.has(redirect.owner.name)) {
+		if (redirect && redirect.until > this.options.clock.now() && !visited.has(redirect.owner.name) && this.#mayTry(redirect.owner)) {
 			return redirect.owner;
 		}
 
@@ -240,7 +241,7 @@
 		}
 
 		const rest = this.pools(database).filter(({name}) => !visited.has(name));
-		return rest.find(({linkAddress}) => !this.#isUnreachable(linkAddress)) ?? rest.at(0);
+		return rest.find(pool => this.#mayTry(pool)) ?? (answered === 0 ? rest.at(0) : undefined);
 	}
 
 	#takeRecords(): void {
@@ -259,14 +260,20 @@
 		}
 	}
 
-	#isUnreachable(address: Address): boolean {
-		const until = this.#unreachableUntil.get(address);
-		if (until === undefined || until > this.options.clock.now()) {
-			return until !== undefined;
+	// After the time is over, one request finds out whether the pool is back, while the others still avoid it.
+	#mayTry({linkAddress}: InstanceRecord): boolean {
+		const now = this.options.clock.now();
+		const until = this.#unreachableUntil.get(linkAddress);
+		if (until === undefined) {
+			return true;
 		}
 
-		this.#unreachableUntil.delete(address);
-		return false;
+		if (until > now) {
+			return false;
+		}
+
+		this.#unreachableUntil.set(linkAddress, now + unreachableLifetime);
+		return true;
 	}
 
 	#followOwner(database: string, error: BuckthornhitchError): void {
