Decide on a promotion only with statuses asked since the need was seen

Cause: pools that do not own a database poll its members seldom, so they compared statuses of different age: a member seen as replica before a planned change, and another seen following it afterwards, look like a group without a primary. Change: when a need is seen, the members are polled, and the decision waits until every member that is not suspected was asked since then. Before: the new test fails.

--- a/source/database-group/promotion-controller.spec.ts
+++ b/source/database-group/promotion-controller.spec.ts
@@ -15,7 +15,7 @@
 	heartbeat: 200, silence: 600, freshConnection: 400, lease: 1000, promotionStagger: 500,
 };
 
-function startCoordinator(group: FakeGroup, clock: ManualClock, name: string, rank: number) {
+function startCoordinator(group: FakeGroup, clock: ManualClock, name: string, rank: number, polls = true) {
 	const board = createGroupBoard(3);
 	board.write('ownership', {rank, order: []});
 	board.write('members', new Map([...group.members.keys()].map(member => [member, {
@@ -27,7 +27,10 @@
 	const monitor = new MonitorController({...options, holder: name, clients: group});
 	const promotion = new PromotionController({...options, monitor, random: new SeededRandom(rank + 1)});
 	promotion.start();
-	monitor.start();
+	if (polls) {
+		monitor.start();
+	}
+
 	return {board, promotion, events: () => options.timeline.events()};
 }
 
@@ -163,3 +166,19 @@
 	await change;
 	assert.deepEqual(primaries(group).map(({name}) => name), ['a']);
 });
+
+test('a candidate does not promote because of statuses of different age', async () => {
+	const clock = new ManualClock();
+	const group = new FakeGroup(clock);
+	group.establish('a', 1);
+	const [stale, other] = ['a', 'b'].map(member => group.member(member).status());
+	group.establish('a', 2);
+	const candidate = startCoordinator(group, clock, 'pool-2', 1, false);
+	clock.advance(10);
+	candidate.board.write('observations', new Map([
+		['a', {askedAt: 0, status: {...stale, role: 'replica' as const, acceptingWrites: false}}],
+		['b', {askedAt: 0, status: {...other, primaryTerm: 2, primaryMember: 'a'}}],
+	]));
+	await clock.advanceInSteps(3000, 10);
+	assert.deepEqual(candidate.events(), []);
+});
--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -167,9 +167,13 @@
 			return;
 		}
 
-		this.#neededSince ??= clock.now();
+		if (this.#neededSince === undefined) {
+			this.#neededSince = clock.now();
+			this.options.monitor.pollNow();
+		}
+
 		const {rank} = board.read('ownership');
-		if (rank < 0 || clock.now() < Math.max(this.#notBefore, this.#neededSince + this.#waitFor(decision, rank))) {
+		if (rank < 0 || !this.#hasFreshView(view, this.#neededSince) || clock.now() < Math.max(this.#notBefore, this.#neededSince + this.#waitFor(decision, rank))) {
 			return;
 		}
 
@@ -182,6 +186,12 @@
 		}
 	}
 
+	/** Returns whether every member that is not suspected was asked since the time: two statuses of different age can look like a group without a primary. */
+	#hasFreshView(view: PromotionView, since: Milliseconds): boolean {
+		const observations = this.options.board.read('observations');
+		return view.statuses.every(({member}) => view.suspects.has(member) || (observations.get(member)?.askedAt ?? 0) >= since);
+	}
+
 	#waitFor(decision: PromotionDecision, rank: number): Milliseconds {
 		const stagger = rank * this.options.timeouts().promotionStagger;
 		return stagger + (decision.kind === 'promote' ? graceOf[decision.reason] : 0);
