Split the membership controller and shorten long lines

Relayed probes, contacts that are missing and the options have modules of their own; behaviour is unchanged.

--- a/bench/scale-records.ts
+++ b/bench/scale-records.ts
@@ -3,6 +3,16 @@
 /** Returns one of the records that the responder answers for. */
 export function syntheticEntry(index: number, address: string, incarnation: number): MemberEntry {
 	return {
-		name: `entry-${index}`, role: 'entry', instance: `instance-${index}`, dataCentre: `place-${index % 16}`, region: `region-${index % 5}`, linkAddress: address, gossipAddress: address, incarnation, health: 'alive', draining: false, state: 'alive', configurationRevision: 1,
+		name: `entry-${index}`,
+		role: 'entry',
+		instance: `instance-${index}`,
+		dataCentre: `place-${index % 16}`,
+		region: `region-${index % 5}`,
+		linkAddress: address,
+		gossipAddress: address, incarnation,
+		health: 'alive',
+		draining: false,
+		state: 'alive',
+		configurationRevision: 1,
 	};
 }
--- a/bench/scale.ts
+++ b/bench/scale.ts
@@ -26,25 +26,49 @@
 
 const json = process.argv.includes('--json');
 
-function print(measure: string, size: number, value: number, unit: string, method: string): void {
-	const rounded = Number(value.toPrecision(4));
+type Figure = {
+	readonly measure: string;
+	readonly size: number;
+	readonly value: number;
+	readonly unit: string;
+	readonly method: string;
+};
+
+type Interval = {
+	readonly before: readonly Usage[];
+	readonly after: readonly Usage[];
+	readonly seconds: number;
+};
+
+function print(figure: Figure): void {
+	const {
+		measure, size, unit, method,
+	} = figure;
+	const value = Number(figure.value.toPrecision(4));
 	process.stdout.write(json
 		? `${JSON.stringify({
-			measure, size, seed, value: rounded, unit, method,
+			measure, size, seed, value, unit, method,
 		})}\n`
-		: `${measure}, ${size}: ${rounded} ${unit} (${method})\n`);
+		: `${measure}, ${size}: ${value} ${unit} (${method})\n`);
 }
 
-function rates(before: readonly Usage[], after: readonly Usage[], seconds: number, pick: (usage: Usage) => number): readonly number[] {
-	return after.map((usage, index) => (pick(usage) - pick(before[index])) / seconds);
+function meanRate({before, after, seconds}: Interval, pick: (usage: Usage) => number): number {
+	return mean(after.map((usage, index) => (pick(usage) - pick(before[index])) / seconds));
 }
 
-function printRates(kind: string, size: number, before: readonly Usage[], after: readonly Usage[], seconds: number): void {
-	const method = `mean of ${after.length} processes over ${seconds} s`;
-	print(`${kind}: processor time`, size, mean(rates(before, after, seconds, usage => usage.processorMicroseconds)) / 10_000, '% of a core', method);
-	print(`${kind}: datagram bytes sent`, size, mean(rates(before, after, seconds, usage => usage.sentBytes)), 'B/s', method);
-	print(`${kind}: datagrams sent`, size, mean(rates(before, after, seconds, usage => usage.sentDatagrams)), '1/s', method);
-	print(`${kind}: link bytes sent`, size, mean(rates(before, after, seconds, usage => usage.linkBytes)), 'B/s', method);
+function printRates(kind: string, size: number, interval: Interval): void {
+	const method = `mean of ${interval.after.length} processes over ${interval.seconds} s`;
+	const rates: ReadonlyArray<readonly [string, string, number]> = [
+		['processor time', '% of a core', meanRate(interval, usage => usage.processorMicroseconds) / 10_000],
+		['datagram bytes sent', 'B/s', meanRate(interval, usage => usage.sentBytes)],
+		['datagrams sent', '1/s', meanRate(interval, usage => usage.sentDatagrams)],
+		['link bytes sent', 'B/s', meanRate(interval, usage => usage.linkBytes)],
+	];
+	for (const [measure, unit, value] of rates) {
+		print({
+			measure: `${kind}: ${measure}`, size, value, unit, method,
+		});
+	}
 }
 
 async function measureIdle(): Promise<number> {
@@ -55,8 +79,20 @@
 	await sleep(5000);
 	const after = await idle.usage();
 	await idle.kill();
-	print('idle Node.js: resident bytes', 1, after.residentBytes / 1_000_000, 'MB', 'one process');
-	print('idle Node.js: processor time', 1, (after.processorMicroseconds - before.processorMicroseconds) / 5 / 10_000, '% of a core', 'one process over 5 s');
+	print({
+		measure: 'idle Node.js: resident bytes',
+		size: 1,
+		value: after.residentBytes / 1_000_000,
+		unit: 'MB',
+		method: 'one process',
+	});
+	print({
+		measure: 'idle Node.js: processor time',
+		size: 1,
+		value: (after.processorMicroseconds - before.processorMicroseconds) / 5 / 10_000,
+		unit: '% of a core',
+		method: 'one process over 5 s',
+	});
 	return after.residentBytes;
 }
 
@@ -65,8 +101,14 @@
 	const before = await group.usages();
 	await sleep(steadySeconds * 1000);
 	const after = await group.usages();
-	printRates('steady', size, before, after, steadySeconds);
-	print('steady: resident bytes above idle Node.js', size, (quantile(after.map(usage => usage.residentBytes), 0.5) - idleBytes) / 1_000_000, 'MB', `median of ${size} processes`);
+	printRates('steady', size, {before, after, seconds: steadySeconds});
+	print({
+		measure: 'steady: resident bytes above idle Node.js',
+		size,
+		value: (quantile(after.map(usage => usage.residentBytes), 0.5) - idleBytes) / 1_000_000,
+		unit: 'MB',
+		method: `median of ${size} processes`,
+	});
 }
 
 /** Waits until the processes hold the newest revision and returns the milliseconds that each took since the start; infinite for those that did not get there in time. */
@@ -98,9 +140,27 @@
 	}
 
 	const method = `${changes} changes in ${size} processes`;
-	print('change: time until in force, median', size, quantile(changesTimes.flat(), 0.5), 'ms', method);
-	print('change: time until in force, 99th percentile', size, quantile(changesTimes.flat(), 0.99), 'ms', method);
-	print('change: time until in force everywhere, slowest change', size, Math.max(...changesTimes.flat()), 'ms', method);
+	print({
+		measure: 'change: time until in force, median',
+		size,
+		value: quantile(changesTimes.flat(), 0.5),
+		unit: 'ms',
+		method,
+	});
+	print({
+		measure: 'change: time until in force, 99th percentile',
+		size,
+		value: quantile(changesTimes.flat(), 0.99),
+		unit: 'ms',
+		method,
+	});
+	print({
+		measure: 'change: time until in force everywhere, slowest change',
+		size,
+		value: Math.max(...changesTimes.flat()),
+		unit: 'ms',
+		method,
+	});
 }
 
 async function measureMissedChanges(group: ScaleGroup, size: number): Promise<void> {
@@ -117,14 +177,26 @@
 	}
 
 	const othersTimes = await timesToRevision(group, namesOf(others), machineTime());
-	print(`${missedChanges} changes in a second: time from the last until in force everywhere`, size, Math.max(...othersTimes), 'ms', `${others.length} processes`);
+	print({
+		measure: `${missedChanges} changes in a second: time from the last until in force everywhere`,
+		size,
+		value: Math.max(...othersTimes),
+		unit: 'ms',
+		method: `${others.length} processes`,
+	});
 	const start = machineTime();
 	for (const node of cutOff) {
 		node.send({kind: 'loss', share: 0});
 	}
 
 	const times = await timesToRevision(group, namesOf(cutOff), start);
-	print(`${missedChanges} missed changes: time until in force, slowest`, size, Math.max(...times), 'ms', `${cutOffCount} processes cut off and connected again`);
+	print({
+		measure: `${missedChanges} missed changes: time until in force, slowest`,
+		size,
+		value: Math.max(...times),
+		unit: 'ms',
+		method: `${cutOffCount} processes cut off and connected again`,
+	});
 	await sleep(3000);
 }
 
@@ -141,8 +213,20 @@
 
 	const notices = (state: string): number => group.reports.filter(report => report.kind === 'state' && report.state === state && report.time >= start).length;
 	const method = `${size} processes for ${lossSeconds} s at ${loss * 100}% loss, summed over all observers`;
-	print('loss: false notices of failure', size, notices('failed'), 'notices', method);
-	print('loss: suspicions, all refuted', size, notices('suspect'), 'notices', method);
+	print({
+		measure: 'loss: false notices of failure',
+		size,
+		value: notices('failed'),
+		unit: 'notices',
+		method,
+	});
+	print({
+		measure: 'loss: suspicions, all refuted',
+		size,
+		value: notices('suspect'),
+		unit: 'notices',
+		method,
+	});
 }
 
 async function measureKills(group: ScaleGroup, size: number): Promise<void> {
@@ -153,15 +237,30 @@
 	}
 
 	const names = new Set(killed.map(node => node.name));
-	const noticed = (): readonly number[] => group.reports.filter(report => report.kind === 'state' && report.state === 'failed' && names.has(report.name) && report.time >= start).map(report => report.kind === 'state' ? report.time - start : 0);
+	const noticed = (): readonly number[] => group.reports
+		.filter(report => report.kind === 'state' && report.state === 'failed' && names.has(report.name))
+		.map(report => report.kind === 'state' ? report.time - start : 0)
+		.filter(time => time >= 0);
 	for (let second = 0; second < noticeLimitSeconds && noticed().length < killedCount * group.processes.length; second++) {
 		await sleep(1000);
 	}
 
 	const times = noticed();
 	const method = `${killedCount} processes killed, ${group.processes.length} observers, ${times.length} notices`;
-	print('kill: time until noticed, median', size, quantile(times, 0.5), 'ms', method);
-	print('kill: time until noticed, 99th percentile', size, quantile(times, 0.99), 'ms', method);
+	print({
+		measure: 'kill: time until noticed, median',
+		size,
+		value: quantile(times, 0.5),
+		unit: 'ms',
+		method,
+	});
+	print({
+		measure: 'kill: time until noticed, 99th percentile',
+		size,
+		value: quantile(times, 0.99),
+		unit: 'ms',
+		method,
+	});
 }
 
 async function measureGroup(size: number, idleBytes: number): Promise<void> {
@@ -169,7 +268,13 @@
 	try {
 		const start = machineTime();
 		await group.start();
-		print('start: time until all agree on all records', size, machineTime() - start, 'ms', '10 processes started at a time');
+		print({
+			measure: 'start: time until all agree on all records',
+			size,
+			value: machineTime() - start,
+			unit: 'ms',
+			method: '10 processes started at a time',
+		});
 		await measureSteady(group, size, idleBytes);
 		await measureChanges(group, size);
 		await measureMissedChanges(group, size);
@@ -218,9 +323,15 @@
 		await sleep(steadySeconds * 1000);
 		const after = await Promise.all(tested.map(async node => node.usage()));
 		for (const [index, count] of directorySizes.entries()) {
-			printRates('directory', count, [before[index]], [after[index]], steadySeconds);
+			printRates('directory', count, {before: [before[index]], after: [after[index]], seconds: steadySeconds});
 			const contents = index === directorySizes.length - 1 ? 'records and the configuration of 8,200 databases' : 'records';
-			print('directory: resident bytes above idle Node.js', count, (after[index].residentBytes - idleBytes) / 1_000_000, 'MB', `one process, ${contents}, ${after[index].liveRecords} live`);
+			print({
+				measure: 'directory: resident bytes above idle Node.js',
+				size: count,
+				value: (after[index].residentBytes - idleBytes) / 1_000_000,
+				unit: 'MB',
+				method: `one process, ${contents}, ${after[index].liveRecords} live`,
+			});
 		}
 	} finally {
 		await Promise.all([responder, ...tested].map(async node => node.kill()));
--- a/source/configuration/configuration-page.ts
+++ b/source/configuration/configuration-page.ts
@@ -3,11 +3,17 @@
 
 type Node = z.core.JSONSchema.BaseSchema;
 
-const introduction = `# Configuration
-
-This page is generated from the schema in \`source/configuration/configuration-schema.ts\` by \`npm run --silent pages\`.
-
-A deployment has one base file, \`base.yaml\`, and one overlay for each site with the settings that differ there, named after the site. Check a set of files with \`buckthornhitch check\` and submit it with \`buckthornhitch apply\`. Unknown keys, wrong units and names that the base file does not contain are rejected with file, line and key. Durations have a unit: \`200ms\`, \`5s\`, \`2m\`, \`24h\`. The folders \`examples/waitaha\` and \`examples/tengiz\` hold complete sets.`;
+const introduction = [
+	'# Configuration',
+	'This page is generated from the schema in `source/configuration/configuration-schema.ts` by `npm run --silent pages`.',
+	[
+		'A deployment has one base file, `base.yaml`, and one overlay for each site with the settings that differ there, named after the site.',
+		'Check a set of files with `buckthornhitch check` and submit it with `buckthornhitch apply`.',
+		'Unknown keys, wrong units and names that the base file does not contain are rejected with file, line and key.',
+		'Durations have a unit: `200ms`, `5s`, `2m`, `24h`.',
+		'The folders `examples/waitaha` and `examples/tengiz` hold complete sets.',
+	].join(' '),
+].join('\n\n');
 
 /** Returns the text of docs/configuration.md. */
 export function configurationPage(): string {
--- a/source/membership/failure-detector.spec.ts
+++ b/source/membership/failure-detector.spec.ts
@@ -8,7 +8,18 @@
 import {probePeriod, type MemberEntry} from './membership-rules.js';
 
 const peer: MemberEntry = {
-	name: 'a', role: 'pool', instance: 'i', dataCentre: 'd', region: 'r', linkAddress: 'l:1', gossipAddress: 'g:1', incarnation: 1, health: 'alive', draining: false, state: 'alive', configurationRevision: 0,
+	name: 'a',
+	role: 'pool',
+	instance: 'i',
+	dataCentre: 'd',
+	region: 'r',
+	linkAddress: 'l:1',
+	gossipAddress: 'g:1',
+	incarnation: 1,
+	health: 'alive',
+	draining: false,
+	state: 'alive',
+	configurationRevision: 0,
 };
 
 function suspicionsAfterPause(pause: number, answerDelay: number): number {
--- a/source/membership/membership-controller.spec.ts
+++ b/source/membership/membership-controller.spec.ts
@@ -184,7 +184,18 @@
 	const fleet = new Fleet(10);
 	const first = fleet.start('p0');
 	const entries = Array.from({length: 4000}, (_, index) => encodeEntry({
-		name: `entry-${index}`, role: 'entry', instance: `i-${index}`, dataCentre: 'chc-a', region: 'canterbury', linkAddress: `10.0.0.1:${index}`, gossipAddress: `10.0.0.1:${index}`, incarnation: 1, health: 'alive', draining: false, state: 'alive', configurationRevision: 0,
+		name: `entry-${index}`,
+		role: 'entry',
+		instance: `i-${index}`,
+		dataCentre: 'chc-a',
+		region: 'canterbury',
+		linkAddress: `10.0.0.1:${index}`,
+		gossipAddress: `10.0.0.1:${index}`,
+		incarnation: 1,
+		health: 'alive',
+		draining: false,
+		state: 'alive',
+		configurationRevision: 0,
 	}));
 	await fleet.processes.get('p0')!.handlers.get(entriesName)!(entries, {linkId: 0});
 	assert.equal(first.records().length, 4001);
--- a/source/membership/membership-controller.ts
+++ b/source/membership/membership-controller.ts
@@ -1,16 +1,11 @@
 import {type Buffer} from 'node:buffer';
 import {type Controller} from '../blackboard/blackboard.js';
-import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Cancel, type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
-import {type LinkClient} from '../links/link-client.js';
-import {type Logger} from '../observability/logger.js';
-import {type Random} from '../random/random.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type Timeline} from '../timeline/timeline.js';
 import {
 	decodeDatagram, decodeEntry, encodeEntry, maximumEntryBytes, type Datagram,
 } from './datagram-codec.js';
-import {type DatagramTransport} from './datagram-transport.js';
 import {FailureDetector} from './failure-detector.js';
 import {GossipSender} from './gossip-sender.js';
 import {InstanceDirectory, type StopWatching} from './instance-directory.js';
@@ -19,7 +14,10 @@
 import {
 	isLive, probePeriod, publicState, withHealth, type MemberEntry,
 } from './membership-rules.js';
-import {RecordExchange, type RequestRegistry} from './record-exchange.js';
+import {type MembershipOptions} from './membership-options.js';
+import {missingContacts} from './missing-contacts.js';
+import {ProbeRelays} from './probe-relays.js';
+import {RecordExchange} from './record-exchange.js';
 import {type RevisionGossip} from './revision-gossip.js';
 
 /** Each process compares its records with a random peer once in this many milliseconds. */
@@ -33,36 +31,13 @@
 // Records learned in larger lists are old news for most peers and are left to anti-entropy.
 const largestPassedOnList = 32;
 
-/** What a process tells about itself. */
-export type OwnDescription = Omit<InstanceRecord, 'incarnation' | 'state' | 'configurationRevision'>;
-
-/** What the membership of one process needs. */
-export type MembershipOptions = {
-	readonly self: OwnDescription;
-	/** Gossip addresses of processes to join by; this process's own is ignored. */
-	readonly seeds: readonly Address[];
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly transport: DatagramTransport;
-	readonly linkClient: LinkClient;
-	readonly handlers: RequestRegistry;
-	readonly logger: Logger;
-	readonly timeline: Timeline;
-};
-
-type Relay = {
-	readonly address: Address;
-	readonly to: string;
-	readonly sequence: number;
-};
-
 /** Keeps the records of all processes: probes peers, spreads news and merges views that have drifted apart. */
 export class MembershipController extends InstanceDirectory implements Controller, RevisionGossip {
 	readonly #table: MemberTable;
 	readonly #detector: FailureDetector;
 	readonly #sender: GossipSender;
 	readonly #exchange: RecordExchange;
-	readonly #relays = new Map<number, Relay>();
+	readonly #relays: ProbeRelays;
 	readonly #listeners = new Set<() => void>();
 	readonly #revisionListeners = new Set<(revision: number, holder: string) => void>();
 	#own: MemberEntry;
@@ -97,6 +72,7 @@
 				this.#learn(entries, largestPassedOnList);
 			},
 		});
+		this.#relays = new ProbeRelays(clock);
 		this.#detector = this.#createDetector();
 	}
 
@@ -241,10 +217,7 @@
 
 	#relayPing(request: Datagram, sender: Address): void {
 		const sequence = this.#detector.nextSequence();
-		this.#relays.set(sequence, {address: sender, to: request.from, sequence: request.sequence});
-		this.options.clock.schedule(probePeriod, () => {
-			this.#relays.delete(sequence);
-		});
+		this.#relays.add(sequence, {address: sender, to: request.from, sequence: request.sequence});
 		this.#sender.send({
 			kind: 'ping', address: request.targetAddress, to: request.targetName, sequence,
 		});
@@ -252,12 +225,9 @@
 
 	#acknowledge(ack: Datagram): void {
 		this.#detector.acknowledge(ack.sequence);
-		const relay = this.#relays.get(ack.sequence);
+		const relay = this.#relays.take(ack.sequence);
 		if (relay) {
-			this.#relays.delete(ack.sequence);
-			this.#sender.send({
-				kind: 'ack', address: relay.address, to: relay.to, sequence: relay.sequence,
-			});
+			this.#sender.send({kind: 'ack', ...relay});
 		}
 
 		const peer = this.#table.get(ack.from);
@@ -397,13 +367,7 @@
 	// Brings the halves of a partition together again: one failed process or seed that is not live is tried each period.
 	#contactOneMissing(): void {
 		const {random, seeds} = this.options;
-		const live = new Set(this.#table.entries().filter(entry => isLive(entry)).map(entry => entry.gossipAddress));
-		const failed = this.#table.failedNames().map(name => this.#table.get(name)!);
-		const missing = [
-			...failed.map(entry => ({address: entry.gossipAddress, name: entry.name})),
-			...seeds.filter(address => !live.has(address)).map(address => ({address, name: ''})),
-		];
-		for (const {address, name} of random.sample(missing, 1)) {
+		for (const {address, name} of random.sample(missingContacts(this.#table, seeds), 1)) {
 			this.#contact(address, name);
 		}
 
--- a/source/membership/membership-rules.spec.ts
+++ b/source/membership/membership-rules.spec.ts
@@ -23,7 +23,15 @@
 }).map(({
 	name, incarnation, health, draining,
 }) => ({
-	name, role: 'pool', instance: 'i', dataCentre: 'd', region: 'r', linkAddress: 'l:1', gossipAddress: 'g:1', incarnation, health, draining, state: publicState(health, draining), configurationRevision: 0,
+	name,
+	role: 'pool',
+	instance: 'i',
+	dataCentre: 'd',
+	region: 'r',
+	linkAddress: 'l:1',
+	gossipAddress: 'g:1', incarnation, health, draining,
+	state: publicState(health, draining),
+	configurationRevision: 0,
 }));
 
 test('a stale incarnation or a milder health of the same incarnation never replaces newer knowledge', () => {
--- a/source/result-codes/result-codes-page.ts
+++ b/source/result-codes/result-codes-page.ts
@@ -9,11 +9,14 @@
 
 const codeDigits = 4;
 
-const introduction = `# Result codes
-
-This page is generated from \`source/result-codes/result-codes.ts\` by \`npm run --silent pages\`.
-
-Callers see the number in the message, for example \`BH2003\`, together with the SQLSTATE; operators can look one up with \`buckthornhitch explain 2003\`. Ranges: 0 success; 1xxx bad input or settings; 2xxx not run; 3xxx outcome unknown or transaction lost; 4xxx configuration; 5xxx control and storage; 6xxx links.`;
+const introduction = [
+	'# Result codes',
+	'This page is generated from `source/result-codes/result-codes.ts` by `npm run --silent pages`.',
+	[
+		'Callers see the number in the message, for example `BH2003`, together with the SQLSTATE; operators can look one up with `buckthornhitch explain 2003`.',
+		'Ranges: 0 success; 1xxx bad input or settings; 2xxx not run; 3xxx outcome unknown or transaction lost; 4xxx configuration; 5xxx control and storage; 6xxx links.',
+	].join(' '),
+].join('\n\n');
 
 /** Returns the text of docs/result-codes.md. */
 export function resultCodesPage(): string {
