Do not let a later log term stand for entries not yet applied

A trial with random faults found a session that did not see its own write after a change of the primary. A replica that had received an entry of the new term but still applied older ones counted as past every point of the old term. The term of the last applied entry is unknown in that state, so the position must be applied as well, and reads return only points of entries that the member is known to have applied.

--- a/source/database-group/log-point-rules.spec.ts
+++ b/source/database-group/log-point-rules.spec.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {coversLogPoint, freshnessFloor, isWriteConfirmed} from './log-point-rules.js';
+import {
+	coversLogPoint, freshnessFloor, isWriteConfirmed, mayServeRead, seenPoint,
+} from './log-point-rules.js';
 import {type MemberStatus} from './types.js';
 
 function statusOf(member: string, logTerm: number, position: number): MemberStatus {
@@ -44,3 +46,17 @@
 	assert.deepEqual(floor?.point, {term: 2, position: 12});
 	assert.equal(coversLogPoint({term: 1, position: 50}, {term: 2, position: 12}), false);
 });
+
+test('a replica that has received a later term but not yet applied an earlier write does not serve the session that wrote it', () => {
+	const applying = {...statusOf('c', 2, 12), appliedPosition: 8};
+	assert.equal(mayServeRead(applying, {term: 1, position: 10}), false);
+	assert.equal(mayServeRead({...applying, appliedPosition: 10}, {term: 1, position: 10}), true);
+	assert.equal(mayServeRead(statusOf('c', 2, 12), {term: 1, position: 50}), true);
+});
+
+test('a read on a replica that still applies entries does not give a session a token without its own write', () => {
+	const applying = {...statusOf('c', 2, 12), appliedPosition: 8};
+	assert.deepEqual(seenPoint(applying, {term: 1, position: 7}), {term: 1, position: 7});
+	assert.deepEqual(seenPoint(applying, {term: 2, position: 7}), {term: 2, position: 8});
+	assert.deepEqual(seenPoint(statusOf('c', 2, 12), {term: 1, position: 7}), {term: 2, position: 12});
+});
--- a/source/database-group/log-point-rules.ts
+++ b/source/database-group/log-point-rules.ts
@@ -35,11 +35,6 @@
 	return {term: status.logTerm, position: status.receivedPosition};
 }
 
-/** Returns the point of the last entry that reads on a member see. */
-export function appliedPoint(status: MemberStatus): LogPoint {
-	return {term: status.logTerm, position: status.appliedPosition};
-}
-
 /**
 Returns whether a write at the point may be acknowledged: the primary and in all a majority of members hold it within the write's own log term.
 
@@ -65,9 +60,28 @@
 	return {startedAt, point};
 }
 
-/** Returns whether a member may serve a read that needs the point. */
+/**
+Returns whether a member may serve a read that needs the point.
+
+While a member still applies entries, the term of the last one applied is unknown: it may be lower than the term of the last one received. A later log term alone then proves nothing, and the position must have been applied as well; an acknowledged write keeps its position in every later log.
+*/
 export function mayServeRead(status: MemberStatus, needed: LogPoint): boolean {
-	return coversLogPoint(appliedPoint(status), needed);
+	return hasAppliedAll(status)
+		? coversLogPoint(receivedPoint(status), needed)
+		: status.logTerm >= needed.term && status.appliedPosition >= needed.position;
+}
+
+/** Returns the latest point that the member is known to have applied, at least the one that a read on it needed. It is always the point of an entry, so that a later term implies a later position. */
+export function seenPoint(status: MemberStatus, needed: LogPoint): LogPoint {
+	if (hasAppliedAll(status)) {
+		return laterLogPoint(needed, receivedPoint(status));
+	}
+
+	return status.logTerm === needed.term ? laterLogPoint(needed, {term: needed.term, position: status.appliedPosition}) : needed;
+}
+
+function hasAppliedAll(status: MemberStatus): boolean {
+	return status.appliedPosition >= status.receivedPosition;
 }
 
 /**
--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -225,15 +225,22 @@
 			return undefined;
 		}
 
-		const promoted = await this.#call(chosen.member, 'promote', async client => client.promote(term, promoteTimeout));
-		if (!promoted) {
-			return undefined;
+		const others = answers.map(answer => answer.member).filter(member => member !== chosen.member);
+		const [promoted] = await Promise.all([
+			this.#promoteChosen(chosen.member, term),
+			// No other member can become primary of this term, so the others need not wait for the promotion before they follow.
+			this.#makeFollow({member: chosen.member, primaryTerm: term}, others),
+		]);
+		return promoted ? chosen.member : undefined;
+	}
+
+	async #promoteChosen(member: string, term: number): Promise<boolean> {
+		const promoted = await this.#call(member, 'promote', async client => client.promote(term, promoteTimeout));
+		if (promoted) {
+			this.#record('member promoted', member, `term ${term}`);
 		}
 
-		this.#record('member promoted', chosen.member, `term ${term}`);
-		const others = answers.map(answer => answer.member).filter(member => member !== chosen.member);
-		await this.#makeFollow(promoted, others);
-		return chosen.member;
+		return promoted !== undefined;
 	}
 
 	async #collectPromises(term: number): Promise<readonly MemberStatus[]> {
@@ -243,7 +250,7 @@
 		return answers.filter(answer => answer !== undefined);
 	}
 
-	async #makeFollow(primary: MemberStatus, members: readonly string[]): Promise<void> {
+	async #makeFollow(primary: Pick<MemberStatus, 'member' | 'primaryTerm'>, members: readonly string[]): Promise<void> {
 		const {board, timeouts} = this.options;
 		const address = board.read('members').get(primary.member)?.address;
 		if (address === undefined) {
--- a/source/pool/read-executor.ts
+++ b/source/pool/read-executor.ts
@@ -3,7 +3,7 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {waitUntil} from '../blackboard/wait-until.js';
 import {mayUseMember} from '../database-group/group-state.js';
-import {appliedPoint, floorStartedSince, laterLogPoint} from '../database-group/log-point-rules.js';
+import {emptyLogPoint, floorStartedSince, seenPoint} from '../database-group/log-point-rules.js';
 import {readMemberStatus} from '../database-group/member-status-row.js';
 import {type LogPoint, type MemberStatus} from '../database-group/types.js';
 import {type BackendConnection} from '../postgres-protocol/backend-connection.js';
@@ -252,7 +252,8 @@
 			const responses = await connection.exchange(Buffer.concat(sent), sent.length, limits().statementTimeout);
 			const [bytes, statusBytes] = responses.slice(guard.before.length, guard.before.length + parts.length);
 			const status = statusBytes ? this.#observedStatus(statusBytes, askedAt) : grant.status;
-			const point = laterLogPoint(progress.fixedPoint ?? appliedPoint(status), appliedPoint(status));
+			const neededPoint = progress.fixedPoint ?? this.#pointOfAge(request, askedAt) ?? emptyLogPoint;
+			const point = seenPoint(status, neededPoint);
 			return this.#answer(request, grant, connection, {bytes, point});
 		} catch (error) {
 			grant.connections.discard(connection, `read: ${toBuckthornhitchError(error).detail}`);
