Find voters that come back at another address

Cause: the leader looked for a lost voter only at the address in the voter list, so an instance that was replaced under another address never rejoined. Change: voters ask the membership for the present address of a named voter and use the one in the list when it knows none.

--- a/source/binaries/buckthornhitch-control.ts
+++ b/source/binaries/buckthornhitch-control.ts
@@ -31,6 +31,7 @@
 				storage: new FileStorage(dataFolder, runtime.logger('control')),
 				validator: new FileValidator(),
 				publisher: new FleetPublisher(fleet),
+				addressOf: name => fleet.directory.livePeer(name)?.linkAddress,
 			});
 			await control.open();
 			await fleet.start();
--- a/source/control-log/election.ts
+++ b/source/control-log/election.ts
@@ -116,7 +116,7 @@
 			preliminary,
 		};
 		try {
-			const response = await options.linkClient.request(voter.address, 'requestVote', body, this.timing.requestTimeout) as VoteResponse;
+			const response = await options.linkClient.request(this.state.addressOf(voter), 'requestVote', body, this.timing.requestTimeout) as VoteResponse;
 			if (response.term > term) {
 				this.onHigherTerm(response.term);
 				return false;
--- a/source/control-log/leadership.ts
+++ b/source/control-log/leadership.ts
@@ -272,7 +272,7 @@
 		const message = peer.nextMessage(this.state, this.term, heartbeatOnly ? 0 : entriesPerMessage);
 		const timeout = message.name === 'installSnapshot' ? this.timing.snapshotTimeout : this.timing.requestTimeout;
 		try {
-			const response = await this.#options.linkClient.request(peer.record.address, message.name, message.body, timeout) as AppendResponse;
+			const response = await this.#options.linkClient.request(this.state.addressOf(peer.record), message.name, message.body, timeout) as AppendResponse;
 			this.#receive(peer, response, sentAt);
 			return true;
 		} catch {
--- a/source/control-log/voter-options.ts
+++ b/source/control-log/voter-options.ts
@@ -60,4 +60,6 @@
 	readonly logger: Logger;
 	readonly observer: VoterObserver;
 	readonly timing?: VoterTiming;
+	/** Returns the present address of a named voter, or undefined to use the one in the voter list. An instance may come back at another address. */
+	readonly addressOf?: (name: string) => Address | undefined;
 };
--- a/source/control-log/voter-repair.ts
+++ b/source/control-log/voter-repair.ts
@@ -48,15 +48,16 @@
 
 	/** Asks the process at the address of a silent voter whether it has another disk now. */
 	async #describe(lost: VoterRecord): Promise<void> {
+		const address = this.state.addressOf(lost);
 		try {
-			const answer = await this.state.options.linkClient.request(lost.address, 'describeVoter', null, this.timing.requestTimeout) as DescribeVoterResponse;
+			const answer = await this.state.options.linkClient.request(address, 'describeVoter', null, this.timing.requestTimeout) as DescribeVoterResponse;
 			const isNewDisk = answer.name === lost.name && answer.diskId !== lost.diskId;
 			const isFree = answer.group === null || answer.group === this.state.group;
 			if (this.#stopped || !isNewDisk || !isFree) {
 				return;
 			}
 
-			const found = {name: answer.name, diskId: answer.diskId, address: lost.address};
+			const found = {name: answer.name, diskId: answer.diskId, address};
 			if (this.#found.get(voterKey(lost))?.diskId !== found.diskId) {
 				this.state.options.observer.event('voterDiskLost', lost.name, `disk ${lost.diskId} was replaced by ${found.diskId}`);
 				this.#found.set(voterKey(lost), found);
--- a/source/control-log/voter-state.ts
+++ b/source/control-log/voter-state.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds} from '../clock/clock.js';
+import {type Address} from '../links/address.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type VoterOptions, type VoterTiming} from './voter-options.js';
 import {
@@ -59,6 +60,11 @@
 		return this.log.list.voters.some(voter => voterKey(voter) === voterKey(this.self));
 	}
 
+	/** Returns where a voter is reached now. */
+	addressOf({name, address}: VoterRecord): Address {
+		return this.options.addressOf?.(name) ?? address;
+	}
+
 	/** Runs the work after all work given before; a failed write ends the voter's part in the group until it recovers. */
 	async serially<Result>(work: () => Promise<Result>): Promise<Result> {
 		const run = async (): Promise<Result> => {
--- a/source/control/control-process.spec.ts
+++ b/source/control/control-process.spec.ts
@@ -137,6 +137,19 @@
 	assert.equal(group.leader!.voter.list.voters.length, 3);
 });
 
+test('a voter that comes back at another address, with its disk or with a new one, is not found', async () => {
+	const group = await bootstrapped(17);
+	const [kept, lost] = group.others(leaderName(group));
+	await group.kill(kept);
+	await group.kill(lost);
+	group.moved.set(kept, 'new address of kept').set(lost, 'new address of lost');
+	await group.start(kept);
+	await group.until(() => group.leader !== undefined);
+	await group.start(lost, new MemoryStorage('new-disk'));
+	await group.until(() => hasVoters(group, [`${lost}/new-disk`]));
+	assert.equal(group.leader!.voter.list.voters.find(voter => voter.name === lost)!.address, 'new address of lost');
+});
+
 test('two voters that lost their disks at once are replaced in one change', async () => {
 	const group = new TestGroup(15, ['one', 'two', 'three', 'four', 'five']);
 	await group.bootstrap();
--- a/source/control/control-process.ts
+++ b/source/control/control-process.ts
@@ -6,6 +6,7 @@
 import {type ApplyCommand, type LogEntry} from '../control-log/types.js';
 import {type VoterTiming} from '../control-log/voter-options.js';
 import {Voter} from '../control-log/voter.js';
+import {type Address} from '../links/address.js';
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
@@ -45,6 +46,8 @@
 	readonly validator: ConfigurationValidator;
 	readonly publisher: RevisionPublisher;
 	readonly timing?: VoterTiming;
+	/** Returns the present link address of a named control process, or undefined to use the one in the voter list. */
+	readonly addressOf?: (name: string) => Address | undefined;
 };
 
 /** Control process: a voter of the control log that answers operators and processes. */
@@ -67,6 +70,7 @@
 			random: services.random,
 			logger: services.logger('control'),
 			timing: options.timing,
+			addressOf: options.addressOf,
 			observer: {
 				committed: (entry, answer) => {
 					this.#committed(entry, answer as ApplyResponse | undefined);
--- a/source/control/control-test-group.ts
+++ b/source/control/control-test-group.ts
@@ -130,12 +130,14 @@
 	publisher: TestPublisher;
 };
 
-/** Control processes on a network in memory, moved by a manual clock. Addresses equal names. */
+/** Control processes on a network in memory, moved by a manual clock. Addresses equal names until a process moves. */
 export class TestGroup {
 	readonly clock = new ManualClock();
 	readonly random: SeededRandom;
 	readonly network: TestNetwork;
 	readonly members = new Map<string, TestMember>();
+	/** Addresses of processes that moved, as the membership knows them. */
+	readonly moved = new Map<string, string>();
 	readonly client: ControlClient;
 	readonly timeline: Timeline;
 
@@ -163,10 +165,11 @@
 
 	/** Starts a process on a storage, by default the one it had. */
 	async start(name: string, storage = this.members.get(name)!.storage): Promise<ControlProcess> {
+		const address = this.moved.get(name) ?? name;
 		const handlers = new Map<string, RequestHandler>();
 		const publisher = new TestPublisher();
 		const process = new ControlProcess({
-			settings: {name, linkAddress: name},
+			settings: {name, linkAddress: address},
 			clock: this.clock,
 			random: this.random,
 			registry: new Registry(),
@@ -176,20 +179,20 @@
 					handlers.set(request, handler);
 				},
 			},
-			linkClient: new TestLinkClient(this.network, name),
+			linkClient: new TestLinkClient(this.network, address),
 			logger: () => silentLogger,
 		}, {
-			storage, validator: new TestValidator(), publisher, timing: this.timing,
+			storage, validator: new TestValidator(), publisher, timing: this.timing, addressOf: other => this.moved.get(other),
 		});
 		this.members.set(name, {storage, process, publisher});
 		await process.open();
-		this.network.handlers.set(name, handlers);
+		this.network.handlers.set(address, handlers);
 		return process;
 	}
 
 	/** Ends a process at once; what it stored remains. */
 	async kill(name: string): Promise<void> {
-		this.network.handlers.delete(name);
+		this.network.handlers.delete(this.moved.get(name) ?? name);
 		await this.members.get(name)!.process.stop();
 	}
 
