Record each change once in the time line and the metrics

Cause: after a restart a control process carried out its log again and recorded every old change as a new event. Change: entries that were in the log at the start are not recorded.

--- a/source/control-log/voter-options.ts
+++ b/source/control-log/voter-options.ts
@@ -39,8 +39,8 @@
 
 /** Receives what happens to a voter. */
 export type VoterObserver = {
-	/** An entry was committed and carried out, with its answer. */
-	readonly committed: (entry: LogEntry, answer: unknown) => void;
+	/** An entry was committed and carried out, with its answer; a repeated one was in the log at the start and may have been carried out before. */
+	readonly committed: (entry: LogEntry, answer: unknown, repeated: boolean) => void;
 	/** The state was replaced by a snapshot. */
 	readonly restored: () => void;
 	/** Something that belongs in the time line. */
--- a/source/control-log/voter-state.ts
+++ b/source/control-log/voter-state.ts
@@ -20,6 +20,7 @@
 	#commitIndex = 0;
 	#appliedIndex = 0;
 	#durableIndex = 0;
+	#loadedIndex = 0;
 	#failure: BuckthornhitchError | undefined;
 	#queue: Promise<unknown> = Promise.resolve();
 
@@ -100,6 +101,7 @@
 		this.#promise = stored.promise;
 		this.log.load(stored);
 		this.#durableIndex = this.log.end.index;
+		this.#loadedIndex = this.log.end.index;
 		this.#restore(stored.snapshot);
 		this.leader = undefined;
 		this.heardAt = this.options.clock.now();
@@ -183,7 +185,7 @@
 			const answer = this.options.machine.apply(entry);
 			this.#appliedIndex = entry.index;
 			answers.set(entry.index, answer);
-			this.options.observer.committed(entry, answer);
+			this.options.observer.committed(entry, answer, entry.index <= this.#loadedIndex);
 		}
 
 		return answers;
--- a/source/control/control-process.spec.ts
+++ b/source/control/control-process.spec.ts
@@ -233,6 +233,8 @@
 		kind: 'deltas', deltas: [{revision: 300, files: {base: 'change 299'}, memberSets: {}}],
 	});
 	assert.equal(await group.change('after', 300), 301);
+	const changes = group.timeline.events().filter(event => event.kind === 'apply' && event.subject === 'revision 299');
+	assert.equal(changes.length, 3);
 });
 
 test('bootstrap changes a group that has a list, or cannot be repeated after it failed halfway', async () => {
--- a/source/control/control-process.ts
+++ b/source/control/control-process.ts
@@ -72,8 +72,8 @@
 			timing: options.timing,
 			addressOf: options.addressOf,
 			observer: {
-				committed: (entry, answer) => {
-					this.#committed(entry, answer as ApplyResponse | undefined);
+				committed: (entry, answer, repeated) => {
+					this.#committed(entry, repeated ? undefined : answer as ApplyResponse | undefined);
 				},
 				restored: () => {
 					this.#publish();
