--- a/source/control-log/voter-state.ts
+++ b/source/control-log/voter-state.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds} from '../clock/clock.js';
+import {type Address} from '../links/address.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type VoterOptions, type VoterTiming} from './voter-options.js';
 import {
@@ -19,6 +20,7 @@
 	#commitIndex = 0;
 	#appliedIndex = 0;
 	#durableIndex = 0;
+	#loadedIndex = 0;
 	#failure: BuckthornhitchError | undefined;
 	#queue: Promise<unknown> = Promise.resolve();
 
@@ -59,6 +61,11 @@
 		return this.log.list.voters.some(voter => voterKey(voter) === voterKey(this.self));
 	}
 
+	/** Returns where a voter is reached now. */
+	addressOf({name, address}: VoterRecord): Address {
+		return this.options.addressOf?.(name) ?? address;
+	}
+
 	/** Runs the work after all work given before; a failed write ends the voter's part in the group until it recovers. */
 	async serially<Result>(work: () => Promise<Result>): Promise<Result> {
 		const run = async (): Promise<Result> => {
@@ -94,6 +101,7 @@
 		this.#promise = stored.promise;
 		this.log.load(stored);
 		this.#durableIndex = this.log.end.index;
+		this.#loadedIndex = this.log.end.index;
 		this.#restore(stored.snapshot);
 		this.leader = undefined;
 		this.heardAt = this.options.clock.now();
@@ -177,7 +185,7 @@
 			const answer = this.options.machine.apply(entry);
 			this.#appliedIndex = entry.index;
 			answers.set(entry.index, answer);
-			this.options.observer.committed(entry, answer);
+			this.options.observer.committed(entry, answer, entry.index <= this.#loadedIndex);
 		}
 
 		return answers;
