--- a/source/control-log/state-machine.ts
+++ b/source/control-log/state-machine.ts
@@ -2,6 +2,7 @@
 import {type AcceptedConfiguration, type ConfigurationFiles} from '../configuration/types.js';
 import {type ApplyResponse, type ConfigurationDelta, type ConfigurationSinceResponse} from '../control/messages.js';
 import {resultCodes, type ResultCodeName} from '../result-codes/result-codes.js';
+import {changeOutcome} from './change-rules.js';
 import {StateMachine} from './storage.js';
 import {type ApplyCommand, type LogEntry, type RegisterMemberCommand} from './types.js';
 
@@ -72,14 +73,14 @@
 		this.#deltaCharacters = 0;
 	}
 
-	/** Returns the changes after a revision, or everything when they are no longer kept. */
+	/** Returns the changes after a revision, or everything when they are no longer kept or the asking process holds nothing yet. */
 	since(revision: number): ConfigurationSinceResponse {
 		const missing = this.#accepted.revision - revision;
 		if (missing <= 0) {
 			return {kind: 'deltas', deltas: []};
 		}
 
-		return missing <= this.#deltas.length
+		return revision > 0 && missing <= this.#deltas.length
 			? {kind: 'deltas', deltas: this.#deltas.slice(-missing)}
 			: {kind: 'snapshot', configuration: this.#accepted};
 	}
@@ -93,26 +94,34 @@
 	#applyChange(command: ApplyCommand): ApplyResponse {
 		const digest = digestOf(command);
 		const known = this.#changes.get(command.changeId);
-		if (known) {
-			return known.digest === digest ? known.answer : this.#answer('changeIdReused', `"${command.changeId}"`);
-		}
-
 		const {revision, files} = this.#accepted;
-		const current = command.expectedRevision >= this.#filesRevision && command.expectedRevision <= revision;
-		if (current) {
-			this.#advance({files: differences(files, command.files), memberSets: {}}, command.files);
-			this.#filesRevision = this.#accepted.revision;
-		}
+		const outcome = changeOutcome({
+			knownDigest: known?.digest, digest, expectedRevision: command.expectedRevision, filesRevision: this.#filesRevision, revision,
+		});
+		switch (outcome) {
+			case 'known': {
+				return known!.answer;
+			}
 
-		const answer = current
-			? this.#answer('done', '')
-			: this.#answer('revisionConflict', `Revision ${command.expectedRevision} was expected, the current one is ${revision}.`);
-		this.#remember(command.changeId, {digest, answer});
-		return answer;
+			case 'changeIdReused': {
+				return this.#answer('changeIdReused', `"${command.changeId}"`);
+			}
+
+			case 'revisionConflict': {
+				const detail = `Revision ${command.expectedRevision} was expected, the current one is ${revision}.`;
+				return this.#remember(command.changeId, {digest, answer: this.#answer('revisionConflict', detail)});
+			}
+
+			case 'accepted': {
+				this.#advance({files: differences(files, command.files), memberSets: {}}, command.files);
+				this.#filesRevision = this.#accepted.revision;
+				return this.#remember(command.changeId, {digest, answer: this.#answer('done', '')});
+			}
+		}
 	}
 
 	#registerMember({database, member, memberCount}: RegisterMemberCommand): ApplyResponse {
-		const members = this.#accepted.memberSets[database] ?? [];
+		const members = membersOf(this.#accepted, database);
 		if (members.includes(member)) {
 			return this.#answer('done', '');
 		}
@@ -140,15 +149,22 @@
 		}
 	}
 
-	#remember(changeId: string, change: KnownChange): void {
+	#remember(changeId: string, change: KnownChange): ApplyResponse {
 		this.#changes.set(changeId, change);
 		if (this.#changes.size > keptAnswers) {
 			const [oldest] = this.#changes.keys();
 			this.#changes.delete(oldest);
 		}
+
+		return change.answer;
 	}
 }
 
+/** Returns the agreed members of a database group. */
+export function membersOf({memberSets}: AcceptedConfiguration, database: string): readonly string[] {
+	return Object.hasOwn(memberSets, database) ? memberSets[database] : [];
+}
+
 function digestOf({expectedRevision, files}: ApplyCommand): string {
 	const names = Object.keys(files).sort();
 	const content = JSON.stringify([expectedRevision, names.map(name => [name, files[name]])]);
@@ -158,8 +174,9 @@
 function differences(before: ConfigurationFiles, after: ConfigurationFiles): Readonly<Record<string, string | null>> {
 	const changed: Record<string, string | null> = {};
 	for (const name of new Set([...Object.keys(before), ...Object.keys(after)])) {
-		if (before[name] !== after[name]) {
-			changed[name] = after[name] ?? null;
+		const text = Object.hasOwn(after, name) ? after[name] : null;
+		if (!Object.hasOwn(before, name) || before[name] !== text) {
+			changed[name] = text;
 		}
 	}
 
--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -7,7 +7,9 @@
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {type GroupBoard} from './group-state.js';
-import {coversLogPoint, receivedPoint} from './log-point-rules.js';
+import {
+	coversLogPoint, emptyLogPoint, laterLogPoint, receivedPoint,
+} from './log-point-rules.js';
 import {type MonitorController} from './monitor-controller.js';
 import {
 	decidePromotion, preferredMember, type PromotionDecision, type PromotionReason, type PromotionView,
@@ -115,8 +117,9 @@
 		try {
 			const until = clock.now() + switchTimeout;
 			await this.#waitForTarget(primary.member, target, until);
-			if (!await this.#promote('planned', target)) {
-				throw new BuckthornhitchError('memberRefused', 'The promotion did not succeed; see the time line.');
+			const promoted = await this.#promote('planned', target);
+			if (promoted !== target) {
+				throw new BuckthornhitchError('memberRefused', promoted === undefined ? 'The promotion did not succeed; see the time line.' : `"${promoted}" was promoted, since its log is longer.`);
 			}
 		} catch (error) {
 			this.#record('planned change failed', target, toBuckthornhitchError(error).message);
@@ -128,23 +131,21 @@
 	}
 
 	async #waitForTarget(primary: string, target: string, until: Milliseconds): Promise<void> {
-		const {board, clock, monitor} = this.options;
+		const {board, clock} = this.options;
 		const idle = await waitUntil({board, names: ['writesInProgress'], condition: () => board.read('writesInProgress') === 0}, clock, until - clock.now());
 		if (!idle) {
 			throw new BuckthornhitchError('deadlinePassed', 'Transactions are still open on the primary.');
 		}
 
-		const idleSince = clock.now();
+		// Only the holder of the primary's lease writes, so this pool knows the end of the log; if it does not, the promises show the longer log and the target is not promoted.
+		const source = board.read('observations').get(primary);
+		const end = laterLogPoint(board.read('latestWritePoint'), source ? receivedPoint(source.status) : emptyLogPoint);
 		const hasAll = (): boolean => {
-			const source = board.read('observations').get(primary);
 			const copy = board.read('observations').get(target);
-			return Boolean(source && copy && source.askedAt >= idleSince && coversLogPoint(receivedPoint(copy.status), receivedPoint(source.status)));
+			return Boolean(copy && coversLogPoint(receivedPoint(copy.status), end));
 		};
 
 		// Usually the target has the whole log already; a poll of it would hold up its promise by a round trip.
-		monitor.pollNow(primary);
-		const isSourceKnown = (): boolean => (board.read('observations').get(primary)?.askedAt ?? 0) >= idleSince;
-		await waitUntil({board, names: ['observations'], condition: isSourceKnown}, clock, until - clock.now());
 		const caughtUp = hasAll() || await this.#whilePolling(async () => waitUntil({board, names: ['observations'], condition: hasAll}, clock, until - clock.now()));
 		if (!caughtUp) {
 			throw new BuckthornhitchError('deadlinePassed', `"${target}" has not received the whole log.`);
@@ -199,7 +200,7 @@
 		if (decision.kind === 'follow') {
 			await this.#makeFollow(decision.primary, decision.members);
 			this.#pause(this.options.timeouts().heartbeat, 0);
-		} else if (decision.kind === 'promote' && !await this.#promote(decision.reason, decision.preferred)) {
+		} else if (decision.kind === 'promote' && await this.#promote(decision.reason, decision.preferred) === undefined) {
 			this.#pause(retryPause, retryJitter);
 		}
 	}
@@ -220,8 +221,8 @@
 		}
 	}
 
-	/** Promotes a member; returns whether it succeeded. */
-	async #promote(reason: PromotionReason | 'planned', preferred: string | undefined): Promise<boolean> {
+	/** Promotes a member; returns its name, or undefined when it did not succeed. */
+	async #promote(reason: PromotionReason | 'planned', preferred: string | undefined): Promise<string | undefined> {
 		const {board, database, monitor} = this.options;
 		const term = nextTerm([...board.read('observations').values()].map(({status}) => status));
 		this.#record('promotion started', database, `term ${term}, reason ${reason}`);
@@ -230,12 +231,12 @@
 		if (!chosen) {
 			this.#record('promotion failed', database, `term ${term}: ${answers.length} of ${board.read('memberCount')} members promised`);
 			monitor.pollNow();
-			return false;
+			return undefined;
 		}
 
 		const promoted = await this.#call(chosen.member, 'promote', async client => client.promote(term, promoteTimeout));
 		if (!promoted) {
-			return false;
+			return undefined;
 		}
 
 		this.#record('member promoted', chosen.member, `term ${term}`);
@@ -243,7 +244,7 @@
 		board.write('writesPaused', false);
 		const others = answers.map(answer => answer.member).filter(member => member !== chosen.member);
 		await this.#makeFollow(promoted, others);
-		return true;
+		return chosen.member;
 	}
 
 	async #collectPromises(term: number): Promise<readonly MemberStatus[]> {
--- a/source/pool/database-service.ts
+++ b/source/pool/database-service.ts
@@ -23,6 +23,7 @@
 import {type PoolMetrics} from './pool-metrics.js';
 import {otherOwner, ReadExecutor} from './read-executor.js';
 import {RecordedRequests} from './recorded-requests.js';
+import {RequestRetentionController} from './request-retention-controller.js';
 import {opensTransaction} from './statement-text.js';
 import {TransactionExecutor} from './transaction-executor.js';
 import {TransactionTable} from './transaction-table.js';
@@ -45,6 +46,9 @@
 	readonly logger: Logger;
 };
 
+/** Reads that are tried on the primary each time that something becomes free. */
+const primaryAttemptsPerDispatch = 4;
+
 /** Stages of giving a database up: no new transactions while open ones finish, then nothing new. */
 type ServiceState = 'serving' | 'finishing' | 'releasing';
 
@@ -54,6 +58,7 @@
 	readonly board: GroupBoard;
 	readonly promotion: PromotionController;
 	readonly context: ExecutionContext;
+	readonly retention: RequestRetentionController;
 	readonly #monitor: MonitorController;
 	readonly #connections: ConnectionTable;
 	readonly #gap: FailoverGapController;
@@ -88,6 +93,13 @@
 		});
 		this.#reads = new ReadExecutor(this.context);
 		this.#writes = new WriteExecutor(this.context, new RecordedRequests(this.context));
+		this.retention = new RequestRetentionController({
+			context: this.context,
+			execute: async request => this.#writes.execute(request),
+			record(kind, detail) {
+				timeline.record('pool', kind, configuration().name, detail);
+			},
+		});
 		this.#transactions = new TransactionExecutor(this.context, this.#writes);
 	}
 
@@ -96,6 +108,7 @@
 		this.#connections.start();
 		this.#gap.start();
 		this.promotion.start();
+		this.retention.start();
 		this.#monitor.start();
 		const dispatch = (): void => {
 			this.context.dispatch();
@@ -114,6 +127,7 @@
 		this.context.transactions.closeAll();
 		this.#monitor.stop();
 		this.promotion.stop();
+		this.retention.stop();
 		this.#gap.stop();
 		this.#connections.stop();
 		this.context.confirmation.stop();
@@ -227,6 +241,7 @@
 		const queueLength = (): number => limits().queueLength;
 		const slots = new SlotTable();
 		const readQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
+		const lookupQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
 		const writeQueue = new AdmissionQueue<MemberGrant>(clock, queueLength);
 		return {
 			database: this.name,
@@ -236,6 +251,7 @@
 			clock,
 			slots,
 			readQueue,
+			lookupQueue,
 			writeQueue,
 			confirmation: new WriteConfirmation(this.board, clock),
 			transactions: new TransactionTable(() => {
@@ -254,14 +270,22 @@
 			},
 			dispatch: () => {
 				writeQueue.dispatch();
-				readQueue.dispatch(() => this.#hasReadSlot());
+				readQueue.dispatch(this.#readCapacity());
+				lookupQueue.dispatch(this.#readCapacity());
 			},
 		};
 	}
 
-	#hasReadSlot(): boolean {
+	/** Returns a test of whether waiting reads can still be admitted. While only the primary has free slots, just the longest waiting reads are tried, since later ones may not use it yet. */
+	#readCapacity(): () => boolean {
+		const {slots} = this.context;
 		const primary = primaryOf(this.board)?.member;
-		return [...this.board.read('members').keys()].some(member => this.context.slots.free(member, 'read', member === primary) > 0);
+		const now = this.options.clock.now();
+		const usable = [...this.board.read('members').values()].filter(({member, leaving}) => !leaving && mayUseMember(this.board, member, now));
+		const replicas = usable.filter(({member}) => member !== primary);
+		let primaryAttempts = primaryAttemptsPerDispatch;
+		return () => replicas.some(({member}) => slots.free(member, 'read', false) > 0)
+			|| (primary !== undefined && slots.free(primary, 'read', true) > 0 && primaryAttempts-- > 0);
 	}
 
 	#setState(state: ServiceState): void {
--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -3,7 +3,7 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {mayUseMember, type GroupBoard} from '../database-group/group-state.js';
 import {readMemberStatus, statusQuery} from '../database-group/member-status-row.js';
-import {majoritySize, receivedPoint} from '../database-group/log-point-rules.js';
+import {laterLogPoint, majoritySize, receivedPoint} from '../database-group/log-point-rules.js';
 import {type LogPoint, type MemberStatus} from '../database-group/types.js';
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
 import {findErrorInResponse, readTextRows} from '../postgres-protocol/backend-rows.js';
@@ -15,6 +15,7 @@
 import {type RecordedRequests} from './recorded-requests.js';
 import {PrimaryUse} from './primary-use.js';
 import {mayCommit} from './statement-text.js';
+import {type OpenTransaction} from './transaction-table.js';
 
 /** Query for the point of a write, sent after the write on the same connection. */
 export const statusQueryBytes = serialize.query(statusQuery);
@@ -25,8 +26,11 @@
 /** SQLSTATE of a statement that a member refuses because it has promised a later term than the one in which it is primary. */
 export const supersededSqlState = '55000';
 
-/** Pause before a write that was not sent tries again. */
-const notSentPause = 10;
+/** Pause in milliseconds before a request that was not sent tries again. */
+export const notSentPause = 10;
+
+/** Connection of an open transaction on the primary of a term. */
+type OpenConnection = Pick<OpenTransaction, 'connection' | 'member' | 'term'>;
 
 /** Progress of one write over its attempts. */
 type WriteProgress = {
@@ -67,8 +71,25 @@
 		metrics.confirmationWait.observe({database}, (clock.now() - startedAt) / 1000);
 	}
 
+	/** Waits for the confirmation of what a request committed before it left another transaction open, and returns its point. Rejects with outcomeUnknown. */
+	async confirmOpen(request: PoolRequest, {connection, member, term}: OpenConnection): Promise<LogPoint> {
+		const {clock, limits} = this.context;
+		if (connection.transactionStatus !== 'open') {
+			throw outcomeUnknown('A statement failed after an earlier one had committed.');
+		}
+
+		const askedAt = clock.now();
+		const [statusBytes] = await connection.exchange(statusQueryBytes, 1, limits().statementTimeout).catch((error: unknown) => {
+			throw outcomeUnknown(toBuckthornhitchError(error).detail);
+		});
+		const point = receivedPoint(this.checkedStatus(statusBytes, askedAt, term));
+		await this.confirm(point, member, request);
+		return point;
+	}
+
 	/** Returns the status in the response to the status query. Rejects with outcomeUnknown when the member is no longer the primary of the term. */
 	checkedStatus(response: Buffer | undefined, askedAt: number, term: number): MemberStatus {
+		const {board, observe} = this.context;
 		let status: MemberStatus;
 		try {
 			status = readMemberStatus(readTextRows(splitBackendMessages(response ?? Buffer.alloc(0)))[0]);
@@ -76,11 +97,12 @@
 			throw outcomeUnknown(`The point of the write could not be read: ${toBuckthornhitchError(error).detail}`);
 		}
 
-		this.context.observe({askedAt, status});
+		observe({askedAt, status});
 		if (status.role !== 'primary' || status.primaryTerm !== term || status.logTerm !== term) {
 			throw outcomeUnknown(`${status.member} was superseded as primary of term ${term}.`);
 		}
 
+		board.write('latestWritePoint', laterLogPoint(board.read('latestWritePoint'), receivedPoint(status)));
 		return status;
 	}
 
@@ -257,6 +279,7 @@
 			return buildResponse(bytes, 'idle', {member, role: 'primary'}, point);
 		}
 
+		const point = mayCommit(request.bytes) ? await this.confirmOpen(request, {connection, member, term: primaryTerm}) : request.neededPoint;
 		transactions.add({
 			id: request.transactionId ?? '',
 			member,
@@ -270,7 +293,7 @@
 			},
 			busy: false,
 		});
-		return buildResponse(bytes, connection.transactionStatus, {member, role: 'primary'}, request.neededPoint);
+		return buildResponse(bytes, connection.transactionStatus, {member, role: 'primary'}, point);
 	}
 
 	#countWork(): () => void {
