--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -140,19 +140,28 @@
 		// Only the holder of the primary's lease writes, so this pool knows the end of the log; if it does not, the promises show the longer log and the target is not promoted.
 		const source = board.read('observations').get(primary);
 		const end = laterLogPoint(board.read('latestWritePoint'), source ? receivedPoint(source.status) : emptyLogPoint);
-		board.write('awaitingReads', board.read('awaitingReads') + 1);
 		const hasAll = (): boolean => {
 			const copy = board.read('observations').get(target);
 			return Boolean(copy && coversLogPoint(receivedPoint(copy.status), end));
 		};
 
-		const caughtUp = await waitUntil({board, names: ['observations'], condition: hasAll}, clock, until - clock.now());
-		board.write('awaitingReads', board.read('awaitingReads') - 1);
+		// Usually the target has the whole log already; a poll of it would hold up its promise by a round trip.
+		const caughtUp = hasAll() || await this.#whilePolling(async () => waitUntil({board, names: ['observations'], condition: hasAll}, clock, until - clock.now()));
 		if (!caughtUp) {
 			throw new BuckthornhitchError('deadlinePassed', `"${target}" has not received the whole log.`);
 		}
 	}
 
+	async #whilePolling<Result>(action: () => Promise<Result>): Promise<Result> {
+		const {board} = this.options;
+		board.write('awaitingReads', board.read('awaitingReads') + 1);
+		try {
+			return await action();
+		} finally {
+			board.write('awaitingReads', board.read('awaitingReads') - 1);
+		}
+	}
+
 	async #evaluate(): Promise<void> {
 		const {board, clock} = this.options;
 		if (this.#busy) {
@@ -248,6 +257,8 @@
 		const promoted = await this.#call(member, 'promote', async client => client.promote(term, promoteTimeout));
 		if (promoted) {
 			this.#record('member promoted', member, `term ${term}`);
+			// New writes may reach the new primary while the others are told to follow it; their answers wait for a majority anyway.
+			this.options.board.write('writesPaused', false);
 		}
 
 		return promoted !== undefined;
