Model replicas that apply later than they receive

Cause: the pool's trials found that a replica which has received an entry of a later term, and still applies older ones, counted as fresh. The specification passed one point as both received and applied, so it could not see this. Change: the specification keeps the applied position apart; the former rule stays as a mutation.

--- a/specification/database-group.ts
+++ b/specification/database-group.ts
@@ -16,6 +16,7 @@
 	| 'promiseTwice'
 	| 'replicateBelowPromise'
 	| 'tokenWithoutTerm'
+	| 'termOfReceivedEntry'
 	| 'floorFromOneMember'
 	| 'noOpeningEntry'
 	| 'countForeignPromise'
@@ -26,6 +27,8 @@
 type Member = {
 	readonly promised: number;
 	readonly log: readonly Entry[];
+	/** Number of entries that reads on the member see. */
+	readonly applied: number;
 	/** Term for which the member is primary, or 0. */
 	readonly primaryTerm: number;
 	/** Term whose primary the member follows, or 0. */
@@ -61,6 +64,7 @@
 	| {readonly type: 'promote'; readonly term: number; readonly coordinator: number}
 	| {readonly type: 'follow'; readonly member: number; readonly term: number}
 	| {readonly type: 'replicate'; readonly member: number}
+	| {readonly type: 'apply'; readonly member: number}
 	| {readonly type: 'write'; readonly member: number}
 	| {readonly type: 'observe'; readonly member: number}
 	| {readonly type: 'acknowledge'; readonly write: number}
@@ -72,6 +76,8 @@
 	readonly writes: number;
 	readonly coordinators: number;
 	readonly restarts: boolean;
+	/** Whether replicas apply entries later than they receive them. */
+	readonly lateApplying: boolean;
 	/** Whether the pool's view of members may be old when it acknowledges. */
 	readonly staleObservations: boolean;
 	readonly states: number;
@@ -94,7 +100,7 @@
 
 	override initial(): GroupState {
 		const members = memberIds.map(id => ({
-			promised: 1, log: [{term: 1, write: 0}], primaryTerm: id === 0 ? 1 : 0, follows: id === 0 ? 0 : 1,
+			promised: 1, log: [{term: 1, write: 0}], applied: 1, primaryTerm: id === 0 ? 1 : 0, follows: id === 0 ? 0 : 1,
 		}));
 		return {
 			members, promises: [], writes: [], choices: [], observed: [null, null, null],
@@ -105,6 +111,10 @@
 		const steps: GroupStep[] = [];
 		for (const member of memberIds) {
 			steps.push({type: 'replicate', member}, {type: 'write', member});
+			if (this.bounds.lateApplying) {
+				steps.push({type: 'apply', member});
+			}
+
 			if (this.bounds.restarts) {
 				steps.push({type: 'restart', member});
 			}
@@ -154,6 +164,11 @@
 				return this.#replicate(state, step.member);
 			}
 
+			case 'apply': {
+				const {applied, log} = state.members[step.member];
+				return applied < log.length ? withMember(state, step.member, {applied: applied + 1}) : state;
+			}
+
 			case 'write': {
 				return this.#write(state, step.member);
 			}
@@ -209,7 +224,9 @@
 		}
 
 		const opening = this.mutation === 'noOpeningEntry' ? [] : [{term, write: 0}];
-		const promoted = withMember(state, chosen, {primaryTerm: term, follows: 0, log: [...member.log, ...opening]});
+		const promoted = withMember(state, chosen, {
+			primaryTerm: term, follows: 0, log: [...member.log, ...opening], applied: member.log.length + opening.length,
+		});
 		return {...promoted, choices: [...new Set([...state.choices, choice])].toSorted()};
 	}
 
@@ -236,7 +253,7 @@
 
 		const common = commonPrefix(member.log, state.members[primary].log);
 		return withMember(state, follower, {
-			promised: term, follows: term, primaryTerm: 0, log: member.log.slice(0, common),
+			promised: term, follows: term, primaryTerm: 0, log: member.log.slice(0, common), applied: Math.min(member.applied, common),
 		});
 	}
 
@@ -249,7 +266,8 @@
 			return state;
 		}
 
-		return withMember(state, follower, {log: [...member.log, entry]});
+		const log = [...member.log, entry];
+		return withMember(state, follower, {log, applied: this.bounds.lateApplying ? member.applied : log.length});
 	}
 
 	#write(state: GroupState, id: number): GroupState {
@@ -260,7 +278,7 @@
 
 		const log = [...member.log, {term: member.primaryTerm, write: state.writes.length + 1}];
 		const write: Write = {point: {term: member.primaryTerm, position: log.length}, primary: id, acknowledged: false};
-		return {...withMember(state, id, {log}), writes: [...state.writes, write]};
+		return {...withMember(state, id, {log, applied: log.length}), writes: [...state.writes, write]};
 	}
 
 	#acknowledge(state: GroupState, index: number): GroupState {
@@ -303,7 +321,7 @@
 
 	#staleRead(state: GroupState): string | undefined {
 		for (const [index, write] of state.writes.entries()) {
-			const stale = write.acknowledged && state.members.some(member => this.#mayRead(member, write.point) && !holds(member, write, index));
+			const stale = write.acknowledged && state.members.some(member => this.#mayRead(member, write.point) && !shows(member, write, index));
 			if (stale) {
 				return `a member that may serve the session's read lacks its write ${index + 1}`;
 			}
@@ -314,10 +332,14 @@
 
 	#mayRead(member: Member, needed: LogPoint): boolean {
 		if (this.mutation === 'tokenWithoutTerm') {
-			return member.log.length >= needed.position;
+			return member.applied >= needed.position;
 		}
 
-		return mayServeRead(statusOf(0, pointOf(member), 0), needed);
+		if (this.mutation === 'termOfReceivedEntry') {
+			return coversLogPoint({term: pointOf(member).term, position: member.applied}, needed);
+		}
+
+		return mayServeRead({...statusOf(0, pointOf(member), 0), appliedPosition: member.applied}, needed);
 	}
 
 	#lowFloor(state: GroupState): string | undefined {
@@ -325,8 +347,8 @@
 		for (const set of sets) {
 			const observations = set.map(id => ({askedAt: 0, status: statusOf(id, pointOf(state.members[id]), 0)}));
 			const floor = this.mutation === 'floorFromOneMember' ? {point: pointOf(state.members[set[0]])} : freshnessFloor(0, observations, memberCount);
-			const low = floor && state.members.some(member => coversLogPoint(pointOf(member), floor.point)
-				&& state.writes.some((write, index) => write.acknowledged && !holds(member, write, index)));
+			const low = floor && state.members.some(member => this.#mayRead(member, floor.point)
+				&& state.writes.some((write, index) => write.acknowledged && !shows(member, write, index)));
 			if (low) {
 				return 'a member at the floor of a majority lacks an acknowledged write';
 			}
@@ -349,6 +371,11 @@
 	return entry?.term === write.point.term && entry.write === index + 1;
 }
 
+/** Returns whether reads on the member see the write. */
+function shows(member: Member, write: Write, index: number): boolean {
+	return member.applied >= write.point.position && holds(member, write, index);
+}
+
 function commonPrefix(first: readonly Entry[], second: readonly Entry[]): number {
 	let length = 0;
 	while (length < first.length && length < second.length && first[length].term === second[length].term && first[length].write === second[length].write) {
@@ -378,10 +405,11 @@
 }
 
 const fullBounds: GroupBounds = {
-	terms: 3, writes: 2, coordinators: 1, restarts: false, staleObservations: false, states: 5_000_000,
+	terms: 3, writes: 2, coordinators: 1, restarts: false, lateApplying: false, staleObservations: false, states: 5_000_000,
 };
 const restartBounds: GroupBounds = {...fullBounds, terms: 2, restarts: true};
 const coordinatorBounds: GroupBounds = {...fullBounds, terms: 2, coordinators: 2};
+const applyingBounds: GroupBounds = {...fullBounds, terms: 2, lateApplying: true};
 const staleBounds: GroupBounds = {
 	...fullBounds, terms: 2, writes: 1, staleObservations: true,
 };
@@ -394,6 +422,7 @@
 export const databaseGroupCases: readonly VerificationCase[] = [
 	caseOf('database group, two terms, two writes, restarts', 'none', null, restartBounds),
 	caseOf('database group, two coordinators of one term', 'none', null, coordinatorBounds),
+	caseOf('database group, replicas that apply late', 'none', null, applyingBounds),
 	caseOf('database group, acknowledgement by old observations', 'none', null, staleBounds),
 	caseOf('database group, three terms, two writes', 'none', null, fullBounds),
 	caseOf('database group', 'acknowledgeOnPrimary', 'acknowledge before a majority holds the write', fullBounds),
@@ -405,6 +434,7 @@
 	caseOf('database group', 'countForeignPromise', 'count promises given to another coordinator', coordinatorBounds),
 	caseOf('database group', 'replicateBelowPromise', 'take replication of a term below the promise', fullBounds),
 	caseOf('database group', 'tokenWithoutTerm', 'compare session tokens by position alone', fullBounds),
+	caseOf('database group', 'termOfReceivedEntry', 'compare the term of the last entry received with the position applied', applyingBounds),
 	caseOf('database group', 'floorFromOneMember', 'take a floor from one member', fullBounds),
 	caseOf('database group', 'noOpeningEntry', 'open a term without an entry', fullBounds),
 ];
