Answer entries for a second after a pool has drained

Cause: a draining pool closed its links as soon as its leases were given back. An entry that had not heard of the drain yet sent requests on the closing link, and their callers were told outcomeUnknown (invariant 8). Change: the pool goes on answering 'draining' for 1 s before it closes its links; the entry then uses the next pool.

--- a/source/binaries/buckthornhitch-pool.ts
+++ b/source/binaries/buckthornhitch-pool.ts
@@ -2,11 +2,15 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {command, run} from 'cmd-ts';
+import {type Milliseconds} from '../clock/clock.js';
 import {createPoolBackends, PoolProcess} from '../pool/pool-process.js';
 import {poolOptions} from '../settings/pool-settings.js';
 import {FleetView} from './fleet-view.js';
 import {runProcess} from './run-process.js';
 
+/** Time in which a drained pool still answers entries that do not know yet that it is draining; a request on a link that closes has an unknown outcome. */
+const drainingAnswerTime: Milliseconds = 1000;
+
 const poolCommand = command({
 	name: 'buckthornhitch-pool',
 	description: 'holds the connections to backend servers',
@@ -20,6 +24,7 @@
 			await fleet.start();
 			pool.start();
 			runtime.onShutdown(async () => pool.drain());
+			runtime.onShutdown(async () => runtime.clock.sleep(drainingAnswerTime));
 			runtime.onShutdown(() => {
 				pool.stop();
 				fleet.stop();
