Wait for opening transactions before a pool gives a database up

Cause: a BEGIN under way is not in the transaction table yet, so a pool with no other open transaction went on to close its connections, and the new transaction was lost in a planned stop (invariant 8). Change: giving up also waits for requests of transactions under way.

--- a/source/pool/database-service.ts
+++ b/source/pool/database-service.ts
@@ -65,6 +65,8 @@
 	/** Pool to which requests are sent while this one gives the database up; undefined when the process stops. */
 	#successor: string | undefined;
 	#inProgress = 0;
+	/** Requests under way of a transaction; one that opens a transaction is not in the table yet. */
+	#transactionRequests = 0;
 	readonly #onIdle: Array<() => void> = [];
 
 	constructor(private readonly options: DatabaseServiceOptions) {
@@ -123,7 +125,9 @@
 	async execute(request: ExecuteRequest, linkId: number): Promise<ExecuteResponse> {
 		const arrivedAt = this.options.clock.now();
 		this.context.retryBudget.countRequest();
+		const transactionRequests = request.transactionId === null ? 0 : 1;
 		this.#inProgress++;
+		this.#transactionRequests += transactionRequests;
 		try {
 			return await this.#execute({
 				...request, arrivedAt, deadlineAt: arrivedAt + request.deadline, linkId,
@@ -134,6 +138,7 @@
 			throw failure;
 		} finally {
 			this.#inProgress--;
+			this.#transactionRequests -= transactionRequests;
 			this.#notifyIdle();
 		}
 	}
@@ -148,7 +153,7 @@
 		const until = clock.now() + limits().drainTime;
 		this.#successor = successor;
 		this.#setState('finishing');
-		await this.#whenIdle(() => this.context.transactions.size === 0, until);
+		await this.#whenIdle(() => this.context.transactions.size === 0 && this.#transactionRequests === 0, until);
 		this.context.transactions.closeAll();
 		this.#setState('releasing');
 		await this.#whenIdle(() => this.#inProgress === 0, until);
