--- a/source/control-log/voter-options.ts
+++ b/source/control-log/voter-options.ts
@@ -20,6 +20,8 @@
 	readonly checkPeriod: Milliseconds;
 	/** Entries kept in the log before they are replaced by a snapshot. */
 	readonly compactAfter: number;
+	/** Characters of files in these entries before they are replaced by a snapshot. */
+	readonly compactAfterCharacters: number;
 };
 
 /** Times and bounds in use. */
@@ -32,12 +34,13 @@
 	snapshotTimeout: 5000,
 	checkPeriod: 1000,
 	compactAfter: 1000,
+	compactAfterCharacters: 8 * 1024 * 1024,
 };
 
 /** Receives what happens to a voter. */
 export type VoterObserver = {
-	/** An entry was committed and carried out, with its answer. */
-	readonly committed: (entry: LogEntry, answer: unknown) => void;
+	/** An entry was committed and carried out, with its answer; a repeated one was in the log at the start and may have been carried out before. */
+	readonly committed: (entry: LogEntry, answer: unknown, repeated: boolean) => void;
 	/** The state was replaced by a snapshot. */
 	readonly restored: () => void;
 	/** Something that belongs in the time line. */
@@ -57,4 +60,6 @@
 	readonly logger: Logger;
 	readonly observer: VoterObserver;
 	readonly timing?: VoterTiming;
+	/** Returns the present address of a named voter, or undefined to use the one in the voter list. An instance may come back at another address. */
+	readonly addressOf?: (name: string) => Address | undefined;
 };
--- a/source/control-log/voter.ts
+++ b/source/control-log/voter.ts
@@ -60,6 +60,11 @@
 		return this.#state.log.list;
 	}
 
+	/** Whether a change of the voter list has not ended: the list is not known to be committed, or holds a learner. */
+	get listChanging(): boolean {
+		return this.#state.commitIndex < this.#state.log.listIndex || this.list.learners.length > 0;
+	}
+
 	/** The leader as far as this voter knows. */
 	get leader(): VoterRecord | undefined {
 		return this.#leadership ? this.self : this.#state.leader;
@@ -214,7 +219,7 @@
 			const index = request.previousIndex + request.entries.length;
 			this.#state.commit(Math.min(request.commitIndex, index));
 			this.#state.setRole(this.#state.restingRole());
-			await this.#state.compact(this.#timing.compactAfter);
+			await this.#state.compact(this.#timing);
 			return {term, accepted: true, index};
 		});
 	}
--- a/source/control/control-process.ts
+++ b/source/control/control-process.ts
@@ -2,10 +2,11 @@
 import {Controller} from '../blackboard/blackboard.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Storage} from '../control-log/storage.js';
-import {ConfigurationStateMachine} from '../control-log/state-machine.js';
+import {ConfigurationStateMachine, membersOf} from '../control-log/state-machine.js';
 import {type ApplyCommand, type LogEntry} from '../control-log/types.js';
 import {type VoterTiming} from '../control-log/voter-options.js';
 import {Voter} from '../control-log/voter.js';
+import {type Address} from '../links/address.js';
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
@@ -45,6 +46,8 @@
 	readonly validator: ConfigurationValidator;
 	readonly publisher: RevisionPublisher;
 	readonly timing?: VoterTiming;
+	/** Returns the present link address of a named control process, or undefined to use the one in the voter list. */
+	readonly addressOf?: (name: string) => Address | undefined;
 };
 
 /** Control process: a voter of the control log that answers operators and processes. */
@@ -67,9 +70,10 @@
 			random: services.random,
 			logger: services.logger('control'),
 			timing: options.timing,
+			addressOf: options.addressOf,
 			observer: {
-				committed: (entry, answer) => {
-					this.#committed(entry, answer as ApplyResponse | undefined);
+				committed: (entry, answer, repeated) => {
+					this.#committed(entry, repeated ? undefined : answer as ApplyResponse | undefined);
 				},
 				restored: () => {
 					this.#publish();
@@ -130,16 +134,16 @@
 	/** Answers `registerMember`. Rejects with unknownDatabase, memberSetFull, notLeader or notConfirmed. */
 	async registerMember({database, member}: RegisterMemberRequest): Promise<ApplyResponse> {
 		await this.voter.confirmLeadership(confirmationTimeout);
-		const {files, memberSets, revision} = this.#machine.accepted;
+		const {files, revision} = this.#machine.accepted;
+		if (membersOf(this.#machine.accepted, database).includes(member)) {
+			return {code: 0, revision, detail: ''};
+		}
+
 		const memberCount = this.options.validator.memberCount(files, database);
 		if (memberCount === undefined) {
 			throw new BuckthornhitchError('unknownDatabase', `"${database}"`);
 		}
 
-		if (memberSets[database]?.includes(member)) {
-			return {code: 0, revision, detail: ''};
-		}
-
 		return await this.voter.propose({
 			kind: 'registerMember', database, member, memberCount,
 		}, confirmationTimeout) as ApplyResponse;
@@ -157,7 +161,7 @@
 		return {
 			name: self.name,
 			diskId: self.diskId,
-			role: role === 'failed' ? 'waiting' : role,
+			role,
 			term: promise.term,
 			leader: leader?.name ?? null,
 			leaseLive,
--- a/source/control/control-test-group.ts
+++ b/source/control/control-test-group.ts
@@ -27,6 +27,8 @@
 	readonly handlers = new Map<string, Map<string, RequestHandler>>();
 	/** Names of processes that receive nothing and whose messages do not arrive. */
 	readonly isolated = new Set<string>();
+	/** Pairs of processes, as `one two`, between which no message arrives. */
+	readonly cutPairs = new Set<string>();
 	/** Requests whose answers are dropped, by name. */
 	readonly lostAnswers = new Set<string>();
 	/** Share of the messages that are lost. */
@@ -36,7 +38,8 @@
 
 	/** Returns whether one message arrives. */
 	delivers(from: string, to: string): boolean {
-		const open = from === to || (!this.isolated.has(from) && !this.isolated.has(to));
+		const isCut = this.cutPairs.has(`${from} ${to}`) || this.cutPairs.has(`${to} ${from}`);
+		const open = from === to || (!isCut && !this.isolated.has(from) && !this.isolated.has(to));
 		return open && this.random.fraction() >= this.loss;
 	}
 }
@@ -127,12 +130,14 @@
 	publisher: TestPublisher;
 };
 
-/** Control processes on a network in memory, moved by a manual clock. Addresses equal names. */
+/** Control processes on a network in memory, moved by a manual clock. Addresses equal names until a process moves. */
 export class TestGroup {
 	readonly clock = new ManualClock();
 	readonly random: SeededRandom;
 	readonly network: TestNetwork;
 	readonly members = new Map<string, TestMember>();
+	/** Addresses of processes that moved, as the membership knows them. */
+	readonly moved = new Map<string, string>();
 	readonly client: ControlClient;
 	readonly timeline: Timeline;
 
@@ -160,10 +165,11 @@
 
 	/** Starts a process on a storage, by default the one it had. */
 	async start(name: string, storage = this.members.get(name)!.storage): Promise<ControlProcess> {
+		const address = this.moved.get(name) ?? name;
 		const handlers = new Map<string, RequestHandler>();
 		const publisher = new TestPublisher();
 		const process = new ControlProcess({
-			settings: {name, linkAddress: name},
+			settings: {name, linkAddress: address},
 			clock: this.clock,
 			random: this.random,
 			registry: new Registry(),
@@ -173,20 +179,20 @@
 					handlers.set(request, handler);
 				},
 			},
-			linkClient: new TestLinkClient(this.network, name),
+			linkClient: new TestLinkClient(this.network, address),
 			logger: () => silentLogger,
 		}, {
-			storage, validator: new TestValidator(), publisher, timing: this.timing,
+			storage, validator: new TestValidator(), publisher, timing: this.timing, addressOf: other => this.moved.get(other),
 		});
 		this.members.set(name, {storage, process, publisher});
 		await process.open();
-		this.network.handlers.set(name, handlers);
+		this.network.handlers.set(address, handlers);
 		return process;
 	}
 
 	/** Ends a process at once; what it stored remains. */
 	async kill(name: string): Promise<void> {
-		this.network.handlers.delete(name);
+		this.network.handlers.delete(this.moved.get(name) ?? name);
 		await this.members.get(name)!.process.stop();
 	}
 
@@ -208,13 +214,16 @@
 				throw new Error(`The condition did not come true: ${String(condition)}`);
 			}
 
-			await this.clock.advanceInSteps(stepLength, stepLength);
+			await this.#step();
 		}
 	}
 
 	/** Moves time by a duration. */
 	async run(duration: Milliseconds): Promise<void> {
-		await this.clock.advanceInSteps(duration, stepLength);
+		const end = this.clock.now() + duration;
+		while (this.clock.now() < end) {
+			await this.#step();
+		}
 	}
 
 	/** Moves time until the promise is settled. */
@@ -241,6 +250,15 @@
 
 		return revision;
 	}
+
+	/** Moves time by one step; fails when two processes may speak for the group. */
+	async #step(): Promise<void> {
+		await this.clock.advanceInSteps(stepLength, stepLength);
+		const live = [...this.members.values()].filter(member => member.process.voter.leaseLive);
+		if (live.length > 1) {
+			throw new Error(`At ${this.clock.now()} ms, ${live.map(member => member.process.voter.self.name).join(' and ')} hold a lease.`);
+		}
+	}
 }
 
 function onWire(body: unknown): unknown {
--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -7,7 +7,9 @@
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {type GroupBoard} from './group-state.js';
-import {coversLogPoint, receivedPoint} from './log-point-rules.js';
+import {
+	coversLogPoint, emptyLogPoint, laterLogPoint, receivedPoint,
+} from './log-point-rules.js';
 import {type MonitorController} from './monitor-controller.js';
 import {
 	decidePromotion, preferredMember, type PromotionDecision, type PromotionReason, type PromotionView,
@@ -115,8 +117,9 @@
 		try {
 			const until = clock.now() + switchTimeout;
 			await this.#waitForTarget(primary.member, target, until);
-			if (!await this.#promote('planned', target)) {
-				throw new BuckthornhitchError('memberRefused', 'The promotion did not succeed; see the time line.');
+			const promoted = await this.#promote('planned', target);
+			if (promoted !== target) {
+				throw new BuckthornhitchError('memberRefused', promoted === undefined ? 'The promotion did not succeed; see the time line.' : `"${promoted}" was promoted, since its log is longer.`);
 			}
 		} catch (error) {
 			this.#record('planned change failed', target, toBuckthornhitchError(error).message);
@@ -134,21 +137,31 @@
 			throw new BuckthornhitchError('deadlinePassed', 'Transactions are still open on the primary.');
 		}
 
-		const idleSince = clock.now();
-		board.write('awaitingReads', board.read('awaitingReads') + 1);
+		// Only the holder of the primary's lease writes, so this pool knows the end of the log; if it does not, the promises show the longer log and the target is not promoted.
+		const source = board.read('observations').get(primary);
+		const end = laterLogPoint(board.read('latestWritePoint'), source ? receivedPoint(source.status) : emptyLogPoint);
 		const hasAll = (): boolean => {
-			const source = board.read('observations').get(primary);
 			const copy = board.read('observations').get(target);
-			return Boolean(source && copy && source.askedAt >= idleSince && coversLogPoint(receivedPoint(copy.status), receivedPoint(source.status)));
+			return Boolean(copy && coversLogPoint(receivedPoint(copy.status), end));
 		};
 
-		const caughtUp = await waitUntil({board, names: ['observations'], condition: hasAll}, clock, until - clock.now());
-		board.write('awaitingReads', board.read('awaitingReads') - 1);
+		// Usually the target has the whole log already; a poll of it would hold up its promise by a round trip.
+		const caughtUp = hasAll() || await this.#whilePolling(async () => waitUntil({board, names: ['observations'], condition: hasAll}, clock, until - clock.now()));
 		if (!caughtUp) {
 			throw new BuckthornhitchError('deadlinePassed', `"${target}" has not received the whole log.`);
 		}
 	}
 
+	async #whilePolling<Result>(action: () => Promise<Result>): Promise<Result> {
+		const {board} = this.options;
+		board.write('awaitingReads', board.read('awaitingReads') + 1);
+		try {
+			return await action();
+		} finally {
+			board.write('awaitingReads', board.read('awaitingReads') - 1);
+		}
+	}
+
 	async #evaluate(): Promise<void> {
 		const {board, clock} = this.options;
 		if (this.#busy) {
@@ -163,9 +176,13 @@
 			return;
 		}
 
-		this.#neededSince ??= clock.now();
+		if (this.#neededSince === undefined) {
+			this.#neededSince = clock.now();
+			this.options.monitor.pollNow();
+		}
+
 		const {rank} = board.read('ownership');
-		if (rank < 0 || clock.now() < Math.max(this.#notBefore, this.#neededSince + this.#waitFor(decision, rank))) {
+		if (rank < 0 || !this.#hasFreshView(view, this.#neededSince) || clock.now() < Math.max(this.#notBefore, this.#neededSince + this.#waitFor(decision, rank))) {
 			return;
 		}
 
@@ -178,6 +195,12 @@
 		}
 	}
 
+	/** Returns whether every member that is not suspected was asked since the time: two statuses of different age can look like a group without a primary. */
+	#hasFreshView(view: PromotionView, since: Milliseconds): boolean {
+		const observations = this.options.board.read('observations');
+		return view.statuses.every(({member}) => view.suspects.has(member) || (observations.get(member)?.askedAt ?? 0) >= since);
+	}
+
 	#waitFor(decision: PromotionDecision, rank: number): Milliseconds {
 		const stagger = rank * this.options.timeouts().promotionStagger;
 		return stagger + (decision.kind === 'promote' ? graceOf[decision.reason] : 0);
@@ -187,7 +210,7 @@
 		if (decision.kind === 'follow') {
 			await this.#makeFollow(decision.primary, decision.members);
 			this.#pause(this.options.timeouts().heartbeat, 0);
-		} else if (decision.kind === 'promote' && !await this.#promote(decision.reason, decision.preferred)) {
+		} else if (decision.kind === 'promote' && await this.#promote(decision.reason, decision.preferred) === undefined) {
 			this.#pause(retryPause, retryJitter);
 		}
 	}
@@ -208,8 +231,8 @@
 		}
 	}
 
-	/** Promotes a member; returns whether it succeeded. */
-	async #promote(reason: PromotionReason | 'planned', preferred: string | undefined): Promise<boolean> {
+	/** Promotes a member; returns its name, or undefined when it did not succeed. */
+	async #promote(reason: PromotionReason | 'planned', preferred: string | undefined): Promise<string | undefined> {
 		const {board, database, monitor} = this.options;
 		const term = nextTerm([...board.read('observations').values()].map(({status}) => status));
 		this.#record('promotion started', database, `term ${term}, reason ${reason}`);
@@ -218,18 +241,27 @@
 		if (!chosen) {
 			this.#record('promotion failed', database, `term ${term}: ${answers.length} of ${board.read('memberCount')} members promised`);
 			monitor.pollNow();
-			return false;
+			return undefined;
 		}
 
-		const promoted = await this.#call(chosen.member, 'promote', async client => client.promote(term, promoteTimeout));
-		if (!promoted) {
-			return false;
+		const others = answers.map(answer => answer.member).filter(member => member !== chosen.member);
+		const [promoted] = await Promise.all([
+			this.#promoteChosen(chosen.member, term),
+			// No other member can become primary of this term, so the others need not wait for the promotion before they follow.
+			this.#makeFollow({member: chosen.member, primaryTerm: term}, others),
+		]);
+		return promoted ? chosen.member : undefined;
+	}
+
+	async #promoteChosen(member: string, term: number): Promise<boolean> {
+		const promoted = await this.#call(member, 'promote', async client => client.promote(term, promoteTimeout));
+		if (promoted) {
+			this.#record('member promoted', member, `term ${term}`);
+			// New writes may reach the new primary while the others are told to follow it; their answers wait for a majority anyway.
+			this.options.board.write('writesPaused', false);
 		}
 
-		this.#record('member promoted', chosen.member, `term ${term}`);
-		const others = answers.map(answer => answer.member).filter(member => member !== chosen.member);
-		await this.#makeFollow(promoted, others);
-		return true;
+		return promoted !== undefined;
 	}
 
 	async #collectPromises(term: number): Promise<readonly MemberStatus[]> {
@@ -239,7 +271,7 @@
 		return answers.filter(answer => answer !== undefined);
 	}
 
-	async #makeFollow(primary: MemberStatus, members: readonly string[]): Promise<void> {
+	async #makeFollow(primary: Pick<MemberStatus, 'member' | 'primaryTerm'>, members: readonly string[]): Promise<void> {
 		const {board, timeouts} = this.options;
 		const address = board.read('members').get(primary.member)?.address;
 		if (address === undefined) {
--- a/source/pool/pool-process.spec.ts
+++ b/source/pool/pool-process.spec.ts
@@ -81,6 +81,16 @@
 	assert.deepEqual(connector.executed.map(text => text.charAt(0)).toSorted((first, second) => first.localeCompare(second)), ['b', 'c']);
 });
 
+test('a read on the primary cannot write without a confirmation', async () => {
+	const {clock, connector, pool} = await startPool();
+	await pool.announce(addresses, ['b', 'c']);
+	const read = pool.execute('SELECT 1', {access: 'read', maximumAge: 5000});
+	await clock.advanceInSteps(50, 10);
+	await read;
+	const setting = 'a SET default_transaction_read_only =';
+	assert.deepEqual(connector.executed, [`${setting} on`, 'a SELECT 1', `${setting} off`]);
+});
+
 test('a write without a primary is rejected as not run and does not run later', async () => {
 	const {group, connector, pool, keepAnnouncing} = await startPool();
 	for (const member of group.members.values()) {
@@ -151,6 +161,21 @@
 	assert.equal(connector.count('INSERT'), 0);
 });
 
+test('a commit that opens the next transaction at once is acknowledged only when a majority has it', async () => {
+	const {clock, connector, pool} = await startPool();
+	const statements = ['BEGIN', 'INSERT 1', 'COMMIT AND CHAIN'];
+	for (const statement of statements.slice(0, 2)) {
+		const response = pool.execute(statement, {transactionId: 't'});
+		await clock.advanceInSteps(50, 10);
+		await response;
+		connector.isReplicating = false;
+	}
+
+	const chained = rejectsWith(pool.execute(statements[2], {transactionId: 't', deadline: 100}), 'outcomeUnknown');
+	await clock.advanceInSteps(6000, 10);
+	await chained;
+});
+
 test('a transaction whose caller or link has gone while it was opened does not stay open', async () => {
 	const {clock, connector, pool} = await startPool();
 	connector.answerFault = 'none';
--- a/source/pool/read-executor.ts
+++ b/source/pool/read-executor.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
+import {serialize} from 'pg-protocol';
 import {type Milliseconds} from '../clock/clock.js';
 import {waitUntil} from '../blackboard/wait-until.js';
 import {mayUseMember} from '../database-group/group-state.js';
-import {appliedPoint, floorStartedSince, laterLogPoint} from '../database-group/log-point-rules.js';
+import {emptyLogPoint, floorStartedSince, seenPoint} from '../database-group/log-point-rules.js';
 import {readMemberStatus} from '../database-group/member-status-row.js';
 import {type LogPoint, type MemberStatus} from '../database-group/types.js';
 import {type BackendConnection} from '../postgres-protocol/backend-connection.js';
@@ -14,7 +15,7 @@
 	buildResponse, otherHolder, outcomeUnknown, primaryOf, type ExecutionContext, type MemberGrant, type PoolRequest,
 } from './execution-context.js';
 import {type ExecuteResponse} from './messages.js';
-import {statusQueryBytes, wasRefusedAsReadOnly} from './write-executor.js';
+import {notSentPause, statusQueryBytes, wasRefusedAsReadOnly} from './write-executor.js';
 
 /** Progress of one read over its attempts. */
 type ReadProgress = {
@@ -30,17 +31,24 @@
 	closeConnection: () => void;
 };
 
+/** Statements around a read on the primary. A function called by the read might write otherwise, and its effects would not be confirmed. */
+const readOnlyGuard = {
+	before: [serialize.query('SET default_transaction_read_only = on')],
+	after: [serialize.query('SET default_transaction_read_only = off')],
+};
+const noGuard: typeof readOnlyGuard = {before: [], after: []};
+
 /** Members on which a read runs at the same time when an answer is late. */
 const parallelReads = 2;
 
-/** A result, or undefined when a replica refused the statement as a write. */
+/** A result, or undefined when the member refused the statement as a write. */
 type ReadResult = ExecuteResponse | undefined;
 
 /** Runs reads outside of transactions, and statements that open a read-only transaction. */
 export class ReadExecutor {
 	constructor(private readonly context: ExecutionContext) {}
 
-	/** Runs the read on an eligible member; resolves with undefined when a replica refused it as a write. Rejects with a numbered code. */
+	/** Runs the read on an eligible member; resolves with undefined when the member refused it as a write. Rejects with a numbered code. */
 	async execute(request: PoolRequest): Promise<ReadResult> {
 		const fixedPoint = await this.#fixedPoint(request);
 		return request.transactionId === null ? this.#race(request, fixedPoint) : this.#attempt(request, createProgress(fixedPoint));
@@ -72,7 +80,8 @@
 				} catch (error) {
 					failures++;
 					if (failures === runs.length) {
-						reject(toBuckthornhitchError(error));
+						const mayHaveRun = runs.some(run => run.mayHaveRun);
+						reject(mayHaveRun ? outcomeUnknown(toBuckthornhitchError(error).message) : toBuckthornhitchError(error));
 					}
 				}
 			};
@@ -84,16 +93,17 @@
 	async #attempt(request: PoolRequest, progress: ReadProgress): Promise<ReadResult> {
 		for (;;) {
 			const grant = await this.#takeMember(request, progress);
+			let wasSent = false;
 			try {
 				return await this.#run(request, grant, progress);
 			} catch (error) {
-				this.#noteFailure(error, grant, progress);
+				wasSent = this.#noteFailure(error, grant, progress);
 			} finally {
 				grant.releaseSlot();
 				this.context.dispatch();
 			}
 
-			this.#allowRetry(progress);
+			await this.#beforeNextAttempt(wasSent, progress);
 		}
 	}
 
@@ -119,9 +129,11 @@
 	}
 
 	async #takeMember(request: PoolRequest, progress: ReadProgress): Promise<MemberGrant> {
-		const {readQueue, clock, limits, dispatch} = this.context;
+		const {clock, limits, dispatch} = this.context;
+		const isLookup = progress.fixedPoint === undefined;
+		const queue = isLookup ? this.context.lookupQueue : this.context.readQueue;
 		const startedAt = clock.now();
-		const immediate = readQueue.length === 0 ? this.#tryMember(request, progress, startedAt) : undefined;
+		const immediate = queue.length === 0 ? this.#tryMember(request, progress, startedAt) : undefined;
 		if (immediate) {
 			return immediate;
 		}
@@ -129,11 +141,13 @@
 		const slotWaitEnd = startedAt + ((request.deadlineAt - startedAt) / 2);
 		const cancels = [startedAt + limits().replicaWait, slotWaitEnd].map(at => clock.schedule(at - startedAt, dispatch));
 		try {
-			return await this.#whileAwaiting(async () => readQueue.enter({
+			const enter = async (): Promise<MemberGrant> => queue.enter({
 				attempt: () => this.#tryMember(request, progress, startedAt),
 				deadlineAt: request.deadlineAt,
 				onDeadline: () => this.#deadlineError(request, progress),
-			}));
+			});
+			// A lookup that has a floor waits for a slot only, which polls do not bring nearer.
+			return await (isLookup && this.#pointOfAge(request, startedAt) ? enter() : this.#whileAwaiting(enter));
 		} finally {
 			for (const cancel of cancels) {
 				cancel();
@@ -224,7 +238,6 @@
 
 		const needsPoint = progress.fixedPoint !== undefined && request.transactionId === null;
 		const askedAt = clock.now();
-		progress.mayHaveRun = true;
 		progress.closeConnection = () => {
 			grant.connections.discard(connection, 'read: no answer while another member has answered');
 		};
@@ -233,10 +246,14 @@
 			progress.onLate(grant.status.member);
 		});
 		try {
-			const sent = needsPoint ? Buffer.concat([request.bytes, statusQueryBytes]) : request.bytes;
-			const [bytes, statusBytes] = await connection.exchange(sent, needsPoint ? 2 : 1, limits().statementTimeout);
+			const parts = needsPoint ? [request.bytes, statusQueryBytes] : [request.bytes];
+			const guard = grant.isPrimary && request.transactionId === null ? readOnlyGuard : noGuard;
+			const sent = [...guard.before, ...parts, ...guard.after];
+			const responses = await connection.exchange(Buffer.concat(sent), sent.length, limits().statementTimeout);
+			const [bytes, statusBytes] = responses.slice(guard.before.length, guard.before.length + parts.length);
 			const status = statusBytes ? this.#observedStatus(statusBytes, askedAt) : grant.status;
-			const point = laterLogPoint(progress.fixedPoint ?? appliedPoint(status), appliedPoint(status));
+			const neededPoint = progress.fixedPoint ?? this.#pointOfAge(request, askedAt) ?? emptyLogPoint;
+			const point = seenPoint(status, neededPoint);
 			return this.#answer(request, grant, connection, {bytes, point});
 		} catch (error) {
 			grant.connections.discard(connection, `read: ${toBuckthornhitchError(error).detail}`);
@@ -260,7 +277,7 @@
 		const {transactionStatus} = connection;
 		if (transactionStatus === 'idle') {
 			grant.connections.release(connection);
-			if (!grant.isPrimary && wasRefusedAsReadOnly(bytes)) {
+			if (wasRefusedAsReadOnly(bytes)) {
 				return undefined;
 			}
 		} else if (request.transactionId === null) {
@@ -287,8 +304,8 @@
 		});
 	}
 
-	/** Notes a failed attempt; rethrows what another member cannot do better. */
-	#noteFailure(error: unknown, grant: MemberGrant, progress: ReadProgress): void {
+	/** Notes a failed attempt and returns whether the read was sent; rethrows what another member cannot do better. */
+	#noteFailure(error: unknown, grant: MemberGrant, progress: ReadProgress): boolean {
 		const failure = toBuckthornhitchError(error);
 		if (failure.codeName === 'deadlinePassed') {
 			throw progress.mayHaveRun ? outcomeUnknown('The read was sent and its answer was lost.') : failure;
@@ -300,12 +317,20 @@
 
 		this.context.checkMember(grant.status.member);
 		progress.failedMembers.add(grant.status.member);
+		return failure.codeName !== 'linkNotSent';
 	}
 
-	#allowRetry(progress: ReadProgress): void {
-		const {retryBudget, metrics, database} = this.context;
+	/** Only a read that was sent counts as a retry: one that found no connection has put no load on a member. */
+	async #beforeNextAttempt(wasSent: boolean, progress: ReadProgress): Promise<void> {
+		const {retryBudget, metrics, database, clock} = this.context;
+		if (!wasSent) {
+			await clock.sleep(notSentPause);
+			return;
+		}
+
+		progress.mayHaveRun = true;
 		if (!retryBudget.tryRetry()) {
-			throw progress.mayHaveRun ? outcomeUnknown('The read was sent, its answer was lost, and the retry budget is spent.') : new BuckthornhitchError('retryBudgetSpent', '');
+			throw outcomeUnknown('The read was sent, its answer was lost, and the retry budget is spent.');
 		}
 
 		metrics.retries.inc({database});
