Measure the longest gap of writes under load only

Cause: the printed gap also counted the quiet time while a restarted process came back, so stop-entry showed 0.8 to 1.25 s. Change: writes before and after that time are not compared. The verdicts do not depend on the gap.

--- a/verification/history.ts
+++ b/verification/history.ts
@@ -68,6 +68,8 @@
 export class History {
 	readonly operations: Operation[] = [];
 	readonly revisions: RevisionSample[] = [];
+	/** Number of operations under load, once the load has ended. */
+	loadOperations: number | undefined;
 	#order = 0;
 
 	/** Runs a request and records it with its answer. */
@@ -81,6 +83,11 @@
 		return outcome;
 	}
 
+	/** Takes note that the load has ended; later operations only check that every entry serves. */
+	endLoad(): void {
+		this.loadOperations = this.operations.length;
+	}
+
 	sampleRevision(process: string, revision: number): void {
 		this.revisions.push({process, revision});
 	}
--- a/verification/scenario.ts
+++ b/verification/scenario.ts
@@ -31,6 +31,8 @@
 	readonly name: string;
 	readonly seed: number;
 	readonly operations: readonly Operation[];
+	/** Longest time under load without an acknowledged write. */
+	readonly longestWriteGap: Milliseconds;
 	readonly faults: readonly string[];
 	/** Folder with data, logs and history, if it was kept. */
 	readonly folder: string;
@@ -66,7 +68,7 @@
 	}
 
 	return {
-		name: scenario.name, seed, operations: history.operations, faults, folder,
+		name: scenario.name, seed, operations: history.operations, longestWriteGap: longestWriteGap(history), faults, folder,
 	};
 }
 
@@ -83,6 +85,7 @@
 	await pause(loadAfter);
 	await fleet.repair();
 	await workload.stop();
+	history.endLoad();
 	await workload.finish();
 	const violations = checkHistory({...history, finalContent: await fleet.finalContent()});
 	return [...faults, ...violations.map(({rule, detail}) => `${rule}: ${detail}`)];
@@ -107,14 +110,15 @@
 }
 
 /** Returns the one line that reports a run. */
-export function resultLine({name, seed, operations, faults}: ScenarioResult): string {
+export function resultLine({name, seed, operations, longestWriteGap, faults}: ScenarioResult): string {
 	const count = (kind: Operation['outcome']['kind']): number => operations.filter(({outcome}) => outcome.kind === kind).length;
 	const counts = `acknowledged=${count('acknowledged')} unknown=${count('unknown')} refused=${count('notRun')} errors=${count('error')}`;
 	const verdict = faults.length === 0 ? 'passed' : 'FAILED';
-	return `${name} seed=${seed} operations=${operations.length} ${counts} longest-write-gap=${longestWriteGap(operations)}ms result=${verdict}`;
+	return `${name} seed=${seed} operations=${operations.length} ${counts} longest-write-gap=${longestWriteGap}ms result=${verdict}`;
 }
 
-function longestWriteGap(operations: readonly Operation[]): number {
-	const ends = operations.filter(({outcome}) => outcome.kind === 'acknowledged').map(({endedAt}) => endedAt).toSorted((first, second) => first - second);
+function longestWriteGap({operations, loadOperations}: History): number {
+	const underLoad = operations.slice(0, loadOperations ?? operations.length);
+	const ends = underLoad.filter(({outcome}) => outcome.kind === 'acknowledged').map(({endedAt}) => endedAt).toSorted((first, second) => first - second);
 	return Math.round(Math.max(0, ...ends.slice(1).map((end, index) => end - ends[index])));
 }
