Resolve unknown outcomes by abandoning the request id

The pool read such records, but nothing wrote them, so a write with an id whose link stayed lost always ended with outcomeUnknown.

Change: the pool answers abandonRequest. It inserts the record in a transaction of its own, or reads what is recorded under the id, and answers once a majority holds the record. An id older than the retention time is rejected. When a write with an id outside of a transaction ends with outcomeUnknown, the router tries this for at most 2 s. The response carries the fingerprint of the recorded request, since abandonRequest carries no statements to compare. The fixture of the router tests moves its clock 2 s further, because an unresolved write now ends that much later.

Result: the caller gets requestAbandoned once a late copy can no longer run, the recorded answer if there is one, and outcomeUnknown otherwise.

--- a/source/entry/pool-router.spec.ts
+++ b/source/entry/pool-router.spec.ts
@@ -3,14 +3,15 @@
 import {test} from 'node:test';
 import {type Address} from '../links/address.js';
 import {StaticInstanceDirectory} from '../membership/instance-directory.js';
-import {type ExecuteRequest} from '../pool/messages.js';
+import {type AbandonRequest, type ExecuteRequest} from '../pool/messages.js';
+import {requestFingerprint} from '../pool/recorded-requests.js';
 import {frontendMessage} from '../postgres-protocol/frontend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {resultCodes, type ResultCodeName} from '../result-codes/result-codes.js';
 import {
 	FakePoolLinks, settle, testRecord, testServices,
 } from './entry-fixture.js';
-import {unreachableLifetime, type RoutedRequest} from './pool-router.js';
+import {abandonTime, unreachableLifetime, type RoutedRequest} from './pool-router.js';
 import {finalError, mayRepeat} from './retry-rules.js';
 
 function request(change: Partial<RoutedRequest> = {}): RoutedRequest {
@@ -23,8 +24,7 @@
 type Script = (attempt: number, address: Address, body: ExecuteRequest) => ResultCodeName | undefined;
 
 // Runs a request against pools that fail as scripted, moving the clock until it ends.
-async function run(sent: RoutedRequest, script: Script, {onlyBegins = false} = {}) {
-	const links = new FakePoolLinks();
+async function run(sent: RoutedRequest, script: Script, {onlyBegins = false, links = new FakePoolLinks()} = {}) {
 	const services = testServices(links);
 	links.behaviour = async (body, address) => {
 		const codeName = script(links.received.length, address, body);
@@ -37,7 +37,7 @@
 
 	const outcome = outcomeOf(services.router.execute(sent, mayRepeat({...sent, begins: sent.transactionId !== null, onlyBegins})));
 	await settle();
-	await services.clock.advanceInSteps(1200, 10);
+	await services.clock.advanceInSteps(1200 + abandonTime, 10);
 	return {
 		code: await outcome, links, attempts: links.received.length, pools: links.received.map(({address}) => address),
 	};
@@ -90,6 +90,66 @@
 	assert.equal(abandoned.code, 'requestAbandoned');
 });
 
+test('a write whose id was abandoned, or whose outcome was found, is reported as unknown', async () => {
+	const sent = request({access: 'write', requestId: 'id-1'});
+	const runAnswered = async (answer: (links: FakePoolLinks) => unknown) => {
+		const links = new FakePoolLinks();
+		links.answerOther = async () => answer(links);
+		return run(sent, () => 'linkOutcomeUnknown', {links});
+	};
+
+	const abandoned = await runAnswered(() => ({outcome: 'abandoned'}));
+	assert.equal(abandoned.code, 'requestAbandoned');
+	const last = abandoned.links.received.at(-1)!;
+	const {deadline, ...named} = last.body as AbandonRequest;
+	assert.deepEqual([last.name, named], ['abandonRequest', {database: 'notices', requestId: 'id-1'}]);
+	assert.ok(deadline > 0 && deadline <= abandonTime);
+	const recorded = await runAnswered(links => ({outcome: 'done', fingerprint: requestFingerprint(sent.bytes), response: links.execute({...sent, deadline: 1})}));
+	assert.equal(recorded.code, 'done');
+	const other = await runAnswered(links => ({outcome: 'done', fingerprint: 'other', response: links.execute({...sent, deadline: 1})}));
+	assert.equal(other.code, 'requestIdReused');
+});
+
+test('"not run" is claimed though abandoning the id failed, or abandoning goes on without end', async () => {
+	const sent = request({access: 'write', requestId: 'id-1'});
+	for (const codeName of ['linkOutcomeUnknown', 'linkNotSent', 'noPrimary', 'deadlinePassed', 'queueFull', 'requestIdExpired', 'unknownRequest'] as const) {
+		const links = new FakePoolLinks();
+		links.answerOther = async () => {
+			throw new BuckthornhitchError(codeName, '');
+		};
+
+		const result = await run(sent, () => 'linkOutcomeUnknown', {links});
+		assert.equal(result.code, 'outcomeUnknown', codeName);
+		assert.ok(links.received.some(({name}) => name === 'abandonRequest'), codeName);
+	}
+});
+
+test('abandoning stops at a pool that has given the database up', async () => {
+	const links = new FakePoolLinks();
+	links.answerOther = async (name, body, address) => {
+		if (address !== 'second:1') {
+			throw new BuckthornhitchError('notOwner', 'second');
+		}
+
+		return {outcome: 'abandoned'};
+	};
+
+	const result = await run(request({access: 'write', requestId: 'id-1'}), () => 'linkOutcomeUnknown', {links});
+	assert.equal(result.code, 'requestAbandoned');
+});
+
+test('a write without an id, a read or a transaction is abandoned, or a request that did not run', async () => {
+	for (const [change, codeName] of [
+		[{access: 'write'}, 'linkOutcomeUnknown'],
+		[{}, 'linkOutcomeUnknown'],
+		[{access: 'write', requestId: 'id-1', transactionId: 't1'}, 'linkOutcomeUnknown'],
+		[{access: 'write', requestId: 'id-1'}, 'queueFull'],
+	] as const) {
+		const {links} = await run(request(change), () => codeName);
+		assert.ok(links.received.every(({name}) => name === 'execute'));
+	}
+});
+
 test('a failure whose outcome is unknown is reported as "not run"', () => {
 	for (const [codeName, entry] of Object.entries(resultCodes)) {
 		const error = finalError(new BuckthornhitchError(codeName as ResultCodeName, ''), false);
--- a/source/entry/pool-router.ts
+++ b/source/entry/pool-router.ts
@@ -6,11 +6,14 @@
 import {type InstanceDirectory} from '../membership/instance-directory.js';
 import {takesNewWork, type InstanceRecord} from '../membership/instance-record.js';
 import {ownershipOrder} from '../ownership/rendezvous.js';
-import {type CloseTransactionNotice, type ExecuteRequest, type ExecuteResponse} from '../pool/messages.js';
+import {
+	type AbandonRequest, type AbandonResponse, type CloseTransactionNotice, type ExecuteRequest, type ExecuteResponse,
+} from '../pool/messages.js';
+import {requestFingerprint} from '../pool/recorded-requests.js';
 import {type Random, uniqueId} from '../random/random.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type RetryBudget} from './retry-budget.js';
-import {finalError, stepAfterFailure} from './retry-rules.js';
+import {finalError, isRecordedOutcome, stepAfterFailure} from './retry-rules.js';
 
 /** What the router needs. */
 export type PoolRouterOptions = {
@@ -43,6 +46,9 @@
 /** A pool that could not be reached is tried again after this many milliseconds, by one request; the others do not wait for its connect timeout. */
 export const unreachableLifetime: Milliseconds = 500;
 
+/** Time to resolve the unknown outcome of a write with a request id after its deadline, in milliseconds. */
+export const abandonTime: Milliseconds = 2000;
+
 // Pools beyond the third are told no member addresses, so asking more of them only adds load.
 const answersPerRound = 3;
 // Enough when several in a row can not be reached; the whole order of each database would fill the memory of a large fleet.
@@ -114,7 +120,7 @@
 		return order;
 	}
 
-	/** Sends a request that has no open transaction. Rejects with "not run" only when no attempt can have run. */
+	/** Sends a request that has no open transaction; a write with an id whose outcome stays unknown is abandoned if possible. Rejects with "not run" only when no attempt can have run. */
 	async execute(request: RoutedRequest, repeatable: boolean): Promise<RoutedAnswer> {
 		const limits = this.#limits();
 		const progress: Progress = {
@@ -130,11 +136,15 @@
 			failure: undefined,
 		};
 		this.options.budget.countRequest();
-		for (;;) {
-			const answer = await this.#attempt(request, repeatable, progress);
-			if (answer) {
-				return answer;
+		try {
+			for (;;) {
+				const answer = await this.#attempt(request, repeatable, progress);
+				if (answer) {
+					return answer;
+				}
 			}
+		} catch (error) {
+			return this.#resolveOutcome(request, progress, toBuckthornhitchError(error));
 		}
 	}
 
@@ -179,6 +189,63 @@
 		}
 	}
 
+	// Transactions are left out: the record of a committed one holds no answer that could be returned.
+	async #resolveOutcome(request: RoutedRequest, progress: Progress, failure: BuckthornhitchError): Promise<RoutedAnswer> {
+		const {requestId, transactionId, access} = request;
+		if (failure.codeName !== 'outcomeUnknown' || requestId === null || transactionId !== null || access !== 'write') {
+			throw failure;
+		}
+
+		const abandoning: Progress = {
+			...progress, until: this.options.clock.now() + abandonTime, visited: new Set(), answered: 0, pauses: 0,
+		};
+		try {
+			while (this.options.clock.now() < abandoning.until) {
+				const answer = await this.#abandon(request, requestId, abandoning);
+				if (answer) {
+					return answer;
+				}
+			}
+		} catch (error) {
+			const refusal = toBuckthornhitchError(error);
+			throw isRecordedOutcome(refusal) ? refusal : failure;
+		}
+
+		throw failure;
+	}
+
+	/** Returns the recorded answer, or undefined when the outcome is still unknown. Rejects with requestAbandoned once the id is recorded as abandoned. */
+	async #abandon(request: RoutedRequest, requestId: string, progress: Progress): Promise<RoutedAnswer | undefined> {
+		const {database, transactionId, bytes} = request;
+		const remaining = progress.until - this.options.clock.now();
+		const pool = this.#nextPool(database, progress);
+		if (!pool) {
+			await this.#pause(progress, remaining);
+			return undefined;
+		}
+
+		progress.visited.add(pool.name);
+		progress.pool = pool.linkAddress;
+		const body: AbandonRequest = {database, requestId, deadline: remaining};
+		let answer: AbandonResponse;
+		try {
+			answer = await this.options.linkClient.request(pool.linkAddress, 'abandonRequest', body, remaining) as AbandonResponse;
+		} catch (error) {
+			await this.#afterFailure(request, true, progress, toBuckthornhitchError(error));
+			return undefined;
+		}
+
+		if (answer.outcome === 'abandoned') {
+			throw new BuckthornhitchError('requestAbandoned', '');
+		}
+
+		if (answer.fingerprint !== requestFingerprint(bytes)) {
+			throw new BuckthornhitchError('requestIdReused', '');
+		}
+
+		return {response: answer.response, pool: pool.linkAddress, transactionId};
+	}
+
 	async #afterFailure(request: RoutedRequest, repeatable: boolean, progress: Progress, error: BuckthornhitchError): Promise<void> {
 		progress.failure = error;
 		if (error.codeName === 'linkNotSent') {
--- a/source/entry/retry-rules.ts
+++ b/source/entry/retry-rules.ts
@@ -50,13 +50,18 @@
 // The pool answers these from what is recorded under the request id, so they hold for earlier attempts as well.
 const recordedOutcomes: ReadonlySet<ResultCodeName> = new Set(['requestAbandoned', 'requestIdReused']);
 
+/** Returns whether the pool took the error from what is recorded under the request id. */
+export function isRecordedOutcome(error: BuckthornhitchError): boolean {
+	return recordedOutcomes.has(error.codeName);
+}
+
 /** Returns the error for the caller: "not run" only when no attempt can have run. */
 export function finalError(error: BuckthornhitchError, anyMayHaveRun: boolean): BuckthornhitchError {
 	if (error.entry.execution !== 'notRun') {
 		return error.codeName === 'outcomeUnknown' || error.codeName === 'requestIdExpired' ? error : new BuckthornhitchError('outcomeUnknown', `BH${error.code}: ${error.detail}`, {cause: error});
 	}
 
-	if (anyMayHaveRun && !recordedOutcomes.has(error.codeName)) {
+	if (anyMayHaveRun && !isRecordedOutcome(error)) {
 		return new BuckthornhitchError('outcomeUnknown', `An earlier attempt may have run; the last one ended with BH${error.code}.`, {cause: error});
 	}
 
--- a/source/pool/database-service.ts
+++ b/source/pool/database-service.ts
@@ -19,7 +19,9 @@
 	primaryOf, type ExecutionContext, type MemberGrant, type PoolRequest,
 } from './execution-context.js';
 import {FailoverGapController} from './failover-gap-controller.js';
-import {type ExecuteRequest, type ExecuteResponse} from './messages.js';
+import {
+	type AbandonRequest, type AbandonResponse, type ExecuteRequest, type ExecuteResponse,
+} from './messages.js';
 import {type PoolMetrics} from './pool-metrics.js';
 import {otherOwner, ReadExecutor} from './read-executor.js';
 import {RecordedRequests} from './recorded-requests.js';
@@ -137,19 +139,22 @@
 	async execute(request: ExecuteRequest, linkId: number): Promise<ExecuteResponse> {
 		const arrivedAt = this.options.clock.now();
 		this.context.retryBudget.countRequest();
-		this.#inProgress++;
-		try {
-			return await this.#execute({
-				...request, arrivedAt, deadlineAt: arrivedAt + request.deadline, linkId,
-			});
-		} catch (error) {
-			const failure = toBuckthornhitchError(error);
-			this.context.metrics.rejections.inc({database: this.name, code: String(failure.code)});
-			throw failure;
-		} finally {
-			this.#inProgress--;
-			this.#notifyIdle();
-		}
+		return this.#track(async () => this.#execute({
+			...request, arrivedAt, deadlineAt: arrivedAt + request.deadline, linkId,
+		}));
+	}
+
+	/** Records a request id as abandoned, or returns what is recorded under it. Rejects with a numbered code. */
+	async abandon({requestId, deadline}: AbandonRequest): Promise<AbandonResponse> {
+		const deadlineAt = this.options.clock.now() + deadline;
+		return this.#track(async () => {
+			this.#checkOwner();
+			if (this.#state === 'releasing') {
+				throw this.#handoverError();
+			}
+
+			return this.#writes.abandon(requestId, deadlineAt);
+		});
 	}
 
 	/** Gives the database up after its transactions and requests have ended, at the latest after the drain time. The successor is the pool that takes over; undefined when the process stops. */
@@ -177,11 +182,7 @@
 
 	/** Makes the member primary as a planned change. Rejects with a numbered code. */
 	async promote(member: string): Promise<void> {
-		const owner = otherOwner(this.context);
-		if (owner !== undefined) {
-			throw new BuckthornhitchError('notOwner', owner);
-		}
-
+		this.#checkOwner();
 		await this.promotion.switchTo(member);
 	}
 
@@ -205,6 +206,21 @@
 		return waitUntil({board: this.board, names: ['observations', 'leases', 'suspects'], condition}, this.options.clock, timeout);
 	}
 
+	/** Counts the work as in progress until it ends, and its failure as a rejection. */
+	async #track<Result>(work: () => Promise<Result>): Promise<Result> {
+		this.#inProgress++;
+		try {
+			return await work();
+		} catch (error) {
+			const failure = toBuckthornhitchError(error);
+			this.context.metrics.rejections.inc({database: this.name, code: String(failure.code)});
+			throw failure;
+		} finally {
+			this.#inProgress--;
+			this.#notifyIdle();
+		}
+	}
+
 	async #execute(request: PoolRequest): Promise<ExecuteResponse> {
 		const {transactions} = this.context;
 		const transaction = request.transactionId === null ? undefined : transactions.get(request.transactionId);
@@ -226,14 +242,21 @@
 			throw new BuckthornhitchError('transactionLost', 'The pool does not hold this transaction.');
 		}
 
+		this.#checkOwner();
+		if (this.#state === 'releasing' || (this.#state === 'finishing' && transactionId !== null)) {
+			throw this.#handoverError();
+		}
+	}
+
+	#checkOwner(): void {
 		const owner = otherOwner(this.context);
 		if (owner !== undefined) {
 			throw new BuckthornhitchError('notOwner', owner);
 		}
+	}
 
-		if (this.#state === 'releasing' || (this.#state === 'finishing' && transactionId !== null)) {
-			throw this.#successor === undefined ? new BuckthornhitchError('draining', '') : new BuckthornhitchError('notOwner', this.#successor);
-		}
+	#handoverError(): BuckthornhitchError {
+		return this.#successor === undefined ? new BuckthornhitchError('draining', '') : new BuckthornhitchError('notOwner', this.#successor);
 	}
 
 	#createContext(): ExecutionContext {
--- a/source/pool/messages.ts
+++ b/source/pool/messages.ts
@@ -45,6 +45,25 @@
 	readonly transactionId: string;
 };
 
+/** Request `abandonRequest`: record a request id as abandoned unless something is recorded under it. */
+export type AbandonRequest = {
+	readonly database: string;
+	readonly requestId: string;
+	/** Time left until a majority must hold the record. */
+	readonly deadline: Milliseconds;
+};
+
+/** Response to `abandonRequest`, sent once a majority holds the record. */
+export type AbandonResponse =
+	| {readonly outcome: 'abandoned'}
+	| {
+		readonly outcome: 'done';
+		/** Digest of the request that ran, as `requestFingerprint` returns it. */
+		readonly fingerprint: string;
+		/** The recorded answer. */
+		readonly response: ExecuteResponse;
+	};
+
 /** State of one member as shown to operators. */
 export type MemberReport = {
 	readonly member: string;
--- a/source/pool/pool-fixture.ts
+++ b/source/pool/pool-fixture.ts
@@ -11,7 +11,9 @@
 import {SeededRandom} from '../random/random.js';
 import {HybridClock} from '../timeline/hybrid-clock.js';
 import {Timeline} from '../timeline/timeline.js';
-import {type ExecuteRequest, type ExecuteResponse} from './messages.js';
+import {
+	type AbandonRequest, type AbandonResponse, type ExecuteRequest, type ExecuteResponse,
+} from './messages.js';
 import {PoolProcess, type PoolBackends, type PoolServices} from './pool-process.js';
 
 /** Name of the database in the fixtures. */
@@ -71,6 +73,7 @@
 	readonly timeline: Timeline;
 	readonly directory: StaticInstanceDirectory;
 	execute(statement: string, request?: Partial<ExecuteRequest>): Promise<ExecuteResponse>;
+	abandon(requestId: string, request?: Partial<AbandonRequest>): Promise<AbandonResponse>;
 	announce(members: ReadonlyArray<{readonly name: string; readonly address: string}>, leaving?: readonly string[]): Promise<void>;
 };
 
@@ -105,6 +108,11 @@
 		async execute(statement, request = {}) {
 			return await server.request('execute', {...executeRequest(serialize.query(statement)), ...request}) as ExecuteResponse;
 		},
+		async abandon(requestId, request = {}) {
+			return await server.request('abandonRequest', {
+				database: testDatabase, requestId, deadline: 2000, ...request,
+			}) as AbandonResponse;
+		},
 		async announce(members, leaving = []) {
 			for (const {name: member, address} of members) {
 				await server.request('announce', {
--- a/source/pool/pool-group.spec.ts
+++ b/source/pool/pool-group.spec.ts
@@ -1,14 +1,17 @@
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
+import {serialize} from 'pg-protocol';
 import {FaultRelay} from '../../stand-in/fault-relay.js';
 import {startMembers, waitUntil} from '../../stand-in/group-fixture.js';
 import {type StandInMember, type StandInMemberOptions} from '../../stand-in/member.js';
 import {SystemClock} from '../clock/system-clock.js';
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
 import {findErrorInResponse, readTextRows} from '../postgres-protocol/backend-rows.js';
+import {type BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type ExecuteResponse} from './messages.js';
 import {startTestPool, testDatabase, type TestPool} from './pool-fixture.js';
 import {createPoolBackends} from './pool-process.js';
+import {requestFingerprint} from './recorded-requests.js';
 
 const clock = new SystemClock();
 
@@ -114,6 +117,50 @@
 	await assert.rejects(pool.execute('INSERT INTO notices VALUES (2, \'x\')', {requestId: 'r1'}), {codeName: 'requestIdReused'});
 });
 
+test('a late copy of a request runs after its id was abandoned', async context => {
+	const {pool} = await startGroup(context);
+	assert.deepEqual(await pool.abandon('r1'), {outcome: 'abandoned'});
+	await assert.rejects(pool.execute('INSERT INTO notices VALUES (1, \'x\')', {requestId: 'r1'}), {codeName: 'requestAbandoned'});
+	assert.deepEqual(await pool.abandon('r1'), {outcome: 'abandoned'});
+	const read = await succeeds(pool.execute('SELECT id FROM notices', {access: 'read'}));
+	assert.deepEqual(rowsOf(read), []);
+});
+
+test('an id is abandoned though the outcome of its request is recorded', async context => {
+	const {pool} = await startGroup(context);
+	const statement = 'INSERT INTO notices VALUES (1, \'x\')';
+	const first = await succeeds(pool.execute(statement, {requestId: 'r1'}));
+	const recorded = await pool.abandon('r1');
+	assert.ok(recorded.outcome === 'done');
+	assert.deepEqual(recorded.response.bytes, first.bytes);
+	assert.equal(recorded.fingerprint, requestFingerprint(serialize.query(statement)));
+	const repeated = await succeeds(pool.execute(statement, {requestId: 'r1'}));
+	assert.deepEqual(repeated.bytes, first.bytes);
+});
+
+test('an id is abandoned and its request that runs at the same time takes effect', async context => {
+	const {pool} = await startGroup(context, {serviceTime: 2});
+	await pool.abandon('r-first');
+	for (let id = 0; id < 20; id++) {
+		const request = succeeds(pool.execute(`INSERT INTO notices VALUES (${id}, 'x')`, {requestId: `r${id}`}));
+		const ended = request.then(() => 'done', (error: unknown) => (error as BuckthornhitchError).codeName);
+		await clock.sleep(id);
+		const {outcome} = await pool.abandon(`r${id}`);
+		assert.equal(await ended, outcome === 'done' ? 'done' : 'requestAbandoned');
+		const read = await succeeds(pool.execute(`SELECT id FROM notices WHERE id = ${id}`, {access: 'read'}));
+		assert.equal(rowsOf(read).length, outcome === 'done' ? 1 : 0);
+	}
+});
+
+test('an abandon request is accepted for an id that is too old or belongs to a transaction, or without an id', async context => {
+	const {pool} = await startGroup(context);
+	await assert.rejects(pool.abandon('00000000-0001-7000-8000-000000000000'), {codeName: 'requestIdExpired'});
+	await succeeds(pool.execute('BEGIN', {transactionId: 't1', requestId: 'r1'}));
+	await succeeds(pool.execute('COMMIT', {transactionId: 't1', requestId: 'r1'}));
+	await assert.rejects(pool.abandon('r1'), {codeName: 'requestIdReused'});
+	await assert.rejects(pool.server.request('abandonRequest', {database: testDatabase, deadline: 1000}), {codeName: 'malformedMessage'});
+});
+
 test('old records of request ids are removed only when a repeated id would be rejected by its age', async context => {
 	const {pool} = await startGroup(context);
 	const idOf = (age: number): string => {
--- a/source/pool/pool-process.spec.ts
+++ b/source/pool/pool-process.spec.ts
@@ -5,6 +5,7 @@
 import {LinkClient} from '../links/link-client.js';
 import {StaticInstanceDirectory} from '../membership/instance-directory.js';
 import {ownershipOrder} from '../ownership/rendezvous.js';
+import {type BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {FakeConnector} from './backend-fake.js';
 import {
 	poolRecord, startTestPool, testDatabase, type TestPool,
@@ -43,6 +44,40 @@
 	assert.equal(connector.count('INSERT 1'), 1);
 });
 
+test('an id is reported as abandoned before a majority holds its record', async () => {
+	const {clock, group, connector, pool} = await startPool();
+	connector.isReplicating = false;
+	let settled = false;
+	const abandoned = (async () => {
+		const answer = await pool.abandon('r1', {deadline: 2000});
+		settled = true;
+		return answer;
+	})();
+	await clock.advanceInSteps(500, 10);
+	assert.deepEqual([connector.count('\'abandoned\''), settled], [1, false]);
+	group.member('b').position = group.member('a').position;
+	await clock.advanceInSteps(400, 10);
+	assert.deepEqual(await abandoned, {outcome: 'abandoned'});
+});
+
+test('an id is reported as abandoned though no majority confirmed its record in time', async () => {
+	const {connector, pool, keepAnnouncing} = await startPool();
+	connector.isReplicating = false;
+	const abandoned = rejectsWith(pool.abandon('r1', {deadline: 1000}), 'outcomeUnknown');
+	await keepAnnouncing(1100);
+	await abandoned;
+	assert.equal(connector.count('\'abandoned\''), 1);
+});
+
+test('an id is reported as abandoned though the answer of the primary was lost', async () => {
+	const {clock, connector, pool} = await startPool();
+	connector.answerFault = 'lost';
+	const abandoned = assert.rejects(pool.abandon('r1', {deadline: 1000}), (error: BuckthornhitchError) => error.entry.execution === 'unknown');
+	await clock.advanceInSteps(1100, 10);
+	await abandoned;
+	assert.equal(pool.pool.serviceOf(testDatabase).isIdle, true);
+});
+
 test('a write on a primary that is superseded before a majority has it is not acknowledged', async () => {
 	const {clock, group, connector, pool} = await startPool();
 	connector.isReplicating = false;
--- a/source/pool/pool-process.ts
+++ b/source/pool/pool-process.ts
@@ -22,7 +22,7 @@
 import {type ExecuteResponse, type PoolStatusResponse} from './messages.js';
 import {createPoolMetrics, type PoolMetrics} from './pool-metrics.js';
 import {
-	readAnnouncement, readCloseTransaction, readExecuteRequest, readPromoteRequest, readYieldRequest,
+	readAbandonRequest, readAnnouncement, readCloseTransaction, readExecuteRequest, readPromoteRequest, readYieldRequest,
 } from './request-bodies.js';
 
 /** Services that a pool process needs; `ProcessRuntime` has them all. */
@@ -84,6 +84,10 @@
 	start(): void {
 		const {linkServer, clock} = this.runtime;
 		linkServer.handle('execute', async (body, peer) => this.#execute(body, peer));
+		linkServer.handle('abandonRequest', async body => {
+			const request = readAbandonRequest(body);
+			return this.#serviceOf(request.database).abandon(request);
+		});
 		linkServer.handle('closeTransaction', async body => {
 			const {database, transactionId} = readCloseTransaction(body);
 			this.#services.get(database)?.context.transactions.close(transactionId);
--- a/source/pool/request-bodies.ts
+++ b/source/pool/request-bodies.ts
@@ -3,7 +3,7 @@
 import {type Announcement} from '../announcement/types.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {
-	type CloseTransactionNotice, type ExecuteRequest, type PromoteRequest, type YieldRequest,
+	type AbandonRequest, type CloseTransactionNotice, type ExecuteRequest, type PromoteRequest, type YieldRequest,
 } from './messages.js';
 
 const logPoint = z.object({term: z.number(), position: z.number()});
@@ -20,6 +20,7 @@
 	deadline: z.number(),
 });
 const closeTransactionSchema = z.object({database: z.string(), transactionId: z.string()});
+const abandonSchema = z.object({database: z.string(), requestId: z.string(), deadline: z.number()});
 const announcementSchema = z.object({
 	database: z.string(), member: z.string(), address: z.string(), dataCentre: z.string(), leaving: z.boolean(),
 });
@@ -36,6 +37,11 @@
 	return check(closeTransactionSchema, body);
 }
 
+/** Checks the body of an `abandonRequest` request. Throws malformedMessage. */
+export function readAbandonRequest(body: unknown): AbandonRequest {
+	return check(abandonSchema, body);
+}
+
 /** Checks the body of an `announce` request. Throws malformedMessage. */
 export function readAnnouncement(body: unknown): Announcement {
 	return check(announcementSchema, body);
--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -11,7 +11,7 @@
 import {
 	buildResponse, otherHolder, outcomeUnknown, primaryOf, type ExecutionContext, type MemberGrant, type PoolRequest,
 } from './execution-context.js';
-import {type ExecuteResponse} from './messages.js';
+import {type AbandonResponse, type ExecuteResponse} from './messages.js';
 import {type RecordedRequests} from './recorded-requests.js';
 import {PrimaryUse} from './primary-use.js';
 import {mayCommit} from './statement-text.js';
@@ -58,11 +58,45 @@
 		}
 	}
 
+	/** Records the id as abandoned, or returns what is recorded under it, once a majority holds the record. Rejects with a numbered code. */
+	async abandon(requestId: string, deadlineAt: Milliseconds): Promise<AbandonResponse> {
+		const {clock, checkMember} = this.context;
+		this.recorded.checkAge(requestId);
+		while (clock.now() < deadlineAt) {
+			const use = await this.#waitForPrimary({deadlineAt});
+			try {
+				const response = await this.recorded.abandon(requestId, deadlineAt, use, this);
+				use.giveBack();
+				if (response) {
+					return response;
+				}
+			} catch (error) {
+				const failure = toBuckthornhitchError(error);
+				use.discard(`abandon: ${failure.detail}`);
+				checkMember(use.grant.status.member);
+				if (failure.codeName !== 'linkNotSent') {
+					throw failure;
+				}
+			} finally {
+				use.finish();
+			}
+
+			await clock.sleep(notSentPause);
+		}
+
+		throw new BuckthornhitchError('deadlinePassed', 'The request id was not recorded as abandoned in time.');
+	}
+
 	/** Waits until the write at the point is confirmed, within the time that the entry waits for the answer. Rejects with outcomeUnknown. */
 	async confirm(point: LogPoint, primary: string, request: PoolRequest): Promise<void> {
-		const {confirmation, clock, limits, metrics, database} = this.context;
+		return this.confirmUntil(point, primary, request.deadlineAt + this.context.limits().statementTimeout);
+	}
+
+	/** Waits at most until the given time for the confirmation of the write at the point. Rejects with outcomeUnknown. */
+	async confirmUntil(point: LogPoint, primary: string, until: Milliseconds): Promise<void> {
+		const {confirmation, clock, metrics, database} = this.context;
 		const startedAt = clock.now();
-		const outcome = await confirmation.confirm(point, primary, Math.max(0, request.deadlineAt + limits().statementTimeout - startedAt));
+		const outcome = await confirmation.confirm(point, primary, Math.max(0, until - startedAt));
 		metrics.writes.inc({database, outcome});
 		if (outcome !== 'confirmed') {
 			throw outcomeUnknown(outcome === 'superseded' ? 'The primary was superseded before a majority held the write.' : 'No majority confirmed the write in time.');
@@ -114,7 +148,7 @@
 		}
 	}
 
-	async #waitForPrimary({deadlineAt}: WriteProgress): Promise<PrimaryUse> {
+	async #waitForPrimary({deadlineAt}: Pick<WriteProgress, 'deadlineAt'>): Promise<PrimaryUse> {
 		const {writeQueue, clock, checkMember} = this.context;
 		for (;;) {
 			const grant = await writeQueue.enter({
