--- a/bench/pool-scale.ts
+++ b/bench/pool-scale.ts
@@ -102,7 +102,16 @@
 		this.#databases = Array.from({length: count}, (_, index) => databaseName(index));
 		this.#configuration = createConfiguration(count);
 		const directory = new StaticInstanceDirectory([{
-			name: 'pool-1', role: 'pool', instance: 'pool-1', dataCentre: 'place', region: 'region', linkAddress: '127.0.0.1:1', gossipAddress: '127.0.0.1:1', incarnation: 1, state: 'alive', configurationRevision: 1,
+			name: 'pool-1',
+			role: 'pool',
+			instance: 'pool-1',
+			dataCentre: 'place',
+			region: 'region',
+			linkAddress: '127.0.0.1:1',
+			gossipAddress: '127.0.0.1:1',
+			incarnation: 1,
+			state: 'alive',
+			configurationRevision: 1,
 		}]);
 		this.#pool = new PoolProcess(this.#services, directory, this.#configuration);
 	}
--- a/source/binaries/fleet-view.ts
+++ b/source/binaries/fleet-view.ts
@@ -36,7 +36,13 @@
 		} = runtime;
 		this.directory = new MembershipController({
 			self: {
-				name: settings.name, role, instance: settings.instance, dataCentre: settings.dataCentre, region: settings.region, linkAddress: settings.linkAddress, gossipAddress: settings.gossipAddress,
+				name: settings.name,
+				role,
+				instance: settings.instance,
+				dataCentre: settings.dataCentre,
+				region: settings.region,
+				linkAddress: settings.linkAddress,
+				gossipAddress: settings.gossipAddress,
 			},
 			seeds: settings.seeds,
 			clock,
--- a/source/database-group/promotion-controller.spec.ts
+++ b/source/database-group/promotion-controller.spec.ts
@@ -15,7 +15,7 @@
 	heartbeat: 200, silence: 600, freshConnection: 400, lease: 1000, promotionStagger: 500,
 };
 
-function startCoordinator(group: FakeGroup, clock: ManualClock, name: string, rank: number, polls = true) {
+function startPromotionController(group: FakeGroup, clock: ManualClock, name: string, rank: number) {
 	const board = createGroupBoard(3);
 	board.write('ownership', {rank, order: []});
 	board.write('members', new Map([...group.members.keys()].map(member => [member, {
@@ -27,11 +27,15 @@
 	const monitor = new MonitorController({...options, holder: name, clients: group});
 	const promotion = new PromotionController({...options, monitor, random: new SeededRandom(rank + 1)});
 	promotion.start();
-	if (polls) {
-		monitor.start();
-	}
+	return {
+		board, monitor, promotion, events: () => options.timeline.events(),
+	};
+}
 
-	return {board, promotion, events: () => options.timeline.events()};
+function startCoordinator(group: FakeGroup, clock: ManualClock, name: string, rank: number) {
+	const coordinator = startPromotionController(group, clock, name, rank);
+	coordinator.monitor.start();
+	return coordinator;
 }
 
 function primaries(group: FakeGroup): readonly FakeMember[] {
@@ -173,7 +177,7 @@
 	group.establish('a', 1);
 	const [stale, other] = ['a', 'b'].map(member => group.member(member).status());
 	group.establish('a', 2);
-	const candidate = startCoordinator(group, clock, 'pool-2', 1, false);
+	const candidate = startPromotionController(group, clock, 'pool-2', 1);
 	clock.advance(10);
 	candidate.board.write('observations', new Map([
 		['a', {askedAt: 0, status: {...stale, role: 'replica' as const, acceptingWrites: false}}],
