Build the messages to callers and of the test backend in one module

Cause: the entry and the pool each had their own builders of ErrorResponse, ReadyForQuery, CommandComplete and of messages in general, and two tables of transaction status letters. Change: source/postgres-protocol/backend-messages.ts holds them all, with the prefix `build` as in backend-startup.ts. Of the two builders of ErrorResponse it keeps the one that removes zero bytes from fields; the other was used by tests only, with fields that have none.

--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -2,9 +2,9 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {parseAddress, type Address} from '../links/address.js';
+import {buildNumberedErrorResponse} from '../postgres-protocol/backend-messages.js';
 import {FrontendReader} from '../postgres-protocol/frontend-messages.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {numberedErrorResponse} from './caller-messages.js';
 import {CallerStartup, type AcceptedCaller, type StartupPolicy} from './caller-startup.js';
 import {CallerOutput, EntrySession} from './entry-session.js';
 import {type SessionExecutor} from './session-executor.js';
@@ -239,7 +239,7 @@
 			}
 		} catch (error) {
 			this.#session?.close();
-			this.end(numberedErrorResponse(toBuckthornhitchError(error), 'FATAL'));
+			this.end(buildNumberedErrorResponse(toBuckthornhitchError(error), 'FATAL'));
 		}
 	}
 }
--- a/source/entry/caller-startup.ts
+++ b/source/entry/caller-startup.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
 import {PostgresConnection} from 'pg-gateway';
+import {buildBackendKeyData, buildNumberedErrorResponse} from '../postgres-protocol/backend-messages.js';
 import {firstPasswordMessage, firstStartupPacket, startupPacketKind} from '../postgres-protocol/frontend-startup.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type SessionSettings} from '../session/session-settings.js';
-import {backendKeyData, numberedErrorResponse} from './caller-messages.js';
 import {type CallerOutput} from './entry-session.js';
 import {type PasswordList} from './password-list.js';
 
@@ -114,7 +114,7 @@
 	}
 
 	#refuse(error: BuckthornhitchError): void {
-		this.#end(numberedErrorResponse(error, 'FATAL'));
+		this.#end(buildNumberedErrorResponse(error, 'FATAL'));
 	}
 
 	#end(bytes?: Buffer): void {
@@ -157,7 +157,7 @@
 		}
 
 		this.sendParameterStatus('session_authorization', this.clientInfo?.parameters.user ?? '');
-		this.sendData(backendKeyData(this.callerNumber, 0));
+		this.sendData(buildBackendKeyData(this.callerNumber, 0));
 		this.sendReadyForQuery('idle');
 	}
 }
--- a/source/entry/entry-fixture.ts
+++ b/source/entry/entry-fixture.ts
@@ -9,15 +9,15 @@
 import {StaticInstanceDirectory} from '../membership/instance-directory.js';
 import {type InstanceRecord, type ProcessRole} from '../membership/instance-record.js';
 import {type ExecuteRequest, type ExecuteResponse, type TransactionStatus} from '../pool/messages.js';
+import {
+	answerParts, bindComplete, closeComplete, buildCommandComplete, buildErrorResponse, noParameters, parseComplete, buildReadyForQuery, buildTextDataRow, buildTextRowDescription,
+} from '../postgres-protocol/backend-messages.js';
 import {
 	FrontendReader, readBind, readParse, readQuery, readTarget, type FrontendMessage,
 } from '../postgres-protocol/frontend-messages.js';
 import {SeededRandom} from '../random/random.js';
 import {HybridClock} from '../timeline/hybrid-clock.js';
 import {Timeline} from '../timeline/timeline.js';
-import {
-	answerParts, bindComplete, closeComplete, commandComplete, errorResponse, noParameters, parseComplete, readyForQuery, textDataRow, textRowDescription,
-} from './caller-messages.js';
 import {EntryAdmission} from './entry-admission.js';
 import {EntryMetrics} from './entry-metrics.js';
 import {CallerOutput} from './entry-session.js';
@@ -97,7 +97,7 @@
 		switch (message.type) {
 			case 'Q': {
 				const text = readQuery(message);
-				return Buffer.concat([textRowDescription('text'), this.#execute(text), readyForQuery(this.status)]);
+				return Buffer.concat([buildTextRowDescription('text'), this.#execute(text), buildReadyForQuery(this.status)]);
 			}
 
 			case 'P': {
@@ -112,7 +112,7 @@
 
 			case 'D': {
 				const {kind, name} = readTarget(message);
-				return kind === 'portal' ? textRowDescription('text') : this.#lookUp(name, Buffer.concat([noParameters, textRowDescription('text')]));
+				return kind === 'portal' ? buildTextRowDescription('text') : this.#lookUp(name, Buffer.concat([noParameters, buildTextRowDescription('text')]));
 			}
 
 			case 'E': {
@@ -126,7 +126,7 @@
 
 			default: {
 				this.#failed = false;
-				return readyForQuery(this.status);
+				return buildReadyForQuery(this.status);
 			}
 		}
 	}
@@ -135,7 +135,7 @@
 		const text = this.#statements.get(name);
 		if (text === undefined) {
 			this.#failed = true;
-			return errorResponse({severity: 'ERROR', sqlState: '26000', message: 'The prepared statement does not exist.'});
+			return buildErrorResponse({severity: 'ERROR', sqlState: '26000', message: 'The prepared statement does not exist.'});
 		}
 
 		this.#bound = text;
@@ -150,7 +150,7 @@
 			this.status = 'idle';
 		}
 
-		return Buffer.concat([textDataRow(text), commandComplete(word)]);
+		return Buffer.concat([buildTextDataRow(text), buildCommandComplete(word)]);
 	}
 }
 
--- a/source/entry/entry-session.ts
+++ b/source/entry/entry-session.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
+import {buildNumberedErrorResponse} from '../postgres-protocol/backend-messages.js';
 import {type FrontendMessage} from '../postgres-protocol/frontend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {numberedErrorResponse} from './caller-messages.js';
 import {UnitCollector, type ForwardingUnit} from './forwarding-units.js';
 import {type SessionExecutor} from './session-executor.js';
 
@@ -79,7 +79,7 @@
 		const codeName = this.executor.inTransaction ? 'transactionLost' : 'draining';
 		const error = new BuckthornhitchError(this.#running ? 'outcomeUnknown' : codeName, 'The entry stops.');
 		this.close();
-		this.output.end(numberedErrorResponse(error, 'FATAL'));
+		this.output.end(buildNumberedErrorResponse(error, 'FATAL'));
 	}
 
 	#collect(messages: readonly FrontendMessage[]): void {
@@ -133,7 +133,7 @@
 	#endWhenDrained(): void {
 		if (this.#draining && !this.#closed && this.idle) {
 			this.#closed = true;
-			this.output.end(numberedErrorResponse(new BuckthornhitchError('draining', ''), 'FATAL'));
+			this.output.end(buildNumberedErrorResponse(new BuckthornhitchError('draining', ''), 'FATAL'));
 		}
 	}
 }
--- a/source/entry/extended-batch.ts
+++ b/source/entry/extended-batch.ts
@@ -1,11 +1,11 @@
 import {Buffer} from 'node:buffer';
+import {answerParts} from '../postgres-protocol/backend-messages.js';
 import {
 	closeStatementMessage, readBind, readExecute, readParse, readTarget, type FrontendMessage,
 } from '../postgres-protocol/frontend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {classifyStatements, type Statement} from '../routing/statement-classification.js';
 import {leadingComment} from '../session/session-settings.js';
-import {answerParts} from './caller-messages.js';
 
 /** Prepared statements that a session may have; they are kept in memory while it is idle. */
 export const largestStatementCount = 1000;
--- a/source/entry/local-statements.ts
+++ b/source/entry/local-statements.ts
@@ -1,12 +1,12 @@
 import {Buffer} from 'node:buffer';
+import {
+	bindComplete, closeComplete, buildCommandComplete, emptyQueryResponse, noData, noParameters, parseComplete, buildTextDataRow, buildTextRowDescription,
+} from '../postgres-protocol/backend-messages.js';
 import {type Statement} from '../routing/statement-classification.js';
 import {formatSessionToken} from '../session/session-token.js';
 import {
 	changeOwnSetting, checkHarmlessSetting, isOwnSetting, ownSettingText, type SessionSettings,
 } from '../session/session-settings.js';
-import {
-	bindComplete, closeComplete, commandComplete, emptyQueryResponse, noData, noParameters, parseComplete, textDataRow, textRowDescription,
-} from './caller-messages.js';
 import {type LocalStep, type PreparedStatement} from './extended-batch.js';
 
 /** What local statements read and change. */
@@ -39,7 +39,7 @@
 /** Runs a local statement. Throws unsupportedFeature, invalidSetting or tokenForOtherDatabase. */
 export function runLocalStatement(statement: Statement, context: LocalContext): LocalResult {
 	const done = (tag: string, change: Partial<LocalContext> = {}): LocalResult => ({
-		...context, ...change, bytes: commandComplete(tag), column: undefined,
+		...context, ...change, bytes: buildCommandComplete(tag), column: undefined,
 	});
 	if (statement.kind === 'set') {
 		return done(statement.value === null ? 'RESET' : 'SET', {settings: changeSetting(context, statement.name, statement.value)});
@@ -47,7 +47,7 @@
 
 	if (statement.kind === 'show') {
 		const value = ownSettingText(context.settings, statement.name, formatSessionToken);
-		return {...context, bytes: Buffer.concat([textDataRow(value), commandComplete('SHOW')]), column: statement.name};
+		return {...context, bytes: Buffer.concat([buildTextDataRow(value), buildCommandComplete('SHOW')]), column: statement.name};
 	}
 
 	if (statement.kind === 'deallocate') {
@@ -121,5 +121,5 @@
 
 function describeLocal(statement: PreparedStatement): Buffer {
 	const [first] = statement.statements;
-	return first.kind === 'show' ? textRowDescription(first.name) : noData;
+	return first.kind === 'show' ? buildTextRowDescription(first.name) : noData;
 }
--- a/source/entry/session-executor.ts
+++ b/source/entry/session-executor.ts
@@ -1,6 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {type Clock} from '../clock/clock.js';
 import {type ConfigurationSource} from '../configuration/configuration-source.js';
+import {
+	buildErrorResponse, buildNumberedErrorResponse, buildParameterStatus, buildReadyForQuery, readyForQueryBytes, buildTextRowDescription,
+} from '../postgres-protocol/backend-messages.js';
 import {readQuery, type FrontendMessage} from '../postgres-protocol/frontend-messages.js';
 import {uniqueId} from '../random/random.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -12,9 +15,6 @@
 	afterFailure, afterUnit, newSession, sessionStatus, unitAccess, withSettings, type SessionState,
 } from '../session/session-state.js';
 import {formatSessionToken} from '../session/session-token.js';
-import {
-	errorResponse, numberedErrorResponse, parameterStatus, readyForQuery, readyForQueryBytes, textRowDescription,
-} from './caller-messages.js';
 import {type EntryAdmission} from './entry-admission.js';
 import {type EntryMetrics} from './entry-metrics.js';
 import {
@@ -162,7 +162,7 @@
 
 			const result = runLocalStatement(statement, this.#localContext());
 			this.#keepLocal(result);
-			parts.push(...result.column === undefined ? [] : [textRowDescription(result.column)], result.bytes);
+			parts.push(...result.column === undefined ? [] : [buildTextRowDescription(result.column)], result.bytes);
 		}
 
 		return this.#withReady(parts);
@@ -318,7 +318,7 @@
 		// As after an error of the server, an open transaction must not go on as if the statement had run.
 		this.giveUpTransaction();
 		this.services.metrics.countRefusal(error.code);
-		return numberedErrorResponse(error);
+		return buildNumberedErrorResponse(error);
 	}
 
 	#applyChanges(changes: readonly StoreChange[]): void {
@@ -350,7 +350,7 @@
 	}
 
 	#withReady(parts: readonly Buffer[]): Buffer {
-		return Buffer.concat([...parts, readyForQuery(sessionStatus(this.#state))]);
+		return Buffer.concat([...parts, buildReadyForQuery(sessionStatus(this.#state))]);
 	}
 
 	#withToken(bytes: Buffer, before: SessionSettings): Buffer {
@@ -361,12 +361,12 @@
 		}
 
 		const ready = bytes.length - readyForQueryBytes;
-		return Buffer.concat([bytes.subarray(0, ready), parameterStatus(tokenSetting, text), bytes.subarray(ready)]);
+		return Buffer.concat([bytes.subarray(0, ready), buildParameterStatus(tokenSetting, text), bytes.subarray(ready)]);
 	}
 }
 
 function failedTransaction(): Buffer {
-	return errorResponse({
+	return buildErrorResponse({
 		severity: 'ERROR',
 		sqlState: failedTransactionState,
 		message: 'The transaction has failed; statements are refused until ROLLBACK.',
--- a/source/pool/backend-fake.ts
+++ b/source/pool/backend-fake.ts
@@ -6,7 +6,7 @@
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
 import {
 	buildCommandComplete, buildErrorResponse, buildMessage, buildReadyForQuery,
-} from '../postgres-protocol/error-response.js';
+} from '../postgres-protocol/backend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type TransactionStatus} from './messages.js';
 
--- a/source/pool/recorded-requests.ts
+++ b/source/pool/recorded-requests.ts
@@ -5,7 +5,7 @@
 import {receivedPoint} from '../database-group/log-point-rules.js';
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
 import {findErrorInResponse, readTextRows} from '../postgres-protocol/backend-rows.js';
-import {buildReadyForQuery} from '../postgres-protocol/error-response.js';
+import {buildReadyForQuery} from '../postgres-protocol/backend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {
 	buildResponse, outcomeUnknown, type ExecutionContext, type PoolRequest,
--- a/source/postgres-protocol/backend-messages.spec.ts
+++ b/source/postgres-protocol/backend-messages.spec.ts
@@ -7,7 +7,7 @@
 import {continueStartup} from './backend-startup.js';
 import {
 	buildCommandComplete, buildErrorResponse, buildMessage, buildReadyForQuery, readTransactionStatus,
-} from './error-response.js';
+} from './backend-messages.js';
 
 test('messages cut at any byte are put together again without loss', () => {
 	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 40}), {minLength: 1, maxLength: 8}), fc.array(fc.integer({min: 1, max: 30}), {minLength: 1}), (bodies, cuts) => {
--- a/source/entry/caller-messages.ts
+++ b/source/postgres-protocol/backend-messages.ts
@@ -3,7 +3,7 @@
 import {type BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 
 /** Fields of an ErrorResponse. */
-export type ErrorFields = {
+export type ErrorResponseFields = {
 	readonly severity: 'ERROR' | 'FATAL';
 	readonly sqlState: string;
 	readonly message: string;
@@ -17,7 +17,7 @@
 export const readyForQueryBytes = 6;
 
 /** Builds a backend message of any type. */
-export function backendMessage(type: string, contents: Buffer = Buffer.alloc(0)): Buffer {
+export function buildMessage(type: string, contents: Buffer = Buffer.alloc(0)): Buffer {
 	const bytes = Buffer.allocUnsafe(headerBytes + contents.length);
 	bytes.write(type, 0, 'latin1');
 	bytes.writeUInt32BE(contents.length + headerBytes - 1, 1);
@@ -25,71 +25,88 @@
 	return bytes;
 }
 
-/** Builds an ErrorResponse. */
-export function errorResponse(fields: ErrorFields): Buffer {
+/** Builds an ErrorResponse; zero bytes in a field are left out, as they would end it early. */
+export function buildErrorResponse(fields: ErrorResponseFields): Buffer {
 	const parts = [['S', fields.severity], ['V', fields.severity], ['C', fields.sqlState], ['M', fields.message]];
 	const text = parts.map(([code, value]) => `${code}${value.replaceAll('\0', '')}\0`).join('');
-	return backendMessage('E', Buffer.from(`${text}\0`));
+	return buildMessage('E', Buffer.from(`${text}\0`));
 }
 
 /** Builds the ErrorResponse of a numbered error. */
-export function numberedErrorResponse(error: BuckthornhitchError, severity: 'ERROR' | 'FATAL' = 'ERROR'): Buffer {
-	return errorResponse({severity, sqlState: error.entry.sqlState, message: error.message});
+export function buildNumberedErrorResponse(error: BuckthornhitchError, severity: 'ERROR' | 'FATAL' = 'ERROR'): Buffer {
+	return buildErrorResponse({severity, sqlState: error.entry.sqlState, message: error.message});
 }
 
 /** Builds a ReadyForQuery message. */
-export function readyForQuery(status: TransactionStatus): Buffer {
-	return backendMessage('Z', Buffer.from(statusLetters[status]));
+export function buildReadyForQuery(status: TransactionStatus): Buffer {
+	return buildMessage('Z', Buffer.from(statusLetters[status]));
 }
 
 /** Builds a ParameterStatus message. */
-export function parameterStatus(name: string, value: string): Buffer {
-	return backendMessage('S', Buffer.from(`${name}\0${value}\0`));
+export function buildParameterStatus(name: string, value: string): Buffer {
+	return buildMessage('S', Buffer.from(`${name}\0${value}\0`));
 }
 
 /** Builds a BackendKeyData message. */
-export function backendKeyData(processNumber: number, secret: number): Buffer {
+export function buildBackendKeyData(processNumber: number, secret: number): Buffer {
 	const contents = Buffer.allocUnsafe(8);
 	contents.writeUInt32BE(processNumber, 0);
 	contents.writeUInt32BE(secret, 4);
-	return backendMessage('K', contents);
+	return buildMessage('K', contents);
 }
 
 /** Builds a CommandComplete message. */
-export function commandComplete(tag: string): Buffer {
-	return backendMessage('C', Buffer.from(`${tag}\0`));
+export function buildCommandComplete(tag: string): Buffer {
+	return buildMessage('C', Buffer.from(`${tag}\0`));
 }
 
 /** Builds a RowDescription with one text column. */
-export function textRowDescription(name: string): Buffer {
+export function buildTextRowDescription(name: string): Buffer {
 	const numbers = Buffer.alloc(18);
 	numbers.writeUInt32BE(textTypeNumber, 6);
 	numbers.writeInt16BE(-1, 10);
 	numbers.writeInt32BE(-1, 12);
-	return backendMessage('T', Buffer.concat([Buffer.from([0, 1]), Buffer.from(`${name}\0`), numbers]));
+	return buildMessage('T', Buffer.concat([Buffer.from([0, 1]), Buffer.from(`${name}\0`), numbers]));
 }
 
 /** Builds a DataRow with one text value. */
-export function textDataRow(value: string): Buffer {
+export function buildTextDataRow(value: string): Buffer {
 	const text = Buffer.from(value);
 	const head = Buffer.alloc(6);
 	head.writeUInt16BE(1, 0);
 	head.writeUInt32BE(text.length, 2);
-	return backendMessage('D', Buffer.concat([head, text]));
+	return buildMessage('D', Buffer.concat([head, text]));
 }
 
 /** Answer to Parse. */
-export const parseComplete = backendMessage('1');
+export const parseComplete = buildMessage('1');
 /** Answer to Bind. */
-export const bindComplete = backendMessage('2');
+export const bindComplete = buildMessage('2');
 /** Answer to Close. */
-export const closeComplete = backendMessage('3');
+export const closeComplete = buildMessage('3');
 /** Answer to Describe of something without rows. */
-export const noData = backendMessage('n');
+export const noData = buildMessage('n');
 /** Answer to an empty query. */
-export const emptyQueryResponse = backendMessage('I');
+export const emptyQueryResponse = buildMessage('I');
 /** Answer to Describe of a statement without parameters. */
-export const noParameters = backendMessage('t', Buffer.from([0, 0]));
+export const noParameters = buildMessage('t', Buffer.from([0, 0]));
+
+/** Returns the transaction status in the body of a ReadyForQuery message. */
+export function readTransactionStatus(body: Buffer): TransactionStatus {
+	switch (body.toString('latin1', 0, 1)) {
+		case 'T': {
+			return 'open';
+		}
+
+		case 'E': {
+			return 'failed';
+		}
+
+		default: {
+			return 'idle';
+		}
+	}
+}
 
 /** One message of an answer: its type letter and its place in the answer. */
 export type AnswerPart = {
--- a/source/postgres-protocol/backend-socket-connector.ts
+++ b/source/postgres-protocol/backend-socket-connector.ts
@@ -7,7 +7,7 @@
 import {BackendConnection, BackendConnector} from './backend-connection.js';
 import {BackendMessageSplitter, type BackendMessage} from './backend-message-splitter.js';
 import {buildStartup, continueStartup, type BackendCredentials} from './backend-startup.js';
-import {readTransactionStatus} from './error-response.js';
+import {readTransactionStatus} from './backend-messages.js';
 
 /** Longest response in bytes; the rest of a link frame is left for the other fields. */
 export const longestResponse = 15 * 1024 * 1024;
