Keep the listeners of events in one class

Cause: ten classes each held a set of listeners with the same code to add, remove and call them. Change: ListenerSet does this for the blackboard, the configuration sources, the instance directories, links, backend connections, two fixtures and the processes of the scale benchmark. Listeners are still called in the order of addition, and one that is added twice is still called once.

--- a/bench/scale-process.ts
+++ b/bench/scale-process.ts
@@ -1,28 +1,24 @@
 import {fork, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {fileURLToPath} from 'node:url';
+import {ListenerSet} from '../source/blackboard/listener-set.js';
 import {type NodeOrder, type NodeReport, type Usage} from './scale-messages.js';
 
 /** One process of the benchmark. */
 export class ScaleProcess {
 	readonly #child: ChildProcess;
-	readonly #listeners = new Set<(report: NodeReport) => void>();
+	readonly #listeners = new ListenerSet<[report: NodeReport]>();
 
 	constructor(module: string, readonly name: string) {
 		this.#child = fork(fileURLToPath(new URL(module, import.meta.url)), {stdio: ['ignore', 'ignore', 'inherit', 'ipc']});
 		this.#child.on('message', (report: NodeReport) => {
-			for (const listener of this.#listeners) {
-				listener(report);
-			}
+			this.#listeners.notify(report);
 		});
 	}
 
 	/** Calls the listener for each report; returns a function that ends this. */
 	watch(listener: (report: NodeReport) => void): () => void {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#listeners.add(listener);
 	}
 
 	/** Sends an order or settings. */
--- a/source/blackboard/blackboard.ts
+++ b/source/blackboard/blackboard.ts
@@ -1,9 +1,9 @@
-type Listener<Value> = (value: Value) => void;
+import {ListenerSet} from './listener-set.js';
 
 /** Shared state of one process: controllers read, write and watch named entries. */
 export class Blackboard<Entries extends Readonly<Record<string, unknown>>> {
 	readonly #entries: Map<keyof Entries, unknown>;
-	readonly #listeners = new Map<keyof Entries, Set<Listener<never>>>();
+	readonly #listeners = new Map<keyof Entries, ListenerSet<[value: never]>>();
 
 	constructor(initial: Entries) {
 		this.#entries = new Map(Object.entries(initial));
@@ -17,19 +17,14 @@
 	/** Replaces the value of an entry and notifies its watchers. */
 	write<Name extends keyof Entries>(name: Name, value: Entries[Name]): void {
 		this.#entries.set(name, value);
-		for (const listener of this.#listeners.get(name) ?? []) {
-			(listener as Listener<Entries[Name]>)(value);
-		}
+		this.#listeners.get(name)?.notify(value as never);
 	}
 
 	/** Calls the listener after each write of the entry; returns a function that ends this. */
-	watch<Name extends keyof Entries>(name: Name, listener: Listener<Entries[Name]>): () => void {
-		const listeners = this.#listeners.get(name) ?? new Set();
-		listeners.add(listener);
+	watch<Name extends keyof Entries>(name: Name, listener: (value: Entries[Name]) => void): () => void {
+		const listeners = this.#listeners.get(name) ?? new ListenerSet();
 		this.#listeners.set(name, listeners);
-		return () => {
-			listeners.delete(listener);
-		};
+		return listeners.add(listener);
 	}
 }
 
--- a/source/configuration/configuration-source.ts
+++ b/source/configuration/configuration-source.ts
@@ -1,3 +1,4 @@
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type StopWatching} from '../membership/instance-directory.js';
 import {type AcceptedConfiguration, type DeploymentConfiguration} from './types.js';
 
@@ -15,7 +16,7 @@
 
 /** Source with a fixed configuration, for tests and the demonstration. */
 export class StaticConfigurationSource extends ConfigurationSource {
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new ListenerSet();
 	#accepted: AcceptedConfiguration;
 	#deployment: DeploymentConfiguration;
 
@@ -37,15 +38,10 @@
 	replace(accepted: AcceptedConfiguration, deployment: DeploymentConfiguration): void {
 		this.#accepted = accepted;
 		this.#deployment = deployment;
-		for (const listener of this.#listeners) {
-			listener();
-		}
+		this.#listeners.notify();
 	}
 
 	override watch(listener: () => void): StopWatching {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#listeners.add(listener);
 	}
 }
--- a/source/configuration/configuration-store.ts
+++ b/source/configuration/configuration-store.ts
@@ -1,3 +1,4 @@
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type ConfigurationDelta, type ConfigurationSinceResponse} from '../control/messages.js';
 import {type StopWatching} from '../membership/instance-directory.js';
 import {type Logger} from '../observability/logger.js';
@@ -17,7 +18,7 @@
 A process gets its first configuration from an answer that a quorum of control confirmed and passes on only what it holds, so whatever comes from a peer goes back to a confirmed revision by construction.
 */
 export class ConfigurationStore extends ConfigurationSource {
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new ListenerSet();
 	#accepted: AcceptedConfiguration | undefined;
 	#deployment: DeploymentConfiguration | undefined;
 	#history: readonly ConfigurationDelta[] = [];
@@ -41,10 +42,7 @@
 	}
 
 	override watch(listener: () => void): StopWatching {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#listeners.add(listener);
 	}
 
 	/** Takes over newer changes; returns whether the revision rose. */
@@ -68,9 +66,7 @@
 			this.#interpret();
 		}
 
-		for (const listener of this.#listeners) {
-			listener();
-		}
+		this.#listeners.notify();
 
 		return true;
 	}
--- a/source/links/link-server.ts
+++ b/source/links/link-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server, type Socket} from 'node:net';
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type Clock} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type HybridClock} from '../timeline/hybrid-clock.js';
@@ -11,7 +12,7 @@
 export class LinkServer {
 	readonly #handlers = new Map<string, RequestHandler>();
 	readonly #links = new Set<LinkSocket>();
-	readonly #closeListeners = new Set<(peer: LinkPeer) => void>();
+	readonly #closeListeners = new ListenerSet<[peer: LinkPeer]>();
 	readonly #server: Server;
 	#nextLinkId = 1;
 
@@ -67,9 +68,7 @@
 			},
 			onClose: () => {
 				this.#links.delete(link);
-				for (const listener of this.#closeListeners) {
-					listener(peer);
-				}
+				this.#closeListeners.notify(peer);
 			},
 		});
 		this.#links.add(link);
--- a/source/membership/instance-directory.ts
+++ b/source/membership/instance-directory.ts
@@ -1,3 +1,4 @@
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type InstanceRecord} from './instance-record.js';
 
 /** Ends a subscription. */
@@ -17,7 +18,7 @@
 
 /** Directory with fixed records, for tests and the demonstration. */
 export class StaticInstanceDirectory extends InstanceDirectory {
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new ListenerSet();
 	#records: readonly InstanceRecord[];
 
 	constructor(records: readonly InstanceRecord[], private readonly ownName = '') {
@@ -32,16 +33,11 @@
 	/** Replaces the records and notifies the listeners. */
 	replace(records: readonly InstanceRecord[]): void {
 		this.#records = records;
-		for (const listener of this.#listeners) {
-			listener();
-		}
+		this.#listeners.notify();
 	}
 
 	override watch(listener: () => void): StopWatching {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#listeners.add(listener);
 	}
 
 	override markDraining(): void {
--- a/source/membership/membership-controller.ts
+++ b/source/membership/membership-controller.ts
@@ -1,5 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {type Controller} from '../blackboard/blackboard.js';
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type Cancel, type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -38,8 +39,8 @@
 	readonly #sender: GossipSender;
 	readonly #exchange: RecordExchange;
 	readonly #relays: ProbeRelays;
-	readonly #listeners = new Set<() => void>();
-	readonly #revisionListeners = new Set<(revision: number, holder: string) => void>();
+	readonly #listeners = new ListenerSet();
+	readonly #revisionListeners = new ListenerSet<[revision: number, holder: string]>();
 	#own: MemberEntry;
 	#cancelAntiEntropy: Cancel | undefined;
 	#cancelJoin: Cancel | undefined;
@@ -116,10 +117,7 @@
 	}
 
 	override watch(listener: () => void): StopWatching {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#listeners.add(listener);
 	}
 
 	override markDraining(): void {
@@ -132,7 +130,7 @@
 			...this.#own, incarnation: this.#own.incarnation + 1, draining: true, state: publicState('alive', true),
 		});
 		this.#sender.sendRound(drainFanOut);
-		this.#notify();
+		this.#listeners.notify();
 	}
 
 	announceRevision(revision: number): void {
@@ -142,10 +140,7 @@
 	}
 
 	onRevision(listener: (revision: number, holder: string) => void): StopWatching {
-		this.#revisionListeners.add(listener);
-		return () => {
-			this.#revisionListeners.delete(listener);
-		};
+		return this.#revisionListeners.add(listener);
 	}
 
 	livePeer(name: string): InstanceRecord | undefined {
@@ -265,7 +260,7 @@
 		}
 
 		if (changed.length > 0) {
-			this.#notify();
+			this.#listeners.notify();
 		}
 	}
 
@@ -309,7 +304,7 @@
 		this.#table.put(entry, this.options.clock.now());
 		this.#detector.track(entry);
 		this.#sender.announce(entry);
-		this.#notify();
+		this.#listeners.notify();
 	}
 
 	#report(entry: MemberEntry, previous: MemberEntry | undefined): void {
@@ -323,15 +318,7 @@
 
 	#noteRevision(datagram: Datagram): void {
 		this.#table.noteRevision(datagram.from, datagram.revision);
-		for (const listener of this.#revisionListeners) {
-			listener(datagram.revision, datagram.from);
-		}
-	}
-
-	#notify(): void {
-		for (const listener of this.#listeners) {
-			listener();
-		}
+		this.#revisionListeners.notify(datagram.revision, datagram.from);
 	}
 
 	#join(): void {
--- a/source/pool/backend-fake.ts
+++ b/source/pool/backend-fake.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type FakeGroup, type FakeMember} from '../database-group/group-fake.js';
 import {type Address} from '../links/address.js';
@@ -43,7 +44,7 @@
 	busySince: Milliseconds | undefined;
 	transactionStatus: TransactionStatus = 'idle';
 	closed = false;
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new ListenerSet();
 	#fail: ((error: Error) => void) | undefined;
 
 	constructor(private readonly connector: FakeConnector, readonly member: FakeMember) {
@@ -69,16 +70,11 @@
 
 		this.closed = true;
 		this.#fail?.(new BuckthornhitchError('memberUnreachable', 'The connection was closed.'));
-		for (const listener of this.#listeners) {
-			listener();
-		}
+		this.#listeners.notify();
 	}
 
 	override onClose(listener: () => void): () => void {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#listeners.add(listener);
 	}
 
 	async #answer(timeout: Milliseconds): Promise<void> {
--- a/source/pool/pool-fixture.ts
+++ b/source/pool/pool-fixture.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {serialize} from 'pg-protocol';
 import {Registry} from 'prom-client';
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {StaticConfigurationSource} from '../configuration/configuration-source.js';
 import {type DeploymentConfiguration} from '../configuration/types.js';
@@ -42,7 +43,7 @@
 /** Link server that hands requests over without a socket. */
 export class LocalLinkServer {
 	readonly #handlers = new Map<string, RequestHandler>();
-	readonly #listeners = new Set<(peer: LinkPeer) => void>();
+	readonly #listeners = new ListenerSet<[peer: LinkPeer]>();
 
 	handle(name: string, handler: RequestHandler): void {
 		this.#handlers.set(name, handler);
@@ -57,9 +58,7 @@
 	}
 
 	closeLink(linkId: number): void {
-		for (const listener of this.#listeners) {
-			listener({linkId});
-		}
+		this.#listeners.notify({linkId});
 	}
 }
 
--- a/source/postgres-protocol/backend-socket-connector.ts
+++ b/source/postgres-protocol/backend-socket-connector.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createConnection, type Socket} from 'node:net';
+import {ListenerSet} from '../blackboard/listener-set.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {parseAddress, type Address} from '../links/address.js';
 import {type TransactionStatus} from '../pool/messages.js';
@@ -28,7 +29,7 @@
 	#exchange: Exchange | undefined;
 	#closed = false;
 	#status: TransactionStatus = 'idle';
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new ListenerSet();
 
 	constructor(private readonly socket: Socket, private readonly splitter: BackendMessageSplitter, private readonly address: Address, private readonly clock: Clock) {
 		super();
@@ -76,10 +77,7 @@
 	}
 
 	override onClose(listener: () => void): () => void {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+		return this.#listeners.add(listener);
 	}
 
 	#receive(chunk: Buffer): void {
@@ -135,9 +133,7 @@
 		this.#exchange = undefined;
 		exchange?.cancelTimeout();
 		exchange?.reject(new BuckthornhitchError('memberUnreachable', `${this.address}: ${reason}`));
-		for (const listener of this.#listeners) {
-			listener();
-		}
+		this.#listeners.notify();
 	}
 }
 
