Share the replica status of two specs

Cause: the specs of the log point rules and of the member choice each wrote out the same MemberStatus. Change: member-status-fixture.ts builds it for both; no product code uses it.

--- a/source/database-group/log-point-rules.spec.ts
+++ b/source/database-group/log-point-rules.spec.ts
@@ -3,60 +3,41 @@
 import {
 	coversLogPoint, freshnessFloor, isWriteConfirmed, mayServeRead, seenPoint,
 } from './log-point-rules.js';
-import {type MemberStatus} from './types.js';
-
-function statusOf(member: string, logTerm: number, position: number): MemberStatus {
-	return {
-		member,
-		promisedTerm: logTerm,
-		logTerm,
-		receivedPosition: position,
-		appliedPosition: position,
-		role: 'replica',
-		primaryTerm: logTerm,
-		primaryMember: 'a',
-		acceptingWrites: false,
-		slots: 3,
-		connectionLimit: 45,
-		connections: 0,
-		leaseHolder: '',
-		leaseRemaining: 0,
-	};
-}
+import {replicaStatus} from './member-status-fixture.js';
 
 test('a write is not confirmed by a member whose log diverged into another term', () => {
-	const statuses = [statusOf('a', 1, 10), statusOf('b', 2, 12), statusOf('c', 1, 9)];
+	const statuses = [replicaStatus('a', 1, 10), replicaStatus('b', 2, 12), replicaStatus('c', 1, 9)];
 	assert.equal(isWriteConfirmed({term: 1, position: 10}, 'a', statuses, 3), false);
 	assert.equal(isWriteConfirmed({term: 1, position: 9}, 'a', statuses, 3), true);
 });
 
 test('a write is not confirmed by a majority that lacks the primary', () => {
-	const statuses = [statusOf('b', 1, 10), statusOf('c', 1, 10)];
+	const statuses = [replicaStatus('b', 1, 10), replicaStatus('c', 1, 10)];
 	assert.equal(isWriteConfirmed({term: 1, position: 10}, 'a', statuses, 3), false);
 });
 
 test('a floor needs a majority asked after its start, so that an isolated primary alone makes none', () => {
-	const observations = [{askedAt: 5, status: statusOf('a', 1, 10)}, {askedAt: 3, status: statusOf('b', 1, 10)}];
+	const observations = [{askedAt: 5, status: replicaStatus('a', 1, 10)}, {askedAt: 3, status: replicaStatus('b', 1, 10)}];
 	assert.equal(freshnessFloor(5, observations, 3), undefined);
 	assert.deepEqual(freshnessFloor(3, observations, 3), {startedAt: 3, point: {term: 1, position: 10}});
 });
 
 test('the unacknowledged tail of an old primary does not make a floor that the new log cannot reach', () => {
-	const floor = freshnessFloor(0, [{askedAt: 0, status: statusOf('a', 1, 50)}, {askedAt: 0, status: statusOf('b', 2, 12)}], 3);
+	const floor = freshnessFloor(0, [{askedAt: 0, status: replicaStatus('a', 1, 50)}, {askedAt: 0, status: replicaStatus('b', 2, 12)}], 3);
 	assert.deepEqual(floor?.point, {term: 2, position: 12});
 	assert.equal(coversLogPoint({term: 1, position: 50}, {term: 2, position: 12}), false);
 });
 
 test('a replica that has received a later term but not yet applied an earlier write does not serve the session that wrote it', () => {
-	const applying = {...statusOf('c', 2, 12), appliedPosition: 8};
+	const applying = {...replicaStatus('c', 2, 12), appliedPosition: 8};
 	assert.equal(mayServeRead(applying, {term: 1, position: 10}), false);
 	assert.equal(mayServeRead({...applying, appliedPosition: 10}, {term: 1, position: 10}), true);
-	assert.equal(mayServeRead(statusOf('c', 2, 12), {term: 1, position: 50}), true);
+	assert.equal(mayServeRead(replicaStatus('c', 2, 12), {term: 1, position: 50}), true);
 });
 
 test('a read on a replica that still applies entries does not give a session a token without its own write', () => {
-	const applying = {...statusOf('c', 2, 12), appliedPosition: 8};
+	const applying = {...replicaStatus('c', 2, 12), appliedPosition: 8};
 	assert.deepEqual(seenPoint(applying, {term: 1, position: 7}), {term: 1, position: 7});
 	assert.deepEqual(seenPoint(applying, {term: 2, position: 7}), {term: 2, position: 8});
-	assert.deepEqual(seenPoint(statusOf('c', 2, 12), {term: 1, position: 7}), {term: 2, position: 12});
+	assert.deepEqual(seenPoint(replicaStatus('c', 2, 12), {term: 1, position: 7}), {term: 2, position: 12});
 });
--- a/source/routing/member-choice.spec.ts
+++ b/source/routing/member-choice.spec.ts
@@ -1,25 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type MemberStatus} from '../database-group/types.js';
+import {replicaStatus} from '../database-group/member-status-fixture.js';
 import {chooseReadMember, type ReadCandidate, type ReadQuestion} from './member-choice.js';
 
 function candidate(member: string, appliedPosition: number, change: Partial<ReadCandidate> = {}): ReadCandidate {
-	const status: MemberStatus = {
-		member,
-		promisedTerm: 2,
-		logTerm: 2,
-		receivedPosition: 20,
-		appliedPosition,
-		role: 'replica',
-		primaryTerm: 2,
-		primaryMember: 'a',
-		acceptingWrites: false,
-		slots: 3,
-		connectionLimit: 45,
-		connections: 0,
-		leaseHolder: '',
-		leaseRemaining: 0,
-	};
+	const status = {...replicaStatus(member, 2, 20), appliedPosition};
 	return {
 		status, dataCentre: 'chc-a', isPrimary: member === 'a', freeSlots: 3, slotUse: 0, ...change,
 	};
