Parse the addresses of test clients with parseAddress

Cause: two tests and the demonstration split `host:port` themselves, each with the same two lines. Change: they use parseAddress, as the other clients do.

--- a/source/entry/entry-process.spec.ts
+++ b/source/entry/entry-process.spec.ts
@@ -11,6 +11,7 @@
 import {Registry} from 'prom-client';
 import {ManualClock} from '../clock/manual-clock.js';
 import {SystemClock} from '../clock/system-clock.js';
+import {parseAddress} from '../links/address.js';
 import {StaticInstanceDirectory} from '../membership/instance-directory.js';
 import {silentLogger} from '../observability/logger.js';
 import {SystemRandom} from '../random/random.js';
@@ -52,9 +53,8 @@
 		await entry.stop();
 	});
 	const connect = async (options: Readonly<Record<string, unknown>> = {}): Promise<Client> => {
-		const [host, port] = entry.callerAddress.split(':');
 		const client = new Client({
-			host, port: Number(port), user: 'caller', database: 'notices', ...options,
+			...parseAddress(entry.callerAddress), user: 'caller', database: 'notices', ...options,
 		});
 		client.on('error', () => undefined);
 		await client.connect();
--- a/stand-in/demonstration.ts
+++ b/stand-in/demonstration.ts
@@ -4,6 +4,7 @@
 	command, flag, option, run,
 } from 'cmd-ts';
 import pg from 'pg';
+import {parseAddress} from '../source/links/address.js';
 import {addressType} from '../source/settings/common-settings.js';
 import {timelineText} from '../source/timeline/timeline-text.js';
 import {defaultFleetOptions, LocalFleet} from './local-fleet.js';
@@ -13,9 +14,8 @@
 const writesAfterCut = 20;
 
 async function connect(fleet: LocalFleet, entry: number): Promise<pg.Client> {
-	const [host, port] = fleet.entries[entry].address.split(':');
 	const client = new pg.Client({
-		host, port: Number(port), user: 'demonstration', database: fleet.options.database,
+		...parseAddress(fleet.entries[entry].address), user: 'demonstration', database: fleet.options.database,
 	});
 	await client.connect();
 	return client;
--- a/stand-in/local-fleet.spec.ts
+++ b/stand-in/local-fleet.spec.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import pg from 'pg';
+import {parseAddress} from '../source/links/address.js';
 import {defaultFleetOptions, LocalFleet} from './local-fleet.js';
 
 async function connect(fleet: LocalFleet, entry: number): Promise<pg.Client> {
-	const [host, port] = fleet.entries[entry].address.split(':');
 	const client = new pg.Client({
-		host, port: Number(port), user: 'test', database: fleet.options.database,
+		...parseAddress(fleet.entries[entry].address), user: 'test', database: fleet.options.database,
 	});
 	client.on('error', () => {
 		// The connection ends with the fleet.
