Open addresses in one place, and split the specification of the group

Cause: four servers held the same code, and an error on an open server after its first one ended the process. Change: listenOn opens an address, names it when that fails, and keeps the server alive when a connection cannot be accepted; states and cases of the specification are modules of their own.

--- a/source/announcement/announcement-server.ts
+++ b/source/announcement/announcement-server.ts
@@ -3,7 +3,8 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Milliseconds} from '../clock/clock.js';
-import {parseAddress, type Address} from '../links/address.js';
+import {type Address} from '../links/address.js';
+import {listenOn} from '../links/listen.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {announcementTarget, httpStatus, readAnnouncement} from './announcement-rules.js';
 import {type Announcement} from './types.js';
@@ -34,14 +35,7 @@
 
 	/** Listens on the address and resolves with the address in use. Rejects when it is in use already. */
 	async listen(address: Address): Promise<Address> {
-		const {host, port} = parseAddress(address);
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port}, () => {
-				const bound = this.#server.address();
-				resolve(typeof bound === 'object' && bound ? `${host}:${bound.port}` : address);
-			});
-		});
+		return listenOn(this.#server, address);
 	}
 
 	/** Stops listening and closes all connections. */
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -1,7 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type Server, type Socket} from 'node:net';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
-import {parseAddress, type Address} from '../links/address.js';
+import {type Address} from '../links/address.js';
+import {listenOn} from '../links/listen.js';
 import {buildNumberedErrorResponse} from '../postgres-protocol/backend-messages.js';
 import {FrontendReader} from '../postgres-protocol/frontend-messages.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -56,17 +57,10 @@
 
 	/** Listens on the address and resolves with the address in use. Rejects when it is in use already. */
 	async listen(address: Address): Promise<Address> {
-		const {host, port} = parseAddress(address);
 		this.#cancelSweep = this.options.clock.repeat(sweepPeriod, () => {
 			this.#sweep();
 		});
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port}, () => {
-				const bound = this.#server.address();
-				resolve(typeof bound === 'object' && bound ? `${host}:${bound.port}` : address);
-			});
-		});
+		return listenOn(this.#server, address);
 	}
 
 	/** Ends idle callers now and the others when their transaction and requests are done. */
--- a/source/links/link-server.ts
+++ b/source/links/link-server.ts
@@ -3,7 +3,8 @@
 import {type Clock} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type HybridClock} from '../timeline/hybrid-clock.js';
-import {parseAddress, type Address} from './address.js';
+import {type Address} from './address.js';
+import {listenOn} from './listen.js';
 import {type LinkPeer, type RequestHandler} from './link-client.js';
 import {LinkSocket} from './link-socket.js';
 import {type LinkMessage, type RequestMessage} from './messages.js';
@@ -34,14 +35,7 @@
 
 	/** Listens on the address and resolves with the address in use. */
 	async listen(address: Address): Promise<Address> {
-		const {host, port} = parseAddress(address);
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port}, () => {
-				const bound = this.#server.address();
-				resolve(typeof bound === 'object' && bound ? `${host}:${bound.port}` : address);
-			});
-		});
+		return listenOn(this.#server, address);
 	}
 
 	/** Stops accepting links and closes the open ones. */
--- a/source/links/tcp-link.spec.ts
+++ b/source/links/tcp-link.spec.ts
@@ -99,3 +99,10 @@
 	await client.close();
 	await server.close();
 });
+
+test('a second process does not share an address that is in use, and says which one', async () => {
+	const [first, second] = [new LinkServer(clock, new HybridClock(clock)), new LinkServer(clock, new HybridClock(clock))];
+	const address = await first.listen('127.0.0.1:0');
+	await assert.rejects(second.listen(address), {codeName: 'invalidSetting', message: new RegExp(address, 'v')});
+	await first.close();
+});
--- a/source/observability/metrics-server.ts
+++ b/source/observability/metrics-server.ts
@@ -1,6 +1,7 @@
 import {createServer, type Server} from 'node:http';
 import {type Registry} from 'prom-client';
-import {parseAddress, type Address} from '../links/address.js';
+import {type Address} from '../links/address.js';
+import {listenOn} from '../links/listen.js';
 
 /** Serves the metrics of a process under `/metrics`. */
 export class MetricsServer {
@@ -21,11 +22,7 @@
 
 	/** Listens on the address. Rejects when it is in use. */
 	async listen(address: Address): Promise<void> {
-		const {host, port} = parseAddress(address);
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port}, resolve);
-		});
+		await listenOn(this.#server, address);
 	}
 
 	/** Stops listening. */
--- a/specification/database-group.ts
+++ b/specification/database-group.ts
@@ -3,8 +3,10 @@
 } from '../source/database-group/log-point-rules.js';
 import {chooseMemberToPromote} from '../source/database-group/promotion-rules.js';
 import {type LogPoint, type MemberStatus} from '../source/database-group/types.js';
-import {explore, Specification} from './explorer.js';
-import {type VerificationCase} from './registry.js';
+import {
+	commonPrefix, holds, pointOf, shows, statusOf, withMember, type GroupPromise, type GroupState, type GroupStep, type Member, type Write,
+} from './database-group-state.js';
+import {Specification} from './explorer.js';
 
 /** Rules that a mutation may break. */
 export type GroupMutation =
@@ -22,54 +24,6 @@
 	| 'countForeignPromise'
 	| 'chooseAgain';
 
-type Entry = {readonly term: number; readonly write: number};
-
-type Member = {
-	readonly promised: number;
-	readonly log: readonly Entry[];
-	/** Number of entries that reads on the member see. */
-	readonly applied: number;
-	/** Term for which the member is primary, or 0. */
-	readonly primaryTerm: number;
-	/** Term whose primary the member follows, or 0. */
-	readonly follows: number;
-};
-
-/** A promise as the coordinator received it: the term, the coordinator, and the member's log point. */
-type Promise = {
-	readonly term: number;
-	readonly coordinator: number;
-	readonly member: number;
-	readonly point: LogPoint;
-};
-
-type Write = {
-	readonly point: LogPoint;
-	readonly primary: number;
-	readonly acknowledged: boolean;
-};
-
-type GroupState = {
-	readonly members: readonly Member[];
-	readonly promises: readonly Promise[];
-	readonly writes: readonly Write[];
-	/** Choices that coordinators made, as `term.coordinator`; each chooses once. */
-	readonly choices: readonly string[];
-	/** Last status that the observing pool has of each member; null when it has none. */
-	readonly observed: ReadonlyArray<LogPoint | null>;
-};
-
-type GroupStep =
-	| {readonly type: 'promise'; readonly member: number; readonly term: number; readonly coordinator: number}
-	| {readonly type: 'promote'; readonly term: number; readonly coordinator: number}
-	| {readonly type: 'follow'; readonly member: number; readonly term: number}
-	| {readonly type: 'replicate'; readonly member: number}
-	| {readonly type: 'apply'; readonly member: number}
-	| {readonly type: 'write'; readonly member: number}
-	| {readonly type: 'observe'; readonly member: number}
-	| {readonly type: 'acknowledge'; readonly write: number}
-	| {readonly type: 'restart'; readonly member: number};
-
 /** Sizes of an exploration. */
 export type GroupBounds = {
 	readonly terms: number;
@@ -198,7 +152,7 @@
 			return state;
 		}
 
-		const promise: Promise = {
+		const promise: GroupPromise = {
 			term: step.term, coordinator: step.coordinator, member: step.member, point: pointOf(member),
 		};
 		const promises = [...state.promises, promise].toSorted((first, second) => first.term - second.term || first.coordinator - second.coordinator || first.member - second.member);
@@ -357,84 +311,3 @@
 		return undefined;
 	}
 }
-
-function withMember(state: GroupState, id: number, change: Partial<Member>): GroupState {
-	return {...state, members: state.members.with(id, {...state.members[id], ...change})};
-}
-
-function pointOf(member: Member): LogPoint {
-	return {term: member.log.at(-1)?.term ?? 0, position: member.log.length};
-}
-
-function holds(member: Member, write: Write, index: number): boolean {
-	const entry = member.log[write.point.position - 1];
-	return entry?.term === write.point.term && entry.write === index + 1;
-}
-
-/** Returns whether reads on the member see the write. */
-function shows(member: Member, write: Write, index: number): boolean {
-	return member.applied >= write.point.position && holds(member, write, index);
-}
-
-function commonPrefix(first: readonly Entry[], second: readonly Entry[]): number {
-	let length = 0;
-	while (length < first.length && length < second.length && first[length].term === second[length].term && first[length].write === second[length].write) {
-		length++;
-	}
-
-	return length;
-}
-
-function statusOf(member: number, point: LogPoint, promisedTerm: number): MemberStatus {
-	return {
-		member: String(member),
-		promisedTerm,
-		logTerm: point.term,
-		receivedPosition: point.position,
-		appliedPosition: point.position,
-		role: 'replica',
-		primaryTerm: 0,
-		primaryMember: '',
-		acceptingWrites: false,
-		slots: 0,
-		connectionLimit: 0,
-		connections: 0,
-		leaseHolder: '',
-		leaseRemaining: 0,
-	};
-}
-
-const fullBounds: GroupBounds = {
-	terms: 3, writes: 2, coordinators: 1, restarts: false, lateApplying: false, staleObservations: false, states: 5_000_000,
-};
-const restartBounds: GroupBounds = {...fullBounds, terms: 2, restarts: true};
-const coordinatorBounds: GroupBounds = {...fullBounds, terms: 2, coordinators: 2};
-const applyingBounds: GroupBounds = {...fullBounds, terms: 2, lateApplying: true};
-const staleBounds: GroupBounds = {
-	...fullBounds, terms: 2, writes: 1, staleObservations: true,
-};
-
-function caseOf(name: string, mutation: GroupMutation, description: string | null, bounds: GroupBounds): VerificationCase {
-	return {name, mutation: description, run: () => explore(new DatabaseGroupSpecification(mutation, bounds))};
-}
-
-/** Explorations of the database group. */
-export const databaseGroupCases: readonly VerificationCase[] = [
-	caseOf('database group, two terms, two writes, restarts', 'none', null, restartBounds),
-	caseOf('database group, two coordinators of one term', 'none', null, coordinatorBounds),
-	caseOf('database group, replicas that apply late', 'none', null, applyingBounds),
-	caseOf('database group, acknowledgement by old observations', 'none', null, staleBounds),
-	caseOf('database group, three terms, two writes', 'none', null, fullBounds),
-	caseOf('database group', 'acknowledgeOnPrimary', 'acknowledge before a majority holds the write', fullBounds),
-	caseOf('database group', 'countPositionWithoutTerm', 'count positions without their terms', fullBounds),
-	caseOf('database group', 'onePromise', 'promote after one promise', fullBounds),
-	caseOf('database group', 'promoteLongestLog', 'promote the longest log whatever its term', {...fullBounds, writes: 3}),
-	caseOf('database group', 'promiseTwice', 'promise a term twice', coordinatorBounds),
-	caseOf('database group', 'chooseAgain', 'choose the member to promote again when a late promise comes', fullBounds),
-	caseOf('database group', 'countForeignPromise', 'count promises given to another coordinator', coordinatorBounds),
-	caseOf('database group', 'replicateBelowPromise', 'take replication of a term below the promise', fullBounds),
-	caseOf('database group', 'tokenWithoutTerm', 'compare session tokens by position alone', fullBounds),
-	caseOf('database group', 'termOfReceivedEntry', 'compare the term of the last entry received with the position applied', applyingBounds),
-	caseOf('database group', 'floorFromOneMember', 'take a floor from one member', fullBounds),
-	caseOf('database group', 'noOpeningEntry', 'open a term without an entry', fullBounds),
-];
--- a/specification/verify.ts
+++ b/specification/verify.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {controlLogCases} from './control-log-cases.js';
-import {databaseGroupCases} from './database-group.js';
+import {databaseGroupCases} from './database-group-cases.js';
 import {type VerificationCase} from './registry.js';
 import {requestIdCases} from './request-id.js';
 
