--- /dev/null
+++ b/bench/apply-fleet.ts
@@ -0,0 +1,146 @@
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {
+	command, flag, number, option, run,
+} from 'cmd-ts';
+import {SystemClock} from '../source/clock/system-clock.js';
+import {ControlClient} from '../source/control/control-client.js';
+import {TcpLinkClient} from '../source/links/tcp-link-client.js';
+import {type InstanceRecord} from '../source/membership/instance-record.js';
+import {uniqueId} from '../source/random/random.js';
+import {HybridClock} from '../source/timeline/hybrid-clock.js';
+import {type TimelineEvent} from '../source/timeline/timeline.js';
+import {deployments} from '../stand-in/deployments.js';
+import {ProcessFleet} from '../stand-in/process-fleet.js';
+
+const requestTimeout = 5000;
+const pollPause = 100;
+const patience = 60_000;
+const clock = new SystemClock();
+const linkClient = new TcpLinkClient(clock, new HybridClock(clock));
+
+/** Returns the times since the Unix epoch, in milliseconds, at which each process took the revision over. */
+async function timesInForce(records: readonly InstanceRecord[], revision: number, since: number): Promise<readonly number[]> {
+	const limit = clock.now() + patience;
+	for (;;) {
+		const times = await Promise.all(records.map(async record => timeInForce(record, revision, since)));
+		const known = times.filter(time => time !== undefined);
+		if (known.length === records.length) {
+			return known;
+		}
+
+		if (clock.now() > limit) {
+			throw new Error(`revision ${revision} is in force in ${known.length} of ${records.length} processes only`);
+		}
+
+		await clock.sleep(pollPause);
+	}
+}
+
+async function timeInForce(record: InstanceRecord, revision: number, since: number): Promise<number | undefined> {
+	try {
+		const events = await linkClient.request(record.linkAddress, 'timeline', null, requestTimeout) as readonly TimelineEvent[];
+		return events.find(event => event.part === 'configuration' && event.kind === 'accepted' && Number(event.subject) >= revision && event.time.milliseconds >= since)?.time.milliseconds;
+	} catch {
+		return undefined;
+	}
+}
+
+async function recordsOf(fleet: ProcessFleet, count: number): Promise<readonly InstanceRecord[]> {
+	const limit = clock.now() + patience;
+	let records: readonly InstanceRecord[] = [];
+	while (clock.now() < limit) {
+		records = await linkClient.request(fleet.controls[0], 'instances', null, requestTimeout).catch(() => []) as readonly InstanceRecord[];
+		if (records.filter(record => record.state === 'alive').length >= count) {
+			return records.filter(record => record.role !== 'control');
+		}
+
+		await clock.sleep(pollPause);
+	}
+
+	throw new Error(`${records.length} of ${count} processes are known`);
+}
+
+/** Applies a change and returns how long it took from the request to control until it was in force in each process, in milliseconds. */
+async function measureChange(fleet: ProcessFleet, records: readonly InstanceRecord[], queueLength: number): Promise<readonly number[]> {
+	const client = new ControlClient(linkClient, clock, fleet.controls);
+	const accepted = await client.configurationSince({revision: -1});
+	if (accepted.kind !== 'snapshot') {
+		throw new Error('a snapshot was expected');
+	}
+
+	const {files, revision: expectedRevision} = accepted.configuration;
+	const [base] = files.base.split('limits:\n');
+	const start = clock.wallTime();
+	const {revision} = await client.apply({
+		changeId: uniqueId(), expectedRevision, files: {...files, base: `${base}limits:\n  queueLength: ${queueLength}\n`}, operator: 'bench',
+	});
+	const times = await timesInForce(records, revision, start);
+	return times.map(time => time - start);
+}
+
+const program = command({
+	name: 'apply-fleet',
+	description: 'measures the time from the request to control until a change is in force in every pool and entry',
+	args: {
+		json: flag({long: 'json', description: 'one JSON object a line'}),
+		instances: option({
+			type: number, long: 'instances', description: 'entry instances, each with a pool and an entry', defaultValue: () => 20,
+		}),
+		changes: option({
+			type: number, long: 'changes', description: 'number of changes', defaultValue: () => 10,
+		}),
+	},
+	async handler({json, instances, changes}) {
+		const folder = mkdtempSync(join(tmpdir(), 'apply-fleet-'));
+		const fleet = new ProcessFleet({
+			configurationFolder: 'examples/waitaha', folder, places: deployments.waitaha.places, controls: 3, pools: instances, entries: instances, databases: [], memberFlags: [],
+		});
+		const report = (measure: string, value: number): void => {
+			console.log(json
+				? JSON.stringify({
+					measure, size: instances, value, unit: 'ms', runs: changes,
+				})
+				: `${measure}, ${instances} instances: ${Math.round(value)} ms`);
+		};
+
+		try {
+			await fleet.start();
+			const processCount = (2 * instances) + 3;
+			const records = await recordsOf(fleet, processCount);
+			const slowest: number[] = [];
+			const all: number[] = [];
+			for (let change = 1; change <= changes; change++) {
+				const delays = await measureChange(fleet, records, 1000 + change);
+				all.push(...delays);
+				slowest.push(Math.max(...delays));
+			}
+
+			const sorted = all.toSorted((first, second) => first - second);
+			report('change in force, median', sorted[Math.floor(sorted.length / 2)]);
+			report('change in force, 99th percentile', sorted[Math.floor(sorted.length * 0.99)]);
+			report('change in force everywhere, slowest change', Math.max(...slowest));
+			const restartAt = clock.wallTime();
+			for (const {name} of records) {
+				await fleet.signal(name, 'SIGKILL');
+				fleet.restart(name);
+			}
+
+			const revision = Number(/revision (?<revision>\d+), confirmed/v.exec(await fleet.operate(['status']))?.groups?.revision);
+			await timesInForce(records, revision, restartAt);
+			console.log(`After the restart of all ${records.length} processes revision ${revision} is in force in each.`);
+		} finally {
+			await fleet.stop();
+			await linkClient.close();
+			rmSync(folder, {recursive: true, force: true});
+		}
+
+		process.exit(0);
+	},
+});
+
+await run(program, process.argv.slice(2));
