--- a/bench/apply-fleet.ts
+++ b/bench/apply-fleet.ts
@@ -1,6 +1,4 @@
-import {
-	mkdtempSync, readFileSync, rmSync, writeFileSync,
-} from 'node:fs';
+import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
