--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -43,7 +43,7 @@
 	primaryFailed: 0,
 	noMemberActsAsPrimary: 0,
 	unfinishedPromotion: unfinishedGrace,
-	strayPromise: unfinishedGrace,
+	promiseOfLaterTerm: unfinishedGrace,
 	primaryNotAnnounced: unannouncedGrace,
 };
 
@@ -57,7 +57,7 @@
 /** Pause after a planned change that failed, before a leaving primary is tried again. */
 const switchRetryPause: Milliseconds = 1000;
 
-/** Coordinates promotions by rules 4 and 5, makes stray members follow the primary, and carries out planned changes of the primary. */
+/** Coordinates promotions by rules 4 and 5, makes members that follow no or another primary follow the present one, and carries out planned changes of the primary. */
 export class PromotionController extends Controller {
 	#busy = false;
 	#neededSince: Milliseconds | undefined;
--- a/source/database-group/promotion-decision.ts
+++ b/source/database-group/promotion-decision.ts
@@ -15,7 +15,7 @@
 };
 
 /** Reason for a promotion. */
-export type PromotionReason = 'newGroup' | 'primaryFailed' | 'noMemberActsAsPrimary' | 'unfinishedPromotion' | 'strayPromise' | 'primaryNotAnnounced';
+export type PromotionReason = 'newGroup' | 'primaryFailed' | 'noMemberActsAsPrimary' | 'unfinishedPromotion' | 'promiseOfLaterTerm' | 'primaryNotAnnounced';
 
 /** What the group needs from a coordinator. */
 export type PromotionDecision =
@@ -38,14 +38,14 @@
 
 function keepFollowing(view: PromotionView, reachable: readonly MemberStatus[], primary: MemberStatus): PromotionDecision {
 	const others = reachable.filter(status => status.member !== primary.member);
-	const strays = others.filter(status => status.role === 'primary' || status.primaryTerm !== primary.primaryTerm || status.primaryMember !== primary.member);
-	const mayFollow = strays.filter(status => status.promisedTerm <= primary.primaryTerm);
+	const notFollowing = others.filter(status => status.role === 'primary' || status.primaryTerm !== primary.primaryTerm || status.primaryMember !== primary.member);
+	const mayFollow = notFollowing.filter(status => status.promisedTerm <= primary.primaryTerm);
 	if (mayFollow.length > 0) {
 		return {kind: 'follow', primary, members: mayFollow.map(status => status.member)};
 	}
 
 	// A member that promised a later term rejects the log of this primary until the primary starts a later term itself.
-	return reachable.some(status => status.promisedTerm > primary.primaryTerm) ? {kind: 'promote', reason: 'strayPromise', preferred: primary.member} : nothing;
+	return reachable.some(status => status.promisedTerm > primary.primaryTerm) ? {kind: 'promote', reason: 'promiseOfLaterTerm', preferred: primary.member} : nothing;
 }
 
 function replacePrimary(view: PromotionView, reachable: readonly MemberStatus[]): PromotionDecision {
--- a/source/pool/pool-process.ts
+++ b/source/pool/pool-process.ts
@@ -66,7 +66,7 @@
 	readonly #members: MemberDirectory;
 	readonly #metrics: PoolMetrics;
 	readonly #cancels: Cancel[] = [];
-	readonly #yieldAsked = new Set<string>();
+	readonly #yieldRequests = new Set<string>();
 	#draining = false;
 	#stopped = false;
 
@@ -119,7 +119,7 @@
 				this.#updateAll();
 			}),
 			clock.repeat(housekeepingPeriod, () => {
-				this.#keepHouse();
+				this.#runHousekeeping();
 			}),
 		);
 		this.#record('started', this.runtime.settings.name);
@@ -280,7 +280,7 @@
 		return this.directory.records().filter(record => record.role === 'pool' && takesNewWork(record));
 	}
 
-	#keepHouse(): void {
+	#runHousekeeping(): void {
 		for (const database of this.#members.dropExpired()) {
 			this.#update(database);
 		}
@@ -303,7 +303,7 @@
 
 	/** Asks a pool that holds leases of a database that this pool owns to give them up. */
 	#askHolder({name, board, context}: DatabaseService): void {
-		if (board.read('ownership').rank !== 0 || this.#draining || this.#yieldAsked.has(name)) {
+		if (board.read('ownership').rank !== 0 || this.#draining || this.#yieldRequests.has(name)) {
 			return;
 		}
 
@@ -314,13 +314,13 @@
 			return;
 		}
 
-		this.#yieldAsked.add(name);
+		this.#yieldRequests.add(name);
 		this.runtime.linkClient.request(record.linkAddress, 'yieldDatabase', {database: name, successor: this.runtime.settings.name}, peerTimeout)
 			.catch(() => {
 				// The holder may have failed; its leases expire then.
 			})
 			.finally(() => {
-				this.#yieldAsked.delete(context.database);
+				this.#yieldRequests.delete(context.database);
 			});
 	}
 
