Measure how the control log grows with its history, and close its file on stop

Change: bench:control, and Storage.close, which a voter calls on stop. Before: a warning of Node.js about a file closed by garbage collection.

--- /dev/null
+++ b/bench/control-history.ts
@@ -0,0 +1,123 @@
+import {
+	mkdtempSync, readdirSync, readFileSync, rmSync, statSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {encode} from 'cbor-x';
+import {
+	array, command, flag, multioption, number, run,
+} from 'cmd-ts';
+import {FileStorage} from '../source/control-log/file-storage.js';
+import {ControlClient} from '../source/control/control-client.js';
+import {ControlProcess} from '../source/control/control-process.js';
+import {FileValidator} from '../source/control/file-validator.js';
+import {RevisionPublisher} from '../source/control/revision-publisher.js';
+import {type ConfigurationFiles} from '../source/configuration/types.js';
+import {silentLogger} from '../source/observability/logger.js';
+import {uniqueId} from '../source/random/random.js';
+import {LocalServices} from '../stand-in/local-services.js';
+
+const missedChanges = 300;
+
+class NoPublisher extends RevisionPublisher {
+	override publish(): void {
+		// Nobody is told in this measurement.
+	}
+}
+
+type Running = {
+	readonly control: ControlProcess;
+	readonly client: ControlClient;
+	readonly stop: () => Promise<void>;
+	/** Time to read the data folder, in milliseconds. */
+	readonly openTime: number;
+};
+
+async function start(folder: string): Promise<Running> {
+	const services = new LocalServices('control-1', 'place', 1, undefined);
+	const address = await services.listen();
+	const control = new ControlProcess({
+		settings: {name: 'control-1', linkAddress: address},
+		clock: services.clock,
+		random: services.random,
+		registry: services.registry,
+		timeline: services.timeline,
+		linkServer: services.linkServer,
+		linkClient: services.linkClient,
+		logger: () => silentLogger,
+	}, {storage: new FileStorage(folder, silentLogger), validator: new FileValidator(), publisher: new NoPublisher()});
+	const begin = performance.now();
+	await control.open();
+	const openTime = performance.now() - begin;
+	return {
+		control,
+		openTime,
+		client: new ControlClient(services.linkClient, services.clock, [address]),
+		async stop() {
+			await control.stop();
+			await services.close();
+		},
+	};
+}
+
+function filesOf(change: number): ConfigurationFiles {
+	const base = readFileSync('examples/waitaha/base.yaml', 'utf8');
+	return {base: `${base}limits:\n  queueLength: ${1000 + change}\n`};
+}
+
+function folderBytes(folder: string): number {
+	return readdirSync(folder, {recursive: true}).reduce((bytes, name) => bytes + statSync(join(folder, String(name))).size, 0);
+}
+
+/** Applies a number of changes to one voter and reports how state and times grow. */
+async function measure(changes: number, report: (measure: string, value: number, unit: string) => void): Promise<void> {
+	const folder = mkdtempSync(join(tmpdir(), 'control-history-'));
+	const first = await start(folder);
+	await first.client.bootstrap();
+	const begin = performance.now();
+	for (let change = 0; change < changes; change++) {
+		await first.client.apply({
+			changeId: uniqueId(), expectedRevision: change, files: filesOf(change), operator: 'bench',
+		});
+	}
+
+	report('time of a change, one voter, mean', (performance.now() - begin) / changes, 'ms');
+	const snapshot = await first.client.configurationSince({revision: -1});
+	const deltas = await first.client.configurationSince({revision: Math.max(1, changes - missedChanges)});
+	report('snapshot', encode(snapshot).length, 'byte');
+	report(`answer after ${missedChanges} missed changes (${deltas.kind})`, encode(deltas).length, 'byte');
+	await first.stop();
+	report('data folder', folderBytes(folder), 'byte');
+	const second = await start(folder);
+	report('reading the data folder at a restart', second.openTime, 'ms');
+	await second.stop();
+	rmSync(folder, {recursive: true, force: true});
+}
+
+const program = command({
+	name: 'control-history',
+	description: 'measures how the control log grows with the number of changes',
+	args: {
+		json: flag({long: 'json', description: 'one JSON object a line'}),
+		sizes: multioption({
+			type: array(number), long: 'size', description: 'number of changes; may be given several times', defaultValue: () => [100, 1000, 5000],
+		}),
+	},
+	async handler({json, sizes}) {
+		for (const size of sizes) {
+			await measure(size, (name, value, unit) => {
+				console.log(json
+					? JSON.stringify({
+						measure: name, size, value, unit,
+					})
+					: `${name}, ${size} changes: ${value.toPrecision(4)} ${unit}`);
+			});
+		}
+
+		process.exit(0);
+	},
+});
+
+await run(program, process.argv.slice(2));
--- a/source/control-log/file-storage.ts
+++ b/source/control-log/file-storage.ts
@@ -89,8 +89,7 @@
 		});
 	}
 
-	/** Closes the log file. */
-	async close(): Promise<void> {
+	override async close(): Promise<void> {
 		await this.#log?.close();
 		this.#log = undefined;
 	}
--- a/source/control-log/storage.ts
+++ b/source/control-log/storage.ts
@@ -8,6 +8,11 @@
 Calls are made one after the other. After a call rejects with storageFailed, the state is known again only after `load`.
 */
 export abstract class Storage {
+	/** Releases open files; `load` opens them again. */
+	async close(): Promise<void> {
+		// Storage without files has nothing to release.
+	}
+
 	/** Reads everything; formats an empty data folder with a new disk id. Throws storageCorrupt or storageFailed. */
 	abstract load(): Promise<StoredState>;
 
--- a/source/control-log/voter.ts
+++ b/source/control-log/voter.ts
@@ -96,6 +96,7 @@
 		this.#cancelRecovery?.();
 		this.#stepDown();
 		await this.#state.serially(async () => undefined).catch(() => undefined);
+		await this.options.storage.close();
 	}
 
 	/** Resolves while this voter is confirmed as the leader. Rejects with notLeader, whose detail is the leader's address if it is known, or with notConfirmed. */
