Poll the members after the stagger and before a promotion

Cause: a pool of rank 1 polled when it saw the need, waited its stagger of 500 ms, and then decided on statuses from before the promotion that the first pool had made meanwhile. Change: the members must have been asked since the stagger ended. Before: the new test fails. After: it passes.

--- a/source/database-group/promotion-controller.spec.ts
+++ b/source/database-group/promotion-controller.spec.ts
@@ -186,3 +186,13 @@
 	await clock.advanceInSteps(3000, 10);
 	assert.deepEqual(candidate.events(), []);
 });
+
+test('a candidate does not promote on statuses from before its stagger, in which the first pool may have promoted', async () => {
+	const clock = new ManualClock();
+	const group = new FakeGroup(clock);
+	clock.advance(10);
+	const candidate = startPromotionController(group, clock, 'pool-2', 1);
+	candidate.board.write('observations', new Map(['a', 'b', 'c'].map(member => [member, {askedAt: clock.now(), status: group.member(member).status()}])));
+	await clock.advanceInSteps(3000, 10);
+	assert.deepEqual(candidate.events(), []);
+});
--- a/source/database-group/promotion-controller.ts
+++ b/source/database-group/promotion-controller.ts
@@ -61,6 +61,8 @@
 export class PromotionController extends Controller {
 	#busy = false;
 	#neededSince: Milliseconds | undefined;
+	/** Time for which the members were polled before a decision. */
+	#polledFor: Milliseconds | undefined;
 	#notBefore: Milliseconds = 0;
 	readonly #cancels: Cancel[] = [];
 
@@ -176,13 +178,11 @@
 			return;
 		}
 
-		if (this.#neededSince === undefined) {
-			this.#neededSince = clock.now();
-			this.options.monitor.pollNow();
-		}
+		this.#neededSince ??= clock.now();
 
 		const {rank} = board.read('ownership');
-		if (rank < 0 || !this.#hasFreshView(view, this.#neededSince) || clock.now() < Math.max(this.#notBefore, this.#neededSince + this.#waitFor(decision, rank))) {
+		const actAt = Math.max(this.#notBefore, this.#neededSince + this.#waitFor(decision, rank));
+		if (rank < 0 || clock.now() < actAt || !this.#hasFreshView(view, actAt)) {
 			return;
 		}
 
@@ -195,10 +195,21 @@
 		}
 	}
 
-	/** Returns whether every member that is not suspected was asked since the time: two statuses of different age can look like a group without a primary. */
+	/**
+	Returns whether every member that is not suspected was asked since the time; polls them once when it is not so.
+
+	Statuses of different age can look like a group without a primary, and another pool may have promoted a member during the stagger of this one.
+	*/
 	#hasFreshView(view: PromotionView, since: Milliseconds): boolean {
-		const observations = this.options.board.read('observations');
-		return view.statuses.every(({member}) => view.suspects.has(member) || (observations.get(member)?.askedAt ?? 0) >= since);
+		const {board, monitor} = this.options;
+		const observations = board.read('observations');
+		const isFresh = view.statuses.every(({member}) => view.suspects.has(member) || (observations.get(member)?.askedAt ?? 0) >= since);
+		if (!isFresh && this.#polledFor !== since) {
+			this.#polledFor = since;
+			monitor.pollNow();
+		}
+
+		return isFresh;
 	}
 
 	#waitFor(decision: PromotionDecision, rank: number): Milliseconds {
