--- a/source/entry/pool-router.spec.ts
+++ b/source/entry/pool-router.spec.ts
@@ -24,7 +24,7 @@
 type Script = (attempt: number, address: Address, body: ExecuteRequest) => ResultCodeName | undefined;
 
 // Runs a request against pools that fail as scripted, moving the clock until it ends.
-async function run(sent: RoutedRequest, script: Script, {onlyBegins = false, links = new FakePoolLinks()} = {}) {
+async function run(sent: RoutedRequest, script: Script, {isBeginAlone = false, links = new FakePoolLinks()} = {}) {
 	const services = testServices(links);
 	links.behaviour = async (body, address) => {
 		const codeName = script(links.received.length, address, body);
@@ -35,7 +35,7 @@
 		return links.execute(body);
 	};
 
-	const outcome = outcomeOf(services.router.execute(sent, mayRepeat({...sent, begins: sent.transactionId !== null, onlyBegins})));
+	const outcome = outcomeOf(services.router.execute(sent, mayRepeat({...sent, begins: sent.transactionId !== null, isBeginAlone})));
 	await settle();
 	await services.clock.advanceInSteps(1200 + abandonTime, 10);
 	return {
@@ -183,7 +183,7 @@
 
 test('a repeated BEGIN leaves a transaction open or uses its id at a second pool', async () => {
 	const sent = request({access: 'write', transactionId: 'first-id'});
-	const result = await run(sent, attempt => attempt === 1 ? 'linkOutcomeUnknown' : undefined, {onlyBegins: true});
+	const result = await run(sent, attempt => attempt === 1 ? 'linkOutcomeUnknown' : undefined, {isBeginAlone: true});
 	assert.equal(result.code, 'done');
 	assert.deepEqual(result.links.notices, [{address: result.pools[0], name: 'closeTransaction', body: {database: 'notices', transactionId: 'first-id'}}]);
 	assert.notEqual(result.links.executed[1].transactionId, 'first-id');
--- a/source/entry/retry-rules.ts
+++ b/source/entry/retry-rules.ts
@@ -39,12 +39,12 @@
 	/** Whether the request begins a transaction; the id of the request then covers the whole transaction. */
 	readonly begins: boolean;
 	/** Whether the request consists of BEGIN alone, which has no effect once its connection is closed. */
-	readonly onlyBegins: boolean;
+	readonly isBeginAlone: boolean;
 };
 
 /** Returns whether a request that may have run may be sent again. */
 export function mayRepeat(facts: RepeatFacts): boolean {
-	return facts.access === 'read' || facts.onlyBegins || (facts.requestId !== null && !facts.begins);
+	return facts.access === 'read' || facts.isBeginAlone || (facts.requestId !== null && !facts.begins);
 }
 
 // The pool answers these from what is recorded under the request id, so they hold for earlier attempts as well.
--- a/source/entry/session-executor.ts
+++ b/source/entry/session-executor.ts
@@ -264,7 +264,7 @@
 		const limit = this.services.configuration.deployment()?.limits.queueLength ?? 0;
 		const leave = this.services.admission.enter(request.database, request.access, limit);
 		try {
-			return await this.services.router.execute(request, mayRepeat({...request, begins: unit.begins, onlyBegins: unit.onlyBegins}));
+			return await this.services.router.execute(request, mayRepeat({...request, begins: unit.begins, isBeginAlone: unit.isBeginAlone}));
 		} finally {
 			leave();
 		}
--- a/source/routing/statement-classification.ts
+++ b/source/routing/statement-classification.ts
@@ -29,7 +29,7 @@
 	/** Whether a block that is open or begun is closed after the unit. */
 	readonly ends: boolean;
 	/** Whether the unit holds exactly one statement, which begins a transaction. */
-	readonly onlyBegins: boolean;
+	readonly isBeginAlone: boolean;
 };
 
 /** Classifies the statements of a query text; what is not surely a read is a write. */
@@ -89,7 +89,7 @@
 		beginsReadOnly,
 		commits: statements.some(({kind}) => kind === 'commit' || (kind === 'rollback' && statements.length > 1)),
 		ends: endsBlock(statements),
-		onlyBegins: begins.length === 1 && statements.length === 1,
+		isBeginAlone: begins.length === 1 && statements.length === 1,
 	};
 }
 
