--- a/source/settings/common-settings.ts
+++ b/source/settings/common-settings.ts
@@ -1,6 +1,4 @@
-import {
-	multioption, array, oneOf, option, string,
-} from 'cmd-ts';
+import {oneOf, option, string} from 'cmd-ts';
 import {parseAddress, type Address} from '../links/address.js';
 import {logLevels, type LogLevel} from '../observability/logger.js';
 
@@ -76,6 +74,3 @@
 export const controlsOption = option({
 	type: addressListType, long: 'controls', env: 'BUCKTHORNHITCH_CONTROLS', description: 'link addresses of the control instances',
 });
-
-/** Flag that may be given several times, as a list of texts. */
-export const repeatedTextOption = (long: string, description: string) => multioption({type: array(string), long, description});
