--- /dev/null
+++ b/source/backend-directory/backend-directory.ts
@@ -0,0 +1,150 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {ListenerSet} from '../blackboard/listener-set.js';
+import {type BackendAnnouncement, type BackendServer} from './types.js';
+
+/** A server that was not heard of for this long is no longer offered; about eight announcement periods of the platform. */
+const silenceLimit: Milliseconds = 10_000;
+
+/** A departed server is remembered this long, beyond any delay of its late announcements. */
+const departureMemory: Milliseconds = 60_000;
+
+type Entry = {
+	server: BackendServer;
+	heardAt: Milliseconds;
+	/** Version of the directory at the last change that matters to readers. */
+	version: number;
+};
+
+/** Backend servers by what they announced last. */
+export class BackendDirectory {
+	readonly #entries = new Map<string, Entry>();
+	readonly #listeners = new ListenerSet<[server: BackendServer]>();
+	#version = 0;
+
+	constructor(private readonly clock: Clock) {}
+
+	/** Version of the directory; it increases with each change of a server. */
+	get version(): number {
+		return this.#version;
+	}
+
+	/** Returns the servers that are present, leaving ones included. */
+	get servers(): readonly BackendServer[] {
+		const oldest = this.clock.now() - silenceLimit;
+		return [...this.#entries.values()].filter(entry => !entry.server.isGone && entry.heardAt >= oldest).map(entry => entry.server);
+	}
+
+	/** Calls the listener after each change of a server. */
+	onChange(listener: (server: BackendServer) => void): void {
+		this.#listeners.add(listener);
+	}
+
+	/** Returns the present servers of a service. */
+	serversOf(service: string): readonly BackendServer[] {
+		return this.servers.filter(server => server.service === service);
+	}
+
+	/** Returns a server by its id, departed ones included. */
+	find(id: string): BackendServer | undefined {
+		return this.#entries.get(id)?.server;
+	}
+
+	/** Returns milliseconds since the last announcement of a server. */
+	silenceOf(id: string): Milliseconds {
+		return this.clock.now() - (this.#entries.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY);
+	}
+
+	/** Takes over an announcement unless it is older than what is known; returns whether it was news. */
+	announce(announcement: BackendAnnouncement): boolean {
+		const entry = this.#entries.get(announcement.id);
+		if (entry && !isNewer(announcement, entry.server)) {
+			return false;
+		}
+
+		const changed = !entry || hasChanged(entry.server, announcement);
+		const isReborn = !entry || entry.server.startedAt !== announcement.startedAt;
+		const server: BackendServer = {...announcement, isGone: !isReborn && entry.server.isGone};
+		this.#entries.set(announcement.id, {server, heardAt: this.clock.now(), version: changed ? ++this.#version : entry.version});
+		this.#dropPredecessors(server);
+		if (changed) {
+			this.#listeners.notify(server);
+		}
+
+		return true;
+	}
+
+	/** Marks a server as gone. */
+	leave(id: string): boolean {
+		const entry = this.#entries.get(id);
+		if (!entry || entry.server.isGone) {
+			return false;
+		}
+
+		this.#markGone(entry);
+		return true;
+	}
+
+	/** Returns the servers that changed after a version, departed ones included. */
+	changesSince(version: number): readonly BackendServer[] {
+		return [...this.#entries.values()].filter(entry => entry.version > version).map(entry => entry.server);
+	}
+
+	/** Takes over servers from another process's directory. */
+	merge(servers: readonly BackendServer[]): void {
+		for (const server of servers) {
+			this.announce(server);
+			if (server.isGone && this.#entries.get(server.id)?.server.startedAt === server.startedAt) {
+				this.leave(server.id);
+			}
+		}
+	}
+
+	/** Takes note that other processes have heard of these servers within the given times in milliseconds. */
+	refresh(ages: Readonly<Record<string, Milliseconds>>): void {
+		const now = this.clock.now();
+		for (const [id, age] of Object.entries(ages)) {
+			const entry = this.#entries.get(id);
+			if (entry) {
+				entry.heardAt = Math.max(entry.heardAt, now - age);
+			}
+		}
+	}
+
+	/** Forgets servers that left or fell silent long ago. */
+	prune(): void {
+		const oldest = this.clock.now() - departureMemory;
+		for (const [id, entry] of this.#entries) {
+			if (entry.heardAt < oldest) {
+				this.#entries.delete(id);
+			}
+		}
+	}
+
+	/** An address belongs to the server that started there last. */
+	#dropPredecessors(server: BackendServer): void {
+		for (const entry of this.#entries.values()) {
+			const {server: other} = entry;
+			if (other.id !== server.id && other.address === server.address && !other.isGone && other.startedAt < server.startedAt) {
+				this.#markGone(entry);
+			}
+		}
+	}
+
+	#markGone(entry: Entry): void {
+		entry.server = {...entry.server, isGone: true};
+		entry.version = ++this.#version;
+		this.#listeners.notify(entry.server);
+	}
+}
+
+function isNewer(announcement: BackendAnnouncement, known: BackendAnnouncement): boolean {
+	return announcement.startedAt === known.startedAt
+		? announcement.sequence > known.sequence
+		: announcement.startedAt > known.startedAt;
+}
+
+function hasChanged(known: BackendAnnouncement, announcement: BackendAnnouncement): boolean {
+	return known.startedAt !== announcement.startedAt || known.address !== announcement.address
+		|| known.isLeaving !== announcement.isLeaving || known.role !== announcement.role
+		|| known.service !== announcement.service || known.slots !== announcement.slots;
+}
--- a/source/clock/clock.ts
+++ b/source/clock/clock.ts
@@ -27,6 +27,15 @@
 		};
 	}
 
+	/**
+	Returns the time on this clock up to which measured ages are not to be trusted, because the instance may have been suspended then.
+
+	The steady clock of the operating system stands still while an instance is suspended.
+	*/
+	suspectedUntil(): Milliseconds {
+		return Number.NEGATIVE_INFINITY;
+	}
+
 	/** Returns milliseconds since an arbitrary start; never goes back. */
 	abstract now(): Milliseconds;
 
--- a/source/control-log/entry-size.ts
+++ b/source/control-log/entry-size.ts
@@ -3,8 +3,12 @@
 /** Characters of files in one message and in one record; keeps both well within their longest size. */
 export const charactersPerBatch = 2 * 1024 * 1024;
 
-/** Returns the characters of files that a command carries, which is nearly all of its size. */
+/** Returns the characters of files or documents that a command carries, which is nearly all of its size. */
 export function fileCharacters(command: Command): number {
+	if (command.kind === 'replaceRouting') {
+		return command.document.length;
+	}
+
 	let characters = 0;
 	for (const text of command.kind === 'apply' ? Object.values(command.files) : []) {
 		characters += text.length;
--- a/source/control-log/leadership.ts
+++ b/source/control-log/leadership.ts
@@ -73,6 +73,7 @@
 	/** Whether this leader may speak for the group without asking. */
 	get leaseLive(): boolean {
 		return !this.#stopped && this.openingCommitted
+			&& quorumValue(this.#voters, this.#acknowledgedAt) > this.#options.clock.suspectedUntil()
 			&& isLeaseLive(this.#options.clock.now(), this.timing.lease, this.#voters, this.#acknowledgedAt);
 	}
 
--- a/source/control-log/state-machine.ts
+++ b/source/control-log/state-machine.ts
@@ -54,7 +54,9 @@
 			}
 
 			case 'opening':
-			case 'changeVoters': {
+			case 'changeVoters':
+			case 'replaceRouting':
+			case 'issueToken': {
 				return undefined;
 			}
 		}
--- a/source/control-log/types.ts
+++ b/source/control-log/types.ts
@@ -51,8 +51,22 @@
 	readonly list: VoterList;
 };
 
+/** Replaces the routing document if its version is higher than the accepted one. */
+export type ReplaceRoutingCommand = {
+	readonly kind: 'replaceRouting';
+	readonly version: number;
+	readonly document: string;
+};
+
+/** Issues a fencing token, which is the index of the entry. */
+export type IssueTokenCommand = {
+	readonly kind: 'issueToken';
+	/** What the token is for. */
+	readonly subject: string;
+};
+
 /** What an entry of the control log does. */
-export type Command = OpeningCommand | ApplyCommand | RegisterMemberCommand | ChangeVotersCommand;
+export type Command = OpeningCommand | ApplyCommand | RegisterMemberCommand | ChangeVotersCommand | ReplaceRoutingCommand | IssueTokenCommand;
 
 /** One entry of the control log. */
 export type LogEntry = LogEnd & {
--- a/source/control-log/voter-options.ts
+++ b/source/control-log/voter-options.ts
@@ -4,7 +4,7 @@
 import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
 import {type StateMachine, type Storage} from './storage.js';
-import {type LogEntry, type VoterRole} from './types.js';
+import {type LogEntry, type VoterRecord, type VoterRole} from './types.js';
 
 /** Times and bounds of a voter. */
 export type VoterTiming = {
@@ -18,6 +18,8 @@
 	readonly snapshotTimeout: Milliseconds;
 	/** Time after which a leader looks for voters that lost their disks, and a voter with a failed disk tries again. */
 	readonly checkPeriod: Milliseconds;
+	/** A voter that was silent for this long is replaced by a candidate. */
+	readonly replaceAfter: Milliseconds;
 	/** Entries kept in the log before they are replaced by a snapshot. */
 	readonly compactAfter: number;
 	/** Characters of files in these entries before they are replaced by a snapshot. */
@@ -33,6 +35,7 @@
 	requestTimeout: 1000,
 	snapshotTimeout: 5000,
 	checkPeriod: 1000,
+	replaceAfter: 5000,
 	compactAfter: 1000,
 	compactAfterCharacters: 8 * 1024 * 1024,
 };
@@ -62,4 +65,6 @@
 	readonly timing?: VoterTiming;
 	/** Returns the present address of a named voter, or undefined to use the one in the voter list. An instance may come back at another address. */
 	readonly addressOf?: (name: string) => Address | undefined;
+	/** Returns live control instances that may take the place of a voter that is lost for good. */
+	readonly candidates?: () => readonly VoterRecord[];
 };
--- a/source/control-log/voter-repair.ts
+++ b/source/control-log/voter-repair.ts
@@ -1,4 +1,4 @@
-import {type Cancel} from '../clock/clock.js';
+import {type Cancel, type Milliseconds} from '../clock/clock.js';
 import {type Leadership} from './leadership.js';
 import {listWithAdded, listWithoutLost, mayChangeList} from './log-rules.js';
 import {type DescribeVoterResponse} from './messages.js';
@@ -8,9 +8,11 @@
 import {type VoterTiming} from './voter-options.js';
 import {type VoterState} from './voter-state.js';
 
-/** Replaces voters that lost their disks, while this voter leads. */
+/** Replaces voters that lost their disks or fell silent for good, while this voter leads. */
 export class VoterRepair {
 	readonly #cancel: Cancel;
+	/** Start of the leadership; silence before it does not count. */
+	readonly #startedAt: Milliseconds;
 	/** New identities found, by the key of the lost one. */
 	readonly #found = new Map<string, VoterRecord>();
 	/** Commit index at the last check. */
@@ -21,6 +23,7 @@
 	#stopped = false;
 
 	constructor(private readonly state: VoterState, private readonly leadership: Leadership, private readonly timing: VoterTiming) {
+		this.#startedAt = state.options.clock.now();
 		this.#cancel = state.options.clock.repeat(timing.checkPeriod, () => {
 			this.#check();
 		});
@@ -41,11 +44,33 @@
 			}
 		}
 
+		this.#chooseCandidates(list);
+
 		this.#roundIndex = this.#checkedIndex;
 		this.#checkedIndex = this.state.commitIndex;
 		void this.#change();
 	}
 
+	/** Gives each voter that was silent for long a live instance that is not in the list. */
+	#chooseCandidates(list: VoterList): void {
+		const {clock, candidates} = this.state.options;
+		const {replaceAfter} = this.timing;
+		if (!candidates || clock.now() - this.#startedAt < replaceAfter) {
+			return;
+		}
+
+		const silent = list.voters.filter(voter => voterKey(voter) !== voterKey(this.state.self) && !this.leadership.heardFrom(voter, replaceAfter));
+		const used = new Set([...list.voters, ...list.learners].map(record => record.name));
+		const free = [...candidates()].filter(candidate => !used.has(candidate.name));
+		for (const voter of silent) {
+			const chosen = this.#found.get(voterKey(voter)) ?? free.shift();
+			if (chosen) {
+				this.#found.set(voterKey(voter), chosen);
+				this.leadership.addLearner(chosen);
+			}
+		}
+	}
+
 	/** Asks the process at the address of a silent voter whether it has another disk now. */
 	async #describe(lost: VoterRecord): Promise<void> {
 		const address = this.state.addressOf(lost);
--- a/source/control-log/voter.ts
+++ b/source/control-log/voter.ts
@@ -75,6 +75,15 @@
 		return this.#leadership?.leaseLive ?? false;
 	}
 
+	/** Milliseconds since this voter last knew a leader that a quorum follows. */
+	get leaderSilence(): Milliseconds {
+		if (this.leaseLive) {
+			return 0;
+		}
+
+		return this.#state.leader ? this.options.clock.now() - this.#state.heardAt : Number.POSITIVE_INFINITY;
+	}
+
 	/** Index of the last committed entry known here. */
 	get commitIndex(): number {
 		return this.#state.commitIndex;
--- a/source/control/request-schemas.ts
+++ b/source/control/request-schemas.ts
@@ -16,6 +16,8 @@
 		kind: z.literal('registerMember'), database: z.string(), member: z.string(), memberCount: wholeNumber,
 	}),
 	z.object({kind: z.literal('changeVoters'), list}),
+	z.object({kind: z.literal('replaceRouting'), version: z.number(), document: z.string()}),
+	z.object({kind: z.literal('issueToken'), subject: z.string()}),
 ]);
 
 const voterRequest = z.object({group: z.string(), term: wholeNumber, target: identity});
--- /dev/null
+++ b/source/promotion/promotion-decision.ts
@@ -0,0 +1,32 @@
+import {type Milliseconds} from '../clock/clock.js';
+import {compareLogPoints} from '../database-group/log-point-rules.js';
+import {type LogPoint} from '../database-group/types.js';
+import {type ContactCount} from '../registry/contact-reports.js';
+
+/** Attempts must have failed for this long before they count against a primary; longer than a lost answer and a reconnect. */
+export const suspicionTime: Milliseconds = 600;
+
+/** Share of the reporting instances that must fail to reach a primary. Below it, the requests of the cut off instances cost less than the pause of a promotion. */
+const failedShare = 0.25;
+
+/** Returns whether the primary is to be replaced because too few instances reach it. */
+export function isPrimaryLost({reached, failed}: ContactCount): boolean {
+	const reporting = reached + failed;
+	return failed > 0 && failed >= failedShare * reporting;
+}
+
+/** A member that may take over. */
+export type PromotionCandidate = {
+	readonly id: string;
+	/** Last entry that it received. */
+	readonly received: LogPoint;
+	readonly isLeaving: boolean;
+	readonly contact: ContactCount;
+};
+
+/** Returns the candidate to promote: it stays, is reached, and has received most. */
+export function chooseCandidate(candidates: readonly PromotionCandidate[]): PromotionCandidate | undefined {
+	const reachable = candidates.filter(candidate => !isPrimaryLost(candidate.contact));
+	const staying = reachable.filter(candidate => !candidate.isLeaving);
+	return staying.toSorted((first, second) => compareLogPoints(second.received, first.received)).at(0);
+}
--- /dev/null
+++ b/source/registry/messages.ts
@@ -0,0 +1,87 @@
+import {type BackendServer} from '../backend-directory/types.js';
+import {type Milliseconds} from '../clock/clock.js';
+import {type VoterRecord} from '../control-log/types.js';
+import {type LogPoint} from '../database-group/types.js';
+import {type Address} from '../links/address.js';
+import {type AcceptedRouting} from '../routing-table/routing-state-machine.js';
+
+/** A control instance as it introduces itself. */
+export type ControlRecord = VoterRecord & {
+	/** Where operators and backend servers reach it. */
+	readonly controlAddress: Address;
+	readonly dataCentre: string;
+	/** Group of voters that its data folder belongs to, or null for an empty one. */
+	readonly group: string | null;
+	/** Whether the whole system starts for the first time. */
+	readonly mayBootstrap: boolean;
+};
+
+/** Request `introduce`: control instances tell each other which ones exist. */
+export type IntroduceRequest = {
+	readonly self: ControlRecord;
+	readonly known: readonly ControlRecord[];
+};
+
+/** Response to `introduce`. */
+export type IntroduceResponse = {
+	readonly known: readonly ControlRecord[];
+};
+
+/** How an instance fares with one backend server. */
+export type MemberContact = {
+	readonly id: string;
+	/** Time since its last answer; null when it never answered. */
+	readonly answeredAgo: Milliseconds | null;
+	/** How long every attempt has failed; 0 while it answers. */
+	readonly failingFor: Milliseconds;
+};
+
+/** Request `watch` of an entry instance. */
+export type WatchRequest = {
+	readonly name: string;
+	readonly routingVersion: number;
+	/** Identifies the directory that the version belongs to. */
+	readonly directoryId: string;
+	readonly directoryVersion: number;
+	readonly contacts: readonly MemberContact[];
+};
+
+/** A point that the primary of a service confirmed. */
+export type PrimaryReport = {
+	readonly service: string;
+	readonly primary: string;
+	readonly point: LogPoint;
+	/** Time since the question was sent to the primary. */
+	readonly age: Milliseconds;
+};
+
+/** Response to `watch`. */
+export type WatchResponse = {
+	readonly controls: readonly ControlRecord[];
+	/** Time since the answering instance knew a leader that a quorum follows. */
+	readonly leaderSilence: Milliseconds;
+	/** The accepted routing, if it is newer than the one held. */
+	readonly routing: AcceptedRouting | undefined;
+	readonly directoryId: string;
+	readonly directoryVersion: number;
+	readonly changedServers: readonly BackendServer[];
+	/** Time since each present server announced itself, by id. */
+	readonly announcementAges: Readonly<Record<string, Milliseconds>>;
+	readonly primaries: readonly PrimaryReport[];
+	/** Entry instances that share the connections. */
+	readonly entryCount: number;
+};
+
+/** Request `submitRouting`. */
+export type SubmitRequest = AcceptedRouting;
+
+/** Notice `shareAnnouncements`. */
+export type ShareAnnouncements = {
+	readonly servers: readonly BackendServer[];
+};
+
+/** Request `shareContacts`: what a control instance sees of the backend servers. */
+export type ShareContacts = {
+	readonly name: string;
+	readonly contacts: readonly MemberContact[];
+};
--- /dev/null
+++ b/source/registry/registry-process.ts
@@ -0,0 +1,316 @@
+import {type BackendDirectory} from '../backend-directory/backend-directory.js';
+import {type BackendAnnouncement} from '../backend-directory/types.js';
+import {Controller} from '../blackboard/blackboard.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {parseBody, requestSchemas} from '../control/request-schemas.js';
+import {firstIndex} from '../control-log/election.js';
+import {type Storage} from '../control-log/storage.js';
+import {type VoterTiming} from '../control-log/voter-options.js';
+import {Voter} from '../control-log/voter.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient, type RequestHandler} from '../links/link-client.js';
+import {type Logger} from '../observability/logger.js';
+import {type Random, uniqueId} from '../random/random.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {checkRoutingTable} from '../routing-table/routing-rules.js';
+import {RoutingStateMachine, type AcceptedRouting, type SubmitAnswer} from '../routing-table/routing-state-machine.js';
+import {type RoutingDocumentFormat, type RoutingTable} from '../routing-table/types.js';
+import {type PrimaryMonitor} from '../promotion/primary-monitor.js';
+import {firstVoters} from './bootstrap-rules.js';
+import {ContactReports} from './contact-reports.js';
+import {type ControlDirectory} from './control-directory.js';
+import {IntroductionController} from './introduction-controller.js';
+import {
+	type ControlRecord, type IntroduceRequest, type ShareAnnouncements, type ShareContacts, type SubmitRequest, type WatchRequest, type WatchResponse,
+} from './messages.js';
+
+/** Time within which a quorum must confirm a request; below the second after which operators try another instance. */
+const confirmationTimeout: Milliseconds = 800;
+
+/** Period at which an unset voter list is looked at, and the directory is pruned. */
+const housekeepingPeriod: Milliseconds = 250;
+
+/** What a registry process needs. */
+export type RegistryOptions = {
+	readonly name: string;
+	readonly linkAddress: Address;
+	readonly controlAddress: Address;
+	readonly dataCentre: string;
+	readonly mayBootstrap: boolean;
+	readonly lostDisks: number;
+	/** Returns link addresses of the control instances that the settings name now. */
+	readonly seeds: () => readonly Address[];
+	readonly storage: Storage;
+	readonly format: RoutingDocumentFormat;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly linkClient: LinkClient;
+	readonly linkServer: {handle(name: string, handler: RequestHandler): void};
+	readonly logger: Logger;
+	readonly directory: BackendDirectory;
+	readonly controls: ControlDirectory;
+	readonly monitor: PrimaryMonitor;
+	readonly timing?: VoterTiming;
+};
+
+/** Control process of a routed deployment: keeps the routing document, the directory of backend servers and the fencing tokens. */
+export class RegistryProcess extends Controller {
+	readonly voter: Voter;
+	readonly reports: ContactReports;
+	readonly #machine = new RoutingStateMachine();
+	readonly #introductions: IntroductionController;
+	readonly #directoryId = uniqueId();
+	#table: RoutingTable | undefined;
+	#cancel: Cancel | undefined;
+	#bootstrapping = false;
+
+	constructor(private readonly options: RegistryOptions) {
+		super();
+		const {clock, linkClient, controls, logger} = options;
+		this.reports = new ContactReports(clock);
+		this.voter = new Voter({
+			name: options.name,
+			address: options.linkAddress,
+			storage: options.storage,
+			machine: this.#machine,
+			linkClient,
+			clock,
+			random: options.random,
+			logger,
+			timing: options.timing,
+			addressOf: name => controls.addressOf(name),
+			candidates: () => controls.live.filter(record => record.group === null || record.group === this.voter.describe().group),
+			observer: {
+				committed: entry => {
+					if (entry.command.kind === 'replaceRouting') {
+						this.#refreshTable();
+					}
+				},
+				restored: () => {
+					this.#refreshTable();
+				},
+				event(kind, subject, detail) {
+					logger.info(`${kind} ${subject} ${detail}`);
+				},
+				roleChanged(role) {
+					logger.info(`role ${role}`);
+				},
+			},
+		});
+		this.#introductions = new IntroductionController({
+			clock,
+			linkClient,
+			directory: controls,
+			self: () => this.#self(),
+			seeds: () => [...options.seeds(), ...this.voter.list.voters.map(voter => voter.address)],
+			contacts: () => options.monitor.contacts(),
+		});
+	}
+
+	/** The routing table known here; it may be older than the accepted one. */
+	get table(): RoutingTable | undefined {
+		return this.#table;
+	}
+
+	/** Operator address of the leader, if it is known. */
+	get leaderControlAddress(): Address | undefined {
+		const {leader} = this.voter;
+		return leader && this.options.controls.records.find(record => record.name === leader.name)?.controlAddress;
+	}
+
+	/** Reads the data folder, then answers requests. Rejects with storageCorrupt or storageFailed. */
+	async open(): Promise<void> {
+		await this.voter.open();
+		this.#refreshTable();
+		this.start();
+	}
+
+	override start(): void {
+		const {linkServer, clock, directory} = this.options;
+		const {voter} = this;
+		linkServer.handle('bootstrap', async body => voter.bootstrap(parseBody(requestSchemas.bootstrap, body)));
+		linkServer.handle('describeVoter', async () => voter.describe());
+		linkServer.handle('requestVote', async body => voter.handleVote(parseBody(requestSchemas.requestVote, body)));
+		linkServer.handle('appendEntries', async body => voter.handleAppend(parseBody(requestSchemas.appendEntries, body)));
+		linkServer.handle('installSnapshot', async body => voter.handleSnapshot(parseBody(requestSchemas.installSnapshot, body)));
+		linkServer.handle('introduce', async body => this.#introductions.answer(body as IntroduceRequest));
+		linkServer.handle('watch', async body => this.#watch(body as WatchRequest));
+		linkServer.handle('submitRouting', async body => this.#submitHere(body as SubmitRequest));
+		linkServer.handle('readRouting', async () => this.#readHere());
+		linkServer.handle('shareAnnouncements', async body => {
+			directory.merge((body as ShareAnnouncements).servers);
+		});
+		linkServer.handle('shareContacts', async body => {
+			const {name, contacts} = body as ShareContacts;
+			this.reports.receive(name, 'control', contacts);
+		});
+		this.#introductions.start();
+		this.#cancel = clock.repeat(housekeepingPeriod, () => {
+			directory.prune();
+			void this.#bootstrapIfFirst();
+		});
+	}
+
+	override async stop(): Promise<void> {
+		this.#cancel?.();
+		this.#introductions.stop();
+		await this.voter.stop();
+	}
+
+	/** Accepts a document; resolves with the version in force. Rejects with configurationInvalid, or with notLeader or notConfirmed when the outcome is not known. */
+	async submit(document: string): Promise<SubmitAnswer> {
+		const table = this.options.format.parse(document);
+		checkRoutingTable(table);
+		return await this.#atLeader('submitRouting', {version: table.version, document}, async request => this.#submitHere(request)) as SubmitAnswer;
+	}
+
+	/** Resolves with the newest accepted routing. Rejects with notLeader or notConfirmed when this is not sure. */
+	async read(): Promise<AcceptedRouting | undefined> {
+		const answer = await this.#atLeader('readRouting', null, async () => this.#readHere());
+		return answer as AcceptedRouting | null ?? undefined;
+	}
+
+	/** Takes over what a backend server says of itself and passes it on. */
+	announce(announcement: BackendAnnouncement): void {
+		const {directory, logger} = this.options;
+		const before = directory.version;
+		if (!directory.announce(announcement)) {
+			logger.debug(`ignored the announcement ${announcement.sequence} of ${announcement.id}: a later one is known`);
+			return;
+		}
+
+		if (directory.version !== before) {
+			logger.info(`backend server ${announcement.id} of ${announcement.service} is ${announcement.isLeaving ? 'leaving' : 'ready'} as ${announcement.role} at ${announcement.address}, announcement ${announcement.sequence}`);
+		}
+
+		this.#share(announcement.id);
+	}
+
+	/** Marks a backend server as gone and passes it on. */
+	leave(id: string): void {
+		if (this.options.directory.leave(id)) {
+			this.options.logger.info(`backend server ${id} left`);
+		}
+
+		this.#share(id);
+	}
+
+	/** Resolves with a fencing token, higher than every token before. Rejects with notLeader or notConfirmed. */
+	async issueToken(subject: string): Promise<number> {
+		return await this.voter.propose({kind: 'issueToken', subject}, confirmationTimeout) as number;
+	}
+
+	#share(id: string): void {
+		const server = this.options.directory.find(id);
+		if (!server) {
+			return;
+		}
+
+		for (const record of this.options.controls.records) {
+			if (record.name !== this.options.name) {
+				this.options.linkClient.notify(record.address, 'shareAnnouncements', {servers: [server]} satisfies ShareAnnouncements);
+			}
+		}
+	}
+
+	async #atLeader<Request>(name: string, request: Request, here: (request: Request) => Promise<unknown>): Promise<unknown> {
+		const {leader, self} = this.voter;
+		if (!leader || leader.name === self.name) {
+			return here(request);
+		}
+
+		const address = this.options.controls.addressOf(leader.name) ?? leader.address;
+		return this.options.linkClient.request(address, name, request, confirmationTimeout);
+	}
+
+	async #submitHere({version, document}: SubmitRequest): Promise<SubmitAnswer> {
+		await this.voter.confirmLeadership(confirmationTimeout);
+		const {accepted} = this.#machine;
+		if (accepted && version <= accepted.version) {
+			this.options.logger.info(`routing version ${version} changes nothing: version ${accepted.version} is accepted`);
+			return {version: accepted.version, replaced: false};
+		}
+
+		const answer = await this.voter.propose({kind: 'replaceRouting', version, document}, confirmationTimeout) as SubmitAnswer;
+		this.options.logger.info(`routing version ${version} ${answer.replaced ? 'accepted' : 'overtaken'}; version ${answer.version} is in force`);
+		return answer;
+	}
+
+	async #readHere(): Promise<AcceptedRouting | null> {
+		await this.voter.confirmLeadership(confirmationTimeout);
+		return this.#machine.accepted ?? null;
+	}
+
+	#watch(request: WatchRequest): WatchResponse {
+		const {directory, controls, monitor} = this.options;
+		this.reports.receive(request.name, 'entry', request.contacts);
+		const {accepted} = this.#machine;
+		const known = request.directoryId === this.#directoryId ? request.directoryVersion : 0;
+		return {
+			controls: controls.records,
+			leaderSilence: Math.min(this.voter.leaderSilence, Number.MAX_SAFE_INTEGER),
+			routing: accepted && accepted.version > request.routingVersion ? accepted : undefined,
+			directoryId: this.#directoryId,
+			directoryVersion: directory.version,
+			changedServers: directory.changesSince(known),
+			announcementAges: Object.fromEntries(directory.servers.map(server => [server.id, Math.round(directory.silenceOf(server.id))])),
+			primaries: monitor.reports(),
+			entryCount: this.reports.entryCount,
+		};
+	}
+
+	#self(): ControlRecord {
+		const {name, linkAddress, controlAddress, dataCentre, mayBootstrap} = this.options;
+		const {diskId, group} = this.voter.describe();
+		return {
+			name, diskId, group, address: linkAddress, controlAddress, dataCentre, mayBootstrap,
+		};
+	}
+
+	#refreshTable(): void {
+		const {accepted} = this.#machine;
+		if (accepted && accepted.version !== this.#table?.version) {
+			this.#table = this.options.format.parse(accepted.document);
+		}
+	}
+
+	async #bootstrapIfFirst(): Promise<void> {
+		if (this.#bootstrapping) {
+			return;
+		}
+
+		const {controls, lostDisks, seeds, logger} = this.options;
+		const voters = firstVoters({
+			self: this.#self(), live: controls.live, seeds: seeds(), lostDisks,
+		});
+		this.#bootstrapping = true;
+		try {
+			if (voters) {
+				await this.voter.bootstrap({voters: voters.map(({name, diskId, address}) => ({name, diskId, address}))});
+			}
+
+			await this.#spreadFirstList();
+		} catch (error) {
+			logger.warn(`the first voter list could not be set: ${toBuckthornhitchError(error).message}`);
+		} finally {
+			this.#bootstrapping = false;
+		}
+	}
+
+	/** Repeats the first list to every voter until a leader is elected, so that a crash in between does not leave some voters without it. */
+	async #spreadFirstList(): Promise<void> {
+		const {group, lastIndex} = this.voter.describe();
+		if (group === null || lastIndex !== firstIndex || this.voter.leader) {
+			return;
+		}
+
+		const {voters} = this.voter.list;
+		const others = voters.filter(voter => voter.name !== this.options.name);
+		await Promise.all(others.map(async voter => this.options.linkClient.request(voter.address, 'bootstrap', {voters}, confirmationTimeout)));
+	}
+}
+
+/** Returns whether the error leaves the outcome of a change open, so that it may be sent again. */
+export function mayResend(error: unknown): boolean {
+	return !(error instanceof BuckthornhitchError) || error.codeName !== 'configurationInvalid';
+}
--- /dev/null
+++ b/source/registry/routing-watcher.ts
@@ -0,0 +1,158 @@
+import {type BackendDirectory} from '../backend-directory/backend-directory.js';
+import {Controller} from '../blackboard/blackboard.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Address} from '../links/address.js';
+import {type LinkClient} from '../links/link-client.js';
+import {type Logger} from '../observability/logger.js';
+import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type RoutingDocumentFormat, type RoutingTable} from '../routing-table/types.js';
+import {
+	type ControlRecord, type MemberContact, type PrimaryReport, type WatchRequest, type WatchResponse,
+} from './messages.js';
+
+/** Pace of the questions; a change must be in force within seconds and a failover is waited for. */
+const watchPeriod: Milliseconds = 250;
+
+/** A control instance that does not answer within this time is left for another one. */
+const watchTimeout: Milliseconds = 600;
+
+/** A control instance that has had no leader for this long is left for another one. */
+const leaderSilenceLimit: Milliseconds = 1200;
+
+/** What a watcher needs. */
+export type WatcherOptions = {
+	readonly name: string;
+	readonly dataCentre: string;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly linkClient: LinkClient;
+	readonly format: RoutingDocumentFormat;
+	readonly directory: BackendDirectory;
+	/** Returns link addresses of the control instances that the settings name now. */
+	readonly seeds: () => readonly Address[];
+	readonly contacts: () => readonly MemberContact[];
+	/** Receives a newer table. */
+	readonly onTable: (table: RoutingTable) => void;
+	/** Receives what control instances confirmed, with the time at which they were asked. */
+	readonly onPrimaries: (reports: readonly PrimaryReport[], askedAt: Milliseconds) => void;
+};
+
+/** Keeps an entry instance informed by one control instance at a time. */
+export class RoutingWatcher extends Controller {
+	#controls: readonly ControlRecord[] = [];
+	#target: Address | undefined;
+	#tried = new Set<Address>();
+	#directoryId = '';
+	#directoryVersion = 0;
+	#routingVersion = -1;
+	#entryCount = 1;
+	#informedAt: Milliseconds | undefined;
+	#cancel: Cancel | undefined;
+	#stopped = false;
+
+	constructor(private readonly options: WatcherOptions) {
+		super();
+	}
+
+	/** Entry instances that share the connections. */
+	get entryCount(): number {
+		return this.#entryCount;
+	}
+
+	/** Time since a control instance with a leader answered; undefined before the first answer. */
+	get informationAge(): Milliseconds | undefined {
+		return this.#informedAt === undefined ? undefined : this.options.clock.now() - this.#informedAt;
+	}
+
+	override start(): void {
+		void this.#watch();
+	}
+
+	override stop(): void {
+		this.#stopped = true;
+		this.#cancel?.();
+	}
+
+	async #watch(): Promise<void> {
+		const {clock} = this.options;
+		const startedAt = clock.now();
+		const succeeded = await this.#ask();
+		if (this.#stopped) {
+			return;
+		}
+
+		const pause = succeeded ? watchPeriod - (clock.now() - startedAt) : 0;
+		this.#cancel = clock.schedule(Math.max(succeeded ? 1 : 50, pause), () => {
+			void this.#watch();
+		});
+	}
+
+	async #ask(): Promise<boolean> {
+		const {clock, linkClient, logger, name, contacts} = this.options;
+		this.#target ??= this.#nextTarget();
+		if (this.#target === undefined) {
+			return false;
+		}
+
+		const target = this.#target;
+		const askedAt = clock.now();
+		const request: WatchRequest = {
+			name, routingVersion: this.#routingVersion, directoryId: this.#directoryId, directoryVersion: this.#directoryVersion, contacts: contacts(),
+		};
+		try {
+			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
+			this.#receive(response, askedAt);
+			if (response.leaderSilence > leaderSilenceLimit) {
+				this.#leave(target, `it has had no leader for ${response.leaderSilence} ms`);
+				return false;
+			}
+
+			this.#informedAt = askedAt;
+			this.#tried.clear();
+			return true;
+		} catch (error) {
+			logger.warn(`control instance ${target} did not answer: ${toBuckthornhitchError(error).message}`);
+			this.#leave(target, 'no answer');
+			return false;
+		}
+	}
+
+	#leave(target: Address, reason: string): void {
+		this.options.logger.info(`leaving control instance ${target}: ${reason}; informed ${Math.round(this.informationAge ?? -1)} ms ago`);
+		this.#tried.add(target);
+		this.#target = undefined;
+	}
+
+	/** Control instances of the same data centre come first. */
+	#nextTarget(): Address | undefined {
+		const local = this.#controls.filter(record => record.dataCentre === this.options.dataCentre).map(record => record.address);
+		const others = this.#controls.map(record => record.address);
+		const addresses = [...new Set([...local, ...others, ...this.options.seeds()])];
+		const untried = addresses.find(address => !this.#tried.has(address));
+		if (untried === undefined) {
+			this.#tried = new Set();
+		}
+
+		return untried ?? addresses.at(0);
+	}
+
+	#receive(response: WatchResponse, askedAt: Milliseconds): void {
+		const {directory, format, onTable, onPrimaries, logger} = this.options;
+		if (response.controls.length > 0) {
+			this.#controls = response.controls;
+		}
+
+		this.#entryCount = Math.max(1, response.entryCount);
+		directory.merge(response.changedServers);
+		directory.refresh(response.announcementAges);
+		this.#directoryId = response.directoryId;
+		this.#directoryVersion = response.directoryVersion;
+		if (response.routing && response.routing.version > this.#routingVersion) {
+			onTable(format.parse(response.routing.document));
+			logger.info(`routing version ${response.routing.version} in force, before ${this.#routingVersion}`);
+			this.#routingVersion = response.routing.version;
+		}
+
+		onPrimaries(response.primaries, askedAt);
+	}
+}
--- /dev/null
+++ b/source/session-proxy/member-pool.ts
@@ -0,0 +1,298 @@
+import {type BackendServer} from '../backend-directory/types.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type LogPoint} from '../database-group/types.js';
+import {type Logger} from '../observability/logger.js';
+import {type MemberContact} from '../registry/messages.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type MemberConnector} from '../statement/member-link.js';
+import {type StatementReply} from '../statement/types.js';
+import {type CallerSessionState} from './caller-session-state.js';
+import {PooledLink} from './pooled-link.js';
+
+/** Time for a new connection: a round trip between regions, the wait for a slot, and the members' own time to accept it. */
+const connectTimeout: Milliseconds = 700;
+
+/** After a refusal for too many connections, no other one is opened for this long. */
+const refusalPause: Milliseconds = 150;
+
+/** A connection beyond the share is closed after it was idle for this long. */
+const surplusIdleTime: Milliseconds = 1500;
+
+/** Requests that may wait for a connection, as a multiple of the share. */
+const waitersPerConnection = 24;
+
+/** Weight of the newest answer in the smoothed answer time. */
+const smoothing = 0.2;
+
+/** An answer time is forgotten by half in this time, so that a member that was slow is tried again. */
+const forgetting: Milliseconds = 3000;
+
+type Waiter = {
+	readonly priority: number;
+	readonly session: CallerSessionState | undefined;
+	readonly resolve: (link: PooledLink) => void;
+	readonly reject: (error: BuckthornhitchError) => void;
+	cancel: Cancel;
+};
+
+/** Connections of this instance to one member. */
+export class MemberPool {
+	/** Last point that the member named, and when. */
+	point: LogPoint | undefined;
+	pointAt: Milliseconds = 0;
+	/** Time until which the member is passed over for reads, after it refused one. */
+	avoidUntil: Milliseconds = 0;
+	readonly #idle: PooledLink[] = [];
+	readonly #used = new Set<PooledLink>();
+	readonly #waiters: Waiter[] = [];
+	#opening = 0;
+	#refusedUntil = 0;
+	#answeredAt: Milliseconds | undefined;
+	#failingSince: Milliseconds | undefined;
+	#answerTime = 0;
+	#answerTimeAt = 0;
+	#closed = false;
+
+	constructor(
+		readonly server: BackendServer,
+		private readonly connector: MemberConnector,
+		private readonly clock: Clock,
+		private readonly logger: Logger,
+		/** Connections that this instance may keep, and those that it may have for a moment. */
+		private readonly limits: () => {readonly share: number; readonly most: number},
+	) {}
+
+	/** How this instance fares with the member. */
+	get contact(): MemberContact {
+		const now = this.clock.now();
+		return {
+			id: this.server.id,
+			answeredAgo: this.#answeredAt === undefined ? null : Math.round(now - this.#answeredAt),
+			failingFor: this.#failingSince === undefined ? 0 : Math.max(1, Math.round(now - this.#failingSince)),
+		};
+	}
+
+	/** Whether every attempt fails at present. */
+	get isFailing(): boolean {
+		return this.#failingSince !== undefined;
+	}
+
+	/** Connections in use and requests that wait for one. */
+	get load(): number {
+		return this.#used.size + this.#waiters.length;
+	}
+
+	/** Expected time of an answer, from the last answers and the load. */
+	get expectedAnswerTime(): Milliseconds {
+		const age = this.clock.now() - this.#answerTimeAt;
+		return this.#answerTime * (0.5 ** (age / forgetting));
+	}
+
+	/** Resolves with a connection whose session may hold other values. Rejects with queueFull, deadlinePassed, memberRefused or memberUnreachable; nothing was sent then. */
+	async acquire(timeout: Milliseconds, priority: number, session?: CallerSessionState): Promise<PooledLink> {
+		if (this.#closed) {
+			throw new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`);
+		}
+
+		const idle = this.#takeIdle(session);
+		if (idle) {
+			this.#used.add(idle);
+			return idle;
+		}
+
+		if (this.#waiters.length >= waitersPerConnection * Math.max(1, this.limits().share)) {
+			throw new BuckthornhitchError('queueFull', `${this.#waiters.length} requests wait for ${this.server.id}`);
+		}
+
+		return new Promise((resolve, reject) => {
+			const waiter: Waiter = {
+				priority,
+				session,
+				resolve,
+				reject,
+				cancel: this.clock.schedule(Math.max(0, timeout), () => {
+					this.#remove(waiter);
+					reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
+				}),
+			};
+			const position = this.#waiters.findIndex(other => other.priority > priority);
+			this.#waiters.splice(position === -1 ? this.#waiters.length : position, 0, waiter);
+			this.#openMore();
+		});
+	}
+
+	/** Gives a connection back; it must hold no transaction. A connection with an unanswered statement is closed. */
+	release(link: PooledLink): void {
+		this.#used.delete(link);
+		if (link.isPending || link.link.isClosed || this.#closed) {
+			link.link.close();
+			this.#openMore();
+			return;
+		}
+
+		link.releasedAt = this.clock.now();
+		const waiter = this.#waiters.shift();
+		if (waiter) {
+			this.#hand(waiter, link);
+			return;
+		}
+
+		this.#idle.push(link);
+		this.#closeSurplus();
+	}
+
+	/** Closes a connection whose state is not known. */
+	discard(link: PooledLink): void {
+		this.#used.delete(link);
+		link.link.close();
+		this.#openMore();
+	}
+
+	/** Takes note that the member did not answer in time. */
+	failed(since: Milliseconds): void {
+		this.#failingSince ??= since;
+	}
+
+	/** Takes note of the time of an answer to a read, in milliseconds. */
+	measured(time: Milliseconds): void {
+		const previous = this.expectedAnswerTime;
+		this.#answerTime = previous === 0 ? time : previous + (smoothing * (time - previous));
+		this.#answerTimeAt = this.clock.now();
+	}
+
+	/** Closes all connections; those in use end with their request. */
+	close(): void {
+		this.#closed = true;
+		for (const link of this.#idle.splice(0)) {
+			link.link.close();
+		}
+
+		this.#rejectWaiters(new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`));
+	}
+
+	#takeIdle(session: CallerSessionState | undefined): PooledLink | undefined {
+		for (let position = this.#idle.length - 1; position >= 0; position--) {
+			if (this.#idle[position].link.isClosed) {
+				this.#idle.splice(position, 1);
+			}
+		}
+
+		const matching = session ? this.#idle.findLastIndex(link => link.matches(session)) : -1;
+		return matching === -1 ? this.#idle.pop() : this.#idle.splice(matching, 1)[0];
+	}
+
+	#hand(waiter: Waiter, link: PooledLink): void {
+		waiter.cancel();
+		this.#used.add(link);
+		waiter.resolve(link);
+	}
+
+	#remove(waiter: Waiter): void {
+		const position = this.#waiters.indexOf(waiter);
+		if (position !== -1) {
+			this.#waiters.splice(position, 1);
+		}
+	}
+
+	#openMore(): void {
+		const open = this.#idle.length + this.#used.size + this.#opening;
+		if (this.#closed || this.#waiters.length <= this.#opening || open >= this.limits().most) {
+			return;
+		}
+
+		const pause = this.#refusedUntil - this.clock.now();
+		if (pause > 0) {
+			if (open === 0) {
+				this.clock.schedule(pause, () => {
+					this.#openMore();
+				});
+			}
+
+			return;
+		}
+
+		void this.#open();
+	}
+
+	async #open(): Promise<void> {
+		const startedAt = this.clock.now();
+		this.#opening++;
+		try {
+			const {id, service, address} = this.server;
+			const link = await this.connector.connect({id, service, address}, connectTimeout);
+			this.#opening--;
+			this.#answered();
+			this.#adoptOpened(new PooledLink(link, this.clock, reply => {
+				this.#answered(reply);
+			}));
+		} catch (error) {
+			this.#opening--;
+			this.#openFailed(toBuckthornhitchError(error), startedAt);
+		}
+	}
+
+	#adoptOpened(link: PooledLink): void {
+		link.link.onClosed(() => {
+			const position = this.#idle.indexOf(link);
+			if (position !== -1) {
+				this.#idle.splice(position, 1);
+			}
+		});
+		this.#used.add(link);
+		this.release(link);
+	}
+
+	#openFailed(error: BuckthornhitchError, startedAt: Milliseconds): void {
+		this.logger.warn(`no connection to ${this.server.id} of ${this.server.service} at ${this.server.address}: ${error.message}`);
+		this.#refusedUntil = this.clock.now() + refusalPause;
+		if (error.codeName === 'memberRefused') {
+			if (!error.detail.startsWith('connectionLimit')) {
+				this.#rejectWaiters(error);
+				return;
+			}
+
+			// Others hold the connections; the waiting requests use those that this instance has.
+			if (this.#idle.length + this.#used.size > 0) {
+				return;
+			}
+		} else {
+			this.failed(startedAt);
+			if (this.#used.size > 0) {
+				return;
+			}
+		}
+
+		this.#rejectWaiters(error);
+	}
+
+	#rejectWaiters(error: BuckthornhitchError): void {
+		for (const waiter of this.#waiters.splice(0)) {
+			waiter.cancel();
+			waiter.reject(error);
+		}
+	}
+
+	#answered(reply?: StatementReply): void {
+		this.#answeredAt = this.clock.now();
+		this.#failingSince = undefined;
+		if (reply?.point) {
+			this.point = reply.point;
+			this.pointAt = this.#answeredAt;
+		}
+	}
+
+	#closeSurplus(): void {
+		this.clock.schedule(surplusIdleTime, () => {
+			const surplus = this.#idle.length + this.#used.size - this.limits().share;
+			const oldest = this.clock.now() - surplusIdleTime;
+			for (let count = 0; count < surplus; count++) {
+				const position = this.#idle.findIndex(link => link.releasedAt <= oldest);
+				if (position === -1) {
+					return;
+				}
+
+				this.#idle.splice(position, 1)[0].link.close();
+			}
+		});
+	}
+}
--- /dev/null
+++ b/source/session-proxy/pooled-link.ts
@@ -0,0 +1,79 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type MemberLink} from '../statement/member-link.js';
+import {type MemberStatement, type PreparedShape, type StatementReply} from '../statement/types.js';
+import {sharedName, type CallerSessionState} from './caller-session-state.js';
+
+/** A connection to a member with what its session holds. */
+export class PooledLink {
+	/** Time of the last release. */
+	releasedAt: Milliseconds = 0;
+	readonly #values = new Map<string, string>();
+	readonly #prepared = new Set<string>();
+	#pending = 0;
+
+	constructor(readonly link: MemberLink, private readonly clock: Clock, private readonly onAnswer: (reply: StatementReply) => void) {}
+
+	/** Whether a statement has not been answered yet. */
+	get isPending(): boolean {
+		return this.#pending > 0;
+	}
+
+	/** Returns whether the connection holds exactly the values of the session. */
+	matches({values}: CallerSessionState): boolean {
+		return values.size === this.#values.size && [...values].every(([name, value]) => this.#values.get(name) === value);
+	}
+
+	/** Sends a statement; resolves with its answer. Rejects with linkOutcomeUnknown after the timeout in milliseconds, or when the connection ends. */
+	async execute(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
+		this.#pending++;
+		return new Promise((resolve, reject) => {
+			const cancel = this.clock.schedule(Math.max(0, timeout), () => {
+				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer within ${Math.round(timeout)} ms`));
+			});
+			this.link.execute(statement).then(reply => {
+				this.#pending--;
+				cancel();
+				this.onAnswer(reply);
+				resolve(reply);
+			}, (error: unknown) => {
+				this.#pending--;
+				cancel();
+				reject(error as Error);
+			});
+		});
+	}
+
+	/** Gives the connection the values of a session, and the prepared statement that it is about to run. Rejects when a step is refused or not answered; the connection must not be used then. */
+	async adopt(session: CallerSessionState, shape: PreparedShape | undefined, timeout: Milliseconds): Promise<void> {
+		const steps = this.#stepsTo(session, shape);
+		const replies = await Promise.all(steps.map(async step => this.execute(step, timeout)));
+		const refused = replies.find(reply => reply.outcome === 'refused');
+		if (refused?.outcome === 'refused') {
+			throw new BuckthornhitchError('memberRefused', `${refused.reason} ${refused.detail}`);
+		}
+	}
+
+	#stepsTo({values}: CallerSessionState, shape: PreparedShape | undefined): readonly MemberStatement[] {
+		const steps: MemberStatement[] = [];
+		if ([...this.#values.keys()].some(name => !values.has(name))) {
+			steps.push({kind: 'reset'});
+			this.#values.clear();
+			this.#prepared.clear();
+		}
+
+		for (const [name, value] of values) {
+			if (this.#values.get(name) !== value) {
+				steps.push({kind: 'set', name, value});
+				this.#values.set(name, value);
+			}
+		}
+
+		if (shape && !this.#prepared.has(sharedName(shape))) {
+			steps.push({kind: 'prepare', name: sharedName(shape), shape});
+			this.#prepared.add(sharedName(shape));
+		}
+
+		return steps;
+	}
+}
--- /dev/null
+++ b/source/session-proxy/read-policy.ts
@@ -0,0 +1,47 @@
+import {type Milliseconds} from '../clock/clock.js';
+import {compareLogPoints} from '../database-group/log-point-rules.js';
+import {type LogPoint} from '../database-group/types.js';
+
+/** What the choice of a member for a read knows of it. */
+export type ReadCandidate = {
+	readonly id: string;
+	readonly isPrimary: boolean;
+	readonly isLocal: boolean;
+	readonly isFailing: boolean;
+	readonly isAvoided: boolean;
+	/** Connections in use and requests waiting for one. */
+	readonly load: number;
+	readonly expectedAnswerTime: Milliseconds;
+	readonly point: LogPoint | undefined;
+	/** Age of the point. */
+	readonly pointAge: Milliseconds;
+};
+
+/** A member's point is taken for its present one for this long; replicas receive commits continuously. */
+const pointLifetime: Milliseconds = 40;
+
+/** Cost of a member in another data centre, for its traffic between data centres. */
+const remoteCost: Milliseconds = 20;
+
+/** Cost of the primary, whose slots the writes need. */
+const primaryCost: Milliseconds = 10;
+
+/** Cost of each request that the member already has from this instance. */
+const loadCost: Milliseconds = 15;
+
+/** Orders the members for a read that needs a point: the best one first, those that cannot serve it last. */
+export function orderForRead(candidates: readonly ReadCandidate[], needed: LogPoint): readonly ReadCandidate[] {
+	return candidates.toSorted((first, second) => costOf(first, needed) - costOf(second, needed));
+}
+
+const unusableCost: Milliseconds = 10_000;
+
+function costOf(candidate: ReadCandidate, needed: LogPoint): Milliseconds {
+	const isBehind = candidate.point !== undefined && candidate.pointAge < pointLifetime && compareLogPoints(candidate.point, needed) < 0;
+	return candidate.expectedAnswerTime
+		+ (candidate.load * loadCost)
+		+ (candidate.isLocal ? 0 : remoteCost)
+		+ (candidate.isPrimary ? primaryCost : 0)
+		+ (candidate.isFailing ? unusableCost : 0)
+		+ (isBehind || candidate.isAvoided ? unusableCost / 2 : 0);
+}
--- /dev/null
+++ b/source/session-proxy/session-proxy.ts
@@ -0,0 +1,148 @@
+import {type BackendDirectory} from '../backend-directory/backend-directory.js';
+import {Controller} from '../blackboard/blackboard.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Logger} from '../observability/logger.js';
+import {uniqueId} from '../random/random.js';
+import {type MemberContact, type PrimaryReport} from '../registry/messages.js';
+import {type Route, type RoutingTable} from '../routing-table/types.js';
+import {type MemberConnector} from '../statement/member-link.js';
+import {type RequestLog} from './request-log.js';
+import {ServiceClient} from './service-client.js';
+import {StatementSession} from './statement-session.js';
+
+/** What the proxy of an entry instance needs. */
+export type SessionProxyOptions = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly requestLog: RequestLog;
+	readonly directory: BackendDirectory;
+	readonly connector: MemberConnector;
+	readonly dataCentre: string;
+	readonly entryCount: () => number;
+};
+
+/** Time for which a new session waits for the first configuration; below the time after which callers give up. */
+const firstTableTimeout: Milliseconds = 1500;
+
+/** Period at which silent members are dropped. */
+const refreshPeriod: Milliseconds = 1000;
+
+/** Serves callers' sessions with the members that the configuration and the directory name. */
+export class SessionProxy extends Controller {
+	#table: RoutingTable | undefined;
+	#routes = new Map<string, Route>();
+	readonly #clients = new Map<string, ServiceClient>();
+	readonly #tableWaiters = new Set<() => void>();
+	#cancel: Cancel | undefined;
+
+	constructor(private readonly options: SessionProxyOptions) {
+		super();
+	}
+
+	/** The routing table in force on this instance. */
+	get table(): RoutingTable | undefined {
+		return this.#table;
+	}
+
+	override start(): void {
+		this.options.directory.onChange(server => {
+			this.#clients.get(server.service)?.refresh();
+		});
+		this.#cancel = this.options.clock.repeat(refreshPeriod, () => {
+			this.options.directory.prune();
+			for (const client of this.#clients.values()) {
+				client.refresh();
+			}
+		});
+	}
+
+	override stop(): void {
+		this.#cancel?.();
+	}
+
+	/** Puts a newer table in force. */
+	replaceTable(table: RoutingTable): void {
+		this.#table = table;
+		this.#routes = new Map(table.routes.map(route => [route.database, route]));
+		for (const {name} of table.services) {
+			this.#client(name);
+		}
+
+		for (const resolve of this.#tableWaiters) {
+			resolve();
+		}
+
+		this.#tableWaiters.clear();
+	}
+
+	/** Takes over what control instances confirmed. */
+	receivePrimaries(reports: readonly PrimaryReport[], askedAt: Milliseconds): void {
+		for (const report of reports) {
+			this.#clients.get(report.service)?.receiveReport(report, askedAt);
+		}
+	}
+
+	/** Returns how this instance fares with every member. */
+	contacts(): readonly MemberContact[] {
+		return [...this.#clients.values()].flatMap(client => client.contacts());
+	}
+
+	/** Opens a session; resolves with undefined when no route has the database's name, and with 'notReady' when no configuration arrived in time. */
+	async open(database: string): Promise<StatementSession | 'notReady' | undefined> {
+		if (!this.#table) {
+			await this.#firstTable();
+		}
+
+		if (!this.#table) {
+			return 'notReady';
+		}
+
+		if (!this.#routes.has(database)) {
+			return undefined;
+		}
+
+		return new StatementSession(uniqueId(), database, {
+			clock: this.options.clock,
+			dataCentre: this.options.dataCentre,
+			requestLog: this.options.requestLog,
+			table: () => this.#table,
+			route: name => this.#routes.get(name),
+			client: service => this.#client(service),
+		});
+	}
+
+	async #firstTable(): Promise<void> {
+		return new Promise(resolve => {
+			const cancel = this.options.clock.schedule(firstTableTimeout, () => {
+				this.#tableWaiters.delete(arrived);
+				resolve();
+			});
+			const arrived = (): void => {
+				cancel();
+				resolve();
+			};
+
+			this.#tableWaiters.add(arrived);
+		});
+	}
+
+	#client(service: string): ServiceClient {
+		let client = this.#clients.get(service);
+		if (!client) {
+			const {clock, logger, directory, connector, dataCentre, entryCount} = this.options;
+			client = new ServiceClient({
+				service,
+				clock,
+				logger,
+				directory,
+				connector,
+				dataCentre,
+				entryCount,
+				configuration: () => this.#table?.services.find(other => other.name === service),
+			});
+			this.#clients.set(service, client);
+		}
+
+		return client;
+	}
+}
--- /dev/null
+++ b/source/statement/member-link.ts
@@ -0,0 +1,31 @@
+import {type Milliseconds} from '../clock/clock.js';
+import {type Address} from '../links/address.js';
+import {type MemberStatement, type StatementReply} from './types.js';
+
+/** A backend server to connect to. */
+export type MemberTarget = {
+	readonly id: string;
+	readonly service: string;
+	readonly address: Address;
+};
+
+/** One open connection to a backend server; statements are answered in order. */
+export abstract class MemberLink {
+	/** Whether the connection has ended. */
+	abstract get isClosed(): boolean;
+
+	/** Sends a statement and resolves with its answer. Rejects with linkOutcomeUnknown when the connection ends first, and with linkNotSent when it had ended before. */
+	abstract execute(statement: MemberStatement): Promise<StatementReply>;
+
+	/** Closes the connection, which rolls back an open transaction. */
+	abstract close(): void;
+
+	/** Calls the listener once when the connection ends. */
+	abstract onClosed(listener: () => void): void;
+}
+
+/** Opens connections to backend servers. */
+export abstract class MemberConnector {
+	/** Opens a connection. Rejects with memberRefused, whose detail begins with the refusal reason, or with memberUnreachable. */
+	abstract connect(target: MemberTarget, timeout: Milliseconds): Promise<MemberLink>;
+}
--- /dev/null
+++ b/source/statement/types.ts
@@ -0,0 +1,71 @@
+import {type LogPoint} from '../database-group/types.js';
+
+/** A statement of a caller. The id and the text of reads, writes and commits are passed on unchanged. */
+export type Statement =
+	| {readonly kind: 'begin'; readonly id: string; readonly isReadOnly: boolean}
+	| {readonly kind: 'commit'; readonly id: string}
+	| {readonly kind: 'rollback'; readonly id: string}
+	| {readonly kind: 'read'; readonly id: string; readonly text: string}
+	| {readonly kind: 'write'; readonly id: string; readonly text: string}
+	| {readonly kind: 'set'; readonly id: string; readonly name: string; readonly value: string}
+	| {readonly kind: 'prepare'; readonly id: string; readonly name: string; readonly shape: PreparedShape}
+	| {readonly kind: 'execute'; readonly id: string; readonly name: string; readonly parameters: string}
+	| {readonly kind: 'deallocate'; readonly id: string; readonly name: string}
+	| {readonly kind: 'malformed'; readonly id: string};
+
+/** What a prepared statement does. */
+export type PreparedShape = {
+	readonly access: 'read' | 'write';
+	readonly shape: string;
+};
+
+/** A statement as a backend server receives it. */
+export type MemberStatement =
+	| {readonly kind: 'begin'; readonly isReadOnly: boolean; readonly after?: LogPoint}
+	| {readonly kind: 'commit'; readonly id: string}
+	| {readonly kind: 'rollback'}
+	| {readonly kind: 'read'; readonly id: string; readonly text: string; readonly after?: LogPoint}
+	| {readonly kind: 'write'; readonly id: string; readonly text: string}
+	| {readonly kind: 'set'; readonly name: string; readonly value: string}
+	| {readonly kind: 'prepare'; readonly name: string; readonly shape: PreparedShape}
+	| {readonly kind: 'execute'; readonly id: string; readonly name: string; readonly parameters: string; readonly after?: LogPoint}
+	| {readonly kind: 'reset'}
+	| {readonly kind: 'status'}
+	| {readonly kind: 'pause'; readonly term: number}
+	| {readonly kind: 'resume'}
+	| {readonly kind: 'demote'; readonly term: number};
+
+/** State of the transaction on a connection after a statement. */
+export type TransactionState = 'idle' | 'open' | 'failed';
+
+/** Reason for which a statement was not answered with success. */
+export type RefusalReason =
+	| 'busy' | 'lagging' | 'readOnly' | 'wrongServer' | 'connectionLimit'
+	| 'failed' | 'timeout' | 'unknownStatement' | 'unknownDatabase' | 'tooLarge'
+	| 'malformed' | 'notAuthorized' | 'aborted' | 'outcomeUnknown';
+
+/** Answer to a statement. The signature and the rows of a backend server are passed on unchanged. */
+export type StatementReply = ({
+	readonly outcome: 'done';
+	readonly rows: readonly string[];
+	readonly signature: string;
+} | {
+	readonly outcome: 'refused';
+	readonly reason: RefusalReason;
+	readonly detail: string;
+}) & {
+	readonly transaction: TransactionState;
+	/** Last point of the log of the backend server that answered, if it said one. */
+	readonly point: LogPoint | undefined;
+};
+
+/** Signature of statements that the proxy answers itself. */
+export const ownSignature = '-';
+
+/** Refusals after which a backend server has certainly not run the statement. */
+const notRunReasons: ReadonlySet<RefusalReason> = new Set(['busy', 'lagging', 'readOnly', 'wrongServer', 'connectionLimit', 'unknownStatement']);
+
+/** Returns whether the refusal of a backend server proves that the statement did not run. */
+export function isNotRun(reason: RefusalReason): boolean {
+	return notRunReasons.has(reason);
+}
