Cut the traffic between control instances and keep statements of a lost transaction inside it

Change: introductions carry a digest, announcements are shared on change only, field names are sent once a link, entries watch a local control instance; an overdue connection is rolled back after its answer.

--- a/source/backend-directory/backend-directory.ts
+++ b/source/backend-directory/backend-directory.ts
@@ -100,9 +100,9 @@
 	}
 
 	/** Takes note that other processes have heard of these servers within the given times in milliseconds. */
-	refresh(ages: Readonly<Record<string, Milliseconds>>): void {
+	refresh(ages: ReadonlyArray<readonly [id: string, age: Milliseconds]>): void {
 		const now = this.clock.now();
-		for (const [id, age] of Object.entries(ages)) {
+		for (const [id, age] of ages) {
 			const entry = this.#entries.get(id);
 			if (entry) {
 				entry.heardAt = Math.max(entry.heardAt, now - age);
--- a/source/links/framing.ts
+++ b/source/links/framing.ts
@@ -7,12 +7,24 @@
 export const maximumFrameBytes = 16 * 1024 * 1024;
 
 const headerBytes = 4;
-const encoder = new Encoder({useRecords: false, mapsAsObjects: true});
-const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
+const plainEncoder = new Encoder({useRecords: false, mapsAsObjects: true});
 
-/** Encodes a message as one frame. Throws messageTooLarge. */
+/** Encodes a message as one frame that does not depend on earlier ones. Throws messageTooLarge. */
 export function encodeFrame(message: LinkMessage): Buffer {
-	const body = encoder.encode(message);
+	return frameOf(plainEncoder.encode(message));
+}
+
+/** Encodes the messages of one link; the names of fields are sent once and referred to afterwards. */
+export class FrameWriter {
+	readonly #encoder = new Encoder({useRecords: true, sequential: true, structures: []});
+
+	/** Returns the frame of the next message. Throws messageTooLarge. */
+	encode(message: LinkMessage): Buffer {
+		return frameOf(this.#encoder.encode(message));
+	}
+}
+
+function frameOf(body: Buffer): Buffer {
 	if (body.length > maximumFrameBytes) {
 		throw new BuckthornhitchError('messageTooLarge', `The frame has ${body.length} bytes, at most ${maximumFrameBytes} are allowed.`);
 	}
@@ -25,6 +37,10 @@
 
 /** Splits a byte stream into messages. */
 export class FrameReader {
+	readonly #decoder = new Decoder({
+		useRecords: true, sequential: true, structures: [], mapsAsObjects: true,
+	});
+
 	#chunks: Buffer[] = [];
 	#buffered = 0;
 
@@ -34,7 +50,7 @@
 		this.#buffered += chunk.length;
 		const messages: LinkMessage[] = [];
 		for (let body = this.#nextBody(); body; body = this.#nextBody()) {
-			messages.push(decodeMessage(body));
+			messages.push(decodeMessage(this.#decoder, body));
 		}
 
 		return messages;
@@ -75,7 +91,7 @@
 	}
 }
 
-function decodeMessage(body: Buffer): LinkMessage {
+function decodeMessage(decoder: Decoder, body: Buffer): LinkMessage {
 	let message: unknown;
 	try {
 		message = decoder.decode(body);
--- a/source/links/link-socket.ts
+++ b/source/links/link-socket.ts
@@ -2,7 +2,7 @@
 import {type Socket} from 'node:net';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type HybridClock} from '../timeline/hybrid-clock.js';
-import {encodeFrame, FrameReader} from './framing.js';
+import {FrameReader, FrameWriter} from './framing.js';
 import {pingName, type LinkMessage} from './messages.js';
 
 /** An idle link sends a ping after this many milliseconds. */
@@ -26,6 +26,7 @@
 export class LinkSocket {
 	#lastReceived: Milliseconds;
 	readonly #reader = new FrameReader();
+	readonly #writer = new FrameWriter();
 	readonly #cancelPing: Cancel;
 
 	constructor(private readonly options: LinkSocketOptions) {
@@ -49,7 +50,7 @@
 
 	/** Writes one message. Throws messageTooLarge. */
 	send(message: MessageWithoutTime): void {
-		this.options.socket.write(encodeFrame({...message, time: this.options.hybridClock.tick()}));
+		this.options.socket.write(this.#writer.encode({...message, time: this.options.hybridClock.tick()}));
 	}
 
 	/** Closes the link at once. */
--- a/source/promotion/member-watch.ts
+++ b/source/promotion/member-watch.ts
@@ -28,20 +28,17 @@
 	#link: MemberLink | undefined;
 	#answeredAt: Milliseconds | undefined;
 	#failingSince: Milliseconds | undefined;
-	#isAsking = false;
 	#stopped = false;
-	readonly #cancel: Cancel;
+	#cancel: Cancel | undefined;
 
 	constructor(
 		readonly server: BackendServer,
 		private readonly connector: MemberConnector,
 		private readonly clock: Clock,
-		period: Milliseconds,
+		/** Returns the pace of the questions, which depends on the roles of both sides. */
+		private readonly period: (isPrimary: boolean) => Milliseconds,
 	) {
-		this.#cancel = clock.repeat(period, () => {
-			void this.#ask();
-		});
-		void this.#ask();
+		void this.#work();
 	}
 
 	/** Time since the last answer; null when there was none. */
@@ -57,7 +54,7 @@
 	/** Ends the watch and closes its connection. */
 	stop(): void {
 		this.#stopped = true;
-		this.#cancel();
+		this.#cancel?.();
 		this.#link?.close();
 	}
 
@@ -67,12 +64,19 @@
 		return this.#within(link.execute(statement), answerTimeout);
 	}
 
-	async #ask(): Promise<void> {
-		if (this.#isAsking || this.#stopped) {
-			return;
+	async #work(): Promise<void> {
+		const startedAt = this.clock.now();
+		await this.#ask();
+		if (!this.#stopped) {
+			// A member that does not answer is asked again soon, to tell a lost answer from a lost member.
+			const pace = this.period(this.primary !== undefined || this.#failingSince !== undefined);
+			this.#cancel = this.clock.schedule(Math.max(1, pace - (this.clock.now() - startedAt)), () => {
+				void this.#work();
+			});
 		}
+	}
 
-		this.#isAsking = true;
+	async #ask(): Promise<void> {
 		const startedAt = this.clock.now();
 		try {
 			const link = await this.#open();
@@ -81,8 +85,6 @@
 			this.#answered(reply, askedAt);
 		} catch {
 			this.#failed(startedAt);
-		} finally {
-			this.#isAsking = false;
 		}
 	}
 
--- a/source/promotion/primary-monitor.ts
+++ b/source/promotion/primary-monitor.ts
@@ -7,15 +7,21 @@
 import {type MemberConnector} from '../statement/member-link.js';
 import {MemberWatch} from './member-watch.js';
 
-/** Pace of the questions; a primary that answers none shows within three of them. */
-const watchPeriod: Milliseconds = 200;
+/** Pace of the leader's questions to a primary; one that answers none shows within three of them. */
+const leaderPeriod: Milliseconds = 200;
+
+/** Pace of the other instances' questions to a primary; a fraction of the age that reads may have. */
+const observerPeriod: Milliseconds = 400;
+
+/** Pace of questions to replicas. */
+const replicaPeriod: Milliseconds = 1000;
 
 /** Keeps a watch on every present backend server. */
 export class PrimaryMonitor extends Controller {
 	readonly #watches = new Map<string, MemberWatch>();
 	#cancel: Cancel | undefined;
 
-	constructor(private readonly clock: Clock, private readonly directory: BackendDirectory, private readonly connector: MemberConnector) {
+	constructor(private readonly clock: Clock, private readonly directory: BackendDirectory, private readonly connector: MemberConnector, private readonly isLeader: () => boolean) {
 		super();
 	}
 
@@ -68,6 +74,14 @@
 		return [...newest.values()];
 	}
 
+	#period(isPrimary: boolean): Milliseconds {
+		if (!isPrimary) {
+			return replicaPeriod;
+		}
+
+		return this.isLeader() ? leaderPeriod : observerPeriod;
+	}
+
 	#refresh(): void {
 		const present = new Map(this.directory.servers.map(server => [server.id, server]));
 		for (const [id, watch] of this.#watches) {
@@ -79,7 +93,7 @@
 
 		for (const [id, server] of present) {
 			if (!this.#watches.has(id)) {
-				this.#watches.set(id, new MemberWatch(server, this.connector, this.clock, watchPeriod));
+				this.#watches.set(id, new MemberWatch(server, this.connector, this.clock, isPrimary => this.#period(isPrimary)));
 			}
 		}
 	}
--- a/source/registry/control-directory.ts
+++ b/source/registry/control-directory.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
 import {type ControlRecord} from './messages.js';
@@ -6,7 +7,7 @@
 const forgetAfter: Milliseconds = 60_000;
 
 /** An instance counts as live while its last introduction is no older; three introduction periods. */
-export const liveWithin: Milliseconds = 1500;
+export const liveWithin: Milliseconds = 3000;
 
 type Known = {
 	readonly record: ControlRecord;
@@ -31,6 +32,11 @@
 		return [...this.#known.values()].filter(({heardAt}) => heardAt >= oldest).map(({record}) => record);
 	}
 
+	/** Returns a digest of the known instances, without what changes by itself. */
+	get digest(): string {
+		return createHash('sha256').update(this.records.map(record => JSON.stringify(record)).toSorted().join('\n')).digest('base64').slice(0, 12);
+	}
+
 	/** Returns the present link address of a named instance. */
 	addressOf(name: string): Address | undefined {
 		return this.#known.get(name)?.record.address;
--- a/source/registry/introduction-controller.ts
+++ b/source/registry/introduction-controller.ts
@@ -2,13 +2,18 @@
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
 import {type LinkClient} from '../links/link-client.js';
+import {type Logger} from '../observability/logger.js';
+import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type ControlDirectory} from './control-directory.js';
 import {
-	type ControlRecord, type IntroduceRequest, type IntroduceResponse, type MemberContact, type ShareContacts,
+	type CompactContacts, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
 } from './messages.js';
 
 /** Period of introductions; three of them fit into the time after which an instance is not live. */
-const introductionPeriod: Milliseconds = 500;
+const introductionPeriod: Milliseconds = 1000;
+
+/** Period while this instance has no voter list, so that the first start is short. */
+const firstStartPeriod: Milliseconds = 200;
 
 /** An introduction is answered at once, so one that takes longer than two inter-region round trips and a stall is lost. */
 const introductionTimeout: Milliseconds = 400;
@@ -16,18 +21,24 @@
 /** What introductions need. */
 export type IntroductionOptions = {
 	readonly clock: Clock;
+	readonly logger: Logger;
 	readonly linkClient: LinkClient;
 	readonly directory: ControlDirectory;
 	/** Returns this instance as it is now. */
 	readonly self: () => ControlRecord;
 	/** Returns link addresses that the settings or the voter list name. */
 	readonly seeds: () => readonly Address[];
+	/** Returns the link address of the leader. */
+	readonly leaderAddress: () => Address | undefined;
 	/** Returns what this instance sees of the backend servers. */
-	readonly contacts: () => readonly MemberContact[];
+	readonly contacts: () => CompactContacts;
+	/** Returns the backend servers that announced themselves here since the last call. */
+	readonly takeHeard: () => ReadonlyArray<readonly [id: string, age: Milliseconds]>;
 };
 
 /** Keeps the control instances known to each other. */
 export class IntroductionController extends Controller {
+	readonly #unreached = new Set<Address>();
 	#cancel: Cancel | undefined;
 
 	constructor(private readonly options: IntroductionOptions) {
@@ -36,8 +47,9 @@
 
 	override start(): void {
 		this.#introduce();
-		this.#cancel = this.options.clock.repeat(introductionPeriod, () => {
-			this.#introduce();
+		const period = this.options.self().group === null ? firstStartPeriod : introductionPeriod;
+		this.#cancel = this.options.clock.schedule(period, () => {
+			this.start();
 		});
 	}
 
@@ -47,36 +59,40 @@
 
 	/** Answers `introduce`. */
 	answer(request: IntroduceRequest): IntroduceResponse {
-		this.options.directory.heard(request.self);
-		this.options.directory.learn(request.known);
-		return {known: this.options.directory.records};
+		const {directory, self} = this.options;
+		directory.heard(request.self);
+		return {self: self(), known: request.digest === directory.digest ? undefined : directory.records};
 	}
 
 	#introduce(): void {
-		const {directory, seeds, self} = this.options;
+		const {directory, seeds, self, takeHeard} = this.options;
 		const own = self();
 		directory.heard(own);
 		const addresses = new Set([...seeds(), ...directory.records.map(record => record.address)]);
 		addresses.delete(own.address);
+		const heard = takeHeard();
 		for (const address of addresses) {
-			void this.#introduceTo(address, own);
+			void this.#introduceTo(address, own, heard);
 		}
 	}
 
-	async #introduceTo(address: Address, own: ControlRecord): Promise<void> {
-		const {directory, linkClient, contacts} = this.options;
+	async #introduceTo(address: Address, own: ControlRecord, heard: IntroduceRequest['heard']): Promise<void> {
+		const {directory, linkClient, contacts, leaderAddress, logger} = this.options;
+		const request: IntroduceRequest = {
+			self: own, digest: directory.digest, heard, contacts: leaderAddress() === address ? contacts() : undefined,
+		};
 		try {
-			const request: IntroduceRequest = {self: own, known: directory.records};
-			const {known} = await linkClient.request(address, 'introduce', request, introductionTimeout) as IntroduceResponse;
-			directory.learn(known);
-			const peer = known.find(record => record.address === address);
-			if (peer) {
-				directory.heard(peer);
+			const {self, known} = await linkClient.request(address, 'introduce', request, introductionTimeout) as IntroduceResponse;
+			directory.heard(self);
+			directory.learn(known ?? []);
+			if (this.#unreached.delete(address)) {
+				logger.info(`control instance ${self.name} at ${address} is reached again`);
+			}
+		} catch (error) {
+			if (!this.#unreached.has(address)) {
+				this.#unreached.add(address);
+				logger.warn(`control instance at ${address} is not reached: ${toBuckthornhitchError(error).message}`);
 			}
-
-			linkClient.notify(address, 'shareContacts', {name: own.name, contacts: contacts()} satisfies ShareContacts);
-		} catch {
-			// The next introduction tries again; silence shows in the directory.
 		}
 	}
 }
--- a/source/registry/messages.ts
+++ b/source/registry/messages.ts
@@ -19,12 +19,27 @@
 /** Request `introduce`: control instances tell each other which ones exist. */
 export type IntroduceRequest = {
 	readonly self: ControlRecord;
-	readonly known: readonly ControlRecord[];
+	/** Digest of the instances that the sender knows. */
+	readonly digest: string;
+	/** Backend servers that announced themselves to the sender since its last introduction, with the time since then. */
+	readonly heard: ReadonlyArray<readonly [id: string, age: Milliseconds]>;
+	/** What the sender sees of the backend servers; only the leader is told. */
+	readonly contacts: CompactContacts | undefined;
 };
 
 /** Response to `introduce`. */
 export type IntroduceResponse = {
-	readonly known: readonly ControlRecord[];
+	readonly self: ControlRecord;
+	/** All known instances, when the digests differ. */
+	readonly known: readonly ControlRecord[] | undefined;
+};
+
+/** Contacts in the form in which they are sent. */
+export type CompactContacts = {
+	/** Servers that answered lately. */
+	readonly reached: readonly string[];
+	/** Servers to which every attempt fails, and for how long. */
+	readonly failing: ReadonlyArray<readonly [id: string, failingFor: Milliseconds]>;
 };
 
 /** How an instance fares with one backend server. */
@@ -43,7 +58,9 @@
 	/** Identifies the directory that the version belongs to. */
 	readonly directoryId: string;
 	readonly directoryVersion: number;
-	readonly contacts: readonly MemberContact[];
+	readonly contacts: CompactContacts;
+	/** Digest of the control instances that the sender knows. */
+	readonly controlsDigest: string;
 };
 
 /** A point that the primary of a service confirmed. */
@@ -55,9 +72,14 @@
 	readonly age: Milliseconds;
 };
 
+/** Age up to which the announcement of a present server is not reported; above the period of announcements. */
+export const announcementFreshness: Milliseconds = 2000;
+
 /** Response to `watch`. */
 export type WatchResponse = {
-	readonly controls: readonly ControlRecord[];
+	/** The control instances, when the digest of the request differs. */
+	readonly controls: readonly ControlRecord[] | undefined;
+	readonly controlsDigest: string;
 	/** Time since the answering instance knew a leader that a quorum follows. */
 	readonly leaderSilence: Milliseconds;
 	/** The accepted routing, if it is newer than the one held. */
@@ -65,8 +87,8 @@
 	readonly directoryId: string;
 	readonly directoryVersion: number;
 	readonly changedServers: readonly BackendServer[];
-	/** Time since each present server announced itself, by id. */
-	readonly announcementAges: Readonly<Record<string, Milliseconds>>;
+	/** Present servers that did not announce themselves within `announcementFreshness`, and the time since then. */
+	readonly silentServers: ReadonlyArray<readonly [id: string, age: Milliseconds]>;
 	readonly primaries: readonly PrimaryReport[];
 	/** Entry instances that share the connections. */
 	readonly entryCount: number;
@@ -79,9 +101,3 @@
 export type ShareAnnouncements = {
 	readonly servers: readonly BackendServer[];
 };
-
-/** Request `shareContacts`: what a control instance sees of the backend servers. */
-export type ShareContacts = {
-	readonly name: string;
-	readonly contacts: readonly MemberContact[];
-};
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -17,11 +17,11 @@
 import {type RoutingDocumentFormat, type RoutingTable} from '../routing-table/types.js';
 import {type PrimaryMonitor} from '../promotion/primary-monitor.js';
 import {firstVoters} from './bootstrap-rules.js';
-import {ContactReports} from './contact-reports.js';
+import {compactContacts, ContactReports} from './contact-reports.js';
 import {type ControlDirectory} from './control-directory.js';
 import {IntroductionController} from './introduction-controller.js';
 import {
-	type ControlRecord, type IntroduceRequest, type ShareAnnouncements, type ShareContacts, type SubmitRequest, type WatchRequest, type WatchResponse,
+	announcementFreshness, type ControlRecord, type IntroduceRequest, type IntroduceResponse, type ShareAnnouncements, type SubmitRequest, type WatchRequest, type WatchResponse,
 } from './messages.js';
 
 /** Time within which a quorum must confirm a request; below the second after which operators try another instance. */
@@ -63,6 +63,8 @@
 	#table: RoutingTable | undefined;
 	#cancel: Cancel | undefined;
 	#bootstrapping = false;
+	/** Backend servers that announced themselves here since the last introduction. */
+	readonly #heard = new Set<string>();
 
 	constructor(private readonly options: RegistryOptions) {
 		super();
@@ -102,8 +104,11 @@
 			linkClient,
 			directory: controls,
 			self: () => this.#self(),
+			logger,
 			seeds: () => [...options.seeds(), ...this.voter.list.voters.map(voter => voter.address)],
-			contacts: () => options.monitor.contacts(),
+			leaderAddress: () => this.#leaderAddress(),
+			contacts: () => compactContacts(options.monitor.contacts()),
+			takeHeard: () => this.#takeHeard(),
 		});
 	}
 
@@ -133,17 +138,13 @@
 		linkServer.handle('requestVote', async body => voter.handleVote(parseBody(requestSchemas.requestVote, body)));
 		linkServer.handle('appendEntries', async body => voter.handleAppend(parseBody(requestSchemas.appendEntries, body)));
 		linkServer.handle('installSnapshot', async body => voter.handleSnapshot(parseBody(requestSchemas.installSnapshot, body)));
-		linkServer.handle('introduce', async body => this.#introductions.answer(body as IntroduceRequest));
+		linkServer.handle('introduce', async body => this.#introduced(body as IntroduceRequest));
 		linkServer.handle('watch', async body => this.#watch(body as WatchRequest));
 		linkServer.handle('submitRouting', async body => this.#submitHere(body as SubmitRequest));
 		linkServer.handle('readRouting', async () => this.#readHere());
 		linkServer.handle('shareAnnouncements', async body => {
 			directory.merge((body as ShareAnnouncements).servers);
 		});
-		linkServer.handle('shareContacts', async body => {
-			const {name, contacts} = body as ShareContacts;
-			this.reports.receive(name, 'control', contacts);
-		});
 		this.#introductions.start();
 		this.#cancel = clock.repeat(housekeepingPeriod, () => {
 			directory.prune();
@@ -181,9 +182,10 @@
 
 		if (directory.version !== before) {
 			logger.info(`backend server ${announcement.id} of ${announcement.service} is ${announcement.isLeaving ? 'leaving' : 'ready'} as ${announcement.role} at ${announcement.address}, announcement ${announcement.sequence}`);
+			this.#share(announcement.id);
 		}
 
-		this.#share(announcement.id);
+		this.#heard.add(announcement.id);
 	}
 
 	/** Marks a backend server as gone and passes it on. */
@@ -200,6 +202,26 @@
 		return await this.voter.propose({kind: 'issueToken', subject}, confirmationTimeout) as number;
 	}
 
+	#introduced(request: IntroduceRequest): IntroduceResponse {
+		this.options.directory.refresh(request.heard);
+		if (request.contacts) {
+			this.reports.receive(request.self.name, 'control', request.contacts);
+		}
+
+		return this.#introductions.answer(request);
+	}
+
+	#takeHeard(): ReadonlyArray<readonly [id: string, age: Milliseconds]> {
+		const heard = [...this.#heard].map(id => [id, Math.round(this.options.directory.silenceOf(id))] as const);
+		this.#heard.clear();
+		return heard;
+	}
+
+	#leaderAddress(): Address | undefined {
+		const {leader} = this.voter;
+		return leader && (this.options.controls.addressOf(leader.name) ?? leader.address);
+	}
+
 	#share(id: string): void {
 		const server = this.options.directory.find(id);
 		if (!server) {
@@ -219,8 +241,7 @@
 			return here(request);
 		}
 
-		const address = this.options.controls.addressOf(leader.name) ?? leader.address;
-		return this.options.linkClient.request(address, name, request, confirmationTimeout);
+		return this.options.linkClient.request(this.#leaderAddress()!, name, request, confirmationTimeout);
 	}
 
 	async #submitHere({version, document}: SubmitRequest): Promise<SubmitAnswer> {
@@ -247,13 +268,16 @@
 		const {accepted} = this.#machine;
 		const known = request.directoryId === this.#directoryId ? request.directoryVersion : 0;
 		return {
-			controls: controls.records,
+			controls: request.controlsDigest === controls.digest ? undefined : controls.records,
+			controlsDigest: controls.digest,
 			leaderSilence: Math.min(this.voter.leaderSilence, Number.MAX_SAFE_INTEGER),
 			routing: accepted && accepted.version > request.routingVersion ? accepted : undefined,
 			directoryId: this.#directoryId,
 			directoryVersion: directory.version,
 			changedServers: directory.changesSince(known),
-			announcementAges: Object.fromEntries(directory.servers.map(server => [server.id, Math.round(directory.silenceOf(server.id))])),
+			silentServers: directory.servers
+				.map(server => [server.id, Math.round(directory.silenceOf(server.id))] as const)
+				.filter(([, age]) => age > announcementFreshness),
 			primaries: monitor.reports(),
 			entryCount: this.reports.entryCount,
 		};
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -4,10 +4,12 @@
 import {type Address} from '../links/address.js';
 import {type LinkClient} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
+import {type Random} from '../random/random.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type RoutingDocumentFormat, type RoutingTable} from '../routing-table/types.js';
+import {compactContacts} from './contact-reports.js';
 import {
-	type ControlRecord, type MemberContact, type PrimaryReport, type WatchRequest, type WatchResponse,
+	announcementFreshness, type ControlRecord, type MemberContact, type PrimaryReport, type WatchRequest, type WatchResponse,
 } from './messages.js';
 
 /** Pace of the questions; a change must be in force within seconds and a failover is waited for. */
@@ -19,11 +21,15 @@
 /** A control instance that has had no leader for this long is left for another one. */
 const leaderSilenceLimit: Milliseconds = 1200;
 
+/** A local control instance that failed is tried again after this long. */
+const localRetryPause: Milliseconds = 3000;
+
 /** What a watcher needs. */
 export type WatcherOptions = {
 	readonly name: string;
 	readonly dataCentre: string;
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly logger: Logger;
 	readonly linkClient: LinkClient;
 	readonly format: RoutingDocumentFormat;
@@ -40,8 +46,10 @@
 /** Keeps an entry instance informed by one control instance at a time. */
 export class RoutingWatcher extends Controller {
 	#controls: readonly ControlRecord[] = [];
+	#controlsDigest = '';
 	#target: Address | undefined;
 	#tried = new Set<Address>();
+	#triedAt: Milliseconds = 0;
 	#directoryId = '';
 	#directoryVersion = 0;
 	#routingVersion = -1;
@@ -97,7 +105,7 @@
 		const target = this.#target;
 		const askedAt = clock.now();
 		const request: WatchRequest = {
-			name, routingVersion: this.#routingVersion, directoryId: this.#directoryId, directoryVersion: this.#directoryVersion, contacts: contacts(),
+			name, routingVersion: this.#routingVersion, directoryId: this.#directoryId, directoryVersion: this.#directoryVersion, contacts: compactContacts(contacts()), controlsDigest: this.#controlsDigest,
 		};
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
@@ -108,7 +116,12 @@
 			}
 
 			this.#informedAt = askedAt;
-			this.#tried.clear();
+			if (this.#isLocal(target)) {
+				this.#tried.clear();
+			} else {
+				this.#preferLocal(target);
+			}
+
 			return true;
 		} catch (error) {
 			logger.warn(`control instance ${target} did not answer: ${toBuckthornhitchError(error).message}`);
@@ -120,14 +133,35 @@
 	#leave(target: Address, reason: string): void {
 		this.options.logger.info(`leaving control instance ${target}: ${reason}; informed ${Math.round(this.informationAge ?? -1)} ms ago`);
 		this.#tried.add(target);
+		this.#triedAt = this.options.clock.now();
 		this.#target = undefined;
 	}
 
+	#isLocal(address: Address): boolean {
+		return this.#localControls().includes(address);
+	}
+
+	#localControls(): readonly Address[] {
+		return this.#controls.filter(record => record.dataCentre === this.options.dataCentre).map(record => record.address);
+	}
+
+	/** Leaves a remote control instance for a local one, but returns to one that failed only after a while. */
+	#preferLocal(target: Address): void {
+		const {clock} = this.options;
+		if (clock.now() - this.#triedAt > localRetryPause) {
+			this.#tried.clear();
+		}
+
+		if (this.#localControls().some(address => !this.#tried.has(address))) {
+			this.options.logger.debug(`leaving the remote control instance ${target} for a local one`);
+			this.#target = undefined;
+		}
+	}
+
 	/** Control instances of the same data centre come first. */
 	#nextTarget(): Address | undefined {
-		const local = this.#controls.filter(record => record.dataCentre === this.options.dataCentre).map(record => record.address);
 		const others = this.#controls.map(record => record.address);
-		const addresses = [...new Set([...local, ...others, ...this.options.seeds()])];
+		const addresses = [...new Set([...this.options.random.sample(this.#localControls(), others.length), ...others, ...this.options.seeds()])];
 		const untried = addresses.find(address => !this.#tried.has(address));
 		if (untried === undefined) {
 			this.#tried = new Set();
@@ -138,13 +172,15 @@
 
 	#receive(response: WatchResponse, askedAt: Milliseconds): void {
 		const {directory, format, onTable, onPrimaries, logger} = this.options;
-		if (response.controls.length > 0) {
+		if (response.controls) {
 			this.#controls = response.controls;
+			this.#controlsDigest = response.controlsDigest;
 		}
 
 		this.#entryCount = Math.max(1, response.entryCount);
 		directory.merge(response.changedServers);
-		directory.refresh(response.announcementAges);
+		const silent = new Map(response.silentServers);
+		directory.refresh(directory.servers.map(({id}) => [id, silent.get(id) ?? announcementFreshness]));
 		this.#directoryId = response.directoryId;
 		this.#directoryVersion = response.directoryVersion;
 		if (response.routing && response.routing.version > this.#routingVersion) {
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -21,6 +21,9 @@
 /** Requests that may wait for a connection, as a multiple of the share. */
 const waitersPerConnection = 24;
 
+/** An overdue answer is awaited for this long before its connection is closed; longer than the queue of a slow member. */
+const retirementTime: Milliseconds = 6000;
+
 /** Weight of the newest answer in the smoothed answer time. */
 const smoothing = 0.2;
 
@@ -141,6 +144,31 @@
 		this.#closeSurplus();
 	}
 
+	/**
+	Takes a connection out of use whose statement was not answered in time, and rolls it back once the answer arrives.
+
+	A member may run a statement that waits for a slot even after its connection was closed, and then outside its transaction.
+	*/
+	retire(link: PooledLink): void {
+		this.#used.delete(link);
+		const cancel = this.clock.schedule(retirementTime, () => {
+			link.link.close();
+		});
+		link.execute({kind: 'rollback'}, retirementTime).then(reply => {
+			cancel();
+			this.#used.add(link);
+			if (reply.transaction === 'idle') {
+				this.release(link);
+			} else {
+				this.discard(link);
+			}
+		}, () => {
+			cancel();
+			link.link.close();
+		});
+		this.#openMore();
+	}
+
 	/** Closes a connection whose state is not known. */
 	discard(link: PooledLink): void {
 		this.#used.delete(link);
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -449,7 +449,7 @@
 				: {kind: 'answered', reply};
 		} catch (error) {
 			pool.failed(startedAt);
-			pool.discard(link);
+			pool.retire(link);
 			return {kind: 'unknown', detail: toBuckthornhitchError(error).message};
 		}
 	}
@@ -664,25 +664,12 @@
 			return;
 		}
 
-		if (link.isPending) {
-			pool.discard(link);
-			return;
-		}
-
-		link.execute({kind: 'rollback'}, transaction.route.statementTimeout).then(reply => {
-			if (reply.transaction === 'idle') {
-				pool.release(link);
-			} else {
-				pool.discard(link);
-			}
-		}, () => {
-			pool.discard(link);
-		});
+		pool.retire(link);
 	}
 
 	#loseLink(transaction: OpenTransaction): void {
 		if (transaction.link) {
-			transaction.pool!.discard(transaction.link);
+			transaction.pool!.retire(transaction.link);
 			transaction.link = undefined;
 		}
 	}
