--- a/source/backend-directory/backend-directory.ts
+++ b/source/backend-directory/backend-directory.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {ListenerSet} from '../blackboard/listener-set.js';
 import {type BackendAnnouncement, type BackendServer} from './types.js';
@@ -49,6 +50,17 @@
 		return this.#entries.get(id)?.server;
 	}
 
+	/** Returns a digest of what matters to readers; the same on processes that know the same. */
+	get digest(): string {
+		const lines = [...this.#entries.values()].map(({server: {sequence, ...rest}}) => JSON.stringify(Object.entries(rest).toSorted()));
+		return createHash('sha256').update(lines.toSorted().join('\n')).digest('base64').slice(0, 12);
+	}
+
+	/** Returns every known server, departed ones included. */
+	get known(): readonly BackendServer[] {
+		return this.changesSince(-1);
+	}
+
 	/** Returns milliseconds since the last announcement of a server. */
 	silenceOf(id: string): Milliseconds {
 		return this.clock.now() - (this.#entries.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY);
--- a/source/control/request-schemas.ts
+++ b/source/control/request-schemas.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 
 const wholeNumber = z.number().int().min(0);
--- a/source/promotion/member-watch.ts
+++ b/source/promotion/member-watch.ts
@@ -3,7 +3,7 @@
 import {type LogPoint} from '../database-group/types.js';
 import {type MemberContact} from '../registry/messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type MemberConnector, type MemberLink} from '../statement/member-link.js';
+import {type MemberConnector, type MemberLink, MemberRefusal} from '../statement/member-link.js';
 import {type StatementReply} from '../statement/types.js';
 
 /** Time for a question that needs no slot; two inter-region round trips and a stall of the member's instance. */
@@ -83,7 +83,14 @@
 			const askedAt = this.clock.now();
 			const reply = await this.#within(this.#probe(link), answerTimeout);
 			this.#answered(reply, askedAt);
-		} catch {
+		} catch (error) {
+			if (error instanceof MemberRefusal && error.reason !== 'wrongServer') {
+				// The member lives, but all its connections are in use.
+				this.#answeredAt = this.clock.now();
+				this.#failingSince = undefined;
+				return;
+			}
+
 			this.#failed(startedAt);
 		}
 	}
--- a/source/registry/introduction-controller.ts
+++ b/source/registry/introduction-controller.ts
@@ -4,6 +4,7 @@
 import {type LinkClient} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type ControlDirectory} from './control-directory.js';
 import {
 	type CompactContacts, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
@@ -24,6 +25,7 @@
 	readonly logger: Logger;
 	readonly linkClient: LinkClient;
 	readonly directory: ControlDirectory;
+	readonly servers: BackendDirectory;
 	/** Returns this instance as it is now. */
 	readonly self: () => ControlRecord;
 	/** Returns link addresses that the settings or the voter list name. */
@@ -59,9 +61,13 @@
 
 	/** Answers `introduce`. */
 	answer(request: IntroduceRequest): IntroduceResponse {
-		const {directory, self} = this.options;
+		const {directory, servers, self} = this.options;
 		directory.heard(request.self);
-		return {self: self(), known: request.digest === directory.digest ? undefined : directory.records};
+		return {
+			self: self(),
+			known: request.digest === directory.digest ? undefined : directory.records,
+			servers: request.serversDigest === servers.digest ? undefined : servers.known,
+		};
 	}
 
 	#introduce(): void {
@@ -77,14 +83,19 @@
 	}
 
 	async #introduceTo(address: Address, own: ControlRecord, heard: IntroduceRequest['heard']): Promise<void> {
-		const {directory, linkClient, contacts, leaderAddress, logger} = this.options;
+		const {directory, servers: directoryOfServers, linkClient, contacts, leaderAddress, logger} = this.options;
 		const request: IntroduceRequest = {
-			self: own, digest: directory.digest, heard, contacts: leaderAddress() === address ? contacts() : undefined,
+			self: own,
+			digest: directory.digest,
+			serversDigest: directoryOfServers.digest,
+			heard,
+			contacts: leaderAddress() === address ? contacts() : undefined,
 		};
 		try {
-			const {self, known} = await linkClient.request(address, 'introduce', request, introductionTimeout) as IntroduceResponse;
+			const {self, known, servers} = await linkClient.request(address, 'introduce', request, introductionTimeout) as IntroduceResponse;
 			directory.heard(self);
 			directory.learn(known ?? []);
+			directoryOfServers.merge(servers ?? []);
 			if (this.#unreached.delete(address)) {
 				logger.info(`control instance ${self.name} at ${address} is reached again`);
 			}
--- a/source/registry/messages.ts
+++ b/source/registry/messages.ts
@@ -23,6 +23,8 @@
 	readonly digest: string;
 	/** Backend servers that announced themselves to the sender since its last introduction, with the time since then. */
 	readonly heard: ReadonlyArray<readonly [id: string, age: Milliseconds]>;
+	/** Digest of the sender's directory of backend servers. */
+	readonly serversDigest: string;
 	/** What the sender sees of the backend servers; only the leader is told. */
 	readonly contacts: CompactContacts | undefined;
 };
@@ -32,6 +34,8 @@
 	readonly self: ControlRecord;
 	/** All known instances, when the digests differ. */
 	readonly known: readonly ControlRecord[] | undefined;
+	/** All known backend servers, when the digests differ. */
+	readonly servers: readonly BackendServer[] | undefined;
 };
 
 /** Contacts in the form in which they are sent. */
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -103,6 +103,7 @@
 			clock,
 			linkClient,
 			directory: controls,
+			servers: options.directory,
 			self: () => this.#self(),
 			logger,
 			seeds: () => [...options.seeds(), ...this.voter.list.voters.map(voter => voter.address)],
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -95,14 +95,19 @@
 		});
 	}
 
+	/** Before the first answer every seed is asked at once, since any of them may be down. */
 	async #ask(): Promise<boolean> {
-		const {clock, linkClient, logger, name, contacts} = this.options;
-		this.#target ??= this.#nextTarget();
-		if (this.#target === undefined) {
-			return false;
+		if (this.#informedAt === undefined) {
+			const answers = await Promise.all(this.options.seeds().map(async seed => this.#informedAt === undefined && this.#askAt(seed)));
+			return answers.some(Boolean);
 		}
 
-		const target = this.#target;
+		this.#target ??= this.#nextTarget();
+		return this.#target !== undefined && this.#askAt(this.#target);
+	}
+
+	async #askAt(target: Address): Promise<boolean> {
+		const {clock, linkClient, logger, name, contacts} = this.options;
 		const askedAt = clock.now();
 		const request: WatchRequest = {
 			name, routingVersion: this.#routingVersion, directoryId: this.#directoryId, directoryVersion: this.#directoryVersion, contacts: compactContacts(contacts()), controlsDigest: this.#controlsDigest,
@@ -131,6 +136,10 @@
 	}
 
 	#leave(target: Address, reason: string): void {
+		if (this.#informedAt === undefined) {
+			return;
+		}
+
 		this.options.logger.info(`leaving control instance ${target}: ${reason}; informed ${Math.round(this.informationAge ?? -1)} ms ago`);
 		this.#tried.add(target);
 		this.#triedAt = this.options.clock.now();
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -4,7 +4,7 @@
 import {type Logger} from '../observability/logger.js';
 import {type MemberContact} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type MemberConnector} from '../statement/member-link.js';
+import {MemberRefusal, type MemberConnector} from '../statement/member-link.js';
 import {type StatementReply} from '../statement/types.js';
 import {type CallerSessionState} from './caller-session-state.js';
 import {PooledLink} from './pooled-link.js';
@@ -15,10 +15,19 @@
 /** After a refusal for too many connections, no other one is opened for this long. */
 const refusalPause: Milliseconds = 150;
 
-/** A connection beyond the share is closed after it was idle for this long. */
-const surplusIdleTime: Milliseconds = 1500;
+/** A connection beyond the first one is closed after it was idle for this long, since members hold on to those of a lost instance for seconds. */
+const surplusIdleTime: Milliseconds = 1000;
 
-/** Requests that may wait for a connection, as a multiple of the share. */
+/** Connections that an instance may have before it has seen that more are accepted. */
+const firstCeiling = 2;
+
+/** The ceiling rises by one at this pace while requests wait. */
+const growthPause: Milliseconds = 150;
+
+/** After a refusal for too many connections the ceiling stays where it is for this long. */
+const cautionTime: Milliseconds = 2000;
+
+/** Requests that may wait for each connection; as many as the queue of a member holds. */
 const waitersPerConnection = 24;
 
 /** An overdue answer is awaited for this long before its connection is closed; longer than the queue of a slow member. */
@@ -50,6 +59,10 @@
 	readonly #waiters: Waiter[] = [];
 	#opening = 0;
 	#refusedUntil = 0;
+	#refusedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	#ceiling = firstCeiling;
+	#raisedAt: Milliseconds = 0;
+	#isFailureLogged = false;
 	#answeredAt: Milliseconds | undefined;
 	#failingSince: Milliseconds | undefined;
 	#answerTime = 0;
@@ -61,8 +74,8 @@
 		private readonly connector: MemberConnector,
 		private readonly clock: Clock,
 		private readonly logger: Logger,
-		/** Connections that this instance may keep, and those that it may have for a moment. */
-		private readonly limits: () => {readonly share: number; readonly most: number},
+		/** Returns how many connections this instance may have. */
+		private readonly mostConnections: () => number,
 	) {}
 
 	/** How this instance fares with the member. */
@@ -103,7 +116,7 @@
 			return idle;
 		}
 
-		if (this.#waiters.length >= waitersPerConnection * Math.max(1, this.limits().share)) {
+		if (this.#waiters.length >= waitersPerConnection * this.mostConnections()) {
 			throw new BuckthornhitchError('queueFull', `${this.#waiters.length} requests wait for ${this.server.id}`);
 		}
 
@@ -145,27 +158,16 @@
 	}
 
 	/**
-	Takes a connection out of use whose statement was not answered in time, and rolls it back once the answer arrives.
+	Takes a connection out of use, and rolls it back once its last statement was answered.
 
-	A member may run a statement that waits for a slot even after its connection was closed, and then outside its transaction.
+	A member may run a statement that waits for a slot even after its connection was closed, and then outside its transaction. For the same reason nothing is sent behind such a statement.
 	*/
 	retire(link: PooledLink): void {
 		this.#used.delete(link);
 		const cancel = this.clock.schedule(retirementTime, () => {
 			link.link.close();
 		});
-		link.execute({kind: 'rollback'}, retirementTime).then(reply => {
-			cancel();
-			this.#used.add(link);
-			if (reply.transaction === 'idle') {
-				this.release(link);
-			} else {
-				this.discard(link);
-			}
-		}, () => {
-			cancel();
-			link.link.close();
-		});
+		void this.#rollBack(link).finally(cancel);
 		this.#openMore();
 	}
 
@@ -176,9 +178,11 @@
 		this.#openMore();
 	}
 
-	/** Takes note that the member did not answer in time. */
+	/** Takes note that the member did not answer what was sent at the time; an answer since then shows that it lives. */
 	failed(since: Milliseconds): void {
-		this.#failingSince ??= since;
+		if (this.#answeredAt === undefined || this.#answeredAt < since) {
+			this.#failingSince ??= since;
+		}
 	}
 
 	/** Takes note of the time of an answer to a read, in milliseconds. */
@@ -209,6 +213,23 @@
 		return matching === -1 ? this.#idle.pop() : this.#idle.splice(matching, 1)[0];
 	}
 
+	async #rollBack(link: PooledLink): Promise<void> {
+		try {
+			await link.settled();
+			const reply = await link.execute({kind: 'rollback'}, retirementTime);
+			if (reply.transaction === 'idle') {
+				this.release(link);
+				return;
+			}
+
+			this.logger.warn(`a connection to ${this.server.id} is ${reply.transaction} after a rollback`);
+		} catch (error) {
+			this.logger.debug(`a connection to ${this.server.id} was not rolled back: ${toBuckthornhitchError(error).message}`);
+		}
+
+		link.link.close();
+	}
+
 	#hand(waiter: Waiter, link: PooledLink): void {
 		waiter.cancel();
 		this.#used.add(link);
@@ -224,7 +245,7 @@
 
 	#openMore(): void {
 		const open = this.#idle.length + this.#used.size + this.#opening;
-		if (this.#closed || this.#waiters.length <= this.#opening || open >= this.limits().most) {
+		if (this.#closed || this.#waiters.length <= this.#opening || open >= this.#raisedCeiling(open)) {
 			return;
 		}
 
@@ -242,6 +263,18 @@
 		void this.#open();
 	}
 
+	/** Returns how many connections may be open now; it rises slowly, and falls when the member refuses one. */
+	#raisedCeiling(open: number): number {
+		const now = this.clock.now();
+		if (open >= this.#ceiling && now - this.#raisedAt >= growthPause && now - this.#refusedAt >= cautionTime) {
+			this.#ceiling++;
+			this.#raisedAt = now;
+		}
+
+		this.#ceiling = Math.min(this.#ceiling, this.mostConnections());
+		return this.#ceiling;
+	}
+
 	async #open(): Promise<void> {
 		const startedAt = this.clock.now();
 		this.#opening++;
@@ -250,6 +283,7 @@
 			const link = await this.connector.connect({id, service, address}, connectTimeout);
 			this.#opening--;
 			this.#answered();
+			this.#isFailureLogged = false;
 			this.#adoptOpened(new PooledLink(link, this.clock, reply => {
 				this.#answered(reply);
 			}));
@@ -271,14 +305,20 @@
 	}
 
 	#openFailed(error: BuckthornhitchError, startedAt: Milliseconds): void {
-		this.logger.warn(`no connection to ${this.server.id} of ${this.server.service} at ${this.server.address}: ${error.message}`);
+		if (!this.#isFailureLogged) {
+			this.#isFailureLogged = true;
+			this.logger.warn(`no connection to ${this.server.id} of ${this.server.service} at ${this.server.address}: ${error.message}`);
+		}
+
 		this.#refusedUntil = this.clock.now() + refusalPause;
-		if (error.codeName === 'memberRefused') {
-			if (!error.detail.startsWith('connectionLimit')) {
+		if (error instanceof MemberRefusal) {
+			if (error.reason !== 'connectionLimit') {
 				this.#rejectWaiters(error);
 				return;
 			}
 
+			this.#refusedAt = this.clock.now();
+			this.#ceiling = Math.max(1, this.#idle.length + this.#used.size);
 			// Others hold the connections; the waiting requests use those that this instance has.
 			if (this.#idle.length + this.#used.size > 0) {
 				return;
@@ -311,7 +351,7 @@
 
 	#closeSurplus(): void {
 		this.clock.schedule(surplusIdleTime, () => {
-			const surplus = this.#idle.length + this.#used.size - this.limits().share;
+			const surplus = this.#idle.length + this.#used.size - 1;
 			const oldest = this.clock.now() - surplusIdleTime;
 			for (let count = 0; count < surplus; count++) {
 				const position = this.#idle.findIndex(link => link.releasedAt <= oldest);
--- a/source/session-proxy/pooled-link.ts
+++ b/source/session-proxy/pooled-link.ts
@@ -1,6 +1,6 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type MemberLink} from '../statement/member-link.js';
+import {type MemberLink, MemberRefusal} from '../statement/member-link.js';
 import {type MemberStatement, type PreparedShape, type StatementReply} from '../statement/types.js';
 import {sharedName, type CallerSessionState} from './caller-session-state.js';
 
@@ -11,6 +11,7 @@
 	readonly #values = new Map<string, string>();
 	readonly #prepared = new Set<string>();
 	#pending = 0;
+	#lastAnswer: Promise<unknown> = Promise.resolve();
 
 	constructor(readonly link: MemberLink, private readonly clock: Clock, private readonly onAnswer: (reply: StatementReply) => void) {}
 
@@ -24,6 +25,13 @@
 		return values.size === this.#values.size && [...values].every(([name, value]) => this.#values.get(name) === value);
 	}
 
+	/** Resolves once every statement sent so far was answered or lost with the connection. */
+	async settled(): Promise<void> {
+		while (this.isPending) {
+			await this.#lastAnswer;
+		}
+	}
+
 	/** Sends a statement; resolves with its answer. Rejects with linkOutcomeUnknown after the timeout in milliseconds, or when the connection ends. */
 	async execute(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
 		this.#pending++;
@@ -31,7 +39,7 @@
 			const cancel = this.clock.schedule(Math.max(0, timeout), () => {
 				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer within ${Math.round(timeout)} ms`));
 			});
-			this.link.execute(statement).then(reply => {
+			this.#lastAnswer = this.link.execute(statement).then(reply => {
 				this.#pending--;
 				cancel();
 				this.onAnswer(reply);
@@ -50,7 +58,7 @@
 		const replies = await Promise.all(steps.map(async step => this.execute(step, timeout)));
 		const refused = replies.find(reply => reply.outcome === 'refused');
 		if (refused?.outcome === 'refused') {
-			throw new BuckthornhitchError('memberRefused', `${refused.reason} ${refused.detail}`);
+			throw new MemberRefusal(refused.reason, refused.detail);
 		}
 	}
 
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -42,6 +42,7 @@
 export class ServiceClient {
 	readonly freshness: Freshness;
 	readonly #pools = new Map<string, MemberPool>();
+	readonly #probed = new Set<MemberPool>();
 	#primary: string | undefined;
 	/** Term in which the primary was last seen to lead. */
 	#primaryTerm = 0;
@@ -114,6 +115,18 @@
 		}
 	}
 
+	/** Asks the members that did not answer again, since reads pass them over until they do. */
+	probeFailing(): void {
+		for (const pool of this.#pools.values()) {
+			if (pool.isFailing && !this.#probed.has(pool)) {
+				this.#probed.add(pool);
+				void this.#confirm(pool, this.options.clock.now() + confirmTimeout).finally(() => {
+					this.#probed.delete(pool);
+				});
+			}
+		}
+	}
+
 	/** Returns the pool of a member. */
 	poolOf(id: string): MemberPool | undefined {
 		return this.#pools.get(id);
@@ -213,8 +226,7 @@
 		const {connector, clock, logger, configuration, entryCount} = this.options;
 		return new MemberPool(server, connector, clock, logger, () => {
 			const limit = Math.max(1, (configuration()?.connectionLimit ?? 0) - reservedConnections);
-			const share = Math.max(1, Math.floor(limit / Math.max(1, entryCount())));
-			return {share, most: share * surplusFactor};
+			return Math.max(1, Math.floor(limit / Math.max(1, entryCount()))) * surplusFactor;
 		});
 	}
 }
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -27,6 +27,9 @@
 /** Period at which silent members are dropped. */
 const refreshPeriod: Milliseconds = 1000;
 
+/** Period at which members that do not answer are asked again. */
+const probePeriod: Milliseconds = 300;
+
 /** Serves callers' sessions with the members that the configuration and the directory name. */
 export class SessionProxy extends Controller {
 	#table: RoutingTable | undefined;
@@ -34,6 +37,7 @@
 	readonly #clients = new Map<string, ServiceClient>();
 	readonly #tableWaiters = new Set<() => void>();
 	#cancel: Cancel | undefined;
+	#cancelProbe: Cancel | undefined;
 
 	constructor(private readonly options: SessionProxyOptions) {
 		super();
@@ -48,6 +52,11 @@
 		this.options.directory.onChange(server => {
 			this.#clients.get(server.service)?.refresh();
 		});
+		this.#cancelProbe = this.options.clock.repeat(probePeriod, () => {
+			for (const client of this.#clients.values()) {
+				client.probeFailing();
+			}
+		});
 		this.#cancel = this.options.clock.repeat(refreshPeriod, () => {
 			this.options.directory.prune();
 			for (const client of this.#clients.values()) {
@@ -58,6 +67,7 @@
 
 	override stop(): void {
 		this.#cancel?.();
+		this.#cancelProbe?.();
 	}
 
 	/** Puts a newer table in force. */
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -5,6 +5,7 @@
 import {
 	isNotRun, ownSignature, type MemberStatement, type PreparedShape, type RefusalReason, type Statement, type StatementReply, type TransactionState,
 } from '../statement/types.js';
+import {MemberRefusal} from '../statement/member-link.js';
 import {CallerSessionState, sharedName} from './caller-session-state.js';
 import {type OwnCommit} from './freshness.js';
 import {type MemberPool} from './member-pool.js';
@@ -281,7 +282,7 @@
 	}
 
 	async #afterNotRun(client: ServiceClient, pool: MemberPool, reason: RefusalReason): Promise<void> {
-		if (reason === 'busy') {
+		if (reason === 'busy' || reason === 'connectionLimit') {
 			await this.services.clock.sleep(busyPause);
 			return;
 		}
@@ -448,7 +449,7 @@
 				? {kind: 'notRun', reason: reply.reason, detail: reply.detail}
 				: {kind: 'answered', reply};
 		} catch (error) {
-			pool.failed(startedAt);
+			noteLoss(pool, error, startedAt);
 			pool.retire(link);
 			return {kind: 'unknown', detail: toBuckthornhitchError(error).message};
 		}
@@ -469,7 +470,8 @@
 
 	async #inTransaction(transaction: OpenTransaction, work: Work): Promise<StatementReply> {
 		const {clock} = this.services;
-		const deadline = clock.now() + transaction.route.statementTimeout - answerMargin;
+		const startedAt = clock.now();
+		const deadline = startedAt + transaction.route.statementTimeout - answerMargin;
 		const wasOpen = transaction.link !== undefined;
 		if (!wasOpen) {
 			const refusal = await this.#openTransaction(transaction, work.shape, deadline);
@@ -489,7 +491,7 @@
 			}
 
 			transaction.hasWritten ||= work.access === 'write';
-			const reply = await this.#executeWhileBusy(link, work.statement(), deadline);
+			const reply = await this.#executeWhileBusy(transaction, work.statement(), deadline);
 			this.#log(work.id, `${work.access} in transaction`, describeReply(reply), {member: transaction.pool!.server.id});
 			if (reply.transaction !== 'open') {
 				return this.#failTransaction(work.id, reply.outcome === 'refused' ? reply.reason : 'aborted', reply.outcome === 'refused' ? reply.detail : '');
@@ -497,7 +499,7 @@
 
 			return reply;
 		} catch (error) {
-			transaction.pool!.failed(clock.now());
+			noteLoss(transaction.pool, error, startedAt);
 			this.#loseLink(transaction);
 			// Nothing is kept: the connection is closed before a commit was sent.
 			return this.#failTransaction(work.id, 'aborted', toBuckthornhitchError(error).message);
@@ -505,9 +507,14 @@
 	}
 
 	/** Sends a statement again while the member is too busy for it and keeps the transaction. */
-	async #executeWhileBusy(link: PooledLink, statement: MemberStatement, deadline: Milliseconds): Promise<StatementReply> {
+	async #executeWhileBusy(transaction: OpenTransaction, statement: MemberStatement, deadline: Milliseconds): Promise<StatementReply> {
 		const {clock} = this.services;
 		for (;;) {
+			const {link} = transaction;
+			if (!link) {
+				throw new BuckthornhitchError('transactionLost', 'the caller left, or the transaction was idle for too long');
+			}
+
 			const reply = await link.execute(statement, deadline - clock.now());
 			const mayRepeat = reply.outcome === 'refused' && reply.reason === 'busy' && reply.transaction === 'open';
 			if (!mayRepeat || clock.now() + busyPause >= deadline) {
@@ -584,7 +591,7 @@
 			return undefined;
 		} catch (error) {
 			if (link) {
-				pool.failed(startedAt);
+				noteLoss(pool, error, startedAt);
 				pool.discard(link);
 			}
 
@@ -612,15 +619,16 @@
 
 		const startedAt = clock.now();
 		try {
-			const reply = await this.#executeWhileBusy(transaction.link, {kind: 'commit', id}, deadline);
+			const reply = await this.#executeWhileBusy(transaction, {kind: 'commit', id}, deadline);
 			this.#log(id, 'commit', describeReply(reply), {member: transaction.pool!.server.id, elapsed: Math.round(clock.now() - startedAt)});
 			if (reply.outcome === 'done' && transaction.hasWritten) {
 				transaction.client.primaryAnswered(transaction.pool!.server.id, reply.point, startedAt);
 				this.#committed(reply.point);
 			}
 
-			if (reply.transaction === 'idle') {
+			if (transaction.link && reply.transaction === 'idle') {
 				transaction.pool!.release(transaction.link);
+				transaction.link = undefined;
 			} else {
 				this.#returnLink(transaction);
 			}
@@ -738,7 +746,14 @@
 }
 
 function reasonOf(error: unknown): RefusalReason {
-	return error instanceof BuckthornhitchError && error.codeName === 'memberRefused' && error.detail.startsWith('wrongServer') ? 'wrongServer' : 'busy';
+	return error instanceof MemberRefusal ? error.reason : 'busy';
+}
+
+/** A statement without an answer is a sign that the member is lost. */
+function noteLoss(pool: MemberPool | undefined, error: unknown, startedAt: Milliseconds): void {
+	if (toBuckthornhitchError(error).codeName === 'linkOutcomeUnknown') {
+		pool?.failed(startedAt);
+	}
 }
 
 function describeAttempt(attempt: Attempt): string {
--- a/source/statement/member-link.ts
+++ b/source/statement/member-link.ts
@@ -1,6 +1,7 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
-import {type MemberStatement, type StatementReply} from './types.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type MemberStatement, type RefusalReason, type StatementReply} from './types.js';
 
 /** A backend server to connect to. */
 export type MemberTarget = {
@@ -9,6 +10,13 @@
 	readonly address: Address;
 };
 
+/** A backend server answered that it takes no connection. */
+export class MemberRefusal extends BuckthornhitchError {
+	constructor(readonly reason: RefusalReason, detail: string) {
+		super('memberRefused', `${reason} ${detail}`);
+	}
+}
+
 /** One open connection to a backend server; statements are answered in order. */
 export abstract class MemberLink {
 	/** Whether the connection has ended. */
@@ -26,6 +34,6 @@
 
 /** Opens connections to backend servers. */
 export abstract class MemberConnector {
-	/** Opens a connection. Rejects with memberRefused, whose detail begins with the refusal reason, or with memberUnreachable. */
+	/** Opens a connection. Rejects with a MemberRefusal or with memberUnreachable. */
 	abstract connect(target: MemberTarget, timeout: Milliseconds): Promise<MemberLink>;
 }
