Split the session by its parts and test it with members in memory

Change: reads, writes, transactions and attempts have modules of their own; fake members; tests for sessions, freshness, the directory, the routing document, promotions and the wire. An announcement of the server that had an address before is taken for late.

--- a/source/backend-directory/backend-directory.ts
+++ b/source/backend-directory/backend-directory.ts
@@ -46,14 +46,14 @@
 	}
 
 	/** Returns a server by its id, departed ones included. */
-	find(id: string): BackendServer | undefined {
+	serverOf(id: string): BackendServer | undefined {
 		return this.#entries.get(id)?.server;
 	}
 
 	/** Returns a digest of what matters to readers; the same on processes that know the same. */
 	get digest(): string {
-		const lines = [...this.#entries.values()].map(({server: {sequence, ...rest}}) => JSON.stringify(Object.entries(rest).toSorted()));
-		return createHash('sha256').update(lines.toSorted().join('\n')).digest('base64').slice(0, 12);
+		const lines = [...this.#entries.values()].map(({server: {sequence, ...rest}}) => JSON.stringify(Object.entries(rest).toSorted(([first], [second]) => first.localeCompare(second))));
+		return createHash('sha256').update(lines.toSorted((first, second) => first.localeCompare(second)).join('\n')).digest('base64').slice(0, 12);
 	}
 
 	/** Returns every known server, departed ones included. */
@@ -74,8 +74,8 @@
 		}
 
 		const changed = !entry || hasChanged(entry.server, announcement);
-		const isReborn = !entry || entry.server.startedAt !== announcement.startedAt;
-		const server: BackendServer = {...announcement, isGone: !isReborn && entry.server.isGone};
+		const isSameLife = entry?.server.startedAt === announcement.startedAt;
+		const server: BackendServer = {...announcement, isGone: isSameLife && (entry?.server.isGone ?? false)};
 		this.#entries.set(announcement.id, {server, heardAt: this.clock.now(), version: changed ? ++this.#version : entry.version});
 		this.#dropPredecessors(server);
 		if (changed) {
@@ -133,10 +133,11 @@
 	}
 
 	/** An address belongs to the server that started there last. */
-	#dropPredecessors(server: BackendServer): void {
-		for (const entry of this.#entries.values()) {
-			const {server: other} = entry;
-			if (other.id !== server.id && other.address === server.address && !other.isGone && other.startedAt < server.startedAt) {
+	#dropPredecessors({address}: BackendServer): void {
+		const present = [...this.#entries.values()].filter(({server}) => server.address === address && !server.isGone);
+		const latest = Math.max(...present.map(({server}) => server.startedAt));
+		for (const entry of present) {
+			if (entry.server.startedAt < latest) {
 				this.#markGone(entry);
 			}
 		}
--- /dev/null
+++ b/source/promotion/member-watch.spec.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {FakeConnector, FakeMember} from '../session-proxy/member-fake.js';
+import {announcementOf} from '../session-proxy/session-fixture.js';
+import {MemberWatch} from './member-watch.js';
+
+function watched(): {readonly clock: ManualClock; readonly member: FakeMember; readonly watch: MemberWatch} {
+	const clock = new ManualClock();
+	const member = new FakeMember({...announcementOf('a'), isGone: false});
+	member.role = 'primary';
+	return {clock, member, watch: new MemberWatch(member.server, new FakeConnector([member]), clock, () => 200)};
+}
+
+test('a primary confirms its point, and a replica confirms none', async () => {
+	const {clock, member, watch} = watched();
+	await clock.advanceInSteps(50, 10);
+	assert.deepEqual(watch.primary?.point, {term: 1, position: 1});
+	member.role = 'replica';
+	await clock.advanceInSteps(300, 10);
+	assert.equal(watch.primary, undefined);
+	assert.equal(watch.contact.failingFor, 0);
+	watch.stop();
+});
+
+test('a member that answers nothing is failing', async () => {
+	const {clock, member, watch} = watched();
+	await clock.advanceInSteps(50, 10);
+	member.isDark = true;
+	await clock.advanceInSteps(1500, 10);
+	assert.ok(watch.contact.failingFor >= 600);
+	watch.stop();
+});
+
+test('a member whose connections are all in use is not taken for lost', async () => {
+	const {clock, member, watch} = watched();
+	member.isFull = true;
+	await clock.advanceInSteps(50, 10);
+	for (const link of member.links) {
+		link.close();
+	}
+
+	await clock.advanceInSteps(2000, 10);
+	assert.equal(watch.contact.failingFor, 0);
+	watch.stop();
+});
--- a/source/promotion/member-watch.ts
+++ b/source/promotion/member-watch.ts
@@ -2,7 +2,7 @@
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type LogPoint} from '../database-group/types.js';
 import {type MemberContact} from '../registry/messages.js';
-import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnector, type MemberLink, MemberRefusal} from '../statement/member-link.js';
 import {type StatementReply} from '../statement/types.js';
 
@@ -111,7 +111,7 @@
 		this.point = reply.point ?? this.point;
 		const leads = reply.outcome === 'done' && reply.point !== undefined;
 		if (leads) {
-			this.primary = {point: reply.point!, askedAt};
+			this.primary = {point: reply.point, askedAt};
 		} else if (reply.outcome === 'refused' && reply.reason === 'readOnly') {
 			this.primary = undefined;
 		}
@@ -149,7 +149,7 @@
 				resolve(reply);
 			}, (error: unknown) => {
 				cancel();
-				reject(error as Error);
+				reject(toBuckthornhitchError(error));
 			});
 		});
 	}
--- a/source/promotion/promotion-controller.ts
+++ b/source/promotion/promotion-controller.ts
@@ -103,7 +103,9 @@
 			this.#leaderlessSince.set(service, since);
 			const patience = known.length > 0 ? 0 : unknownPrimaryTime;
 			if (watched.length > 0 && isLost && this.options.clock.now() - since >= patience) {
-				void this.#replace({service, members, primary: known.at(0), synchronousReplicas, isPlanned: false});
+				void this.#replace({
+					service, members, primary: known.at(0), synchronousReplicas, isPlanned: false,
+				});
 			}
 
 			return;
@@ -111,9 +113,13 @@
 
 		this.#leaderlessSince.delete(service);
 		if (primary.isLeaving || primary.isGone) {
-			void this.#replace({service, members, primary, synchronousReplicas, isPlanned: true});
+			void this.#replace({
+				service, members, primary, synchronousReplicas, isPlanned: true,
+			});
 		} else if (this.#isLost(primary.id)) {
-			void this.#replace({service, members, primary, synchronousReplicas, isPlanned: false});
+			void this.#replace({
+				service, members, primary, synchronousReplicas, isPlanned: false,
+			});
 		}
 	}
 
@@ -166,7 +172,7 @@
 
 	/** Stops the writes of the leaving primary and returns a replica that has received all of them. */
 	async #prepareHandover({service, members, primary}: ReplacementPlan): Promise<string | undefined> {
-		const {monitor, clock, logger} = this.options;
+		const {monitor, logger} = this.options;
 		const replicas = members.filter(member => member.id !== primary!.id);
 		const first = this.#choose(service, await this.#candidates(replicas, {kind: 'status'}));
 		if (first === undefined) {
@@ -175,19 +181,30 @@
 
 		const reply = await monitor.watchOf(primary!.id)?.execute({kind: 'demote', term: this.#highestTerm(members) + 1});
 		const end = reply?.outcome === 'done' ? this.options.statusFormat.parse(reply.rows)?.received ?? reply.point : undefined;
+		const complete = end ? await this.#whenComplete(replicas, end) : [];
+		if (complete.length > 0) {
+			return this.#choose(service, complete);
+		}
+
+		logger.warn(`${service}: no replica received everything that ${primary!.id} holds; the most advanced one takes over`);
+		return this.#choose(service, await this.#candidates(replicas, {kind: 'status'}));
+	}
+
+	/** Resolves with the replicas that have received everything up to a point, or with none after the time to catch up. */
+	async #whenComplete(replicas: readonly BackendServer[], end: LogPoint): Promise<readonly PromotionCandidate[]> {
+		const {clock} = this.options;
 		const deadline = clock.now() + catchUpTime;
-		while (end && clock.now() < deadline) {
+		while (clock.now() < deadline) {
 			const candidates = await this.#candidates(replicas, {kind: 'status'});
 			const complete = candidates.filter(candidate => compareLogPoints(candidate.received, end) >= 0);
 			if (complete.length > 0) {
-				return this.#choose(service, complete);
+				return complete;
 			}
 
 			await clock.sleep(catchUpPause);
 		}
 
-		logger.warn(`${service}: no replica received everything that ${primary!.id} holds; the most advanced one takes over`);
-		return this.#choose(service, await this.#candidates(replicas, {kind: 'status'}));
+		return [];
 	}
 
 	async #candidates(replicas: readonly BackendServer[], question: MemberStatement): Promise<readonly PromotionCandidate[]> {
--- a/source/registry/control-directory.ts
+++ b/source/registry/control-directory.ts
@@ -34,7 +34,7 @@
 
 	/** Returns a digest of the known instances, without what changes by itself. */
 	get digest(): string {
-		return createHash('sha256').update(this.records.map(record => JSON.stringify(record)).toSorted().join('\n')).digest('base64').slice(0, 12);
+		return createHash('sha256').update(this.records.map(record => JSON.stringify(record)).toSorted((first, second) => first.localeCompare(second)).join('\n')).digest('base64').slice(0, 12);
 	}
 
 	/** Returns the present link address of a named instance. */
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -182,7 +182,7 @@
 		}
 
 		if (directory.version !== before) {
-			logger.info(`backend server ${announcement.id} of ${announcement.service} is ${announcement.isLeaving ? 'leaving' : 'ready'} as ${announcement.role} at ${announcement.address}, announcement ${announcement.sequence}`);
+			logger.info(`backend server ${announcement.id} is ${announcement.isLeaving ? 'leaving' : 'ready'} as ${announcement.role}`, {announcement});
 			this.#share(announcement.id);
 		}
 
@@ -224,7 +224,7 @@
 	}
 
 	#share(id: string): void {
-		const server = this.options.directory.find(id);
+		const server = this.options.directory.serverOf(id);
 		if (!server) {
 			return;
 		}
--- /dev/null
+++ b/source/registry/registry-rules.spec.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {chooseCandidate, isPrimaryLost} from '../promotion/promotion-decision.js';
+import {firstVoters} from './bootstrap-rules.js';
+import {compactContacts, ContactReports} from './contact-reports.js';
+import {type ControlRecord} from './messages.js';
+
+function control(name: string, changes: Partial<ControlRecord> = {}): ControlRecord {
+	return {
+		name, diskId: `disk-${name}`, address: `${name}:1`, controlAddress: `${name}:2`, dataCentre: 'here', group: null, mayBootstrap: true, ...changes,
+	};
+}
+
+const controls = ['a', 'b', 'c', 'd', 'e'].map(name => control(name));
+
+test('one seed sets the first voter list, and only when enough empty instances are there', () => {
+	const question = {
+		self: controls[1], live: controls, seeds: ['c:1', 'b:1', 'd:1'], lostDisks: 2,
+	};
+	assert.deepEqual(firstVoters(question)?.map(record => record.name), ['b', 'a', 'c', 'd', 'e']);
+	assert.equal(firstVoters({...question, self: controls[2]}), undefined, 'another seed decides');
+	assert.equal(firstVoters({...question, live: controls.slice(0, 4)}), undefined, 'too few instances');
+	assert.equal(firstVoters({...question, self: {...controls[1], mayBootstrap: false}}), undefined, 'an instance whose disk was lost');
+	assert.equal(firstVoters({...question, self: {...controls[1], group: 'group'}}), undefined, 'there is a list already');
+});
+
+test('a member is reached by instances that had an answer lately, and failed where attempts fail for long', () => {
+	const clock = new ManualClock();
+	const reports = new ContactReports(clock);
+	reports.receive('first', 'entry', compactContacts([{id: 'a', answeredAgo: 100, failingFor: 0}, {id: 'b', answeredAgo: null, failingFor: 0}]));
+	reports.receive('second', 'entry', compactContacts([{id: 'a', answeredAgo: 900, failingFor: 700}]));
+	assert.deepEqual(reports.count('a', 600), {reached: 1, failed: 1});
+	assert.deepEqual(reports.count('a', 800), {reached: 1, failed: 0});
+	assert.deepEqual(reports.count('b', 600), {reached: 0, failed: 0});
+	clock.advance(2000);
+	assert.deepEqual(reports.count('a', 600), {reached: 0, failed: 0}, 'old reports say nothing');
+	assert.equal(reports.entryCount, 2);
+});
+
+test('a primary that most instances reach is not replaced', () => {
+	assert.equal(isPrimaryLost({reached: 10, failed: 1}), false);
+	assert.equal(isPrimaryLost({reached: 0, failed: 0}), false);
+	assert.equal(isPrimaryLost({reached: 10, failed: 5}), true);
+	assert.equal(isPrimaryLost({reached: 0, failed: 1}), true);
+});
+
+test('the replica that received most takes over, unless it leaves or is not reached', () => {
+	const contact = {reached: 5, failed: 0};
+	const candidates = [
+		{
+			id: 'a', received: {term: 1, position: 9}, isLeaving: false, contact,
+		},
+		{
+			id: 'b', received: {term: 2, position: 3}, isLeaving: false, contact,
+		},
+		{
+			id: 'c', received: {term: 2, position: 5}, isLeaving: true, contact,
+		},
+		{
+			id: 'd', received: {term: 2, position: 6}, isLeaving: false, contact: {reached: 0, failed: 5},
+		},
+	];
+	assert.equal(chooseCandidate(candidates)?.id, 'b');
+	assert.equal(chooseCandidate([]), undefined);
+});
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -110,7 +110,12 @@
 		const {clock, linkClient, logger, name, contacts} = this.options;
 		const askedAt = clock.now();
 		const request: WatchRequest = {
-			name, routingVersion: this.#routingVersion, directoryId: this.#directoryId, directoryVersion: this.#directoryVersion, contacts: compactContacts(contacts()), controlsDigest: this.#controlsDigest,
+			name,
+			routingVersion: this.#routingVersion,
+			directoryId: this.#directoryId,
+			directoryVersion: this.#directoryVersion,
+			contacts: compactContacts(contacts()),
+			controlsDigest: this.#controlsDigest,
 		};
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
--- a/source/routing-table/routing-state-machine.ts
+++ b/source/routing-table/routing-state-machine.ts
@@ -39,7 +39,10 @@
 				return index;
 			}
 
-			default: {
+			case 'opening':
+			case 'changeVoters':
+			case 'apply':
+			case 'registerMember': {
 				return undefined;
 			}
 		}
--- /dev/null
+++ b/source/routing-table/routing-table.spec.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {checkRoutingTable} from './routing-rules.js';
+import {RoutingStateMachine} from './routing-state-machine.js';
+import {type Route, type RoutingTable} from './types.js';
+
+const route: Route = {
+	name: 'route', database: 'db', pathPrefix: '/', service: 'ledger', consistency: 'primary', statementTimeout: 800, latencyTarget: 400, priority: 1, maximumStaleness: 0,
+};
+
+function table(routes: readonly Route[]): RoutingTable {
+	return {
+		version: 1, routes, services: [{name: 'ledger', connectionLimit: 10, synchronousReplicas: 0}], idleTransactionLimit: 0,
+	};
+}
+
+test('a table with an unknown service, a shared place or no time limit is not valid', () => {
+	checkRoutingTable(table([route]));
+	for (const routes of [[{...route, service: 'other'}], [route, {...route, name: 'second'}], [{...route, statementTimeout: 0}]]) {
+		assert.throws(() => {
+			checkRoutingTable(table(routes));
+		}, {codeName: 'configurationInvalid'});
+	}
+});
+
+test('the highest version stays in force, and other content under a held version changes nothing', () => {
+	const machine = new RoutingStateMachine();
+	const submit = (index: number, version: number, document: string): unknown => machine.apply({index, term: 1, command: {kind: 'replaceRouting', version, document}});
+	assert.deepEqual(submit(2, 7, 'seven'), {version: 7, replaced: true});
+	assert.deepEqual(submit(3, 7, 'other'), {version: 7, replaced: false});
+	assert.deepEqual(submit(4, 5, 'five'), {version: 7, replaced: false});
+	assert.deepEqual(machine.accepted, {version: 7, document: 'seven'});
+	const copy = new RoutingStateMachine();
+	copy.restore(machine.image());
+	assert.deepEqual(copy.accepted, machine.accepted);
+});
+
+test('each fencing token is higher than those before it, also across leaders', () => {
+	const machine = new RoutingStateMachine();
+	const tokens = [2, 3, 9].map(index => machine.apply({index, term: index, command: {kind: 'issueToken', subject: 'ledger'}}));
+	assert.deepEqual(tokens, [2, 3, 9]);
+});
--- /dev/null
+++ b/source/session-proxy/freshness.spec.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {type Milliseconds} from '../clock/clock.js';
+import {Freshness} from './freshness.js';
+
+class SuspendedClock extends ManualClock {
+	suspended = Number.NEGATIVE_INFINITY;
+
+	override suspectedUntil(): Milliseconds {
+		return this.suspended;
+	}
+}
+
+test('the oldest floor that is new enough is taken, so that replicas reach it first', () => {
+	const freshness = new Freshness(new ManualClock());
+	for (const [position, startedAt] of [[1, 0], [2, 200], [3, 400], [4, 600]]) {
+		freshness.add({term: 1, position}, startedAt);
+	}
+
+	assert.deepEqual(freshness.pointSince(150, undefined), {term: 1, position: 2});
+	assert.deepEqual(freshness.pointSince(600, undefined), {term: 1, position: 4});
+	assert.equal(freshness.pointSince(601, undefined), undefined);
+});
+
+test('the own last commit is never left out', () => {
+	const freshness = new Freshness(new ManualClock());
+	freshness.add({term: 1, position: 5}, 100);
+	assert.deepEqual(freshness.pointSince(0, {point: {term: 1, position: 7}, acknowledgedAt: 120}), {term: 1, position: 7});
+	assert.deepEqual(freshness.pointSince(0, {point: {term: 1, position: 3}, acknowledgedAt: 20}), {term: 1, position: 5});
+});
+
+test('floors of an earlier term are void after a promotion, which may have discarded what they name', () => {
+	const freshness = new Freshness(new ManualClock());
+	freshness.add({term: 1, position: 50}, 100);
+	freshness.add({term: 2, position: 40}, 200);
+	assert.deepEqual(freshness.pointSince(0, undefined), {term: 2, position: 40});
+	freshness.add({term: 1, position: 60}, 300);
+	assert.deepEqual(freshness.pointSince(150, undefined), {term: 2, position: 40});
+});
+
+test('a commit of an earlier term needs a floor that was asked for after it', () => {
+	const freshness = new Freshness(new ManualClock());
+	const own = {point: {term: 1, position: 50}, acknowledgedAt: 250};
+	freshness.add({term: 2, position: 40}, 200);
+	assert.equal(freshness.pointSince(0, own), undefined);
+	freshness.add({term: 2, position: 41}, 300);
+	assert.deepEqual(freshness.pointSince(0, own), {term: 2, position: 41});
+});
+
+test('floors from before a suspension of the instance are not used, since their age is unknown', () => {
+	const clock = new SuspendedClock();
+	const freshness = new Freshness(clock);
+	freshness.add({term: 1, position: 5}, 100);
+	clock.suspended = 150;
+	assert.equal(freshness.pointSince(0, undefined), undefined);
+	freshness.add({term: 1, position: 6}, 200);
+	assert.deepEqual(freshness.pointSince(0, undefined), {term: 1, position: 6});
+});
--- /dev/null
+++ b/source/session-proxy/member-attempt.ts
@@ -0,0 +1,81 @@
+import {type Milliseconds} from '../clock/clock.js';
+import {type LogPoint} from '../database-group/types.js';
+import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type Route} from '../routing-table/types.js';
+import {MemberRefusal} from '../statement/member-link.js';
+import {
+	isNotRun, type PreparedShape, type RefusalReason, type StatementReply,
+} from '../statement/types.js';
+import {type RoutedRequest} from './data-request.js';
+import {type MemberPool} from './member-pool.js';
+import {type PooledLink} from './pooled-link.js';
+import {describeReply} from './replies.js';
+import {type SessionContext} from './session-context.js';
+
+/** Outcome of a statement at a member. */
+export type Attempt =
+	| {readonly kind: 'answered'; readonly reply: StatementReply}
+	/** It certainly did not run. */
+	| {readonly kind: 'notRun'; readonly reason: RefusalReason; readonly detail: string}
+	/** It may have run. */
+	| {readonly kind: 'unknown'; readonly detail: string};
+
+/** What a connection is needed for. */
+export type LinkNeed = {
+	readonly route: Route;
+	readonly shape: PreparedShape | undefined;
+	readonly deadline: Milliseconds;
+};
+
+/** Resolves with a connection that holds the session's values. Rejects when nothing was sent. */
+export async function acquireLink(context: SessionContext, pool: MemberPool, {route, shape, deadline}: LinkNeed): Promise<PooledLink> {
+	const link = await pool.acquire(deadline - context.now, route.priority, context.state);
+	try {
+		await link.adopt(context.state, shape, deadline - context.now);
+		return link;
+	} catch (error) {
+		pool.discard(link);
+		throw error;
+	}
+}
+
+/** Sends one statement outside a transaction to one member. */
+export async function attemptAt(context: SessionContext, pool: MemberPool, routed: RoutedRequest, after?: LogPoint): Promise<Attempt> {
+	const {request, route, deadline} = routed;
+	const startedAt = context.now;
+	let link: PooledLink;
+	try {
+		link = await acquireLink(context, pool, {route, shape: request.shape, deadline});
+	} catch (error) {
+		return {kind: 'notRun', reason: reasonOf(error), detail: toBuckthornhitchError(error).message};
+	}
+
+	try {
+		const reply = await link.execute(request.statement(after), deadline - context.now);
+		pool.release(link);
+		return reply.outcome === 'refused' && isNotRun(reply.reason)
+			? {kind: 'notRun', reason: reply.reason, detail: reply.detail}
+			: {kind: 'answered', reply};
+	} catch (error) {
+		noteLoss(pool, error, startedAt);
+		pool.retire(link);
+		return {kind: 'unknown', detail: toBuckthornhitchError(error).message};
+	}
+}
+
+/** Returns the reason for which a member took no connection. */
+export function reasonOf(error: unknown): RefusalReason {
+	return error instanceof MemberRefusal ? error.reason : 'busy';
+}
+
+/** Takes a statement without an answer for a sign that the member is lost. */
+export function noteLoss(pool: MemberPool | undefined, error: unknown, startedAt: Milliseconds): void {
+	if (toBuckthornhitchError(error).codeName === 'linkOutcomeUnknown') {
+		pool?.failed(startedAt);
+	}
+}
+
+/** Returns a text on an attempt for logs. */
+export function describeAttempt(attempt: Attempt): string {
+	return attempt.kind === 'answered' ? describeReply(attempt.reply) : `${attempt.kind} ${attempt.detail}`;
+}
--- /dev/null
+++ b/source/session-proxy/member-fake.ts
@@ -0,0 +1,177 @@
+import {type BackendServer} from '../backend-directory/types.js';
+import {type LogPoint} from '../database-group/types.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {
+	MemberConnector, MemberLink, MemberRefusal, type MemberTarget,
+} from '../statement/member-link.js';
+import {
+	type MemberStatement, type RefusalReason, type StatementReply, type TransactionState,
+} from '../statement/types.js';
+
+/** A statement that a fake member received, with the connection that brought it. */
+export type ReceivedStatement = {
+	readonly connection: number;
+	readonly statement: MemberStatement;
+	/** State of the connection's transaction when the statement ran. */
+	readonly transaction: TransactionState;
+};
+
+/** Member in memory whose answers tests control. */
+export class FakeMember {
+	readonly received: ReceivedStatement[] = [];
+	role: 'primary' | 'replica' = 'replica';
+	point: LogPoint = {term: 1, position: 1};
+	/** Refusals for the next data statements, in order. */
+	readonly refusals: RefusalReason[] = [];
+	/** Whether new connections are refused for too many. */
+	isFull = false;
+	/** Whether the member answers nothing and accepts no connection. */
+	isDark = false;
+	/** Data statements wait for `release` while this is set. */
+	holdsAnswers = false;
+	readonly links: FakeLink[] = [];
+	readonly #held: Array<() => void> = [];
+
+	constructor(readonly server: BackendServer) {}
+
+	/** Kinds of the statements received so far. */
+	get kinds(): readonly string[] {
+		return this.received.map(({statement}) => statement.kind);
+	}
+
+	/** Answers what is held. */
+	release(): void {
+		this.holdsAnswers = false;
+		for (const answer of this.#held.splice(0)) {
+			answer();
+		}
+	}
+
+	/** Calls the action now, or when held answers are released. */
+	whenReleased(action: () => void): void {
+		if (this.holdsAnswers) {
+			this.#held.push(action);
+		} else {
+			action();
+		}
+	}
+}
+
+/** Connection to a fake member. */
+export class FakeLink extends MemberLink {
+	#closed = false;
+	#transaction: TransactionState = 'idle';
+	readonly #listeners: Array<() => void> = [];
+
+	constructor(private readonly member: FakeMember, private readonly connection: number) {
+		super();
+	}
+
+	override get isClosed(): boolean {
+		return this.#closed;
+	}
+
+	override async execute(statement: MemberStatement): Promise<StatementReply> {
+		if (this.#closed) {
+			throw new BuckthornhitchError('linkNotSent', this.member.server.id);
+		}
+
+		this.member.received.push({connection: this.connection, statement, transaction: this.#transaction});
+		if (this.member.isDark) {
+			return new Promise(() => {
+				// A dark member never answers.
+			});
+		}
+
+		const isData = statement.kind === 'read' || statement.kind === 'write' || statement.kind === 'execute' || statement.kind === 'commit';
+		return new Promise(resolve => {
+			const answer = (): void => {
+				resolve(this.#answer(statement, isData));
+			};
+
+			if (isData) {
+				this.member.whenReleased(answer);
+			} else {
+				answer();
+			}
+		});
+	}
+
+	override close(): void {
+		this.#closed = true;
+		for (const listener of this.#listeners.splice(0)) {
+			listener();
+		}
+	}
+
+	override onClosed(listener: () => void): void {
+		this.#listeners.push(listener);
+	}
+
+	#answer(statement: MemberStatement, isData: boolean): StatementReply {
+		const reason = this.#refusalOf(statement, isData);
+		if (reason) {
+			return {
+				outcome: 'refused', reason, detail: this.member.server.id, transaction: this.#transaction, point: this.member.point,
+			};
+		}
+
+		this.#advance(statement);
+		return {
+			outcome: 'done', rows: [], signature: `signed ${this.member.server.id}`, transaction: this.#transaction, point: this.member.point,
+		};
+	}
+
+	#refusalOf(statement: MemberStatement, isData: boolean): RefusalReason | undefined {
+		const refused = isData ? this.member.refusals.shift() : undefined;
+		if (refused) {
+			return refused;
+		}
+
+		const after = 'after' in statement ? statement.after : undefined;
+		if (after && (after.term !== this.member.point.term || after.position > this.member.point.position)) {
+			return 'lagging';
+		}
+
+		const writes = statement.kind === 'write' || (statement.kind === 'begin' && !statement.isReadOnly);
+		return writes && this.member.role === 'replica' ? 'readOnly' : undefined;
+	}
+
+	#advance(statement: MemberStatement): void {
+		if (statement.kind === 'begin') {
+			this.#transaction = 'open';
+		} else if (statement.kind === 'commit' || statement.kind === 'rollback') {
+			this.#transaction = 'idle';
+		}
+
+		if (statement.kind === 'write') {
+			this.member.point = {...this.member.point, position: this.member.point.position + 1};
+		}
+	}
+}
+
+/** Connects to fake members. */
+export class FakeConnector extends MemberConnector {
+	readonly #members: ReadonlyMap<string, FakeMember>;
+	#connections = 0;
+
+	constructor(members: readonly FakeMember[]) {
+		super();
+		this.#members = new Map(members.map(member => [member.server.id, member]));
+	}
+
+	override async connect({id}: MemberTarget): Promise<MemberLink> {
+		const member = this.#members.get(id);
+		if (!member || member.isDark) {
+			throw new BuckthornhitchError('memberUnreachable', id);
+		}
+
+		if (member.isFull) {
+			throw new MemberRefusal('connectionLimit', id);
+		}
+
+		const link = new FakeLink(member, ++this.#connections);
+		member.links.push(link);
+		return link;
+	}
+}
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -47,6 +47,15 @@
 	cancel: Cancel;
 };
 
+/** What a pool needs. */
+export type MemberPoolOptions = {
+	readonly connector: MemberConnector;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** Returns how many connections this instance may have to the member. */
+	readonly mostConnections: () => number;
+};
+
 /** Connections of this instance to one member. */
 export class MemberPool {
 	/** Last point that the member named, and when. */
@@ -69,18 +78,11 @@
 	#answerTimeAt = 0;
 	#closed = false;
 
-	constructor(
-		readonly server: BackendServer,
-		private readonly connector: MemberConnector,
-		private readonly clock: Clock,
-		private readonly logger: Logger,
-		/** Returns how many connections this instance may have. */
-		private readonly mostConnections: () => number,
-	) {}
+	constructor(readonly server: BackendServer, private readonly options: MemberPoolOptions) {}
 
 	/** How this instance fares with the member. */
 	get contact(): MemberContact {
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		return {
 			id: this.server.id,
 			answeredAgo: this.#answeredAt === undefined ? null : Math.round(now - this.#answeredAt),
@@ -100,7 +102,7 @@
 
 	/** Expected time of an answer, from the last answers and the load. */
 	get expectedAnswerTime(): Milliseconds {
-		const age = this.clock.now() - this.#answerTimeAt;
+		const age = this.options.clock.now() - this.#answerTimeAt;
 		return this.#answerTime * (0.5 ** (age / forgetting));
 	}
 
@@ -116,7 +118,7 @@
 			return idle;
 		}
 
-		if (this.#waiters.length >= waitersPerConnection * this.mostConnections()) {
+		if (this.#waiters.length >= waitersPerConnection * this.options.mostConnections()) {
 			throw new BuckthornhitchError('queueFull', `${this.#waiters.length} requests wait for ${this.server.id}`);
 		}
 
@@ -126,7 +128,7 @@
 				session,
 				resolve,
 				reject,
-				cancel: this.clock.schedule(Math.max(0, timeout), () => {
+				cancel: this.options.clock.schedule(Math.max(0, timeout), () => {
 					this.#remove(waiter);
 					reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
 				}),
@@ -146,7 +148,7 @@
 			return;
 		}
 
-		link.releasedAt = this.clock.now();
+		link.releasedAt = this.options.clock.now();
 		const waiter = this.#waiters.shift();
 		if (waiter) {
 			this.#hand(waiter, link);
@@ -164,7 +166,7 @@
 	*/
 	retire(link: PooledLink): void {
 		this.#used.delete(link);
-		const cancel = this.clock.schedule(retirementTime, () => {
+		const cancel = this.options.clock.schedule(retirementTime, () => {
 			link.link.close();
 		});
 		void this.#rollBack(link).finally(cancel);
@@ -189,7 +191,7 @@
 	measured(time: Milliseconds): void {
 		const previous = this.expectedAnswerTime;
 		this.#answerTime = previous === 0 ? time : previous + (smoothing * (time - previous));
-		this.#answerTimeAt = this.clock.now();
+		this.#answerTimeAt = this.options.clock.now();
 	}
 
 	/** Closes all connections; those in use end with their request. */
@@ -222,9 +224,9 @@
 				return;
 			}
 
-			this.logger.warn(`a connection to ${this.server.id} is ${reply.transaction} after a rollback`);
+			this.options.logger.warn(`a connection to ${this.server.id} is ${reply.transaction} after a rollback`);
 		} catch (error) {
-			this.logger.debug(`a connection to ${this.server.id} was not rolled back: ${toBuckthornhitchError(error).message}`);
+			this.options.logger.debug(`a connection to ${this.server.id} was not rolled back: ${toBuckthornhitchError(error).message}`);
 		}
 
 		link.link.close();
@@ -249,10 +251,10 @@
 			return;
 		}
 
-		const pause = this.#refusedUntil - this.clock.now();
+		const pause = this.#refusedUntil - this.options.clock.now();
 		if (pause > 0) {
 			if (open === 0) {
-				this.clock.schedule(pause, () => {
+				this.options.clock.schedule(pause, () => {
 					this.#openMore();
 				});
 			}
@@ -265,26 +267,26 @@
 
 	/** Returns how many connections may be open now; it rises slowly, and falls when the member refuses one. */
 	#raisedCeiling(open: number): number {
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		if (open >= this.#ceiling && now - this.#raisedAt >= growthPause && now - this.#refusedAt >= cautionTime) {
 			this.#ceiling++;
 			this.#raisedAt = now;
 		}
 
-		this.#ceiling = Math.min(this.#ceiling, this.mostConnections());
+		this.#ceiling = Math.min(this.#ceiling, this.options.mostConnections());
 		return this.#ceiling;
 	}
 
 	async #open(): Promise<void> {
-		const startedAt = this.clock.now();
+		const startedAt = this.options.clock.now();
 		this.#opening++;
 		try {
 			const {id, service, address} = this.server;
-			const link = await this.connector.connect({id, service, address}, connectTimeout);
+			const link = await this.options.connector.connect({id, service, address}, connectTimeout);
 			this.#opening--;
 			this.#answered();
 			this.#isFailureLogged = false;
-			this.#adoptOpened(new PooledLink(link, this.clock, reply => {
+			this.#adoptOpened(new PooledLink(link, this.options.clock, reply => {
 				this.#answered(reply);
 			}));
 		} catch (error) {
@@ -307,17 +309,17 @@
 	#openFailed(error: BuckthornhitchError, startedAt: Milliseconds): void {
 		if (!this.#isFailureLogged) {
 			this.#isFailureLogged = true;
-			this.logger.warn(`no connection to ${this.server.id} of ${this.server.service} at ${this.server.address}: ${error.message}`);
+			this.options.logger.warn(`no connection to ${this.server.id} of ${this.server.service} at ${this.server.address}: ${error.message}`);
 		}
 
-		this.#refusedUntil = this.clock.now() + refusalPause;
+		this.#refusedUntil = this.options.clock.now() + refusalPause;
 		if (error instanceof MemberRefusal) {
 			if (error.reason !== 'connectionLimit') {
 				this.#rejectWaiters(error);
 				return;
 			}
 
-			this.#refusedAt = this.clock.now();
+			this.#refusedAt = this.options.clock.now();
 			this.#ceiling = Math.max(1, this.#idle.length + this.#used.size);
 			// Others hold the connections; the waiting requests use those that this instance has.
 			if (this.#idle.length + this.#used.size > 0) {
@@ -341,7 +343,7 @@
 	}
 
 	#answered(reply?: StatementReply): void {
-		this.#answeredAt = this.clock.now();
+		this.#answeredAt = this.options.clock.now();
 		this.#failingSince = undefined;
 		if (reply?.point) {
 			this.point = reply.point;
@@ -350,9 +352,9 @@
 	}
 
 	#closeSurplus(): void {
-		this.clock.schedule(surplusIdleTime, () => {
+		this.options.clock.schedule(surplusIdleTime, () => {
 			const surplus = this.#idle.length + this.#used.size - 1;
-			const oldest = this.clock.now() - surplusIdleTime;
+			const oldest = this.options.clock.now() - surplusIdleTime;
 			for (let count = 0; count < surplus; count++) {
 				const position = this.#idle.findIndex(link => link.releasedAt <= oldest);
 				if (position === -1) {
--- a/source/session-proxy/pooled-link.ts
+++ b/source/session-proxy/pooled-link.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
-import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberLink, MemberRefusal} from '../statement/member-link.js';
 import {type MemberStatement, type PreparedShape, type StatementReply} from '../statement/types.js';
 import {sharedName, type CallerSessionState} from './caller-session-state.js';
@@ -47,7 +47,7 @@
 			}, (error: unknown) => {
 				this.#pending--;
 				cancel();
-				reject(error as Error);
+				reject(toBuckthornhitchError(error));
 			});
 		});
 	}
--- a/source/session-proxy/read-policy.ts
+++ b/source/session-proxy/read-policy.ts
@@ -1,6 +1,7 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {compareLogPoints} from '../database-group/log-point-rules.js';
 import {type LogPoint} from '../database-group/types.js';
+import {type Consistency} from '../routing-table/types.js';
 
 /** What the choice of a member for a read knows of it. */
 export type ReadCandidate = {
@@ -29,12 +30,21 @@
 /** Cost of each request that the member already has from this instance. */
 const loadCost: Milliseconds = 15;
 
-/** Orders the members for a read that needs a point: the best one first, those that cannot serve it last. */
-export function orderForRead(candidates: readonly ReadCandidate[], needed: LogPoint): readonly ReadCandidate[] {
-	return candidates.toSorted((first, second) => costOf(first, needed) - costOf(second, needed));
+/** Cost of a member that does not answer; above every sum of the others. */
+const failingCost: Milliseconds = 10_000;
+
+/** Cost of a member that refused lately or is known to be behind. */
+const refusedCost: Milliseconds = 5000;
+
+/** Orders the members for a read that needs a point: the best one first, those that cannot serve it last. Reads of the latest data go to the primary first, which replicas lag behind. */
+export function orderForRead(candidates: readonly ReadCandidate[], needed: LogPoint, consistency: Consistency): readonly ReadCandidate[] {
+	const rank = (candidate: ReadCandidate): number => consistency === 'primary' && candidate.isPrimary ? Number.NEGATIVE_INFINITY : costOf(candidate, needed);
+	return candidates.toSorted((first, second) => compareNumbers(rank(first), rank(second)));
 }
 
-const unusableCost: Milliseconds = 10_000;
+function compareNumbers(first: number, second: number): number {
+	return first === second ? 0 : first - second;
+}
 
 function costOf(candidate: ReadCandidate, needed: LogPoint): Milliseconds {
 	const isBehind = candidate.point !== undefined && candidate.pointAge < pointLifetime && compareLogPoints(candidate.point, needed) < 0;
@@ -42,6 +52,6 @@
 		+ (candidate.load * loadCost)
 		+ (candidate.isLocal ? 0 : remoteCost)
 		+ (candidate.isPrimary ? primaryCost : 0)
-		+ (candidate.isFailing ? unusableCost : 0)
-		+ (isBehind || candidate.isAvoided ? unusableCost / 2 : 0);
+		+ (candidate.isFailing ? failingCost : 0)
+		+ (isBehind || candidate.isAvoided ? refusedCost : 0);
 }
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -224,9 +224,14 @@
 
 	#openPool(server: BackendServer): MemberPool {
 		const {connector, clock, logger, configuration, entryCount} = this.options;
-		return new MemberPool(server, connector, clock, logger, () => {
-			const limit = Math.max(1, (configuration()?.connectionLimit ?? 0) - reservedConnections);
-			return Math.max(1, Math.floor(limit / Math.max(1, entryCount()))) * surplusFactor;
+		return new MemberPool(server, {
+			connector,
+			clock,
+			logger,
+			mostConnections() {
+				const limit = Math.max(1, (configuration()?.connectionLimit ?? 0) - reservedConnections);
+				return Math.max(1, Math.floor(limit / Math.max(1, entryCount()))) * surplusFactor;
+			},
 		});
 	}
 }
--- /dev/null
+++ b/source/session-proxy/session-fixture.ts
@@ -0,0 +1,105 @@
+import {BackendDirectory} from '../backend-directory/backend-directory.js';
+import {type BackendAnnouncement} from '../backend-directory/types.js';
+import {ManualClock} from '../clock/manual-clock.js';
+import {silentLogger} from '../observability/logger.js';
+import {type Consistency, type Route} from '../routing-table/types.js';
+import {type Statement, type StatementReply} from '../statement/types.js';
+import {FakeConnector, FakeMember} from './member-fake.js';
+import {RequestLog, type RequestDecision} from './request-log.js';
+import {SessionProxy} from './session-proxy.js';
+import {type StatementSession} from './statement-session.js';
+
+/** Returns an announcement for tests. */
+export function announcementOf(id: string, changes: Partial<BackendAnnouncement> = {}): BackendAnnouncement {
+	return {
+		id, service: 'ledger', address: `${id}:1`, dataCentre: 'here', slots: 3, isLeaving: false, role: 'replica', startedAt: 1, sequence: 1, ...changes,
+	};
+}
+
+class RecordingLog extends RequestLog {
+	readonly decisions: RequestDecision[] = [];
+
+	override record(decision: RequestDecision): void {
+		this.decisions.push(decision);
+	}
+}
+
+/** A proxy in front of a primary and two replicas in memory. */
+export class SessionFixture {
+	readonly clock = new ManualClock();
+	readonly log = new RecordingLog();
+	readonly directory = new BackendDirectory(this.clock);
+	readonly members: readonly FakeMember[];
+	readonly proxy: SessionProxy;
+
+	constructor(consistency: Consistency = 'readYourWrites') {
+		this.members = ['a', 'b', 'c'].map(id => new FakeMember({...announcementOf(id, {role: id === 'a' ? 'primary' : 'replica'}), isGone: false}));
+		this.primary.role = 'primary';
+		for (const {server} of this.members) {
+			this.directory.announce(server);
+		}
+
+		this.proxy = new SessionProxy({
+			clock: this.clock,
+			logger: silentLogger,
+			requestLog: this.log,
+			directory: this.directory,
+			connector: new FakeConnector(this.members),
+			dataCentre: 'here',
+			entryCount: () => 1,
+		});
+		this.proxy.replaceTable({
+			version: 1, routes: [routeOf(consistency)], services: [{name: 'ledger', connectionLimit: 20, synchronousReplicas: 0}], idleTransactionLimit: 3000,
+		});
+	}
+
+	/** The first member. */
+	get primary(): FakeMember {
+		return this.members[0];
+	}
+
+	/** Every statement of a kind that any member received. */
+	received(kind: string): ReadonlyArray<{readonly member: string; readonly transaction: string}> {
+		return this.members.flatMap(member => member.received.filter(({statement}) => statement.kind === kind)
+			.map(({transaction}) => ({member: member.server.id, transaction})));
+	}
+
+	/** Opens a session. */
+	async open(): Promise<StatementSession> {
+		const session = await this.proxy.open('db');
+		if (!session || session === 'notReady') {
+			throw new Error('no session');
+		}
+
+		return session;
+	}
+
+	/** Runs a statement while time passes, for at most the duration in milliseconds. */
+	async run(session: StatementSession, statement: Statement, duration = 2000): Promise<StatementReply> {
+		let reply: StatementReply | undefined;
+		void session.execute(statement).then(result => {
+			reply = result;
+		});
+		for (let passed = 0; !reply && passed < duration; passed += 5) {
+			await this.pass(5);
+		}
+
+		if (!reply) {
+			throw new Error(`no answer within ${duration} ms`);
+		}
+
+		return reply;
+	}
+
+	/** Lets time pass. */
+	async pass(duration: number): Promise<void> {
+		await this.clock.advanceInSteps(duration, 5);
+	}
+}
+
+function routeOf(consistency: Consistency): Route {
+	return {
+		name: 'route', database: 'db', pathPrefix: '/', service: 'ledger', consistency, statementTimeout: 800, latencyTarget: 400, priority: 1,
+		maximumStaleness: consistency === 'primary' ? 0 : 1500,
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -9,6 +9,8 @@
 	'promise/prefer-catch': 'off',
 	// Requests of one connection are handled strictly in order.
 	'no-await-in-loop': 'off',
+	// The bundle of the platform's processes is CommonJS, which has no top-level await.
+	'unicorn/prefer-top-level-await': 'off',
 	'unicorn/no-null': 'off',
 	'unicorn/no-process-exit': 'off',
 	'n/prefer-global/process': 'off',
