--- a/source/session-proxy/freshness.spec.ts
+++ b/source/session-proxy/freshness.spec.ts
@@ -48,6 +48,16 @@
 	assert.deepEqual(freshness.pointSince(0, own), {term: 2, position: 41});
 });
 
+test('a commit of an earlier term does not lower the point that the stated age asks for', () => {
+	const freshness = new Freshness(new ManualClock());
+	const own = {point: {term: 1, position: 50}, acknowledgedAt: 250};
+	for (const [position, startedAt] of [[41, 300], [60, 600], [80, 900]]) {
+		freshness.add({term: 2, position}, startedAt);
+	}
+
+	assert.deepEqual(freshness.pointSince(500, own), {term: 2, position: 60});
+});
+
 test('floors from before a suspension of the instance are not used, since their age is unknown', () => {
 	const clock = new SuspendedClock();
 	const freshness = new Freshness(clock);
--- a/source/session-proxy/freshness.ts
+++ b/source/session-proxy/freshness.ts
@@ -67,7 +67,7 @@
 		}
 
 		// A promotion came after the commit: only what was asked afterwards tells whether the commit survived.
-		return this.#floors.find(({startedAt}) => startedAt >= own.acknowledgedAt)?.point;
+		return own.acknowledgedAt <= time ? floor.point : this.pointSince(own.acknowledgedAt, undefined);
 	}
 
 	/** A floor that this instance asked for itself needs no allowance. */
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -76,19 +76,19 @@
 
 	/** Runs a statement while time passes, for at most the duration in milliseconds. */
 	async run(session: StatementSession, statement: Statement, duration = 2000): Promise<StatementReply> {
-		let reply: StatementReply | undefined;
-		void session.execute(statement).then(result => {
-			reply = result;
+		const replies: StatementReply[] = [];
+		void session.execute(statement).then(reply => {
+			replies.push(reply);
 		});
-		for (let passed = 0; !reply && passed < duration; passed += 5) {
+		for (let passed = 0; replies.length === 0 && passed < duration; passed += 5) {
 			await this.pass(5);
 		}
 
-		if (!reply) {
+		if (replies.length === 0) {
 			throw new Error(`no answer within ${duration} ms`);
 		}
 
-		return reply;
+		return replies[0];
 	}
 
 	/** Lets time pass. */
