--- a/source/control-log/file-storage.spec.ts
+++ b/source/control-log/file-storage.spec.ts
@@ -40,13 +40,13 @@
 	const {diskId} = await storage.load();
 	await storage.savePromise({term: 3, votedFor: 'one/disk'});
 	await storage.append([entry(1), entry(2), entry(3)]);
-	await storage.append([entry(2, 2)]);
+	await storage.append([entry(2, 2)], 1);
 	await storage.saveSnapshot(snapshot(1, 1), [entry(2, 2)]);
-	await storage.append([entry(3, 3)]);
+	await storage.append([entry(3, 3)], 2);
 	await storage.close();
 	const restarted = new FileStorage(folder, silentLogger);
 	assert.deepEqual(await restarted.load(), {
-		diskId, promise: {term: 3, votedFor: 'one/disk'}, snapshot: snapshot(1, 1), entries: [entry(2, 2), entry(3, 3)],
+		diskId, promise: {term: 3, votedFor: 'one/disk'}, snapshot: snapshot(1, 1), entries: [entry(2, 2), entry(3, 3)], commitIndex: 2,
 	});
 	await restarted.close();
 });
@@ -164,7 +164,7 @@
 		await assert.rejects(storage.saveSnapshot(snapshot(1, 1), []), {codeName: 'storageFailed'});
 		disk.full = false;
 		assert.deepEqual(await storage.load(), {
-			diskId, promise: {term: 0, votedFor: null}, snapshot: undefined, entries: [entry(1)],
+			diskId, promise: {term: 0, votedFor: null}, snapshot: undefined, entries: [entry(1)], commitIndex: 0,
 		});
 		await storage.append([entry(2, 2)]);
 		await storage.close();
--- a/source/control-log/file-storage.ts
+++ b/source/control-log/file-storage.ts
@@ -19,7 +19,11 @@
 const snapshotFile = 'snapshot';
 const logFile = 'log';
 
-type LogRecord = {readonly entries: readonly LogEntry[]};
+type LogRecord = {
+	readonly entries: readonly LogEntry[];
+	/** Index up to which entries were known to be committed. */
+	readonly commitIndex?: number;
+};
 
 /** Opens a file; replaced in tests to inject failures. */
 export type OpenFile = (file: string, flags: string) => Promise<FileHandle>;
@@ -50,9 +54,10 @@
 			const promise = readSingleRecord(await this.#read(promiseFile), promiseFile) as VoterPromise;
 			const snapshotBytes = await this.#readIfPresent(snapshotFile);
 			const snapshot = snapshotBytes && readSingleRecord(snapshotBytes, snapshotFile) as Snapshot;
-			const entries = entriesAfterSnapshot(await this.#openLog(), snapshot);
+			const records = await this.#openLog();
+			const entries = entriesAfterSnapshot(mergeEntries(records), snapshot);
 			return {
-				diskId, promise, snapshot, entries,
+				diskId, promise, snapshot, entries, commitIndex: Math.max(0, ...records.map(record => record.commitIndex ?? 0)),
 			};
 		});
 	}
@@ -61,9 +66,9 @@
 		await failing(async () => this.#replace(promiseFile, encodeRecord(promise)));
 	}
 
-	override async append(entries: readonly LogEntry[]): Promise<void> {
+	override async append(entries: readonly LogEntry[], commitIndex = 0): Promise<void> {
 		await failing(async () => {
-			const record = encodeRecord({entries} satisfies LogRecord);
+			const record = encodeRecord({entries, commitIndex} satisfies LogRecord);
 			await writeFully(this.#log!, record, this.#logBytes!);
 			await this.#log!.datasync();
 			this.#logBytes! += record.length;
@@ -114,8 +119,8 @@
 		this.logger.info(`formatted the data folder with disk id ${diskId}`);
 	}
 
-	/** Opens the log, cuts a torn tail and returns the entries of the log. */
-	async #openLog(): Promise<readonly LogEntry[]> {
+	/** Opens the log, cuts a torn tail and returns its records. */
+	async #openLog(): Promise<readonly LogRecord[]> {
 		await this.#log?.close();
 		this.#log = undefined;
 		const all = await this.#read(logFile);
@@ -130,7 +135,7 @@
 		}
 
 		this.#logBytes = length;
-		return mergeEntries(values as readonly LogRecord[]);
+		return values as readonly LogRecord[];
 	}
 
 	#path(file: string): string {
--- a/source/control-log/memory-storage.ts
+++ b/source/control-log/memory-storage.ts
@@ -13,6 +13,7 @@
 	#promise: VoterPromise = {term: 0, votedFor: null};
 	#snapshot: Snapshot | undefined;
 	#entries: readonly LogEntry[] = [];
+	#commitIndex = 0;
 
 	constructor(readonly diskId: string) {
 		super();
@@ -20,7 +21,7 @@
 
 	override async load(): Promise<StoredState> {
 		return {
-			diskId: this.diskId, promise: this.#promise, snapshot: this.#snapshot, entries: this.#entries,
+			diskId: this.diskId, promise: this.#promise, snapshot: this.#snapshot, entries: this.#entries, commitIndex: this.#commitIndex,
 		};
 	}
 
@@ -29,8 +30,9 @@
 		this.#promise = promise;
 	}
 
-	override async append(entries: readonly LogEntry[]): Promise<void> {
+	override async append(entries: readonly LogEntry[], commitIndex = 0): Promise<void> {
 		this.#sync();
+		this.#commitIndex = Math.max(this.#commitIndex, commitIndex);
 		this.#entries = [...this.#entries.filter(entry => entry.index < entries[0].index), ...entries];
 	}
 
--- a/source/control-log/storage.ts
+++ b/source/control-log/storage.ts
@@ -19,8 +19,8 @@
 	/** Replaces the promise. Throws storageFailed. */
 	abstract savePromise(promise: VoterPromise): Promise<void>;
 
-	/** Adds entries; held entries from the first one's index on are replaced. Throws storageFailed. */
-	abstract append(entries: readonly LogEntry[]): Promise<void>;
+	/** Adds entries, with the index up to which entries are known to be committed; held entries from the first one's index on are replaced. Throws storageFailed. */
+	abstract append(entries: readonly LogEntry[], commitIndex?: number): Promise<void>;
 
 	/** Replaces the snapshot and all entries by those given, which follow the snapshot. Throws storageFailed. */
 	abstract saveSnapshot(snapshot: Snapshot, entries: readonly LogEntry[]): Promise<void>;
--- a/source/control-log/types.ts
+++ b/source/control-log/types.ts
@@ -95,6 +95,8 @@
 	readonly snapshot: Snapshot | undefined;
 	/** Entries after the snapshot, without gaps. */
 	readonly entries: readonly LogEntry[];
+	/** Index up to which entries were known to be committed when the last one was written. */
+	readonly commitIndex: number;
 };
 
 /** Role of a voter; `waiting` has no voter list yet, `failed` cannot write its data folder. */
--- /dev/null
+++ b/source/control-log/voter-restart.spec.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {type LinkClient} from '../links/link-client.js';
+import {silentLogger} from '../observability/logger.js';
+import {SeededRandom} from '../random/random.js';
+import {MemoryStorage} from './memory-storage.js';
+import {StateMachine} from './storage.js';
+import {type LogEntry, type Snapshot} from './types.js';
+import {Voter} from './voter.js';
+
+class RecordingMachine extends StateMachine {
+	readonly applied: number[] = [];
+
+	override apply(entry: LogEntry): void {
+		this.applied.push(entry.index);
+	}
+
+	override image(): undefined {
+		return undefined;
+	}
+
+	override restore(): void {
+		this.applied.length = 0;
+	}
+}
+
+function entry(index: number): LogEntry {
+	return {index, term: 1, command: {kind: 'issueToken', subject: 'x'}};
+}
+
+test('a restarted voter carries out what was known to be committed, and nothing more', async () => {
+	const storage = new MemoryStorage('disk');
+	const voters = [{name: 'one', diskId: 'disk', address: 'one:1'}];
+	const snapshot: Snapshot = {
+		index: 1, term: 1, group: 'group', list: {voters, learners: []}, image: undefined,
+	};
+	await storage.saveSnapshot(snapshot, []);
+	await storage.append([entry(2), entry(3)], 1);
+	await storage.append([entry(4)], 3);
+	const machine = new RecordingMachine();
+	const voter = new Voter({
+		name: 'one',
+		address: 'one:1',
+		storage,
+		machine,
+		linkClient: undefined as unknown as LinkClient,
+		clock: new ManualClock(),
+		random: new SeededRandom(1),
+		logger: silentLogger,
+		observer: {
+			committed: () => undefined, restored: () => undefined, event: () => undefined, roleChanged: () => undefined,
+		},
+	});
+	await voter.open();
+	assert.deepEqual(machine.applied, [2, 3]);
+	assert.equal(voter.commitIndex, 3);
+	await voter.stop();
+});
--- a/source/control-log/voter-state.ts
+++ b/source/control-log/voter-state.ts
@@ -103,6 +103,7 @@
 		this.#durableIndex = this.log.end.index;
 		this.#loadedIndex = this.log.end.index;
 		this.#restore(stored.snapshot);
+		this.commit(stored.commitIndex);
 		this.leader = undefined;
 		this.heardAt = this.options.clock.now();
 		this.setRole(this.restingRole());
@@ -161,7 +162,7 @@
 
 		this.log.append(entries);
 		added();
-		await this.options.storage.append(entries);
+		await this.options.storage.append(entries, this.#commitIndex);
 		this.#durableIndex = this.log.end.index;
 	}
 
--- a/source/promotion/promotion-controller.ts
+++ b/source/promotion/promotion-controller.ts
@@ -241,7 +241,8 @@
 		return Math.max(0, ...terms);
 	}
 
-	async #promote({service}: ReplacementPlan, member: string): Promise<void> {
+	async #promote(plan: ReplacementPlan, member: string): Promise<void> {
+		const {service} = plan;
 		const {issueToken, authority, name, logger, clock, monitor} = this.options;
 		const token = await issueToken(service);
 		const outcome = await authority.promote({
@@ -249,6 +250,7 @@
 		});
 		logger.info(`${service}: promotion of ${member} with token ${token}: ${outcome}`);
 		if (outcome === 'refused') {
+			await this.#resume(plan);
 			return;
 		}
 
@@ -261,6 +263,16 @@
 
 			await clock.sleep(catchUpPause);
 		}
+
+		logger.warn(`${service}: ${member} does not lead ${settleTime} ms after its promotion`);
+		await this.#resume(plan);
+	}
+
+	/** Lets paused replicas receive again after a promotion that did not take place. */
+	async #resume({members, synchronousReplicas, isPlanned}: ReplacementPlan): Promise<void> {
+		if (synchronousReplicas > 0 && !isPlanned) {
+			await Promise.all(members.map(async ({id}) => this.#receivedPoint(id, {kind: 'resume'})));
+		}
 	}
 }
 
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -5,7 +5,7 @@
 import {parseBody, requestSchemas} from '../control/request-schemas.js';
 import {firstIndex} from '../control-log/election.js';
 import {type Storage} from '../control-log/storage.js';
-import {type VoterTiming} from '../control-log/voter-options.js';
+import {defaultVoterTiming, type VoterTiming} from '../control-log/voter-options.js';
 import {Voter} from '../control-log/voter.js';
 import {type Address} from '../links/address.js';
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
@@ -30,6 +30,16 @@
 /** Period at which an unset voter list is looked at, and the directory is pruned. */
 const housekeepingPeriod: Milliseconds = 250;
 
+/** Times of the voters. A leader is replaced sooner than in a deployment with long pauses, since promotions wait for it; the limits keep the log, which holds whole documents, small. */
+const registryTiming: VoterTiming = {
+	...defaultVoterTiming,
+	shortestElectionTimeout: 300,
+	longestElectionTimeout: 600,
+	lease: 240,
+	compactAfter: 200,
+	compactAfterCharacters: 4 * 1024 * 1024,
+};
+
 /** What a registry process needs. */
 export type RegistryOptions = {
 	readonly name: string;
@@ -79,7 +89,7 @@
 			clock,
 			random: options.random,
 			logger,
-			timing: options.timing,
+			timing: options.timing ?? registryTiming,
 			addressOf: name => controls.addressOf(name),
 			candidates: () => controls.live.filter(record => record.group === null || record.group === this.voter.describe().group),
 			observer: {
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -113,7 +113,7 @@
 			context.log(id, 'commit', describeReply(reply), {member: member.pool.server.id, elapsed: Math.round(context.now - startedAt)});
 			if (reply.outcome === 'done' && this.#hasWritten) {
 				begin.client.primaryAnswered(member.pool.server.id, reply.point, startedAt);
-				context.committed(reply.point);
+				context.committed(member.pool.server.id, reply.point);
 			}
 
 			this.#releaseAfter(reply);
--- a/source/session-proxy/freshness.ts
+++ b/source/session-proxy/freshness.ts
@@ -11,36 +11,48 @@
 /** Allowance for the difference between clocks that measure an age on two instances. */
 const ageMargin: Milliseconds = 20;
 
+/** What a member that led confirmed in answer to a question. */
+export type PrimaryFloor = FreshnessFloor & {
+	/** The member that answered. */
+	readonly member: string;
+};
+
 /** A caller's own last commit. */
 export type OwnCommit = {
 	readonly point: LogPoint;
+	/** The member that acknowledged it. */
+	readonly member: string;
 	readonly acknowledgedAt: Milliseconds;
 };
 
 /** Points of one service's primary and the times at which they were asked for. */
 export class Freshness {
-	#floors: FreshnessFloor[] = [];
+	#floors: PrimaryFloor[] = [];
 
 	constructor(private readonly clock: Clock) {}
 
 	/** The newest floor. */
-	get newest(): FreshnessFloor | undefined {
+	get newest(): PrimaryFloor | undefined {
 		this.#dropSuspected();
 		return this.#floors.at(-1);
 	}
 
-	/** Adds a point that the primary confirmed in answer to a question sent at the time. A floor of a later term makes those of earlier terms void: a promotion may have discarded what they name. */
-	add(point: LogPoint, startedAt: Milliseconds): void {
+	/**
+	Adds what a primary confirmed.
+
+	A floor of a later term, or a later one of another member, makes the ones before it void: a promotion may have discarded what they name. The log of a new primary ends in an earlier term until its first commit, so that the term alone does not tell.
+	*/
+	add(floor: PrimaryFloor): void {
 		const last = this.#floors.at(-1);
-		if (last && point.term < last.point.term) {
+		if (last && (floor.startedAt < last.startedAt || floor.point.term < last.point.term)) {
 			return;
 		}
 
-		if (last && point.term > last.point.term) {
+		if (last && (floor.point.term > last.point.term || floor.member !== last.member)) {
 			this.#floors = [];
 		}
 
-		this.#insert({startedAt, point});
+		this.#insert(floor);
 		if (this.#floors.length > capacity) {
 			this.#floors.shift();
 		}
@@ -58,31 +70,22 @@
 			return floor?.point;
 		}
 
-		if (own.point.term === floor.point.term) {
+		if (own.point.term >= floor.point.term && own.member === floor.member) {
 			return laterLogPoint(floor.point, own.point);
 		}
 
-		if (own.point.term > floor.point.term) {
-			return own.point;
-		}
-
 		// A promotion came after the commit: only what was asked afterwards tells whether the commit survived.
 		return own.acknowledgedAt <= time ? floor.point : this.pointSince(own.acknowledgedAt, undefined);
 	}
 
 	/** A floor that this instance asked for itself needs no allowance. */
-	#exactFloor(time: Milliseconds): FreshnessFloor | undefined {
+	#exactFloor(time: Milliseconds): PrimaryFloor | undefined {
 		const last = this.#floors.at(-1);
 		return last && last.startedAt >= time ? last : undefined;
 	}
 
-	#insert(floor: FreshnessFloor): void {
+	#insert(floor: PrimaryFloor): void {
 		const floors = this.#floors;
-		const position = floors.findIndex(other => other.startedAt > floor.startedAt);
-		if (position !== -1) {
-			return;
-		}
-
 		const last = floors.at(-1);
 		const before = floors.at(-2);
 		const highest = last && compareLogPoints(last.point, floor.point) > 0 ? last.point : floor.point;
@@ -90,7 +93,7 @@
 			floors.pop();
 		}
 
-		floors.push({startedAt: floor.startedAt, point: highest});
+		floors.push({...floor, point: highest});
 	}
 
 	/** Ages that were measured across a suspension of this instance are too low. */
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -92,7 +92,7 @@
 
 	/** Takes over what a control instance confirmed; the response left this instance's knowledge at the given time. */
 	receiveReport(report: PrimaryReport, askedAt: Milliseconds): void {
-		this.freshness.add(report.point, askedAt - report.age);
+		this.freshness.add({member: report.primary, point: report.point, startedAt: askedAt - report.age});
 		if (report.point.term > this.#primaryTerm) {
 			this.#setPrimary(report.primary, report.point.term);
 		}
@@ -108,7 +108,7 @@
 	/** Takes note of a point that the primary named in answer to a statement sent at the time. */
 	primaryAnswered(id: string, point: LogPoint | undefined, askedAt: Milliseconds): void {
 		if (point) {
-			this.freshness.add(point, askedAt);
+			this.freshness.add({member: id, point, startedAt: askedAt});
 			if (point.term >= this.#primaryTerm) {
 				this.#setPrimary(id, point.term);
 			}
--- a/source/session-proxy/session-context.ts
+++ b/source/session-proxy/session-context.ts
@@ -43,9 +43,9 @@
 	}
 
 	/** Takes note of an acknowledged commit. */
-	committed(point: LogPoint | undefined): void {
+	committed(member: string, point: LogPoint | undefined): void {
 		if (point) {
-			this.#own = {point, acknowledgedAt: this.now};
+			this.#own = {member, point, acknowledgedAt: this.now};
 		}
 	}
 
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -59,7 +59,7 @@
 	const {reply} = attempt;
 	if (reply.outcome === 'done') {
 		client.primaryAnswered(pool.server.id, reply.point, startedAt);
-		context.committed(reply.point);
+		context.committed(pool.server.id, reply.point);
 	}
 
 	return {...reply, transaction: 'idle'};
