--- a/source/registry/contact-reports.ts
+++ b/source/registry/contact-reports.ts
@@ -1,9 +1,12 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
-import {type CompactContacts, type MemberContact} from './messages.js';
+import {type CompactContacts, type ControlContacts, type MemberContact} from './messages.js';
 
 /** A report older than this says nothing of the present; twice the longest pace of reports. */
 const reportLifetime: Milliseconds = 1500;
 
+/** A member counts as reached while its last answer is no older; a primary that is asked every 400 ms answers in time, and a lost one no longer counts when the first attempts fail for long. */
+const reachedWithin: Milliseconds = 700;
+
 /** An entry instance that did not watch for this long no longer shares the connections. */
 const entryLifetime: Milliseconds = 10_000;
 
@@ -17,7 +20,7 @@
 /** Returns contacts in the form in which they are sent. */
 export function compactContacts(contacts: readonly MemberContact[]): CompactContacts {
 	return {
-		reached: contacts.filter(({answeredAgo, failingFor}) => failingFor === 0 && answeredAgo !== null && answeredAgo < reportLifetime).map(({id}) => id),
+		reached: contacts.filter(({answeredAgo, failingFor}) => failingFor === 0 && answeredAgo !== null && answeredAgo < reachedWithin).map(({id}) => id),
 		failing: contacts.filter(({failingFor}) => failingFor > 0).map(({id, failingFor}) => [id, failingFor] as const),
 	};
 }
@@ -29,9 +32,16 @@
 	readonly failed: number;
 };
 
+type Summary = {
+	readonly entries: ReadonlyMap<string, ContactCount>;
+	readonly receivedAt: Milliseconds;
+};
+
 /** What entry and control instances reported last about the backend servers. */
 export class ContactReports {
 	readonly #reports = new Map<string, Report>();
+	/** What other control instances tell of the entries that watch them. */
+	readonly #summaries = new Map<string, Summary>();
 
 	constructor(private readonly clock: Clock) {}
 
@@ -48,12 +58,40 @@
 		});
 	}
 
+	/** Takes over what another control instance and its entries see. */
+	receiveFromControl(name: string, {own, entries}: ControlContacts): void {
+		this.receive(name, 'control', own);
+		this.#summaries.set(name, {entries: new Map(entries.map(([id, reached, failed]) => [id, {reached, failed}])), receivedAt: this.clock.now()});
+	}
+
+	/** Returns what the entries that watch this instance see, with the failures that have lasted for a time in milliseconds. */
+	summary(failingFor: Milliseconds): ControlContacts['entries'] {
+		const entries = [...this.#reports.values()].filter(({origin}) => origin === 'entry');
+		const members = new Set(entries.flatMap(({reached, failing}) => [...reached, ...failing.keys()]));
+		return [...members].map(id => {
+			const {reached, failed} = this.#count(id, failingFor, entries);
+			return [id, reached, failed] as const;
+		});
+	}
+
 	/** Counts the instances that reach a member, and those whose attempts have failed for a time in milliseconds. */
 	count(member: string, failingFor: Milliseconds): ContactCount {
+		const oldest = this.clock.now() - reportLifetime;
+		const counts = [...this.#summaries.values()].filter(({receivedAt}) => receivedAt >= oldest).map(({entries}) => entries.get(member));
+		let {reached, failed} = this.#count(member, failingFor, [...this.#reports.values()]);
+		for (const count of counts) {
+			reached += count?.reached ?? 0;
+			failed += count?.failed ?? 0;
+		}
+
+		return {reached, failed};
+	}
+
+	#count(member: string, failingFor: Milliseconds, reports: readonly Report[]): ContactCount {
 		const now = this.clock.now();
 		let reachedCount = 0;
 		let failed = 0;
-		for (const {reached, failing, receivedAt} of this.#reports.values()) {
+		for (const {reached, failing, receivedAt} of reports) {
 			const age = now - receivedAt;
 			if (age > reportLifetime) {
 				continue;
--- a/source/registry/introduction-controller.ts
+++ b/source/registry/introduction-controller.ts
@@ -7,7 +7,7 @@
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type ControlDirectory} from './control-directory.js';
 import {
-	type CompactContacts, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
+	type ControlContacts, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
 } from './messages.js';
 
 /** Period of introductions; three of them fit into the time after which an instance is not live. */
@@ -32,8 +32,8 @@
 	readonly seeds: () => readonly Address[];
 	/** Returns the link address of the leader. */
 	readonly leaderAddress: () => Address | undefined;
-	/** Returns what this instance sees of the backend servers. */
-	readonly contacts: () => CompactContacts;
+	/** Returns what this instance and its entries see of the backend servers. */
+	readonly contacts: () => ControlContacts;
 	/** Returns the backend servers that announced themselves here since the last call. */
 	readonly takeHeard: () => ReadonlyArray<readonly [id: string, age: Milliseconds]>;
 };
--- a/source/registry/messages.ts
+++ b/source/registry/messages.ts
@@ -25,8 +25,20 @@
 	readonly heard: ReadonlyArray<readonly [id: string, age: Milliseconds]>;
 	/** Digest of the sender's directory of backend servers. */
 	readonly serversDigest: string;
-	/** What the sender sees of the backend servers; only the leader is told. */
-	readonly contacts: CompactContacts | undefined;
+	/** What the sender and its entries see of the backend servers; only the leader is told. */
+	readonly contacts: ControlContacts | undefined;
+};
+
+/** What a control instance sees of the backend servers, and what the entries that watch it report. */
+export type ControlContacts = {
+	readonly own: CompactContacts;
+	readonly entries: ReadonlyArray<readonly [id: string, reached: number, failed: number]>;
+};
+
+/** Notice `shareContacts` to the leader, while a backend server is not reached. */
+export type ShareContacts = {
+	readonly name: string;
+	readonly contacts: ControlContacts;
 };
 
 /** Response to `introduce`. */
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -15,13 +15,15 @@
 import {checkRoutingTable} from '../routing-table/routing-rules.js';
 import {RoutingStateMachine, type AcceptedRouting, type SubmitAnswer} from '../routing-table/routing-state-machine.js';
 import {type RoutingDocumentFormat, type RoutingTable} from '../routing-table/types.js';
+import {suspicionTime} from '../promotion/promotion-decision.js';
 import {type PrimaryMonitor} from '../promotion/primary-monitor.js';
 import {firstVoters} from './bootstrap-rules.js';
 import {compactContacts, ContactReports} from './contact-reports.js';
 import {type ControlDirectory} from './control-directory.js';
 import {IntroductionController} from './introduction-controller.js';
 import {
-	announcementFreshness, type ControlRecord, type IntroduceRequest, type IntroduceResponse, type ShareAnnouncements, type SubmitRequest, type WatchRequest, type WatchResponse,
+	announcementFreshness, type ControlContacts, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
+	type ShareAnnouncements, type ShareContacts, type SubmitRequest, type WatchRequest, type WatchResponse,
 } from './messages.js';
 
 /** Time within which a quorum must confirm a request; below the second after which operators try another instance. */
@@ -118,7 +120,7 @@
 			logger,
 			seeds: () => [...options.seeds(), ...this.voter.list.voters.map(voter => voter.address)],
 			leaderAddress: () => this.#leaderAddress(),
-			contacts: () => compactContacts(options.monitor.contacts()),
+			contacts: () => this.#contacts(),
 			takeHeard: () => this.#takeHeard(),
 		});
 	}
@@ -153,12 +155,17 @@
 		linkServer.handle('watch', async body => this.#watch(body as WatchRequest));
 		linkServer.handle('submitRouting', async body => this.#submitHere(body as SubmitRequest));
 		linkServer.handle('readRouting', async () => this.#readHere());
+		linkServer.handle('shareContacts', async body => {
+			const {name, contacts} = body as ShareContacts;
+			this.reports.receiveFromControl(name, contacts);
+		});
 		linkServer.handle('shareAnnouncements', async body => {
 			directory.merge((body as ShareAnnouncements).servers);
 		});
 		this.#introductions.start();
 		this.#cancel = clock.repeat(housekeepingPeriod, () => {
 			directory.prune();
+			this.#shareFailures();
 			void this.#bootstrapIfFirst();
 		});
 	}
@@ -216,12 +223,26 @@
 	#introduced(request: IntroduceRequest): IntroduceResponse {
 		this.options.directory.refresh(request.heard);
 		if (request.contacts) {
-			this.reports.receive(request.self.name, 'control', request.contacts);
+			this.reports.receiveFromControl(request.self.name, request.contacts);
 		}
 
 		return this.#introductions.answer(request);
 	}
 
+	#contacts(): ControlContacts {
+		return {own: compactContacts(this.options.monitor.contacts()), entries: this.reports.summary(suspicionTime)};
+	}
+
+	/** Tells the leader at a faster pace than introductions while a backend server is not reached. */
+	#shareFailures(): void {
+		const address = this.#leaderAddress();
+		const contacts = this.#contacts();
+		const isComplete = contacts.own.failing.length === 0 && contacts.entries.every(entry => entry[2] === 0);
+		if (address !== undefined && address !== this.options.linkAddress && !isComplete) {
+			this.options.linkClient.notify(address, 'shareContacts', {name: this.options.name, contacts} satisfies ShareContacts);
+		}
+	}
+
 	#takeHeard(): ReadonlyArray<readonly [id: string, age: Milliseconds]> {
 		const heard = [...this.#heard].map(id => [id, Math.round(this.options.directory.silenceOf(id))] as const);
 		this.#heard.clear();
--- a/source/registry/registry-rules.spec.ts
+++ b/source/registry/registry-rules.spec.ts
@@ -38,6 +38,22 @@
 	assert.equal(reports.entryCount, 2);
 });
 
+test('the leader counts what the entries of other control instances see', () => {
+	const clock = new ManualClock();
+	const reached = compactContacts([{id: 'a', answeredAgo: 100, failingFor: 0}]);
+	const observer = new ContactReports(clock);
+	for (const name of ['first', 'second', 'third']) {
+		observer.receive(name, 'entry', reached);
+	}
+
+	observer.receive('fourth', 'entry', compactContacts([{id: 'a', answeredAgo: 900, failingFor: 700}]));
+	const leader = new ContactReports(clock);
+	leader.receiveFromControl('observer', {own: reached, entries: observer.summary(600)});
+	assert.deepEqual(leader.count('a', 600), {reached: 4, failed: 1}, 'a primary that only the leader and one entry miss stays');
+	clock.advance(2000);
+	assert.deepEqual(leader.count('a', 600), {reached: 0, failed: 0});
+});
+
 test('a primary that most instances reach is not replaced', () => {
 	assert.equal(isPrimaryLost({reached: 10, failed: 1}), false);
 	assert.equal(isPrimaryLost({reached: 0, failed: 0}), false);
--- /dev/null
+++ b/source/session-proxy/structured-request-log.spec.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Registry} from 'prom-client';
+import {BoundedOutput} from '../observability/bounded-output.js';
+import {createLogger} from '../observability/logger.js';
+import {ManualClock} from '../clock/manual-clock.js';
+import {StructuredRequestLog} from './structured-request-log.js';
+
+test('a decision is counted, and one that is no plain success is a line with its request, member and point', async () => {
+	const lines: string[] = [];
+	const registry = new Registry();
+	const log = new StructuredRequestLog(createLogger('one', 'request', 'info', {
+		write(line) {
+			lines.push(line);
+		},
+	}), registry);
+	const decision = {
+		request: 'r1', session: 's', database: 'db', step: 'read', routingVersion: 7, member: 'i-1', point: '2.5', elapsed: 12,
+	};
+	log.record({...decision, outcome: 'done'});
+	log.record({...decision, outcome: 'notRun i-1'});
+	log.record({...decision, outcome: 'notRun i-2'});
+	assert.equal(lines.length, 2);
+	const line = JSON.parse(lines[0]) as Readonly<Record<string, unknown>>;
+	assert.deepEqual([line.request, line.member, line.point, line.routingVersion, line.msg], ['r1', 'i-1', '2.5', 7, 'request: read notRun i-1']);
+	const text = await registry.metrics();
+	assert.match(text, /buckthornhitch_request_decisions_total\{step="read",outcome="notRun"\} 2/v);
+	assert.match(text, /buckthornhitch_request_seconds_count\{step="read"\} 3/v);
+});
+
+test('log lines beyond the rate, or while the reader is behind, are dropped and counted', () => {
+	const clock = new ManualClock();
+	const output = {
+		lines: [] as string[],
+		writableLength: 0,
+		write(line: string) {
+			output.lines.push(line);
+			return true;
+		},
+	};
+	const bounded = new BoundedOutput(output, clock);
+	for (let count = 0; count < 500; count++) {
+		bounded.write('line\n');
+	}
+
+	assert.equal(output.lines.length, 200);
+	clock.advance(1000);
+	bounded.write('line\n');
+	assert.match(output.lines[200], /"dropped":300/v);
+	output.writableLength = 1024 * 1024;
+	bounded.write('lost\n');
+	assert.ok(!output.lines.includes('lost\n'));
+});
