Repeat an unanswered promotion soon, and take the primary that was confirmed last

The new test of the promotion controller showed a second fault: the confirmation of a lost primary was preferred to that of its successor, whose log still ends in the earlier term, so that the promotion was repeated.

--- a/source/promotion/primary-monitor.ts
+++ b/source/promotion/primary-monitor.ts
@@ -2,7 +2,6 @@
 import {type BackendServer} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
-import {compareLogPoints} from '../database-group/log-point-rules.js';
 import {type MemberContact, type PrimaryReport} from '../registry/messages.js';
 import {type MemberConnector} from '../statement/member-link.js';
 import {MemberWatch} from './member-watch.js';
@@ -53,7 +52,7 @@
 		return this.#watches.get(id);
 	}
 
-	/** Returns the newest confirmed primary of each service; nothing that was confirmed before a suspected suspension of this instance. */
+	/** Returns the primary of each service that was confirmed last; nothing that was confirmed before a suspected suspension of this instance. */
 	reports(): readonly PrimaryReport[] {
 		const now = this.clock.now();
 		const trustedSince = this.clock.suspectedUntil();
@@ -63,10 +62,10 @@
 				continue;
 			}
 
-			const other = newest.get(server.service);
-			if (!other || compareLogPoints(primary.point, other.point) > 0) {
+			const age = now - primary.askedAt;
+			if (age < (newest.get(server.service)?.age ?? Number.POSITIVE_INFINITY)) {
 				newest.set(server.service, {
-					service: server.service, primary: server.id, point: primary.point, age: now - primary.askedAt,
+					service: server.service, primary: server.id, point: primary.point, age,
 				});
 			}
 		}
--- /dev/null
+++ b/source/promotion/promotion-controller.spec.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {BackendDirectory} from '../backend-directory/backend-directory.js';
+import {ManualClock} from '../clock/manual-clock.js';
+import {silentLogger} from '../observability/logger.js';
+import {compactContacts, ContactReports} from '../registry/contact-reports.js';
+import {FakeConnector, FakeMember} from '../session-proxy/member-fake.js';
+import {announcementOf} from '../session-proxy/session-fixture.js';
+import {StatusFormat, type ReplicationStatus} from './member-status.js';
+import {PrimaryMonitor} from './primary-monitor.js';
+import {PromotionAuthority, type PromotionCall, type PromotionOutcome} from './promotion-authority.js';
+import {PromotionController} from './promotion-controller.js';
+
+class NoStatus extends StatusFormat {
+	override parse(): ReplicationStatus | undefined {
+		return undefined;
+	}
+}
+
+class FakeAuthority extends PromotionAuthority {
+	readonly calls: PromotionCall[] = [];
+
+	constructor(private readonly outcomes: PromotionOutcome[], private readonly promoted: (member: string) => void) {
+		super();
+	}
+
+	override async promote(call: PromotionCall): Promise<PromotionOutcome> {
+		this.calls.push(call);
+		const outcome = this.outcomes.shift() ?? 'designated';
+		if (outcome === 'designated') {
+			this.promoted(call.member);
+		}
+
+		return outcome;
+	}
+}
+
+class Fixture {
+	readonly clock = new ManualClock();
+	readonly reports = new ContactReports(this.clock);
+	readonly members = ['a', 'b', 'c'].map(id => new FakeMember({...announcementOf(id, {role: id === 'a' ? 'primary' : 'replica'}), isGone: false}));
+	readonly authority: FakeAuthority;
+	readonly #directory = new BackendDirectory(this.clock);
+	readonly #monitor = new PrimaryMonitor(this.clock, this.#directory, new FakeConnector(this.members), () => true);
+	readonly #controller: PromotionController;
+	#token = 0;
+
+	constructor(outcomes: PromotionOutcome[] = []) {
+		this.members[0].role = 'primary';
+		this.members[0].point = {term: 1, position: 9};
+		this.members[1].point = {term: 1, position: 7};
+		this.members[2].point = {term: 1, position: 8};
+		this.authority = new FakeAuthority(outcomes, id => {
+			for (const member of this.members) {
+				member.role = member.server.id === id ? 'primary' : 'replica';
+			}
+		});
+		this.#controller = new PromotionController({
+			name: 'one',
+			clock: this.clock,
+			logger: silentLogger,
+			directory: this.#directory,
+			monitor: this.#monitor,
+			reports: this.reports,
+			authority: this.authority,
+			statusFormat: new NoStatus(),
+			table: () => ({
+				version: 1, routes: [], services: [{name: 'ledger', connectionLimit: 9, synchronousReplicas: 0}], idleTransactionLimit: 0,
+			}),
+			isLeader: () => true,
+			issueToken: async () => ++this.#token,
+		});
+		this.#monitor.start();
+		this.announce();
+		this.#controller.start();
+	}
+
+	announce(isLeaving = false, sequence = 1): void {
+		for (const {server} of this.members) {
+			this.#directory.announce({...server, sequence, isLeaving: isLeaving && server.id === 'a'});
+		}
+	}
+
+	/** Lets time pass while entries report whether they reach the primary. */
+	async pass(duration: number, failing: number): Promise<void> {
+		for (let passed = 0; passed < duration; passed += 100) {
+			for (let entry = 0; entry < 10; entry++) {
+				this.reports.receive(`entry ${entry}`, 'entry', compactContacts([{id: 'a', answeredAgo: 100, failingFor: entry < failing ? 700 : 0}]));
+			}
+
+			await this.clock.advanceInSteps(100, 10);
+		}
+	}
+
+	stop(): void {
+		this.#controller.stop();
+		this.#monitor.stop();
+	}
+}
+
+test('a primary that most entries reach is not replaced, although the leader does not reach it', async () => {
+	const fixture = new Fixture();
+	await fixture.pass(1000, 0);
+	fixture.members[0].isDark = true;
+	await fixture.pass(3000, 1);
+	fixture.stop();
+	assert.deepEqual(fixture.authority.calls, []);
+});
+
+test('a lost primary is replaced by the replica that received most', async () => {
+	const fixture = new Fixture();
+	await fixture.pass(1000, 0);
+	fixture.members[0].isDark = true;
+	await fixture.pass(2500, 10);
+	fixture.stop();
+	assert.deepEqual(fixture.authority.calls.map(call => call.member), ['c']);
+});
+
+test('a call without an answer is soon repeated with a higher token, which makes it void when it is carried out late', async () => {
+	const fixture = new Fixture(['unknown', 'unknown']);
+	await fixture.pass(1000, 0);
+	fixture.members[0].isDark = true;
+	await fixture.pass(3000, 10);
+	fixture.stop();
+	assert.deepEqual(fixture.authority.calls.map(call => call.token), [1, 2, 3]);
+});
+
+test('a leaving primary stops taking writes before another member is promoted', async () => {
+	const fixture = new Fixture();
+	await fixture.pass(1000, 0);
+	fixture.announce(true, 2);
+	await fixture.pass(4000, 0);
+	fixture.stop();
+	assert.deepEqual(fixture.authority.calls.map(call => call.member), ['c']);
+	assert.ok(fixture.members[0].kinds.includes('demote'));
+});
--- a/source/promotion/promotion-controller.ts
+++ b/source/promotion/promotion-controller.ts
@@ -22,6 +22,9 @@
 /** After a call, the outcome is awaited for this long before another one; above the longest promotion of a member. */
 const settleTime: Milliseconds = 2500;
 
+/** A call without an answer may be carried out seconds later; after this long it is repeated with a higher token, which makes the late one void. */
+const unansweredTime: Milliseconds = 300;
+
 /** A service without any member that says it leads is given this long; two announcement periods of a primary that has not announced itself yet. */
 const unknownPrimaryTime: Milliseconds = 3000;
 
@@ -254,7 +257,8 @@
 			return;
 		}
 
-		const deadline = clock.now() + settleTime;
+		const patience = outcome === 'designated' ? settleTime : unansweredTime;
+		const deadline = clock.now() + patience;
 		while (clock.now() < deadline) {
 			if (monitor.watchOf(member)?.primary) {
 				logger.info(`${service}: ${member} leads from ${JSON.stringify(monitor.watchOf(member)?.point)}`);
@@ -264,7 +268,7 @@
 			await clock.sleep(catchUpPause);
 		}
 
-		logger.warn(`${service}: ${member} does not lead ${settleTime} ms after its promotion`);
+		logger.warn(`${service}: ${member} does not lead ${patience} ms after the call`);
 		await this.#resume(plan);
 	}
 
