Remove what nothing uses from the registry process

Cause: a getter and a function were left from a way to redirect operators that was not taken. Change: both are removed; nothing called them.

--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -11,7 +11,7 @@
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {type Random, uniqueId} from '../random/random.js';
-import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {checkRoutingTable} from '../routing-table/routing-rules.js';
 import {RoutingStateMachine, type AcceptedRouting, type SubmitAnswer} from '../routing-table/routing-state-machine.js';
 import {type RoutingDocumentFormat, type RoutingTable} from '../routing-table/types.js';
@@ -130,12 +130,6 @@
 		return this.#table;
 	}
 
-	/** Operator address of the leader, if it is known. */
-	get leaderControlAddress(): Address | undefined {
-		const {leader} = this.voter;
-		return leader && this.options.controls.records.find(record => record.name === leader.name)?.controlAddress;
-	}
-
 	/** Reads the data folder, then answers requests. Rejects with storageCorrupt or storageFailed. */
 	async open(): Promise<void> {
 		await this.voter.open();
@@ -365,8 +359,3 @@
 		await Promise.all(others.map(async voter => this.options.linkClient.request(voter.address, 'bootstrap', {voters}, confirmationTimeout)));
 	}
 }
-
-/** Returns whether the error leaves the outcome of a change open, so that it may be sent again. */
-export function mayResend(error: unknown): boolean {
-	return !(error instanceof BuckthornhitchError) || error.codeName !== 'configurationInvalid';
-}
