Replace a primary only when no reporting instance reaches it

Change: a primary is lost only when nobody reaches it. Entries that are cut off wait for the end of the cut.

--- a/source/promotion/promotion-controller.ts
+++ b/source/promotion/promotion-controller.ts
@@ -137,7 +137,8 @@
 		const count = reports.count(id, suspicionTime);
 		const own = monitor.watchOf(id)?.contact;
 		const ownFailed = own !== undefined && own.failingFor >= suspicionTime;
-		return isPrimaryLost({reached: count.reached + (ownFailed ? 0 : 1), failed: count.failed + (ownFailed ? 1 : 0)});
+		const ownReached = own?.failingFor === 0 && own.answeredAgo !== null;
+		return isPrimaryLost({reached: count.reached + Number(ownReached), failed: count.failed + Number(ownFailed)});
 	}
 
 	async #replace(plan: ReplacementPlan): Promise<void> {
--- a/source/promotion/promotion-decision.ts
+++ b/source/promotion/promotion-decision.ts
@@ -6,13 +6,16 @@
 /** Attempts must have failed for this long before they count against a primary; longer than a lost answer and a reconnect. */
 export const suspicionTime: Milliseconds = 600;
 
-/** Share of the reporting instances that must fail to reach a primary. Below it, the requests of the cut off instances cost less than the pause of a promotion. */
+/** Share of the reporting instances that fail to reach a replica above which it is not promoted. */
 const failedShare = 0.25;
 
-/** Returns whether the primary is to be replaced because too few instances reach it. */
+/** Returns whether the primary is to be replaced. While any instance reaches it, a primary that is cut off from the others may go on acknowledging writes that its successor lacks. */
 export function isPrimaryLost({reached, failed}: ContactCount): boolean {
-	const reporting = reached + failed;
-	return failed > 0 && failed >= failedShare * reporting;
+	return failed > 0 && reached === 0;
+}
+
+function isPoorlyReached({reached, failed}: ContactCount): boolean {
+	return failed > 0 && failed >= failedShare * (reached + failed);
 }
 
 /** A member that may take over. */
@@ -26,7 +29,7 @@
 
 /** Returns the candidate to promote: it stays, is reached, and has received most. */
 export function chooseCandidate(candidates: readonly PromotionCandidate[]): PromotionCandidate | undefined {
-	const reachable = candidates.filter(candidate => !isPrimaryLost(candidate.contact));
+	const reachable = candidates.filter(candidate => !isPoorlyReached(candidate.contact));
 	const staying = reachable.filter(candidate => !candidate.isLeaving);
 	return staying.toSorted((first, second) => compareLogPoints(second.received, first.received)).at(0);
 }
--- a/source/registry/registry-rules.spec.ts
+++ b/source/registry/registry-rules.spec.ts
@@ -54,10 +54,11 @@
 	assert.deepEqual(leader.count('a', 600), {reached: 0, failed: 0});
 });
 
-test('a primary that most instances reach is not replaced', () => {
+test('a primary that any instance reaches is not replaced, since it may go on acknowledging writes', () => {
 	assert.equal(isPrimaryLost({reached: 10, failed: 1}), false);
 	assert.equal(isPrimaryLost({reached: 0, failed: 0}), false);
-	assert.equal(isPrimaryLost({reached: 10, failed: 5}), true);
+	assert.equal(isPrimaryLost({reached: 15, failed: 5}), false);
+	assert.equal(isPrimaryLost({reached: 1, failed: 20}), false);
 	assert.equal(isPrimaryLost({reached: 0, failed: 1}), true);
 });
 
