--- a/source/pool/write-executor.ts
+++ b/source/pool/write-executor.ts
@@ -151,13 +151,19 @@
 	async #waitForPrimary({deadlineAt}: Pick<WriteProgress, 'deadlineAt'>): Promise<PrimaryUse> {
 		const {writeQueue, clock, checkMember} = this.context;
 		for (;;) {
+			let countEnd = (): void => undefined;
 			const grant = await writeQueue.enter({
-				attempt: () => this.#tryPrimary(),
+				attempt: () => {
+					const primary = this.#tryPrimary();
+					// Counted at once: a planned change that begins before this request goes on must wait for it.
+					countEnd = primary ? this.#countWork() : countEnd;
+					return primary;
+				},
 				deadlineAt,
 				onDeadline: () => this.#deadlineError(),
 			});
 			try {
-				const use = await this.#connect(grant, deadlineAt);
+				const use = await this.#connect(grant, countEnd, deadlineAt);
 				if (use) {
 					return use;
 				}
@@ -172,9 +178,8 @@
 		}
 	}
 
-	async #connect(grant: MemberGrant, deadlineAt: Milliseconds): Promise<PrimaryUse | undefined> {
+	async #connect(grant: MemberGrant, countEnd: () => void, deadlineAt: Milliseconds): Promise<PrimaryUse | undefined> {
 		const {board, clock, dispatch} = this.context;
-		const countEnd = this.#countWork();
 		let use: PrimaryUse | undefined;
 		try {
 			const connection = await grant.connections.acquire(deadlineAt);
