--- a/source/promotion/promotion-controller.ts
+++ b/source/promotion/promotion-controller.ts
@@ -5,7 +5,7 @@
 import {compareLogPoints} from '../database-group/log-point-rules.js';
 import {type LogPoint} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
-import {type ContactReports} from '../registry/contact-reports.js';
+import {type ContactCount, type ContactReports} from '../registry/contact-reports.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type RoutingTable} from '../routing-table/types.js';
 import {type MemberStatement} from '../statement/types.js';
@@ -28,6 +28,9 @@
 /** A service without any member that says it leads is given this long; two announcement periods of a primary that has not announced itself yet. */
 const unknownPrimaryTime: Milliseconds = 3000;
 
+/** Pace of the log lines on a primary that some instances reach and others do not. */
+const doubtLogPeriod: Milliseconds = 1000;
+
 /** A planned change waits this long for a replica to receive everything. */
 const catchUpTime: Milliseconds = 1500;
 
@@ -57,6 +60,8 @@
 	readonly #busy = new Set<string>();
 	/** Time since which no member of a service was seen to lead. */
 	readonly #leaderlessSince = new Map<string, Milliseconds>();
+	/** Time of the last log line on a primary that only some instances reach. */
+	readonly #doubtLoggedAt = new Map<string, Milliseconds>();
 	#leadsSince: Milliseconds | undefined;
 	#cancel: Cancel | undefined;
 
@@ -138,7 +143,21 @@
 		const own = monitor.watchOf(id)?.contact;
 		const ownFailed = own !== undefined && own.failingFor >= suspicionTime;
 		const ownReached = own?.failingFor === 0 && own.answeredAgo !== null;
-		return isPrimaryLost({reached: count.reached + Number(ownReached), failed: count.failed + Number(ownFailed)});
+		const total = {reached: count.reached + Number(ownReached), failed: count.failed + Number(ownFailed)};
+		const isLost = isPrimaryLost(total);
+		if (total.failed > 0 && !isLost) {
+			this.#logDoubt(id, total);
+		}
+
+		return isLost;
+	}
+
+	#logDoubt(id: string, count: ContactCount): void {
+		const {clock, logger, reports} = this.options;
+		if (clock.now() - (this.#doubtLoggedAt.get(id) ?? Number.NEGATIVE_INFINITY) >= doubtLogPeriod) {
+			this.#doubtLoggedAt.set(id, clock.now());
+			logger.info(`${id} stays the primary: ${count.failed} instances miss it and ${count.reached} reach it`, {member: id, ...count, reachedBy: reports.reaching(id)});
+		}
 	}
 
 	async #replace(plan: ReplacementPlan): Promise<void> {
--- a/source/registry/contact-reports.ts
+++ b/source/registry/contact-reports.ts
@@ -7,9 +7,6 @@
 /** A member counts as reached while its last answer is no older; a primary that is asked every 400 ms answers in time, and a lost one no longer counts when the first attempts fail for long. */
 const reachedWithin: Milliseconds = 700;
 
-/** An entry instance that did not watch for this long no longer shares the connections. */
-const entryLifetime: Milliseconds = 10_000;
-
 type Report = {
 	readonly origin: 'entry' | 'control';
 	readonly reached: ReadonlySet<string>;
@@ -45,12 +42,6 @@
 
 	constructor(private readonly clock: Clock) {}
 
-	/** Entry instances that reported lately. */
-	get entryCount(): number {
-		const oldest = this.clock.now() - entryLifetime;
-		return [...this.#reports.values()].filter(report => report.origin === 'entry' && report.receivedAt >= oldest).length;
-	}
-
 	/** Replaces the report of an instance. */
 	receive(name: string, origin: 'entry' | 'control', {reached, failing}: CompactContacts): void {
 		this.#reports.set(name, {
@@ -87,6 +78,14 @@
 		return {reached, failed};
 	}
 
+	/** Returns the instances that reach a member by their own reports, and the control instances whose entries do, for the logs. */
+	reaching(member: string): readonly string[] {
+		const oldest = this.clock.now() - reportLifetime;
+		const reports = [...this.#reports].filter(([, {reached, receivedAt}]) => receivedAt >= oldest && reached.has(member));
+		const summaries = [...this.#summaries].filter(([, {entries, receivedAt}]) => receivedAt >= oldest && (entries.get(member)?.reached ?? 0) > 0);
+		return [...reports.map(([name]) => name), ...summaries.map(([name, {entries}]) => `${entries.get(member)!.reached} entries of ${name}`)];
+	}
+
 	#count(member: string, failingFor: Milliseconds, reports: readonly Report[]): ContactCount {
 		const now = this.clock.now();
 		let reachedCount = 0;
--- a/source/registry/introduction-controller.ts
+++ b/source/registry/introduction-controller.ts
@@ -6,6 +6,7 @@
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type ControlDirectory} from './control-directory.js';
+import {entriesDigest, type EntryDirectory} from './entry-directory.js';
 import {
 	type ControlContacts, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
 } from './messages.js';
@@ -26,6 +27,7 @@
 	readonly linkClient: LinkClient;
 	readonly directory: ControlDirectory;
 	readonly servers: BackendDirectory;
+	readonly entries: EntryDirectory;
 	/** Returns this instance as it is now. */
 	readonly self: () => ControlRecord;
 	/** Returns link addresses that the settings or the voter list name. */
@@ -61,12 +63,13 @@
 
 	/** Answers `introduce`. */
 	answer(request: IntroduceRequest): IntroduceResponse {
-		const {directory, servers, self} = this.options;
+		const {directory, servers, self, entries} = this.options;
 		directory.heard(request.self);
 		return {
 			self: self(),
 			known: request.digest === directory.digest ? undefined : directory.records,
 			servers: request.serversDigest === servers.digest ? undefined : servers.known,
+			entries: request.entriesDigest === entriesDigest(entries.own) ? undefined : entries.own,
 		};
 	}
 
@@ -83,19 +86,21 @@
 	}
 
 	async #introduceTo(address: Address, own: ControlRecord, heard: IntroduceRequest['heard']): Promise<void> {
-		const {directory, servers: directoryOfServers, linkClient, contacts, leaderAddress, logger} = this.options;
+		const {directory, servers: directoryOfServers, entries: entryDirectory, linkClient, contacts, leaderAddress, logger} = this.options;
 		const request: IntroduceRequest = {
 			self: own,
 			digest: directory.digest,
 			serversDigest: directoryOfServers.digest,
 			heard,
 			contacts: leaderAddress() === address ? contacts() : undefined,
+			entriesDigest: entryDirectory.digestOf(address),
 		};
 		try {
-			const {self, known, servers} = await linkClient.request(address, 'introduce', request, introductionTimeout) as IntroduceResponse;
+			const {self, known, servers, entries} = await linkClient.request(address, 'introduce', request, introductionTimeout) as IntroduceResponse;
 			directory.heard(self);
 			directory.learn(known ?? []);
 			directoryOfServers.merge(servers ?? []);
+			entryDirectory.receive(address, entries);
 			if (this.#unreached.delete(address)) {
 				logger.info(`control instance ${self.name} at ${address} is reached again`);
 			}
--- a/source/registry/messages.ts
+++ b/source/registry/messages.ts
@@ -16,6 +16,14 @@
 	readonly mayBootstrap: boolean;
 };
 
+/** An entry instance as it names itself. */
+export type EntryRecord = {
+	readonly name: string;
+	/** Where other entries reach it. */
+	readonly address: Address;
+	readonly dataCentre: string;
+};
+
 /** Request `introduce`: control instances tell each other which ones exist. */
 export type IntroduceRequest = {
 	readonly self: ControlRecord;
@@ -27,6 +35,8 @@
 	readonly serversDigest: string;
 	/** What the sender and its entries see of the backend servers; only the leader is told. */
 	readonly contacts: ControlContacts | undefined;
+	/** Digest of the receiver's entries as the sender knows them. */
+	readonly entriesDigest: string;
 };
 
 /** What a control instance sees of the backend servers, and what the entries that watch it report. */
@@ -48,6 +58,8 @@
 	readonly known: readonly ControlRecord[] | undefined;
 	/** All known backend servers, when the digests differ. */
 	readonly servers: readonly BackendServer[] | undefined;
+	/** Entries that watch the answering instance, when the digests differ. */
+	readonly entries: readonly EntryRecord[] | undefined;
 };
 
 /** Contacts in the form in which they are sent. */
@@ -69,7 +81,7 @@
 
 /** Request `watch` of an entry instance. */
 export type WatchRequest = {
-	readonly name: string;
+	readonly self: EntryRecord;
 	readonly routingVersion: number;
 	/** Identifies the directory that the version belongs to. */
 	readonly directoryId: string;
@@ -77,6 +89,8 @@
 	readonly contacts: CompactContacts;
 	/** Digest of the control instances that the sender knows. */
 	readonly controlsDigest: string;
+	/** Digest of the entries of its data centre that the sender knows. */
+	readonly entriesDigest: string;
 };
 
 /** A point that the primary of a service confirmed. */
@@ -106,8 +120,14 @@
 	/** Present servers that did not announce themselves within `announcementFreshness`, and the time since then. */
 	readonly silentServers: ReadonlyArray<readonly [id: string, age: Milliseconds]>;
 	readonly primaries: readonly PrimaryReport[];
+	/** Entries of the asker's data centre, when the digest of the request differs. */
+	readonly entries: readonly EntryRecord[] | undefined;
 	/** Entry instances that share the connections. */
 	readonly entryCount: number;
+	/** Data centres with entry instances. */
+	readonly entryDataCentres: number;
+	/** Whether the answering instance runs for long enough to have heard of all entries. */
+	readonly knowsEntries: boolean;
 };
 
 /** Request `submitRouting`. */
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -20,6 +20,7 @@
 import {firstVoters} from './bootstrap-rules.js';
 import {compactContacts, ContactReports} from './contact-reports.js';
 import {type ControlDirectory} from './control-directory.js';
+import {entriesDigest, EntryDirectory} from './entry-directory.js';
 import {IntroductionController} from './introduction-controller.js';
 import {
 	announcementFreshness, type ControlContacts, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
@@ -32,6 +33,9 @@
 /** Period at which an unset voter list is looked at, and the directory is pruned. */
 const housekeepingPeriod: Milliseconds = 250;
 
+/** An instance that runs for this long has heard of the entries from all others; two introductions and the start of a watch. */
+const entryLearningTime: Milliseconds = 2500;
+
 /** Times of the voters. A leader is replaced sooner than in a deployment with long pauses, since promotions wait for it; the limits keep the log, which holds whole documents, small. */
 const registryTiming: VoterTiming = {
 	...defaultVoterTiming,
@@ -72,6 +76,8 @@
 	readonly #machine = new RoutingStateMachine();
 	readonly #introductions: IntroductionController;
 	readonly #directoryId = uniqueId();
+	readonly #entries: EntryDirectory;
+	readonly #createdAt: Milliseconds;
 	#table: RoutingTable | undefined;
 	#cancel: Cancel | undefined;
 	#bootstrapping = false;
@@ -82,6 +88,8 @@
 		super();
 		const {clock, linkClient, controls, logger} = options;
 		this.reports = new ContactReports(clock);
+		this.#entries = new EntryDirectory(clock);
+		this.#createdAt = clock.now();
 		this.voter = new Voter({
 			name: options.name,
 			address: options.linkAddress,
@@ -116,6 +124,7 @@
 			linkClient,
 			directory: controls,
 			servers: options.directory,
+			entries: this.#entries,
 			self: () => this.#self(),
 			logger,
 			seeds: () => [...options.seeds(), ...this.voter.list.voters.map(voter => voter.address)],
@@ -290,7 +299,10 @@
 
 	#watch(request: WatchRequest): WatchResponse {
 		const {directory, controls, monitor} = this.options;
-		this.reports.receive(request.name, 'entry', request.contacts);
+		this.reports.receive(request.self.name, 'entry', request.contacts);
+		this.#entries.heard(request.self);
+		const entries = this.#entries.all;
+		const neighbours = entries.filter(({dataCentre}) => dataCentre === request.self.dataCentre);
 		const {accepted} = this.#machine;
 		const known = request.directoryId === this.#directoryId ? request.directoryVersion : 0;
 		return {
@@ -305,7 +317,10 @@
 				.map(server => [server.id, Math.round(directory.silenceOf(server.id))] as const)
 				.filter(([, age]) => age > announcementFreshness),
 			primaries: monitor.reports(),
-			entryCount: this.reports.entryCount,
+			entries: request.entriesDigest === entriesDigest(neighbours) ? undefined : neighbours,
+			entryCount: entries.length,
+			entryDataCentres: new Set(entries.map(({dataCentre}) => dataCentre)).size,
+			knowsEntries: this.options.clock.now() - this.#createdAt >= entryLearningTime,
 		};
 	}
 
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -8,8 +8,9 @@
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type RoutingDocumentFormat, type RoutingTable} from '../routing-table/types.js';
 import {compactContacts} from './contact-reports.js';
+import {entriesDigest} from './entry-directory.js';
 import {
-	announcementFreshness, type ControlRecord, type MemberContact, type PrimaryReport, type WatchRequest, type WatchResponse,
+	announcementFreshness, type ControlRecord, type EntryRecord, type MemberContact, type PrimaryReport, type WatchRequest, type WatchResponse,
 } from './messages.js';
 
 /** Pace of the questions; a change must be in force within seconds and a failover is waited for. */
@@ -26,8 +27,8 @@
 
 /** What a watcher needs. */
 export type WatcherOptions = {
-	readonly name: string;
-	readonly dataCentre: string;
+	/** This instance as others reach it. */
+	readonly self: EntryRecord;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
@@ -53,7 +54,9 @@
 	#directoryId = '';
 	#directoryVersion = 0;
 	#routingVersion = -1;
+	#entries: readonly EntryRecord[] = [];
 	#entryCount = 1;
+	#entryDataCentres = 1;
 	#informedAt: Milliseconds | undefined;
 	#cancel: Cancel | undefined;
 	#stopped = false;
@@ -62,11 +65,21 @@
 		super();
 	}
 
+	/** Entry instances of this data centre, this one included. */
+	get entries(): readonly EntryRecord[] {
+		return this.#entries;
+	}
+
 	/** Entry instances that share the connections. */
 	get entryCount(): number {
 		return this.#entryCount;
 	}
 
+	/** Data centres with entry instances. */
+	get entryDataCentres(): number {
+		return this.#entryDataCentres;
+	}
+
 	/** Time since a control instance with a leader answered; undefined before the first answer. */
 	get informationAge(): Milliseconds | undefined {
 		return this.#informedAt === undefined ? undefined : this.options.clock.now() - this.#informedAt;
@@ -107,15 +120,16 @@
 	}
 
 	async #askAt(target: Address): Promise<boolean> {
-		const {clock, linkClient, logger, name, contacts} = this.options;
+		const {clock, linkClient, logger, self, contacts} = this.options;
 		const askedAt = clock.now();
 		const request: WatchRequest = {
-			name,
+			self,
 			routingVersion: this.#routingVersion,
 			directoryId: this.#directoryId,
 			directoryVersion: this.#directoryVersion,
 			contacts: compactContacts(contacts()),
 			controlsDigest: this.#controlsDigest,
+			entriesDigest: entriesDigest(this.#entries),
 		};
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
@@ -156,7 +170,7 @@
 	}
 
 	#localControls(): readonly Address[] {
-		return this.#controls.filter(record => record.dataCentre === this.options.dataCentre).map(record => record.address);
+		return this.#controls.filter(record => record.dataCentre === this.options.self.dataCentre).map(record => record.address);
 	}
 
 	/** Leaves a remote control instance for a local one, but returns to one that failed only after a while. */
@@ -184,6 +198,16 @@
 		return untried ?? addresses.at(0);
 	}
 
+	/** A control instance that started lately knows only some entries, which may add to what is known but not replace it. */
+	#receiveEntries({entries, entryCount, entryDataCentres, knowsEntries}: WatchResponse): void {
+		if (knowsEntries || (entries?.length ?? 0) > this.#entries.length) {
+			this.#entries = entries ?? this.#entries;
+		}
+
+		this.#entryCount = Math.max(1, entryCount, knowsEntries ? 1 : this.#entryCount);
+		this.#entryDataCentres = Math.max(1, entryDataCentres, knowsEntries ? 1 : this.#entryDataCentres);
+	}
+
 	#receive(response: WatchResponse, askedAt: Milliseconds): void {
 		const {directory, format, onTable, onPrimaries, logger} = this.options;
 		if (response.controls) {
@@ -191,7 +215,7 @@
 			this.#controlsDigest = response.controlsDigest;
 		}
 
-		this.#entryCount = Math.max(1, response.entryCount);
+		this.#receiveEntries(response);
 		directory.merge(response.changedServers);
 		const silent = new Map(response.silentServers);
 		directory.refresh(directory.servers.map(({id}) => [id, silent.get(id) ?? announcementFreshness]));
--- /dev/null
+++ b/source/relay/relay-server.ts
@@ -0,0 +1,133 @@
+import {Controller} from '../blackboard/blackboard.js';
+import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type LinkPeer, type RequestHandler} from '../links/link-client.js';
+import {type Logger} from '../observability/logger.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type MemberPool} from '../session-proxy/member-pool.js';
+import {
+	type CloseRelay, type OpenRelay, type RelayAnswer, type RelayStatement,
+} from './messages.js';
+import {RelaySession} from './relay-session.js';
+
+/** A relay without a statement for this long is forgotten; longer than any pause that a transaction may have. */
+const idleLimit: Milliseconds = 30_000;
+
+const idleCheckPeriod: Milliseconds = 5000;
+
+/** What a gateway needs. */
+export type RelayServerOptions = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly linkServer: {
+		handle(name: string, handler: RequestHandler): void;
+		onLinkClosed(listener: (peer: LinkPeer) => void): void;
+	};
+	/** Returns this instance's connections to a member that it reaches itself. */
+	readonly poolOf: (service: string, member: string) => MemberPool | undefined;
+};
+
+type Relay = {
+	readonly linkId: number;
+	readonly session: RelaySession;
+	usedAt: Milliseconds;
+};
+
+/** Passes statements of other entries on to members. */
+export class RelayServer extends Controller {
+	readonly #relays = new Map<string, Relay>();
+	#isDraining = false;
+	#cancel: Cancel | undefined;
+
+	constructor(private readonly options: RelayServerOptions) {
+		super();
+	}
+
+	/** Relays with a statement or a transaction under way. */
+	get activeCount(): number {
+		return [...this.#relays.values()].filter(({session}) => session.isActive).length;
+	}
+
+	override start(): void {
+		const {clock, linkServer} = this.options;
+		linkServer.handle('openRelay', async (body, peer) => this.#open(body as OpenRelay, peer));
+		linkServer.handle('relayStatement', async (body, peer) => this.#execute(body as RelayStatement, peer));
+		linkServer.handle('closeRelay', async (body, peer) => {
+			this.#close(keyOf((body as CloseRelay).relay, peer));
+		});
+		linkServer.onLinkClosed(peer => {
+			this.#closeWhere(({linkId}) => linkId === peer.linkId);
+		});
+		this.#cancel = clock.repeat(idleCheckPeriod, () => {
+			const oldest = clock.now() - idleLimit;
+			this.#closeWhere(({usedAt}) => usedAt < oldest);
+		});
+	}
+
+	override stop(): void {
+		this.#cancel?.();
+		this.#closeWhere(() => true);
+	}
+
+	/** Takes no new work; open transactions go on. */
+	drain(): void {
+		this.#isDraining = true;
+	}
+
+	/** Rolls back every open transaction. */
+	abortTransactions(): void {
+		this.#closeWhere(({session}) => session.isInTransaction);
+	}
+
+	async #open({relay, service, member}: OpenRelay, peer: LinkPeer): Promise<null> {
+		const usablePool = (): MemberPool | undefined => {
+			const pool = this.options.poolOf(service, member);
+			return pool && !pool.isFailing && !pool.server.isLeaving ? pool : undefined;
+		};
+
+		if (this.#isDraining || !usablePool()) {
+			throw new BuckthornhitchError('memberUnreachable', this.#isDraining ? 'the gateway is stopping' : `${member} is not reached from here`);
+		}
+
+		this.#relays.set(keyOf(relay, peer), {
+			linkId: peer.linkId, session: new RelaySession(member, this.options.clock, usablePool), usedAt: this.options.clock.now(),
+		});
+		return null;
+	}
+
+	async #execute(request: RelayStatement, peer: LinkPeer): Promise<RelayAnswer> {
+		const relay = this.#relays.get(keyOf(request.relay, peer));
+		if (!relay || (this.#isDraining && !relay.session.isInTransaction)) {
+			return {
+				kind: 'notRun', reason: 'busy', detail: relay ? 'the gateway is stopping' : 'the relay is not known', isLost: true,
+			};
+		}
+
+		relay.usedAt = this.options.clock.now();
+		const answer = await relay.session.execute(request);
+		if (answer.kind !== 'answered') {
+			const {statement} = request;
+			this.options.logger.info(`relayed statement ${answer.kind}: ${answer.detail}`, {
+				request: 'id' in statement ? statement.id : '-', statement: statement.kind, member: relay.session.member, timeout: Math.round(request.timeout), outcome: answer.kind,
+			});
+		}
+
+		return answer;
+	}
+
+	#closeWhere(isMeant: (relay: Relay) => boolean): void {
+		for (const [key, relay] of this.#relays) {
+			if (isMeant(relay)) {
+				this.#close(key);
+			}
+		}
+	}
+
+	#close(key: string): void {
+		this.#relays.get(key)?.session.close();
+		this.#relays.delete(key);
+	}
+}
+
+function keyOf(relay: number, {linkId}: LinkPeer): string {
+	return `${linkId}/${relay}`;
+}
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -119,10 +119,11 @@
 			this.#releaseAfter(reply);
 			return {...reply, transaction: 'idle'};
 		} catch (error) {
-			const {message} = toBuckthornhitchError(error);
+			const {codeName, message} = toBuckthornhitchError(error);
+			const mayHaveCommitted = this.#hasWritten && codeName !== 'linkNotSent';
 			this.rollBack();
-			context.log(id, 'commit', this.#hasWritten ? `unknown ${message}` : `lost ${message}`, {member: member.pool.server.id});
-			return refusal(this.#hasWritten ? 'outcomeUnknown' : 'aborted', message, 'idle');
+			context.log(id, 'commit', mayHaveCommitted ? `unknown ${message}` : `lost ${message}`, {member: member.pool.server.id});
+			return refusal(mayHaveCommitted ? 'outcomeUnknown' : 'aborted', message, 'idle');
 		}
 	}
 
--- a/source/session-proxy/member-attempt.ts
+++ b/source/session-proxy/member-attempt.ts
@@ -59,7 +59,8 @@
 	} catch (error) {
 		noteLoss(pool, error, startedAt);
 		pool.retire(link);
-		return {kind: 'unknown', detail: toBuckthornhitchError(error).message};
+		const {codeName, message} = toBuckthornhitchError(error);
+		return codeName === 'linkNotSent' ? {kind: 'notRun', reason: 'busy', detail: message} : {kind: 'unknown', detail: message};
 	}
 }
 
@@ -77,5 +78,17 @@
 
 /** Returns a text on an attempt for logs. */
 export function describeAttempt(attempt: Attempt): string {
-	return attempt.kind === 'answered' ? describeReply(attempt.reply) : `${attempt.kind} ${attempt.detail}`;
+	switch (attempt.kind) {
+		case 'answered': {
+			return describeReply(attempt.reply);
+		}
+
+		case 'notRun': {
+			return `notRun ${attempt.reason} ${attempt.detail}`;
+		}
+
+		case 'unknown': {
+			return `unknown ${attempt.detail}`;
+		}
+	}
 }
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -182,9 +182,13 @@
 
 	/** Takes note that the member did not answer what was sent at the time; an answer since then shows that it lives. */
 	failed(since: Milliseconds): void {
-		if (this.#answeredAt === undefined || this.#answeredAt < since) {
-			this.#failingSince ??= since;
+		if (this.#answeredAt !== undefined && this.#answeredAt >= since) {
+			return;
 		}
+
+		this.#failingSince ??= since;
+		// Connections of a member that answers nothing may be silent for good; new ones show whether it is reached.
+		this.#closeIdle();
 	}
 
 	/** Takes note of the time of an answer to a read, in milliseconds. */
@@ -197,10 +201,7 @@
 	/** Closes all connections; those in use end with their request. */
 	close(): void {
 		this.#closed = true;
-		for (const link of this.#idle.splice(0)) {
-			link.link.close();
-		}
-
+		this.#closeIdle();
 		this.#rejectWaiters(new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`));
 	}
 
@@ -215,6 +216,12 @@
 		return matching === -1 ? this.#idle.pop() : this.#idle.splice(matching, 1)[0];
 	}
 
+	#closeIdle(): void {
+		for (const link of this.#idle.splice(0)) {
+			link.link.close();
+		}
+	}
+
 	async #rollBack(link: PooledLink): Promise<void> {
 		try {
 			await link.settled();
@@ -284,7 +291,10 @@
 			const {id, service, address} = this.server;
 			const link = await this.options.connector.connect({id, service, address}, connectTimeout);
 			this.#opening--;
-			this.#answered();
+			if (!link.isRelayed) {
+				this.#answered();
+			}
+
 			this.#isFailureLogged = false;
 			this.#adoptOpened(new PooledLink(link, this.options.clock, reply => {
 				this.#answered(reply);
--- a/source/session-proxy/pooled-link.ts
+++ b/source/session-proxy/pooled-link.ts
@@ -39,10 +39,14 @@
 			const cancel = this.clock.schedule(Math.max(0, timeout), () => {
 				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer within ${Math.round(timeout)} ms`));
 			});
-			this.#lastAnswer = this.link.execute(statement).then(reply => {
+			this.#lastAnswer = this.link.execute(statement, timeout).then(reply => {
 				this.#pending--;
 				cancel();
-				this.onAnswer(reply);
+				// A gateway answers some statements itself, which says nothing of the member.
+				if (!this.link.isRelayed || reply.point) {
+					this.onAnswer(reply);
+				}
+
 				resolve(reply);
 			}, (error: unknown) => {
 				this.#pending--;
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -6,18 +6,11 @@
 import {type Logger} from '../observability/logger.js';
 import {type MemberContact, type PrimaryReport} from '../registry/messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type RoutedService} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-link.js';
 import {Freshness} from './freshness.js';
 import {MemberPool} from './member-pool.js';
 import {type PooledLink} from './pooled-link.js';
 
-/** Connections of a member that are left to control instances and to brief overlaps. */
-const reservedConnections = 6;
-
-/** An instance may exceed its share by this factor for a moment, since not all are busy at once. */
-const surplusFactor = 2;
-
 /** Time for the primary to confirm that it leads; it takes no slot. */
 const confirmTimeout: Milliseconds = 400;
 
@@ -32,10 +25,8 @@
 	readonly directory: BackendDirectory;
 	readonly connector: MemberConnector;
 	readonly dataCentre: string;
-	/** Returns what the configuration says of the service now. */
-	readonly configuration: () => RoutedService | undefined;
-	/** Returns how many entry instances share the connections. */
-	readonly entryCount: () => number;
+	/** Returns how many connections this instance may have to a member. */
+	readonly mostConnections: (server: BackendServer) => number;
 };
 
 /** The members of one service as seen from this instance: their connections, the primary and the freshness of data. */
@@ -223,15 +214,12 @@
 	}
 
 	#openPool(server: BackendServer): MemberPool {
-		const {connector, clock, logger, configuration, entryCount} = this.options;
+		const {connector, clock, logger, mostConnections} = this.options;
 		return new MemberPool(server, {
 			connector,
 			clock,
 			logger,
-			mostConnections() {
-				const limit = Math.max(1, (configuration()?.connectionLimit ?? 0) - reservedConnections);
-				return Math.max(1, Math.floor(limit / Math.max(1, entryCount()))) * surplusFactor;
-			},
+			mostConnections: () => mostConnections(server),
 		});
 	}
 }
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -46,7 +46,7 @@
 			directory: this.directory,
 			connector: new FakeConnector(this.members),
 			dataCentre: 'here',
-			entryCount: () => 1,
+			mostConnections: () => 28,
 		});
 		this.proxy.replaceTable({
 			version: 1, routes: [routeOf(consistency)], services: [{name: 'ledger', connectionLimit: 20, synchronousReplicas: 0}], idleTransactionLimit: 3000,
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -1,4 +1,5 @@
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
+import {type BackendServer} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Logger} from '../observability/logger.js';
@@ -7,6 +8,7 @@
 import {type Route, type RoutingTable} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-link.js';
 import {type RequestLog} from './request-log.js';
+import {type MemberPool} from './member-pool.js';
 import {ServiceClient} from './service-client.js';
 import {StatementSession} from './statement-session.js';
 
@@ -18,7 +20,8 @@
 	readonly directory: BackendDirectory;
 	readonly connector: MemberConnector;
 	readonly dataCentre: string;
-	readonly entryCount: () => number;
+	/** Returns how many connections this instance may have to a member. */
+	readonly mostConnections: (server: BackendServer) => number;
 };
 
 /** Time for which a new session waits for the first configuration; below the time after which callers give up. */
@@ -92,6 +95,11 @@
 		}
 	}
 
+	/** Returns the connections to a member, if it is known. */
+	poolOf(service: string, member: string): MemberPool | undefined {
+		return this.#clients.get(service)?.poolOf(member);
+	}
+
 	/** Returns how this instance fares with every member. */
 	contacts(): readonly MemberContact[] {
 		return [...this.#clients.values()].flatMap(client => client.contacts());
@@ -139,7 +147,7 @@
 	#client(service: string): ServiceClient {
 		let client = this.#clients.get(service);
 		if (!client) {
-			const {clock, logger, directory, connector, dataCentre, entryCount} = this.options;
+			const {clock, logger, directory, connector, dataCentre, mostConnections} = this.options;
 			client = new ServiceClient({
 				service,
 				clock,
@@ -147,8 +155,7 @@
 				directory,
 				connector,
 				dataCentre,
-				entryCount,
-				configuration: () => this.#table?.services.find(other => other.name === service),
+				mostConnections,
 			});
 			this.#clients.set(service, client);
 		}
--- a/source/statement/member-link.ts
+++ b/source/statement/member-link.ts
@@ -22,8 +22,13 @@
 	/** Whether the connection has ended. */
 	abstract get isClosed(): boolean;
 
-	/** Sends a statement and resolves with its answer. Rejects with linkOutcomeUnknown when the connection ends first, and with linkNotSent when it had ended before. */
-	abstract execute(statement: MemberStatement): Promise<StatementReply>;
+	/** Whether another entry passes the statements on. */
+	get isRelayed(): boolean {
+		return false;
+	}
+
+	/** Sends a statement and resolves with its answer, which is of use within the timeout in milliseconds. Rejects with linkOutcomeUnknown when the connection ends first, and with linkNotSent when it had ended before. */
+	abstract execute(statement: MemberStatement, timeout?: Milliseconds): Promise<StatementReply>;
 
 	/** Closes the connection, which rolls back an open transaction. */
 	abstract close(): void;
