--- a/source/session-proxy/hedged-read.ts
+++ b/source/session-proxy/hedged-read.ts
@@ -18,7 +18,8 @@
 	constructor(
 		private readonly clock: Clock,
 		private readonly pools: readonly MemberPool[],
-		private readonly readAt: (pool: MemberPool) => Promise<Attempt>,
+		/** Reads at a member; an attempt that has not sent anything yet ends when the read is no longer wanted. */
+		private readonly readAt: (pool: MemberPool, isWanted: () => boolean) => Promise<Attempt>,
 	) {}
 
 	/** Resolves with the first answer, or with the last failure when there is none. */
@@ -49,7 +50,7 @@
 	}
 
 	async #follow(pool: MemberPool, cancelHedge: Cancel): Promise<void> {
-		const attempt = await this.readAt(pool);
+		const attempt = await this.readAt(pool, () => this.#settle !== undefined);
 		this.#running--;
 		cancelHedge();
 		this.#last = attempt;
--- a/source/session-proxy/member-attempt.ts
+++ b/source/session-proxy/member-attempt.ts
@@ -1,6 +1,6 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {type LogPoint} from '../database-group/types.js';
-import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
 import {MemberRefusal} from '../statement/member-link.js';
 import {
@@ -20,32 +20,51 @@
 	/** It may have run. */
 	| {readonly kind: 'unknown'; readonly detail: string};
 
+/** What a statement outside a transaction is sent under. */
+export type AttemptConditions = {
+	/** Point that the member's log must contain. */
+	readonly after?: LogPoint;
+	/** Returns whether the caller still waits for the answer; its session may hold other values afterwards. */
+	readonly isWanted?: () => boolean;
+};
+
 /** What a connection is needed for. */
 export type LinkNeed = {
 	readonly route: Route;
 	readonly shape: PreparedShape | undefined;
 	readonly deadline: Milliseconds;
+	readonly isWanted?: () => boolean;
 };
 
 /** Resolves with a connection that holds the session's values. Rejects when nothing was sent. */
-export async function acquireLink(context: SessionContext, pool: MemberPool, {route, shape, deadline}: LinkNeed): Promise<PooledLink> {
+export async function acquireLink(context: SessionContext, pool: MemberPool, {route, shape, deadline, isWanted = () => true}: LinkNeed): Promise<PooledLink> {
 	const link = await pool.acquire(deadline - context.now, route.priority, context.state);
 	try {
-		await link.adopt(context.state, shape, deadline - context.now);
-		return link;
+		if (isWanted()) {
+			await link.adopt(context.state, shape, deadline - context.now);
+		}
 	} catch (error) {
 		pool.discard(link);
 		throw error;
 	}
+
+	if (!isWanted()) {
+		pool.release(link);
+		throw new BuckthornhitchError('deadlinePassed', 'The caller has its answer already.');
+	}
+
+	return link;
 }
 
 /** Sends one statement outside a transaction to one member. */
-export async function attemptAt(context: SessionContext, pool: MemberPool, routed: RoutedRequest, after?: LogPoint): Promise<Attempt> {
+export async function attemptAt(context: SessionContext, pool: MemberPool, routed: RoutedRequest, {after, isWanted = () => true}: AttemptConditions = {}): Promise<Attempt> {
 	const {request, route, deadline} = routed;
 	const startedAt = context.now;
 	let link: PooledLink;
 	try {
-		link = await acquireLink(context, pool, {route, shape: request.shape, deadline});
+		link = await acquireLink(context, pool, {
+			route, shape: request.shape, deadline, isWanted,
+		});
 	} catch (error) {
 		return {kind: 'notRun', reason: reasonOf(error), detail: toBuckthornhitchError(error).message};
 	}
--- a/source/session-proxy/member-fake.ts
+++ b/source/session-proxy/member-fake.ts
@@ -27,6 +27,8 @@
 	isFull = false;
 	/** Whether the member answers nothing and accepts no connection. */
 	isDark = false;
+	/** New connections wait for this. */
+	connectGate: Promise<void> = Promise.resolve();
 	/** Data statements wait for `release` while this is set. */
 	holdsAnswers = false;
 	readonly links: FakeLink[] = [];
@@ -170,6 +172,7 @@
 			throw new MemberRefusal('connectionLimit', id);
 		}
 
+		await member.connectGate;
 		const link = new FakeLink(member, ++this.#connections);
 		member.links.push(link);
 		return link;
--- a/source/session-proxy/read-executor.ts
+++ b/source/session-proxy/read-executor.ts
@@ -5,7 +5,9 @@
 import {type StatementReply} from '../statement/types.js';
 import {type RoutedRequest} from './data-request.js';
 import {HedgedRead} from './hedged-read.js';
-import {attemptAt, describeAttempt, type Attempt} from './member-attempt.js';
+import {
+	attemptAt, describeAttempt, type Attempt, type AttemptConditions,
+} from './member-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {orderForRead, type ReadCandidate} from './read-policy.js';
 import {notRunRefusal} from './replies.js';
@@ -36,7 +38,7 @@
 				break;
 			}
 
-			const read = new HedgedRead(context.services.clock, this.membersFor(client, route, needed), async pool => this.#readAt(pool, routed, needed));
+			const read = new HedgedRead(context.services.clock, this.membersFor(client, route, needed), async (pool, isWanted) => this.#readAt(pool, routed, {after: needed, isWanted}));
 			last = await read.run();
 			context.log(request.id, 'read', describeAttempt(last), {
 				point: `${needed.term}.${needed.position}`, elapsed: Math.round(context.now - arrivedAt),
@@ -104,10 +106,10 @@
 		}
 	}
 
-	async #readAt(pool: MemberPool, routed: RoutedRequest, needed: LogPoint): Promise<Attempt> {
+	async #readAt(pool: MemberPool, routed: RoutedRequest, conditions: AttemptConditions): Promise<Attempt> {
 		const {context} = this;
 		const startedAt = context.now;
-		const attempt = await attemptAt(context, pool, routed, needed);
+		const attempt = await attemptAt(context, pool, routed, conditions);
 		if (attempt.kind === 'answered') {
 			pool.measured(context.now - startedAt);
 		} else if (attempt.kind === 'notRun') {
--- a/source/session-proxy/statement-session.spec.ts
+++ b/source/session-proxy/statement-session.spec.ts
@@ -189,3 +189,44 @@
 	assert.equal(fixture.proxy.contacts().find(contact => contact.id === 'a')?.failingFor, 0);
 	fixture.proxy.stop();
 });
+
+test('a read that was answered elsewhere is not sent to another member later, when the session may hold other values', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	await fixture.run(session, write);
+	await fixture.pass(2000);
+	const gates: Array<() => void> = [];
+	for (const member of fixture.members) {
+		member.point = fixture.primary.point;
+		member.holdsAnswers = true;
+	}
+
+	const reply = session.execute(read);
+	await fixture.pass(50);
+	const first = fixture.members.find(({kinds}) => kinds.includes('read'))!;
+	const others = fixture.members.filter(member => member !== first);
+	for (const member of others) {
+		member.holdsAnswers = false;
+		member.connectGate = new Promise(resolve => {
+			gates.push(resolve);
+		});
+		for (const link of member.links) {
+			link.close();
+		}
+	}
+
+	await fixture.pass(300);
+	first.release();
+	await fixture.pass(20);
+	const answer = await reply;
+	assert.equal(answer.outcome, 'done');
+	await fixture.run(session, {
+		kind: 'set', id: 's', name: 'zone', value: 'north',
+	});
+	for (const open of gates) {
+		open();
+	}
+
+	await fixture.pass(200);
+	assert.deepEqual(fixture.received('read').map(({member}) => member), [first.server.id]);
+});
