Distribute routing tables as compressed differences in pieces

Cause: a watch was answered with the whole document. On a link of 2 Mbit/s 250 KB take longer than the request's timeout of 600 ms, so the entry gave up, asked the next control instance for the whole document, and the answers given up filled its link: members, gateways and callers timed out as well.

Change: control instances keep their last tables; an entry names the digest of its table and fetches a deflated difference in pieces of 4 KB, one at a time, continued at another instance after a failure; the digest is checked before a table takes effect. Entries watch the nearest control instance (data centre, region, elsewhere), and requests that fail back off up to 0.8 s with a spread.

--- a/source/registry/messages.ts
+++ b/source/registry/messages.ts
@@ -3,6 +3,7 @@
 import {type VoterRecord} from '../control-log/types.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Address} from '../links/address.js';
+import {type RoutingTableVersion} from '../routing-table/routing-difference.js';
 import {type AcceptedRouting} from '../routing-table/routing-state-machine.js';
 
 /** Record with which a control instance introduces itself. */
@@ -10,6 +11,7 @@
 	/** Address of the interface for operators and backend servers. */
 	readonly controlAddress: Address;
 	readonly dataCentre: string;
+	readonly region: string;
 	/** Voter group to which its data folder belongs, or null when the folder is empty. */
 	readonly group: string | null;
 	/** Whether it may take part in the bootstrap, because the whole system starts for the first time. */
@@ -87,6 +89,8 @@
 	/** Identifies the directory to which the version belongs. */
 	readonly directoryId: string;
 	readonly directoryVersion: number;
+	/** Digest of the routing table that the sender holds. Entries of earlier builds send none and get whole documents in the response. */
+	readonly routingDigest: string | undefined;
 	readonly contacts: EncodedReachability;
 	/** Digest of the control instances that the sender knows. */
 	readonly controlsDigest: string;
@@ -111,10 +115,12 @@
 	/** The control instances, when the digest of the request differs. */
 	readonly controls: readonly ControlRecord[] | undefined;
 	readonly controlsDigest: string;
-	/** Time since the responding instance last knew a leader that a quorum follows. */
-	readonly leaderSilence: Milliseconds;
-	/** The accepted routing, when it is newer than the version in the request. */
+	/** Time since the responding instance last knew a leader that a quorum follows; null when it knows none. */
+	readonly leaderSilence: Milliseconds | null;
+	/** The accepted routing, when it is newer than the version in the request; only for entries of earlier builds. */
 	readonly routing: AcceptedRouting | undefined;
+	/** Version of the newest routing table, when it differs from the one that the sender holds; fetched with `fetchRouting`. */
+	readonly newestRouting: RoutingTableVersion | undefined;
 	readonly directoryId: string;
 	readonly directoryVersion: number;
 	readonly changedServers: readonly BackendServer[];
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -26,6 +26,8 @@
 	announcementFreshness, type ControlReachability, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
 	type AnnouncementNotice, type ReachabilityNotice, type SubmitRoutingRequest, type WatchRequest, type WatchResponse,
 } from './messages.js';
+import {RoutingHistory} from './routing-history.js';
+import {type RoutingPieceRequest} from './routing-transfer.js';
 
 /** Time within which a quorum must confirm a request. It is shorter than 1 s, the time after which operators send an unanswered request to another instance. */
 const confirmationTimeout: Milliseconds = 800;
@@ -52,6 +54,7 @@
 	readonly linkAddress: Address;
 	readonly controlAddress: Address;
 	readonly dataCentre: string;
+	readonly region: string;
 	readonly mayBootstrap: boolean;
 	/** Number of simultaneous disk losses after which a majority of the voters must remain. */
 	readonly toleratedDiskLosses: number;
@@ -77,6 +80,7 @@
 	/** Reachability of the backend servers as reported by entry and control instances. */
 	readonly reports: ReachabilityReports;
 	readonly #stateMachine = new RoutingStateMachine();
+	readonly #routingHistory = new RoutingHistory();
 	readonly #introductions: IntroductionController;
 	readonly #directoryId = uniqueId();
 	readonly #entries: EntryDirectory;
@@ -159,6 +163,7 @@
 		linkServer.handle('installSnapshot', async body => voter.handleSnapshot(parseBody(requestSchemas.installSnapshot, body)));
 		linkServer.handle('introduce', async body => this.#handleIntroduce(body as IntroduceRequest));
 		linkServer.handle('watch', async body => this.#handleWatch(body as WatchRequest));
+		linkServer.handle('fetchRouting', async body => this.#routingHistory.piece(body as RoutingPieceRequest));
 		linkServer.handle('submitRouting', async body => this.#submitAsLeader(body as SubmitRoutingRequest));
 		linkServer.handle('readRouting', async () => this.#readAsLeader());
 		linkServer.handle('shareContacts', async body => {
@@ -308,12 +313,14 @@
 		const entries = this.#entries.all;
 		const localEntries = entries.filter(({dataCentre}) => dataCentre === request.self.dataCentre);
 		const {accepted} = this.#stateMachine;
+		const {newest} = this.#routingHistory;
 		const knownVersion = request.directoryId === this.#directoryId ? request.directoryVersion : 0;
 		return {
 			controls: request.controlsDigest === controls.digest ? undefined : controls.records,
 			controlsDigest: controls.digest,
-			leaderSilence: Math.min(this.voter.leaderSilence, Number.MAX_SAFE_INTEGER),
-			routing: accepted && accepted.version > request.routingVersion ? accepted : undefined,
+			leaderSilence: Number.isFinite(this.voter.leaderSilence) ? this.voter.leaderSilence : null,
+			routing: request.routingDigest === undefined && accepted && accepted.version > request.routingVersion ? accepted : undefined,
+			newestRouting: newest?.digest === request.routingDigest ? undefined : newest,
 			directoryId: this.#directoryId,
 			directoryVersion: directory.version,
 			changedServers: directory.changesSince(knownVersion),
@@ -329,10 +336,10 @@
 	}
 
 	#self(): ControlRecord {
-		const {name, linkAddress, controlAddress, dataCentre, mayBootstrap} = this.options;
+		const {name, linkAddress, controlAddress, dataCentre, region, mayBootstrap} = this.options;
 		const {diskId, group} = this.voter.describe();
 		return {
-			name, diskId, group, address: linkAddress, controlAddress, dataCentre, mayBootstrap,
+			name, diskId, group, address: linkAddress, controlAddress, dataCentre, region, mayBootstrap,
 		};
 	}
 
@@ -340,6 +347,7 @@
 		const {accepted} = this.#stateMachine;
 		if (accepted && accepted.version !== this.#table?.version) {
 			this.#table = this.options.routingDocumentParser.parse(accepted.document);
+			this.#routingHistory.add(this.#table);
 		}
 	}
 
--- a/source/registry/registry-rules.spec.ts
+++ b/source/registry/registry-rules.spec.ts
@@ -8,7 +8,7 @@
 
 function control(name: string, changes: Partial<ControlRecord> = {}): ControlRecord {
 	return {
-		name, diskId: `disk-${name}`, address: `${name}:1`, controlAddress: `${name}:2`, dataCentre: 'here', group: null, mayBootstrap: true, ...changes,
+		name, diskId: `disk-${name}`, address: `${name}:1`, controlAddress: `${name}:2`, dataCentre: 'here', region: 'region', group: null, mayBootstrap: true, ...changes,
 	};
 }
 
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -1,17 +1,19 @@
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {Controller} from '../blackboard/blackboard.js';
+import {BackOff} from '../clock/back-off.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
 import {type LinkClient} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type RoutingDocumentParser, type RoutingTable} from '../routing-table/types.js';
+import {type RoutingTable} from '../routing-table/types.js';
 import {encodeReachability} from './reachability-reports.js';
 import {entriesDigest} from './entry-directory.js';
 import {
 	announcementFreshness, type ControlRecord, type EntryRecord, type BackendReachability, type PrimaryReport, type WatchRequest, type WatchResponse,
 } from './messages.js';
+import {RoutingFetcher} from './routing-fetcher.js';
 
 /** Polling period. It is short because a routing change must take effect within seconds and because requests wait until a failover is known. */
 const watchPeriod: Milliseconds = 250;
@@ -22,18 +24,21 @@
 /** Time without a leader after which the watcher switches to another control instance. */
 const leaderSilenceLimit: Milliseconds = 1200;
 
-/** Time after which a failed control instance in the same data centre is tried again. */
-const localRetryDelay: Milliseconds = 3000;
+/** Time after which a failed control instance that is nearer than the current one is tried again. */
+const nearerRetryDelay: Milliseconds = 3000;
+
+/** Delays before the next request after one that failed. */
+const failureDelays = {shortest: 100, longest: 800};
 
 /** Dependencies and callbacks of a routing watcher. */
 export type RoutingWatcherOptions = {
 	/** Record by which the control instances and the other entry instances know this instance. */
 	readonly self: EntryRecord;
+	readonly region: string;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly linkClient: LinkClient;
-	readonly routingDocumentParser: RoutingDocumentParser;
 	readonly directory: BackendDirectory;
 	/** Returns the link addresses of the control instances currently named in the settings. */
 	readonly seeds: () => readonly Address[];
@@ -54,7 +59,8 @@
 	#lastFailureAt: Milliseconds = 0;
 	#directoryId = '';
 	#directoryVersion = 0;
-	#routingVersion = -1;
+	readonly #routing: RoutingFetcher;
+	readonly #backOff: BackOff;
 	#entries: readonly EntryRecord[] = [];
 	#entryCount = 1;
 	#entryDataCentres = 1;
@@ -64,6 +70,20 @@
 
 	constructor(private readonly options: RoutingWatcherOptions) {
 		super();
+		const {clock, random, logger, linkClient, onRoutingTable} = options;
+		this.#backOff = new BackOff(random, failureDelays);
+		this.#routing = new RoutingFetcher({
+			clock,
+			random,
+			logger,
+			linkClient,
+			onRoutingTable,
+			onSourceFailure: (source, reason) => {
+				if (source === this.#target) {
+					this.#dropTarget(source, reason);
+				}
+			},
+		});
 	}
 
 	/** Entry instances in this data centre, including this one. */
@@ -93,24 +113,28 @@
 	override stop(): void {
 		this.#stopped = true;
 		this.#cancel?.();
+		this.#routing.stop();
 	}
 
 	async #watch(): Promise<void> {
 		const {clock} = this.options;
 		const startedAt = clock.now();
-		const succeeded = await this.#poll();
+		const isAnswered = await this.#poll();
 		if (this.#stopped) {
 			return;
 		}
 
-		// A failed poll is repeated after 50 ms instead of immediately.
-		const delay = succeeded ? watchPeriod - (clock.now() - startedAt) : 0;
-		this.#cancel = clock.schedule(Math.max(succeeded ? 1 : 50, delay), () => {
+		if (isAnswered) {
+			this.#backOff.reset();
+		}
+
+		const delay = isAnswered ? Math.max(1, watchPeriod - (clock.now() - startedAt)) : this.#backOff.nextDelay();
+		this.#cancel = clock.schedule(delay, () => {
 			void this.#watch();
 		});
 	}
 
-	/** Before the first answer all seeds are polled in parallel, since any of them may be down. */
+	/** Resolves with whether a control instance answered. Before the first answer all seeds are polled in parallel, since any of them may be down. */
 	async #poll(): Promise<boolean> {
 		if (this.#lastAnsweredRequestAt === undefined) {
 			const answers = await Promise.all(this.options.seeds().map(async seed => this.#lastAnsweredRequestAt === undefined && this.#pollTarget(seed)));
@@ -126,7 +150,8 @@
 		const askedAt = clock.now();
 		const request: WatchRequest = {
 			self,
-			routingVersion: this.#routingVersion,
+			routingVersion: this.#routing.version,
+			routingDigest: this.#routing.digest,
 			directoryId: this.#directoryId,
 			directoryVersion: this.#directoryVersion,
 			contacts: encodeReachability(reachability()),
@@ -135,18 +160,15 @@
 		};
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
-			this.#handleResponse(response, askedAt);
-			if (response.leaderSilence > leaderSilenceLimit) {
-				this.#dropTarget(target, `it has had no leader for ${response.leaderSilence} ms`);
-				return false;
+			this.#handleResponse(response, target, askedAt);
+			const {leaderSilence} = response;
+			if (leaderSilence === null || leaderSilence > leaderSilenceLimit) {
+				this.#dropTarget(target, leaderSilence === null ? 'it knows no leader' : `it has had no leader for ${Math.round(leaderSilence)} ms`);
+				return true;
 			}
 
 			this.#lastAnsweredRequestAt = askedAt;
-			if (this.#isLocal(target)) {
-				this.#failedTargets.clear();
-			} else {
-				this.#preferLocal(target);
-			}
+			this.#preferNearer(target);
 
 			return true;
 		} catch (error) {
@@ -161,37 +183,44 @@
 			return;
 		}
 
-		this.options.logger.info(`switching from control instance ${target} to another one: ${reason}; last successful request ${Math.round(this.controlInformationAge ?? -1)} ms ago`);
+		this.options.logger.info(`switching from control instance ${target} to another one: ${reason}; last successful request ${Math.round(this.controlInformationAge!)} ms ago`);
 		this.#failedTargets.add(target);
 		this.#lastFailureAt = this.options.clock.now();
 		this.#target = undefined;
 	}
 
-	#isLocal(address: Address): boolean {
-		return this.#localControls().includes(address);
+	/** Returns the control addresses by distance: in this data centre, in this region, then elsewhere; in random order at the same distance. */
+	#addressesByDistance(): readonly Address[] {
+		const records = this.options.random.sample(this.#controls, this.#controls.length);
+		return records.toSorted((first, second) => this.#distance(first) - this.#distance(second)).map(record => record.address);
 	}
 
-	#localControls(): readonly Address[] {
-		return this.#controls.filter(record => record.dataCentre === this.options.self.dataCentre).map(record => record.address);
+	#distance({dataCentre, region}: ControlRecord): number {
+		if (dataCentre === this.options.self.dataCentre) {
+			return 0;
+		}
+
+		return region === this.options.region ? 1 : 2;
 	}
 
-	/** Switches from a control instance in another data centre to one in this data centre, except to one that failed within the retry delay. */
-	#preferLocal(target: Address): void {
-		const {clock} = this.options;
-		if (clock.now() - this.#lastFailureAt > localRetryDelay) {
+	/** Switches from a control instance to a nearer one, except to one that failed within the retry delay. */
+	#preferNearer(target: Address): void {
+		const {clock, logger} = this.options;
+		const current = this.#controls.find(record => record.address === target);
+		const distance = current ? this.#distance(current) : Number.POSITIVE_INFINITY;
+		if (clock.now() - this.#lastFailureAt > nearerRetryDelay) {
 			this.#failedTargets.clear();
 		}
 
-		if (this.#localControls().some(address => !this.#failedTargets.has(address))) {
-			this.options.logger.debug(`switching from control instance ${target} in another data centre to one in this data centre`);
+		if (this.#controls.some(record => this.#distance(record) < distance && !this.#failedTargets.has(record.address))) {
+			logger.debug(`switching from control instance ${target} to a nearer one`);
 			this.#target = undefined;
 		}
 	}
 
-	/** Returns the next control instance to poll, preferring those in the same data centre. */
+	/** Returns the next control instance to poll, the nearest first. */
 	#selectTarget(): Address | undefined {
-		const controlAddresses = this.#controls.map(record => record.address);
-		const addresses = [...new Set([...this.options.random.sample(this.#localControls(), controlAddresses.length), ...controlAddresses, ...this.options.seeds()])];
+		const addresses = [...new Set([...this.#addressesByDistance(), ...this.options.seeds()])];
 		const untried = addresses.find(address => !this.#failedTargets.has(address));
 		if (untried === undefined) {
 			this.#failedTargets = new Set();
@@ -210,8 +239,8 @@
 		this.#entryDataCentres = Math.max(1, entryDataCentres, knowsEntries ? 1 : this.#entryDataCentres);
 	}
 
-	#handleResponse(response: WatchResponse, askedAt: Milliseconds): void {
-		const {directory, routingDocumentParser, onRoutingTable, onPrimaryReports, logger} = this.options;
+	#handleResponse(response: WatchResponse, source: Address, askedAt: Milliseconds): void {
+		const {directory, onPrimaryReports} = this.options;
 		if (response.controls) {
 			this.#controls = response.controls;
 			this.#controlsDigest = response.controlsDigest;
@@ -223,10 +252,8 @@
 		directory.recordAnnouncementAges(directory.servers.map(({id}) => [id, announcementAges.get(id) ?? announcementFreshness]));
 		this.#directoryId = response.directoryId;
 		this.#directoryVersion = response.directoryVersion;
-		if (response.routing && response.routing.version > this.#routingVersion) {
-			onRoutingTable(routingDocumentParser.parse(response.routing.document));
-			logger.info(`routing version ${response.routing.version} is in force, replacing version ${this.#routingVersion}`);
-			this.#routingVersion = response.routing.version;
+		if (response.newestRouting) {
+			this.#routing.offer(response.newestRouting, source);
 		}
 
 		onPrimaryReports(response.primaries, askedAt);
