Compress large frames between processes

Change: a frame of 1 KB or more is deflated once the peer has said in its first ping that it reads such frames, so that builds can be mixed.

--- a/source/links/framing.ts
+++ b/source/links/framing.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Decoder, Encoder} from 'cbor-x';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type LinkMessage} from './messages.js';
@@ -7,31 +8,41 @@
 export const maximumFrameBytes = 16 * 1024 * 1024;
 
 const headerBytes = 4;
+
+/** Bit of the header that marks a compressed body; lengths stay far below it. */
+const compressedBit = 0x80_00_00_00;
+
+/** Length in bytes from which a body is compressed. Smaller bodies fit into one packet as they are. */
+const compressionThreshold = 1024;
 const standaloneEncoder = new Encoder({useRecords: false, mapsAsObjects: true});
 
 /** Encodes a message as a self-contained frame. Throws messageTooLarge. */
 export function encodeFrame(message: LinkMessage): Buffer {
-	return createFrame(standaloneEncoder.encode(message));
+	return createFrame(standaloneEncoder.encode(message), false);
 }
 
 /** Encodes the messages of one link; each set of field names is sent once and referenced afterwards, so a frame depends on the earlier ones. */
 export class FrameWriter {
+	/** Whether large bodies are compressed, which processes of earlier builds cannot read. */
+	isCompressing = false;
 	readonly #encoder = new Encoder({useRecords: true, sequential: true, structures: []});
 
 	/** Returns the frame of the next message. Throws messageTooLarge. */
 	encode(message: LinkMessage): Buffer {
-		return createFrame(this.#encoder.encode(message));
+		return createFrame(this.#encoder.encode(message), this.isCompressing);
 	}
 }
 
-function createFrame(body: Buffer): Buffer {
+function createFrame(body: Buffer, mayCompress: boolean): Buffer {
 	if (body.length > maximumFrameBytes) {
 		throw new BuckthornhitchError('messageTooLarge', `The frame has ${body.length} bytes, at most ${maximumFrameBytes} are allowed.`);
 	}
 
-	const frame = Buffer.allocUnsafe(headerBytes + body.length);
-	frame.writeUInt32BE(body.length, 0);
-	body.copy(frame, headerBytes);
+	const isCompressed = mayCompress && body.length >= compressionThreshold;
+	const content = isCompressed ? deflateRawSync(body, {level: constants.Z_BEST_SPEED}) : body;
+	const frame = Buffer.allocUnsafe(headerBytes + content.length);
+	frame.writeUInt32BE(content.length + (isCompressed ? compressedBit : 0), 0);
+	content.copy(frame, headerBytes);
 	return frame;
 }
 
@@ -61,7 +72,9 @@
 			return undefined;
 		}
 
-		const length = this.#peekLength();
+		const header = this.#peekHeader();
+		const isCompressed = header >= compressedBit;
+		const length = isCompressed ? header - compressedBit : header;
 		if (length > maximumFrameBytes) {
 			throw new BuckthornhitchError('messageTooLarge', `A frame announces ${length} bytes, at most ${maximumFrameBytes} are allowed.`);
 		}
@@ -75,10 +88,10 @@
 		const rest = bytes.subarray(headerBytes + length);
 		this.#chunks = rest.length > 0 ? [rest] : [];
 		this.#bufferedBytes = rest.length;
-		return body;
+		return isCompressed ? inflateBody(body) : body;
 	}
 
-	#peekLength(): number {
+	#peekHeader(): number {
 		if (this.#chunks[0].length < headerBytes) {
 			this.#chunks = [this.#joinChunks()];
 		}
@@ -91,6 +104,14 @@
 	}
 }
 
+function inflateBody(body: Buffer): Buffer {
+	try {
+		return inflateRawSync(body, {maxOutputLength: maximumFrameBytes});
+	} catch (error) {
+		throw new BuckthornhitchError('malformedMessage', 'A compressed frame cannot be read.', {cause: error});
+	}
+}
+
 function decodeMessage(decoder: Decoder, body: Buffer): LinkMessage {
 	let message: unknown;
 	try {
--- a/source/links/link-socket.ts
+++ b/source/links/link-socket.ts
@@ -3,7 +3,7 @@
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type HybridClock} from '../timeline/hybrid-clock.js';
 import {FrameReader, FrameWriter} from './framing.js';
-import {pingName, type LinkMessage} from './messages.js';
+import {pingName, type LinkMessage, type PingBody} from './messages.js';
 
 /** Each end of a link sends a ping with this period. */
 export const pingPeriod: Milliseconds = 1000;
@@ -36,6 +36,7 @@
 			this.#checkTimeoutAndPing();
 		});
 		socket.setNoDelay(true);
+		this.#ping();
 		socket.on('data', chunk => {
 			this.#receive(chunk);
 		});
@@ -63,6 +64,10 @@
 		try {
 			for (const message of this.#reader.read(chunk)) {
 				this.options.hybridClock.observe(message.time);
+				if (message.kind === 'notice' && message.name === pingName) {
+					this.#writer.isCompressing = (message.body as PingBody | null)?.readsCompressed ?? false;
+				}
+
 				this.options.onMessage(message);
 			}
 		} catch {
@@ -76,6 +81,10 @@
 			return;
 		}
 
-		this.send({kind: 'notice', name: pingName, body: null});
+		this.#ping();
+	}
+
+	#ping(): void {
+		this.send({kind: 'notice', name: pingName, body: {readsCompressed: true} satisfies PingBody});
 	}
 }
--- a/source/links/messages.ts
+++ b/source/links/messages.ts
@@ -31,3 +31,9 @@
 
 /** Name of the keepalive notice. */
 export const pingName = 'ping';
+
+/** Body of the keepalive notice; null from processes of earlier builds. */
+export type PingBody = {
+	/** Whether the sender reads compressed frames. */
+	readonly readsCompressed: boolean;
+};
