Send no statement that cannot be answered in time, and leave an overloaded primary to the writes

Of the attempts that failed, 90 were sent with no time left ('no answer within -1 ms') and more were sent shortly before their deadline, so that slots were spent on callers who had been refused; reads that replicas could serve came back to the primary 20 ms after it had refused them.

Change: a waiting request with less than half of the expected reply time left is refused at that moment (admission/deadline-rules.ts), also before it is sent and between two attempts; reads avoid a primary that refused one because of load for 500 ms. A load test plays the burst on the manual clock; without the rule a statement was sent with 20 ms left.

--- /dev/null
+++ b/source/session-proxy/loaded-member-fake.ts
@@ -0,0 +1,117 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type LogPosition} from '../database-group/types.js';
+import {MemberConnection, MemberConnector, type MemberTarget} from '../statement/member-connection.js';
+import {
+	type MemberStatement, type RefusalReason, type StatementReply, type TransactionState,
+} from '../statement/types.js';
+
+/** Position of the log of all members; no commits happen under these loads. */
+const logPosition: LogPosition = {term: 1, position: 1};
+
+/** Capacity of a member. */
+export type MemberCapacity = {
+	readonly slots: number;
+	/** Requests that wait for a slot before the member refuses more as busy. */
+	readonly queueLimit: number;
+	readonly serviceTime: Milliseconds;
+};
+
+/** Member whose reads and writes take slots for a time, to play loads on the manual clock. */
+export class LoadedMember {
+	/** Times at which reads and writes arrived, by their ids. */
+	readonly arrivals = new Map<string, Milliseconds>();
+	/** Reads and writes that ran. */
+	completed = 0;
+	/** Reads and writes that were refused as busy. */
+	refused = 0;
+	#busySlots = 0;
+	readonly #queue: Array<() => void> = [];
+
+	constructor(private readonly clock: Clock, readonly isPrimary: boolean, private readonly capacity: MemberCapacity) {}
+
+	/** Runs a read or a write in a slot, or refuses it when the queue is full. */
+	async run(id: string): Promise<RefusalReason | undefined> {
+		this.arrivals.set(id, this.clock.now());
+		if (this.#queue.length >= this.capacity.queueLimit) {
+			this.refused++;
+			return 'busy';
+		}
+
+		return new Promise(resolve => {
+			this.#queue.push(() => {
+				this.clock.schedule(this.capacity.serviceTime, () => {
+					this.#busySlots--;
+					this.completed++;
+					resolve(undefined);
+					this.#startNext();
+				});
+			});
+			this.#startNext();
+		});
+	}
+
+	#startNext(): void {
+		while (this.#busySlots < this.capacity.slots && this.#queue.length > 0) {
+			this.#busySlots++;
+			this.#queue.shift()!();
+		}
+	}
+}
+
+class LoadedMemberConnection extends MemberConnection {
+	#transaction: TransactionState = 'idle';
+	#isClosed = false;
+
+	constructor(private readonly member: LoadedMember) {
+		super();
+	}
+
+	override get isClosed(): boolean {
+		return this.#isClosed;
+	}
+
+	override async execute(statement: MemberStatement): Promise<StatementReply> {
+		const reason = await this.#refusalOf(statement);
+		if (reason) {
+			return {
+				outcome: 'refused', reason, detail: '', transaction: this.#transaction, point: logPosition,
+			};
+		}
+
+		return {
+			outcome: 'done', rows: [], signature: 'signed', transaction: this.#transaction, point: logPosition,
+		};
+	}
+
+	override close(): void {
+		this.#isClosed = true;
+	}
+
+	override onClosed(): void {
+		// The members of these loads close no connection.
+	}
+
+	async #refusalOf(statement: MemberStatement): Promise<RefusalReason | undefined> {
+		if (statement.kind === 'read' || statement.kind === 'write') {
+			return this.member.run(statement.id);
+		}
+
+		if (statement.kind === 'begin' && !statement.isReadOnly && !this.member.isPrimary) {
+			return 'readOnly';
+		}
+
+		this.#transaction = statement.kind === 'begin' ? 'open' : 'idle';
+		return undefined;
+	}
+}
+
+/** Opens connections to loaded members. */
+export class LoadedMemberConnector extends MemberConnector {
+	constructor(private readonly members: ReadonlyMap<string, LoadedMember>) {
+		super();
+	}
+
+	override async connect({id}: MemberTarget): Promise<MemberConnection> {
+		return new LoadedMemberConnection(this.members.get(id)!);
+	}
+}
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -1,3 +1,4 @@
+import {isAnswerableInTime} from '../admission/deadline-rules.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
@@ -42,6 +43,7 @@
 type Waiter = {
 	/** Waiters with a lower number are served first. */
 	readonly priority: number;
+	readonly deadline: Milliseconds;
 	readonly session: CallerSessionState | undefined;
 	readonly resolve: (connection: PooledConnection) => void;
 	readonly reject: (error: BuckthornhitchError) => void;
@@ -127,6 +129,7 @@
 		return new Promise((resolve, reject) => {
 			const waiter: Waiter = {
 				priority,
+				deadline: this.options.clock.now() + timeout,
 				session,
 				resolve,
 				reject,
@@ -151,7 +154,7 @@
 		}
 
 		connection.releasedAt = this.options.clock.now();
-		const waiter = this.#waiters.shift();
+		const waiter = this.#takeNextWaiter();
 		if (waiter) {
 			this.#assign(waiter, connection);
 			return;
@@ -200,6 +203,11 @@
 		this.#averageUpdatedAt = this.options.clock.now();
 	}
 
+	/** Returns whether a request with the deadline may still be answered by the member in time. */
+	isAnswerableBefore(deadline: Milliseconds): boolean {
+		return isAnswerableInTime(deadline - this.options.clock.now(), this.expectedReplyTime);
+	}
+
 	/** Closes the pool and its idle connections. Connections in use are closed when they are released. */
 	close(): void {
 		this.#isClosed = true;
@@ -241,6 +249,20 @@
 		connection.memberConnection.close();
 	}
 
+	/** Removes and returns the next waiter, and rejects those before it that cannot be answered in time any more. */
+	#takeNextWaiter(): Waiter | undefined {
+		for (let waiter = this.#waiters.shift(); waiter; waiter = this.#waiters.shift()) {
+			if (this.isAnswerableBefore(waiter.deadline)) {
+				return waiter;
+			}
+
+			waiter.cancel();
+			waiter.reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} early enough for an answer in time`));
+		}
+
+		return undefined;
+	}
+
 	#assign(waiter: Waiter, connection: PooledConnection): void {
 		waiter.cancel();
 		this.#inUse.add(connection);
--- a/source/session-proxy/read-policy.ts
+++ b/source/session-proxy/read-policy.ts
@@ -2,6 +2,7 @@
 import {compareLogPositions} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Consistency} from '../routing-table/types.js';
+import {type RefusalReason} from '../statement/types.js';
 
 /** Member that may serve a read, with the properties that decide its rank. */
 export type MemberCandidate = {
@@ -19,6 +20,15 @@
 	readonly logPositionAge: Milliseconds;
 };
 
+/** Time for which a replica that refused a read because it lags behind is avoided. */
+const laggingAvoidTime: Milliseconds = 50;
+
+/** Time for which a replica that refused a read for another reason, such as load, is avoided. */
+const overloadAvoidTime: Milliseconds = 20;
+
+/** Time for which reads avoid a primary that refused one because of load. Longer than for a replica, since writes and reads of the newest data have nowhere else to go. */
+const primaryOverloadAvoidTime: Milliseconds = 500;
+
 /** Time for which a reported log position counts as current; replicas receive commits continuously. */
 const logPositionLifetime: Milliseconds = 40;
 
@@ -43,6 +53,15 @@
 	return candidates.toSorted((first, second) => compareNumbers(rank(first), rank(second)));
 }
 
+/** Returns the time for which reads avoid a member that refused one. Answers a primary that is overloaded after a burst: it recovers only when reads that replicas can serve stay away. */
+export function avoidTimeAfterRefusal(reason: RefusalReason, isPrimary: boolean): Milliseconds {
+	if (reason === 'lagging') {
+		return laggingAvoidTime;
+	}
+
+	return isPrimary ? primaryOverloadAvoidTime : overloadAvoidTime;
+}
+
 /** Compares numbers that may be infinite, for which a plain difference is not a number. */
 function compareNumbers(first: number, second: number): number {
 	return first === second ? 0 : first - second;
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -3,6 +3,7 @@
 import {ManualClock} from '../clock/manual-clock.js';
 import {silentLogger} from '../observability/logger.js';
 import {type Consistency, type Route} from '../routing-table/types.js';
+import {type MemberConnector} from '../statement/member-connection.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
@@ -26,13 +27,14 @@
 
 /** Session proxy with an in-memory primary and two replicas. */
 export class SessionFixture {
-	readonly clock = new ManualClock();
 	readonly log = new RecordingRequestLog();
-	readonly directory = new BackendDirectory(this.clock);
+	readonly directory: BackendDirectory;
 	readonly members: readonly FakeMemberServer[];
 	readonly proxy: SessionProxy;
 
-	constructor(consistency: Consistency = 'readYourWrites') {
+	/** Several proxies may share a clock and the connector of other members than the fake ones. */
+	constructor(consistency: Consistency = 'readYourWrites', connector?: MemberConnector, readonly clock = new ManualClock()) {
+		this.directory = new BackendDirectory(clock);
 		this.members = ['a', 'b', 'c'].map(id => new FakeMemberServer({...testAnnouncement(id, {role: id === 'a' ? 'primary' : 'replica'}), isGone: false}));
 		this.primary.role = 'primary';
 		for (const {server} of this.members) {
@@ -44,7 +46,7 @@
 			logger: silentLogger,
 			requestLog: this.log,
 			directory: this.directory,
-			connector: new FakeMemberConnector(this.members),
+			connector: connector ?? new FakeMemberConnector(this.members),
 			dataCentre: 'here',
 			maximumConnections: () => 28,
 		});
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -9,7 +9,7 @@
 	attemptStatement, describeAttempt, type StatementAttempt, type AttemptOptions,
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
-import {orderMembersForRead, type MemberCandidate} from './read-policy.js';
+import {avoidTimeAfterRefusal, orderMembersForRead, type MemberCandidate} from './read-policy.js';
 import {notRunRefusal} from './replies.js';
 import {type ServiceClient} from './service-client.js';
 import {type SessionContext} from './session-context.js';
@@ -17,12 +17,6 @@
 /** Delay before a read that no member could serve is retried. */
 const retryDelay: Milliseconds = 15;
 
-/** Time for which a replica that refused a read because it lags behind is avoided. */
-const laggingAvoidTime: Milliseconds = 50;
-
-/** Time for which a member that refused a read for another reason, such as load, is avoided. */
-const overloadAvoidTime: Milliseconds = 20;
-
 /** Executes the reads of one session on members whose data is fresh enough. */
 export class SessionReadExecutor {
 	constructor(private readonly context: SessionContext) {}
@@ -38,7 +32,12 @@
 				break;
 			}
 
-			const read = new HedgedRead(context.dependencies.clock, this.candidatePools(client, route, required), async (pool, isWanted) => this.#readFrom(pool, routed, {after: required, isWanted}));
+			const pools = this.candidatePools(client, route, required);
+			if (!pools.some(pool => pool.isAnswerableBefore(deadline))) {
+				break;
+			}
+
+			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => this.#readFrom(pool, routed, {after: required, isWanted}));
 			last = await read.run();
 			context.log(request.id, 'read', describeAttempt(last), {
 				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
@@ -94,7 +93,7 @@
 	/** Waits before a read is retried. If a replica refused it as lagging, also asks the primary for its current log position. */
 	async waitBeforeRetry(client: ServiceClient, wasLagging: boolean, deadline: Milliseconds): Promise<void> {
 		const {dependencies, now} = this.context;
-		await dependencies.clock.sleep(retryDelay);
+		await dependencies.clock.sleep(Math.min(retryDelay, Math.max(0, deadline - now)));
 		if (!wasLagging) {
 			return;
 		}
@@ -113,7 +112,7 @@
 		if (attempt.kind === 'answered') {
 			pool.recordReplyTime(context.now - startedAt);
 		} else if (attempt.kind === 'notRun') {
-			pool.avoidUntil = context.now + (attempt.reason === 'lagging' ? laggingAvoidTime : overloadAvoidTime);
+			pool.avoidUntil = context.now + avoidTimeAfterRefusal(attempt.reason, pool.server.id === routed.client.primaryId);
 		}
 
 		return attempt;
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -53,6 +53,11 @@
 		throw new BuckthornhitchError('deadlinePassed', 'The caller has its answer already.');
 	}
 
+	if (!pool.isAnswerableBefore(deadline)) {
+		pool.release(connection);
+		throw new BuckthornhitchError('deadlinePassed', `${Math.round(deadline - context.now)} ms are left, ${pool.server.id} answers in about ${Math.round(pool.expectedReplyTime)} ms`);
+	}
+
 	return connection;
 }
 
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -38,6 +38,10 @@
 		}
 
 		({detail} = attempt);
+		if (!pool.isAnswerableBefore(deadline)) {
+			break;
+		}
+
 		await waitBeforeRetry(context, client, pool, attempt.reason);
 	}
 
