--- a/source/session-proxy/overload.spec.ts
+++ b/source/session-proxy/overload.spec.ts
@@ -103,8 +103,6 @@
 	const members = [...load.members.values()];
 	const arrivals = members.reduce((sum, {arrivals: {size}}) => sum + size, 0);
 	const refused = members.reduce((sum, member) => sum + member.refused, 0);
-		promptWrites, writes: writes.length, arrivals, refused, served: load.outcomes.filter(({isServed}) => isServed).length, all: load.outcomes.length,
-	});
 	assert.ok(load.outcomes.every(({isServed}) => isServed), 'every caller is served');
 	assert.ok(promptWrites >= writes.length * 0.99, `${promptWrites} of ${writes.length} writes were served within the latency target`);
 	assert.ok(refused < arrivals * 0.05, `${refused} of ${arrivals} arrivals were refused`);
