--- a/source/registry/routing-fetcher.ts
+++ b/source/registry/routing-fetcher.ts
@@ -106,7 +106,7 @@
 		const piece = await this.options.linkClient.request(source, 'fetchRouting', request, pieceTimeout) as RoutingPiece | null;
 		if (!piece || piece.target.version <= this.version) {
 			this.#restart();
-			throw new BuckthornhitchError('noFreshMember', `${source} holds version ${piece?.target.version ?? 'none'}`);
+			throw new BuckthornhitchError('controlBehind', `${source} holds version ${piece?.target.version ?? 'none'}`);
 		}
 
 		if (piece.target.digest !== this.#target.digest || piece.base !== this.#base || piece.offset !== this.#receivedBytes) {
--- a/source/session-proxy/loaded-member-fake.ts
+++ b/source/session-proxy/loaded-member-fake.ts
@@ -20,8 +20,6 @@
 export class LoadedMember {
 	/** Times at which reads and writes arrived, by their ids. */
 	readonly arrivals = new Map<string, Milliseconds>();
-	/** Reads and writes that ran. */
-	completed = 0;
 	/** Reads and writes that were refused as busy. */
 	refused = 0;
 	#busySlots = 0;
@@ -41,7 +39,6 @@
 			this.#queue.push(() => {
 				this.clock.schedule(this.capacity.serviceTime, () => {
 					this.#busySlots--;
-					this.completed++;
 					resolve(undefined);
 					this.#startNext();
 				});
