--- a/source/result-codes/result-codes.ts
+++ b/source/result-codes/result-codes.ts
@@ -119,7 +119,7 @@
 		code: 6003, execution: 'notRun', sqlState: '0A000', text: 'The peer does not know this request.', action: 'Run the same version on all instances.',
 	},
 	controlBehind: {
-		code: 6007, execution: 'notApplicable', sqlState: '57P03', text: 'A control instance holds no newer configuration than the entry that asks it.', action: 'Nothing; the entry asks another one. Check the control instance if it stays behind.',
+		code: 6007, execution: 'notApplicable', sqlState: '57P03', text: 'A control instance holds no newer routing than the entry.', action: 'Nothing; the entry asks another one.',
 	},
 	internalFault: {
 		code: 6004, execution: 'unknown', sqlState: 'XX000', text: 'The process met an unexpected fault.', action: 'Report the log line.',
