Return connections to a pool only when their transaction has ended

Cause: a gateway received the close of a relay while it was setting the session's variables for a begin. The rollback was sent first and the begin after it; when both replies arrived together, the connection had no unanswered statement and was returned with an open transaction. The statements of the next sessions ran inside it.

A connection is now reusable only when the member's last reply says that no transaction is open, the previous holder of a connection that is being rolled back cannot use it any more, and the relay checks that it still holds the connection before it sends. Session variables and prepared statements are recorded only when the member confirms them.

Ruled out: a close during an unanswered begin (the rollback waits for its answer), an idle limit that ends a transaction on one side (the relay is numbered).

--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -138,6 +138,10 @@
 		let isSent = false;
 		try {
 			await connection.applySession(this.#session, preparedStatement, deadline - this.clock.now());
+			if (this.#held?.connection !== connection) {
+				return relayLost('the relay was closed before the statement was sent');
+			}
+
 			isSent = true;
 			const reply = await connection.execute(statement, deadline - this.clock.now());
 			this.#releaseIfIdle(reply);
--- a/source/relay/relay.spec.ts
+++ b/source/relay/relay.spec.ts
@@ -212,6 +212,45 @@
 	await assert.rejects(fixture.settle(other.execute(write, 300)), {codeName: 'linkNotSent'});
 });
 
+// The rollback overtook the begin, and the connection with the open transaction was given to another session, whose statements then ran inside it.
+test('a transaction that a closed relay was about to begin does not stay open on a connection of the gateway', async () => {
+	const fixture = new RelayFixture();
+	const state = new CallerSessionState();
+	state.variables.set('zone', 'north');
+	const connection = await fixture.settle(fixture.pool.acquire(2000, 1));
+	await fixture.settle(connection.applySession(state, undefined, 500));
+	fixture.member.heldKinds = new Set(['set', 'begin', 'rollback']);
+	fixture.member.holdsReplies = true;
+	const begun = connection.execute(begin, 500).catch(() => undefined);
+	await fixture.clock.advanceInSteps(20, 5);
+	assert.deepEqual(fixture.member.receivedKinds, ['set']);
+	fixture.pool.discard(connection);
+	await fixture.clock.advanceInSteps(20, 5);
+	fixture.member.releaseReplies();
+	fixture.member.holdsReplies = true;
+	await fixture.clock.advanceInSteps(20, 5);
+	fixture.member.releaseReplies();
+	await fixture.settle(begun);
+	await fixture.clock.advanceInSteps(20, 5);
+	const other = await fixture.settle(fixture.gatewayPool.acquire(500, 1));
+	await fixture.settle(other.execute(write, 500));
+	assert.equal(fixture.member.received.at(-1)?.statement, write);
+	assert.equal(fixture.member.received.at(-1)?.transaction, 'idle');
+});
+
+// The value was noted before the member had confirmed it, so that later sessions ran without it.
+test('a variable that the member refused is set again when the connection is used next', async () => {
+	const fixture = new RelayFixture();
+	const state = new CallerSessionState();
+	state.variables.set('zone', 'north');
+	const connection = await fixture.settle(fixture.gatewayPool.acquire(500, 1));
+	fixture.member.refusedKinds.add('set');
+	await assert.rejects(fixture.settle(connection.applySession(state, undefined, 500)), {codeName: 'memberRefused'});
+	fixture.member.refusedKinds.clear();
+	await fixture.settle(connection.applySession(state, undefined, 500));
+	assert.deepEqual(fixture.member.receivedKinds, ['set', 'set']);
+});
+
 test('direct connections are used again once the member is directly reachable', async () => {
 	const fixture = new RelayFixture();
 	const connection = await fixture.settle(fixture.pool.acquire(2000, 1));
--- a/source/routing-table/types.ts
+++ b/source/routing-table/types.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds} from '../clock/clock.js';
+import {type Customer} from '../customers/types.js';
 
 /** Consistency that reads of a route get. */
 export type Consistency = 'primary' | 'boundedStaleness' | 'readYourWrites';
@@ -20,6 +21,8 @@
 	readonly priority: number;
 	/** Maximum age of the data that a read may see; 0 on routes to the primary. */
 	readonly maximumStaleness: Milliseconds;
+	/** Whether callers need no API key. Only used where customers are configured. */
+	readonly isPublic?: boolean;
 };
 
 /** A group of backend servers that replicate the same data. */
@@ -38,6 +41,8 @@
 	readonly services: readonly RoutedService[];
 	/** A transaction that is idle for longer may be rolled back. */
 	readonly idleTransactionLimit: Milliseconds;
+	/** Customers by which callers are identified; undefined in a deployment without customers. */
+	readonly customers?: readonly Customer[];
 };
 
 /** Parses submitted routing documents. */
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -144,10 +144,14 @@
 		});
 	}
 
-	/** Returns a connection without an open transaction to the pool. A connection with an unanswered statement is closed. */
+	/** Returns a connection without an open transaction to the pool. A connection that is not reusable is closed. */
 	release(connection: PooledConnection): void {
 		this.#inUse.delete(connection);
-		if (connection.hasPendingStatement || connection.memberConnection.isClosed || this.#isClosed) {
+		if (!connection.isReusable || this.#isClosed) {
+			if (connection.isInTransaction) {
+				this.options.logger.warn(`a connection to ${this.server.id} was returned with an open transaction and is closed`);
+			}
+
 			connection.memberConnection.close();
 			this.#openIfNeeded();
 			return;
@@ -234,9 +238,8 @@
 
 	async #rollBack(connection: PooledConnection): Promise<void> {
 		try {
-			await connection.waitUntilAnswered();
-			const reply = await connection.execute({kind: 'rollback'}, rollbackTimeout);
-			if (reply.transaction === 'idle') {
+			const reply = await connection.rollBack(rollbackTimeout);
+			if (connection.isReusable) {
 				this.release(connection);
 				return;
 			}
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -8,6 +8,8 @@
 	type MemberStatement, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 
+const dataKinds: ReadonlySet<MemberStatement['kind']> = new Set(['read', 'write', 'execute', 'commit']);
+
 /** Statement that a fake member received. */
 export type ReceivedStatement = {
 	/** Number of the connection that it was received on. */
@@ -24,14 +26,18 @@
 	point: LogPosition = {term: 1, position: 1};
 	/** Reasons with which the next data statements are refused, in order. */
 	readonly refusals: RefusalReason[] = [];
+	/** Kinds of statements that are refused as failed. */
+	readonly refusedKinds = new Set<MemberStatement['kind']>();
 	/** Whether new connections are refused because of the connection limit. */
 	refusesConnections = false;
 	/** Whether the member sends no replies and accepts no connections. */
 	isUnresponsive = false;
 	/** Promise that new connections wait for. */
 	connectBarrier: Promise<void> = Promise.resolve();
-	/** Whether replies to data statements are held until `releaseReplies` is called. */
+	/** Whether replies to statements of the held kinds are held until `releaseReplies` is called. */
 	holdsReplies = false;
+	/** Kinds of statements whose replies may be held; by default those that occupy a slot. */
+	heldKinds: ReadonlySet<MemberStatement['kind']> = dataKinds;
 	readonly connections: FakeMemberConnection[] = [];
 	readonly #heldReplies: Array<() => void> = [];
 
@@ -86,13 +92,13 @@
 			});
 		}
 
-		const isDataStatement = statement.kind === 'read' || statement.kind === 'write' || statement.kind === 'execute' || statement.kind === 'commit';
+		const isDataStatement = dataKinds.has(statement.kind);
 		return new Promise(resolve => {
 			const sendReply = (): void => {
 				resolve(this.#createReply(statement, isDataStatement));
 			};
 
-			if (isDataStatement) {
+			if (this.member.heldKinds.has(statement.kind)) {
 				this.member.runWhenReleased(sendReply);
 			} else {
 				sendReply();
@@ -131,6 +137,10 @@
 			return refused;
 		}
 
+		if (this.member.refusedKinds.has(statement.kind)) {
+			return 'failed';
+		}
+
 		const after = 'after' in statement ? statement.after : undefined;
 		if (after && (after.term !== this.member.point.term || after.position > this.member.point.position)) {
 			return 'lagging';
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -1,7 +1,9 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
-import {type MemberStatement, type PreparedStatementDefinition, type StatementReply} from '../statement/types.js';
+import {
+	type MemberStatement, type PreparedStatementDefinition, type StatementReply, type TransactionState,
+} from '../statement/types.js';
 import {pooledStatementName, type CallerSessionState} from './caller-session-state.js';
 
 /** Pooled connection to a member, with the session variables and prepared statements set on it. */
@@ -12,6 +14,10 @@
 	readonly #preparedNames = new Set<string>();
 	#pendingCount = 0;
 	#lastReply: Promise<unknown> = Promise.resolve();
+	/** Transaction state in the last reply of the member. */
+	#transaction: TransactionState = 'idle';
+	/** Whether the connection was returned for a rollback, so that its previous holder may not use it any more. */
+	#isRollingBack = false;
 
 	constructor(readonly memberConnection: MemberConnection, private readonly clock: Clock, private readonly onReply: (reply: StatementReply) => void) {}
 
@@ -20,20 +26,54 @@
 		return this.#pendingCount > 0;
 	}
 
+	/** Whether the member's last reply says that a transaction is open. */
+	get isInTransaction(): boolean {
+		return this.#transaction !== 'idle';
+	}
+
+	/**
+	Whether another session may use the connection: every statement was answered, and the last reply says that no transaction is open.
+
+	This is the only rule by which connections return to a pool. A connection with an open transaction would run the statements of the next session inside it.
+	*/
+	get isReusable(): boolean {
+		return this.#pendingCount === 0 && !this.isInTransaction && !this.memberConnection.isClosed;
+	}
+
 	/** Returns whether exactly the variables of the session are set on the connection. */
 	matchesVariables({variables}: CallerSessionState): boolean {
 		return variables.size === this.#variables.size && [...variables].every(([name, value]) => this.#variables.get(name) === value);
 	}
 
-	/** Resolves once no statement is waiting for its reply, because all were answered or the connection ended. */
-	async waitUntilAnswered(): Promise<void> {
-		while (this.hasPendingStatement) {
-			await this.#lastReply;
+	/** Sends a statement and resolves with its reply. Rejects with linkOutcomeUnknown after the timeout in milliseconds or when the connection ends, and with linkNotSent when it had ended before or was returned for a rollback. */
+	async execute(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
+		if (this.#isRollingBack) {
+			throw new BuckthornhitchError('linkNotSent', 'the connection was returned for a rollback');
 		}
+
+		return this.#send(statement, timeout);
 	}
 
-	/** Sends a statement and resolves with its reply. Rejects with linkOutcomeUnknown after the timeout in milliseconds or when the connection ends, and with linkNotSent when it had ended before. */
-	async execute(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
+	/** Waits until every statement was answered, and then rolls back the open transaction. Statements that the previous holder sends from now on are rejected. Rejects like `execute`. */
+	async rollBack(timeout: Milliseconds): Promise<StatementReply> {
+		this.#isRollingBack = true;
+		await this.#waitUntilAnswered();
+		const reply = await this.#send({kind: 'rollback'}, timeout);
+		this.#isRollingBack = false;
+		return reply;
+	}
+
+	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. The connection must not be used if this rejects because a statement was refused or not answered. */
+	async applySession(session: CallerSessionState, preparedStatement: PreparedStatementDefinition | undefined, timeout: Milliseconds): Promise<void> {
+		const statements = this.#setupStatements(session, preparedStatement);
+		const replies = await Promise.all(statements.map(async statement => this.execute(statement, timeout)));
+		const refused = replies.find(reply => reply.outcome === 'refused');
+		if (refused?.outcome === 'refused') {
+			throw new MemberRefusedError(refused.reason, refused.detail);
+		}
+	}
+
+	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
 		this.#pendingCount++;
 		return new Promise((resolve, reject) => {
 			const cancel = this.clock.schedule(Math.max(0, timeout), () => {
@@ -41,6 +81,8 @@
 			});
 			this.#lastReply = this.memberConnection.execute(statement, timeout).then(reply => {
 				this.#pendingCount--;
+				this.#transaction = reply.transaction;
+				this.#recordSessionChange(statement, reply);
 				cancel();
 				// A gateway answers some statements itself; such a reply does not show that the member is reachable.
 				if (!this.memberConnection.isRelayed || reply.point) {
@@ -56,34 +98,65 @@
 		});
 	}
 
-	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. The connection must not be used if this rejects because a statement was refused or not answered. */
-	async applySession(session: CallerSessionState, preparedStatement: PreparedStatementDefinition | undefined, timeout: Milliseconds): Promise<void> {
-		const statements = this.#setupStatements(session, preparedStatement);
-		const replies = await Promise.all(statements.map(async statement => this.execute(statement, timeout)));
-		const refused = replies.find(reply => reply.outcome === 'refused');
-		if (refused?.outcome === 'refused') {
-			throw new MemberRefusedError(refused.reason, refused.detail);
+	async #waitUntilAnswered(): Promise<void> {
+		while (this.hasPendingStatement) {
+			await this.#lastReply;
+		}
+	}
+
+	/** Records what the member confirmed, so that a refused statement is sent again when the connection is used next. */
+	#recordSessionChange(statement: MemberStatement, {outcome}: StatementReply): void {
+		if (outcome !== 'done') {
+			return;
+		}
+
+		switch (statement.kind) {
+			case 'reset': {
+				this.#variables.clear();
+				this.#preparedNames.clear();
+				break;
+			}
+
+			case 'set': {
+				this.#variables.set(statement.name, statement.value);
+				break;
+			}
+
+			case 'prepare': {
+				this.#preparedNames.add(statement.name);
+				break;
+			}
+
+			case 'begin':
+			case 'commit':
+			case 'rollback':
+			case 'read':
+			case 'write':
+			case 'execute':
+			case 'status':
+			case 'pause':
+			case 'resume':
+			case 'demote': {
+				break;
+			}
 		}
 	}
 
 	#setupStatements({variables}: CallerSessionState, shape: PreparedStatementDefinition | undefined): readonly MemberStatement[] {
 		const statements: MemberStatement[] = [];
-		if ([...this.#variables.keys()].some(name => !variables.has(name))) {
+		const needsReset = [...this.#variables.keys()].some(name => !variables.has(name));
+		if (needsReset) {
 			statements.push({kind: 'reset'});
-			this.#variables.clear();
-			this.#preparedNames.clear();
 		}
 
 		for (const [name, value] of variables) {
-			if (this.#variables.get(name) !== value) {
+			if (needsReset || this.#variables.get(name) !== value) {
 				statements.push({kind: 'set', name, value});
-				this.#variables.set(name, value);
 			}
 		}
 
-		if (shape && !this.#preparedNames.has(pooledStatementName(shape))) {
+		if (shape && (needsReset || !this.#preparedNames.has(pooledStatementName(shape)))) {
 			statements.push({kind: 'prepare', name: pooledStatementName(shape), shape});
-			this.#preparedNames.add(pooledStatementName(shape));
 		}
 
 		return statements;
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -8,6 +8,8 @@
 	readonly id: string;
 	readonly service: string;
 	readonly address: Address;
+	/** Name of the customer for whom the connection is opened; undefined for a connection of the proxy itself or in a deployment without customers. */
+	readonly customer?: string;
 };
 
 /** A member refused a connection, or a statement that sets a session variable or prepares a statement on it. */
