--- a/source/routing-table/routing-difference.ts
+++ b/source/routing-table/routing-difference.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import {type Milliseconds} from '../clock/clock.js';
+import {type Customer} from '../customers/types.js';
 import {type Route, type RoutedService, type RoutingTable} from './types.js';
 
 /** Version of a routing table, with a digest of its content. */
@@ -17,6 +18,10 @@
 	readonly removedRoutes: readonly string[];
 	readonly services: readonly RoutedService[];
 	readonly idleTransactionLimit: Milliseconds;
+	/** Customers that are new or have changed; undefined when the later table has no list of customers. */
+	readonly changedCustomers?: readonly Customer[];
+	/** Names of the customers that no longer exist; undefined when the later table has no list of customers. */
+	readonly removedCustomers?: readonly string[];
 };
 
 /** Digest of no table, which every difference to a whole table starts from. */
@@ -46,18 +51,22 @@
 	return keyed.toSorted((first, second) => first.key < second.key ? -1 : 1).map(({route}) => route);
 }
 
-/** Returns a digest of the whole table, including the order of its routes. */
-export function routingDigest({version, routes, services, idleTransactionLimit}: RoutingTable): string {
+/** Returns a digest of the whole table, including the order of its routes. Customers are part of it only where they are configured; their order is not. */
+export function routingDigest({version, routes, services, idleTransactionLimit, customers}: RoutingTable): string {
 	const hash = createHash('sha256').update(JSON.stringify([version, services, idleTransactionLimit]));
 	for (const route of routes) {
 		hash.update(routeText(route));
 	}
 
+	if (customers) {
+		hash.update(JSON.stringify(sortCustomers(customers)));
+	}
+
 	return hash.digest('base64').slice(0, 16);
 }
 
 /** Returns the difference from `base`, or from no table, to `target`. */
-export function routingDifference(base: RoutingTable | undefined, {version, routes, services, idleTransactionLimit}: RoutingTable): RoutingDifference {
+export function routingDifference(base: RoutingTable | undefined, {version, routes, services, idleTransactionLimit, customers}: RoutingTable): RoutingDifference {
 	const baseRoutes = new Map(base?.routes.map(route => [routeKey(route), route]));
 	const targetKeys = new Set(routes.map(route => routeKey(route)));
 	return {
@@ -69,13 +78,14 @@
 			return !known || routeText(known) !== routeText(route);
 		}),
 		removedRoutes: [...baseRoutes.keys()].filter(key => !targetKeys.has(key)),
+		...(customers && customerDifference(base?.customers ?? [], customers)),
 	};
 }
 
 /** Returns the table that a difference leads to, with sorted routes. */
 export function applyRoutingDifference(base: RoutingTable | undefined, difference: RoutingDifference): RoutingTable {
 	const {
-		version, services, idleTransactionLimit, changedRoutes, removedRoutes,
+		version, services, idleTransactionLimit, changedRoutes, removedRoutes, changedCustomers, removedCustomers,
 	} = difference;
 	const routes = new Map(base?.routes.map(route => [routeKey(route), route]));
 	for (const key of removedRoutes) {
@@ -87,6 +97,36 @@
 	}
 
 	return {
-		version, services, idleTransactionLimit, routes: sortRoutes([...routes.values()]),
+		version,
+		services,
+		idleTransactionLimit,
+		routes: sortRoutes([...routes.values()]),
+		...(changedCustomers && {customers: applyCustomerDifference(base?.customers ?? [], changedCustomers, removedCustomers ?? [])}),
 	};
 }
+
+function sortCustomers(customers: readonly Customer[]): readonly Customer[] {
+	return customers.toSorted((first, second) => first.name < second.name ? -1 : 1);
+}
+
+function customerDifference(base: readonly Customer[], target: readonly Customer[]): Required<Pick<RoutingDifference, 'changedCustomers' | 'removedCustomers'>> {
+	const baseTexts = new Map(base.map(customer => [customer.name, JSON.stringify(customer)]));
+	const targetNames = new Set(target.map(({name}) => name));
+	return {
+		changedCustomers: sortCustomers(target).filter(customer => baseTexts.get(customer.name) !== JSON.stringify(customer)),
+		removedCustomers: [...baseTexts.keys()].filter(name => !targetNames.has(name)).toSorted(),
+	};
+}
+
+function applyCustomerDifference(base: readonly Customer[], changed: readonly Customer[], removed: readonly string[]): readonly Customer[] {
+	const customers = new Map(base.map(customer => [customer.name, customer]));
+	for (const name of removed) {
+		customers.delete(name);
+	}
+
+	for (const customer of changed) {
+		customers.set(customer.name, customer);
+	}
+
+	return sortCustomers([...customers.values()]);
+}
--- a/source/routing-table/routing-table-validation.ts
+++ b/source/routing-table/routing-table-validation.ts
@@ -1,8 +1,9 @@
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {validateCustomers} from '../customers/customer-validation.js';
 import {type RoutingTable} from './types.js';
 
 /** Validates a routing table. Throws configurationInvalid with the first error found. */
-export function validateRoutingTable({routes, services}: RoutingTable): void {
+export function validateRoutingTable({routes, services, customers}: RoutingTable): void {
 	const serviceNames = new Set(services.map(service => service.name));
 	const routeKeys = new Set<string>();
 	for (const route of routes) {
@@ -20,4 +21,6 @@
 			throw new BuckthornhitchError('configurationInvalid', `Route "${route.name}" has no time limit.`);
 		}
 	}
+
+	validateCustomers(customers ?? []);
 }
