Count operations by customer, with at most 11 labels

Cause: operators need the operations of each customer, but the number of customers does not bound the number of time series.

The 10 customers with the most operations have labels of their own.

--- a/source/session-proxy/request-log.ts
+++ b/source/session-proxy/request-log.ts
@@ -8,6 +8,8 @@
 	/** Kind of the step, for example `read`, `commit` or `routing`. */
 	readonly step: string;
 	readonly routingVersion?: number;
+	/** Name of the customer, on steps that admit an operation. */
+	readonly customer?: string;
 	readonly member?: string;
 	/** Log position that a read requires, in the form `term.position`. */
 	readonly point?: string;
--- a/source/session-proxy/structured-request-log.spec.ts
+++ b/source/session-proxy/structured-request-log.spec.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {Registry} from 'prom-client';
 import {BoundedLogOutput} from '../observability/bounded-log-output.js';
-import {createLogger} from '../observability/logger.js';
+import {createLogger, silentLogger} from '../observability/logger.js';
 import {ManualClock} from '../clock/manual-clock.js';
 import {StructuredRequestLog} from './structured-request-log.js';
 
@@ -28,6 +28,25 @@
 	assert.match(text, /buckthornhitch_request_seconds_count\{step="read"\} 3/v);
 });
 
+// The number of customers is not bounded by the time series that a metrics server can hold.
+test('admitted and limited operations are counted by customer, for at most 10 customers and all others together', async () => {
+	const registry = new Registry();
+	const log = new StructuredRequestLog(silentLogger, registry);
+	for (let index = 0; index < 40; index++) {
+		for (let count = 0; count <= index; count++) {
+			log.record({
+				request: 'r', session: 's', database: 'db', step: 'admission', outcome: count % 2 === 0 ? 'done' : 'limited', customer: `customer-${index}`,
+			});
+		}
+	}
+
+	const text = await registry.metrics();
+	const customers = new Set([...text.matchAll(/customer_operations_total\{customer="(?<name>[^"]+)"/gv)].map(match => match.groups!.name));
+	assert.equal(customers.size, 11);
+	assert.ok(customers.has('customer-39') && customers.has('(others)') && !customers.has('customer-0'));
+	assert.match(text, /customer="customer-39",outcome="limited"\} \d+/v);
+});
+
 test('log lines above the rate limit, or while the output is congested, are dropped and counted', () => {
 	const clock = new ManualClock();
 	const output = {
--- a/source/session-proxy/structured-request-log.ts
+++ b/source/session-proxy/structured-request-log.ts
@@ -1,4 +1,5 @@
 import {Counter, Histogram, type Registry} from 'prom-client';
+import {CustomerRanking} from '../customers/customer-ranking.js';
 import {type Logger} from '../observability/logger.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
 
@@ -11,6 +12,8 @@
 export class StructuredRequestLog extends RequestLog {
 	readonly #decisions: Counter<'step' | 'outcome'>;
 	readonly #replyTimes: Histogram<'step'>;
+	readonly #customerOperations: Counter<'customer' | 'outcome'>;
+	readonly #customerRanking = new CustomerRanking();
 
 	constructor(private readonly logger: Logger, registry: Registry) {
 		super();
@@ -21,21 +24,42 @@
 		this.#replyTimes = new Histogram({
 			name: 'buckthornhitch_request_seconds', help: 'Time to the answer of a member by step.', labelNames: ['step'], buckets: replyTimeBuckets, registers,
 		});
+		this.#customerOperations = new Counter({
+			name: 'buckthornhitch_customer_operations_total',
+			help: 'Operations by customer and outcome. The customers with the most operations have labels of their own.',
+			labelNames: ['customer', 'outcome'],
+			registers,
+		});
 	}
 
 	override record(decision: RequestDecision): void {
-		const {step, outcome, elapsed} = decision;
+		const {step, outcome, elapsed, customer} = decision;
 		this.#decisions.inc({step, outcome: outcomeLabel(outcome)});
 		if (elapsed !== undefined) {
 			this.#replyTimes.observe({step}, elapsed / millisecondsPerSecond);
 		}
 
+		if (customer !== undefined) {
+			this.#countOperation(customer, outcome);
+		}
+
 		if (decision.outcome === 'done') {
 			return;
 		}
 
 		this.logger.info(`${decision.step} ${decision.outcome}`, decision);
 	}
+
+	#countOperation(customer: string, outcome: string): void {
+		const {label, replaced} = this.#customerRanking.count(customer);
+		if (replaced !== undefined) {
+			for (const replacedOutcome of ['done', 'limited']) {
+				this.#customerOperations.remove({customer: replaced, outcome: replacedOutcome});
+			}
+		}
+
+		this.#customerOperations.inc({customer: label, outcome});
+	}
 }
 
 /** Returns the metric label of an outcome. Details are left out, since they name members, whose number is not bounded. */
