Identify sessions by API key and end what a revoked key began

Cause: sessions were opened for any caller, and members could not be told for which customer a statement is executed.

The digest of the key in the START line is stored with the session and looked up for each operation and again before a statement is sent. An unknown key is refused with NOAUTH on routes that are not public. When a routing table arrives that maps a key to no customer or to another one, the open transactions of its sessions are rolled back at once. A statement that waits when its key is moved is admitted again and runs for the new customer. What was sent keeps its outcome; a commit that waits for a retry after a refusal is reported as not kept rather than as unknown. Adds the hook admitOperation and the customer in MemberPool.acquire, which ignores it so far.

--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -1,11 +1,13 @@
 import {type Cancel, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type ResultCodeName} from '../result-codes/result-codes.js';
 import {type Route} from '../routing-table/types.js';
 import {
 	type MemberStatement, type PreparedStatementDefinition, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {type DataRequest} from './data-request.js';
+import {type CallerOperation} from './caller-operation.js';
 import {acquireConnection, reportUnansweredStatement, refusalReasonOf} from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
@@ -22,6 +24,7 @@
 
 /** Options of a transaction. */
 export type TransactionOptions = {
+	readonly operation: CallerOperation;
 	readonly route: Route;
 	readonly client: ServiceClient;
 	readonly isReadOnly: boolean;
@@ -46,6 +49,8 @@
 	#held: HeldConnection | undefined;
 	#hasWritten = false;
 	#hasEnded = false;
+	/** Whether the transaction was ended because the key no longer identifies its customer. */
+	#hasLostCustomer = false;
 	/** Reason with which the next statement is refused; undefined unless the transaction has failed. */
 	#failure: RefusalReason | undefined;
 	#cancelIdle: Cancel | undefined;
@@ -54,6 +59,11 @@
 		this.#beganAt = context.now;
 	}
 
+	/** Name of the customer for whom the transaction was admitted. */
+	get customer(): string | undefined {
+		return this.options.operation.customer;
+	}
+
 	/** Transaction state reported to the caller. */
 	get state(): TransactionState {
 		return this.#failure ? 'failed' : 'open';
@@ -74,7 +84,7 @@
 			} else {
 				const refused = await this.#open(request.preparedStatement, deadline);
 				if (refused) {
-					return this.#fail(request.id, refused);
+					return this.#fail(request.id, this.#customerRefusal() ?? refused);
 				}
 			}
 
@@ -89,7 +99,8 @@
 		} catch (error) {
 			reportUnansweredStatement(this.#held?.pool, error, startedAt);
 			// No commit was sent, so the transaction has certainly not taken effect.
-			return this.#fail(request.id, {reason: 'aborted', detail: toBuckthornhitchError(error).message});
+			const {codeName, message} = toBuckthornhitchError(error);
+			return this.#fail(request.id, (isUnsent(codeName) ? this.#customerRefusal() : undefined) ?? {reason: 'aborted', detail: message});
 		}
 	}
 
@@ -102,13 +113,10 @@
 
 		const deadline = context.deadlineOf(options.route);
 		const refused = this.#held ? undefined : await this.#open(undefined, deadline);
-		if (refused) {
-			return refusal('aborted', refused.detail, 'idle');
-		}
-
 		const held = this.#held;
-		if (!held) {
-			return refusal('aborted', 'the transaction was rolled back', 'idle');
+		if (refused !== undefined || !held) {
+			const {reason, detail} = this.#customerRefusal() ?? {reason: 'aborted', detail: refused?.detail ?? 'the transaction was rolled back'};
+			return refusal(reason, detail, 'idle');
 		}
 
 		const startedAt = context.now;
@@ -124,10 +132,11 @@
 			return {...reply, transaction: 'idle'};
 		} catch (error) {
 			const {codeName, message} = toBuckthornhitchError(error);
-			const mayHaveCommitted = this.#hasWritten && codeName !== 'linkNotSent';
+			const mayHaveCommitted = this.#hasWritten && !isUnsent(codeName);
 			this.rollBack();
 			context.log(id, 'commit', mayHaveCommitted ? `unknown ${message}` : `lost ${message}`, {member: held.pool.server.id});
-			return refusal(mayHaveCommitted ? 'outcomeUnknown' : 'aborted', message, 'idle');
+			const lost = (isUnsent(codeName) ? this.#customerRefusal() : undefined) ?? {reason: 'aborted', detail: message};
+			return mayHaveCommitted ? refusal('outcomeUnknown', message, 'idle') : refusal(lost.reason, lost.detail, 'idle');
 		}
 	}
 
@@ -146,6 +155,30 @@
 		this.#failure ??= 'aborted';
 	}
 
+	/** Aborts the transaction because the key no longer identifies its customer. A commit that was sent keeps its outcome. */
+	abortForCustomer(): void {
+		if (this.#failure === undefined) {
+			this.context.log('-', 'transaction', 'aborted since the key was revoked or moved', {member: this.#held?.pool.server.id});
+			this.#hasLostCustomer = true;
+			this.abort();
+		}
+	}
+
+	/** Rolls the transaction back because a statement was refused, which the caller learns from that refusal. */
+	failAsRefused(): void {
+		this.rollBack();
+		this.#failure = 'malformed';
+	}
+
+	/** Returns the refusal of a statement that the proxy executes itself, if the transaction has failed. */
+	refuseIfFailed(): StatementReply | undefined {
+		if (this.#failure === undefined) {
+			return undefined;
+		}
+
+		return this.#hasLostCustomer ? this.#replyAfterFailure(this.#failure) : refusal('malformed', 'the transaction has failed', 'failed');
+	}
+
 	/** Aborts the transaction unless another statement arrives within the limit in milliseconds. */
 	startIdleTimeout(limit: Milliseconds): void {
 		if (this.#failure !== undefined || limit <= 0) {
@@ -169,6 +202,17 @@
 		return refusal(failure, 'the transaction was rolled back', 'failed');
 	}
 
+	/** Returns why a statement that was not sent is refused, if the transaction was aborted because of its customer. */
+	#customerRefusal(): TransactionRefusal | undefined {
+		if (!this.#hasLostCustomer) {
+			return undefined;
+		}
+
+		return this.context.authorize().isAuthorized
+			? {reason: 'aborted', detail: 'the transaction was rolled back'}
+			: {reason: 'notAuthorized', detail: 'the key is not known'};
+	}
+
 	#fail(id: string, {reason, detail}: TransactionRefusal): StatementReply {
 		this.context.log(id, 'transaction', `failed ${reason} ${detail}`, {member: this.#held?.pool.server.id});
 		this.rollBack();
@@ -223,6 +267,9 @@
 				}
 
 				last = refused;
+				if (this.#hasEnded) {
+					return last;
+				}
 			}
 
 			await this.readExecutor.waitBeforeRetry(client, isReadOnly && last.reason === 'lagging', deadline);
@@ -246,7 +293,14 @@
 		const startedAt = context.now;
 		let connection: PooledConnection | undefined;
 		try {
-			connection = await acquireConnection(context, pool, {route, preparedStatement, deadline});
+			connection = await acquireConnection(context, pool, {
+				route, preparedStatement, deadline, customer: this.customer,
+			});
+			if (this.#hasLostCustomer) {
+				pool.release(connection);
+				return {reason: 'busy', detail: 'the key of the caller was revoked or moved'};
+			}
+
 			const reply = await connection.execute({kind: 'begin', isReadOnly, after}, deadline - context.now);
 			if (reply.outcome === 'refused') {
 				pool.release(connection);
@@ -282,3 +336,8 @@
 		return {reason, detail};
 	}
 }
+
+/** Returns whether an error proves that the statement was not sent. */
+function isUnsent(codeName: ResultCodeName): boolean {
+	return codeName === 'linkNotSent' || codeName === 'transactionLost';
+}
--- a/source/session-proxy/data-request.ts
+++ b/source/session-proxy/data-request.ts
@@ -3,6 +3,7 @@
 import {type Route} from '../routing-table/types.js';
 import {type MemberStatement, type PreparedStatementDefinition, type SessionStatement} from '../statement/types.js';
 import {pooledStatementName, type CallerSessionState} from './caller-session-state.js';
+import {type CallerOperation} from './caller-operation.js';
 import {type ServiceClient} from './service-client.js';
 
 /** Statement that reads or writes data. */
@@ -21,6 +22,7 @@
 /** Data request with its route and deadline. */
 export type RoutedDataRequest = {
 	readonly request: DataRequest;
+	readonly operation: CallerOperation;
 	readonly route: Route;
 	readonly client: ServiceClient;
 	readonly arrivedAt: Milliseconds;
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -111,7 +111,7 @@
 	}
 
 	/** Resolves with a connection, preferably one on which exactly the variables of the session are set. If there is none, other variables may be set on the connection. Rejects with queueFull, deadlinePassed, memberRefused or memberUnreachable. */
-	async acquire(timeout: Milliseconds, priority: number, session?: CallerSessionState): Promise<PooledConnection> {
+	async acquire(timeout: Milliseconds, priority: number, session?: CallerSessionState, _customer?: string): Promise<PooledConnection> {
 		if (this.#isClosed) {
 			throw new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`);
 		}
--- a/source/session-proxy/replies.ts
+++ b/source/session-proxy/replies.ts
@@ -21,8 +21,8 @@
 }
 
 /** Returns a reply that refuses a request which has not run, and says when to retry it. */
-export function notRunRefusal(detail: string, transaction: TransactionState): StatementReply {
-	return refusal('busy', `not run, come back in ${retryAfter} ms: ${detail}`, transaction);
+export function notRunRefusal(detail: string, transaction: TransactionState, delay: Milliseconds = retryAfter): StatementReply {
+	return refusal('busy', `not run, come back in ${Math.ceil(delay)} ms: ${detail}`, transaction);
 }
 
 /** Returns a description of a reply for logs. */
--- a/source/session-proxy/session-context.ts
+++ b/source/session-proxy/session-context.ts
@@ -1,4 +1,6 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type CallerAuthorization, type CustomerDirectory} from '../customers/customer-directory.js';
+import {type Customer} from '../customers/types.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Route, type RoutingTable} from '../routing-table/types.js';
 import {CallerSessionState} from './caller-session-state.js';
@@ -9,6 +11,9 @@
 /** Part of the statement timeout that is reserved for the reply to reach the caller. */
 const replyMargin: Milliseconds = 20;
 
+/** Result of asking whether an operation of a customer may run. */
+export type OperationAdmission = {readonly admitted: true} | {readonly admitted: false; readonly retryAfter: Milliseconds};
+
 /** Dependencies that the sessions of a process share. */
 export type SessionDependencies = {
 	readonly clock: Clock;
@@ -20,6 +25,17 @@
 	readonly route: (database: string) => Route | undefined;
 	/** Returns the client of a service. */
 	readonly client: (service: string) => ServiceClient;
+	/** Returns the customers of the current routing table. */
+	readonly customers: () => CustomerDirectory;
+	/** Counts an operation of a customer and returns whether it may run; absent when no limits are enforced. */
+	readonly admitOperation?: (customer: Customer) => Promise<OperationAdmission>;
+};
+
+/** What a caller stated when it opened its session. */
+export type CallerIdentity = {
+	readonly database: string;
+	/** Digest of the caller's API key (see `digestKey`). */
+	readonly keyDigest: string;
 };
 
 /** State and dependencies that the components of one session share. */
@@ -28,13 +44,18 @@
 	readonly sessionState = new CallerSessionState();
 	#lastCommit: SessionCommit | undefined;
 
-	constructor(readonly id: string, readonly database: string, readonly dependencies: SessionDependencies) {}
+	constructor(readonly id: string, readonly caller: CallerIdentity, readonly dependencies: SessionDependencies) {}
 
 	/** Last commit of the session that was acknowledged. */
 	get lastCommit(): SessionCommit | undefined {
 		return this.#lastCommit;
 	}
 
+	/** Name of the database that the caller uses. */
+	get database(): string {
+		return this.caller.database;
+	}
+
 	/** Current time. */
 	get now(): Milliseconds {
 		return this.dependencies.clock.now();
@@ -45,6 +66,18 @@
 		return this.now + route.statementTimeout - replyMargin;
 	}
 
+	/** Returns whether the caller may execute statements with the current routing table, and for which customer. */
+	authorize(): CallerAuthorization {
+		const {customers, route} = this.dependencies;
+		return customers().authorize(this.caller.keyDigest, route(this.database));
+	}
+
+	/** Returns whether the caller may execute statements for the customer, or for none if undefined. */
+	isAuthorizedAs(customer: string | undefined): boolean {
+		const authorization = this.authorize();
+		return authorization.isAuthorized && authorization.customer?.name === customer;
+	}
+
 	/** Records an acknowledged commit. Has no effect if the member reported no log position. */
 	recordCommit(member: string, logPosition: LogPosition | undefined): void {
 		if (logPosition) {
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -1,12 +1,15 @@
 import {BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendAnnouncement} from '../backend-directory/types.js';
 import {ManualClock} from '../clock/manual-clock.js';
+import {digestKey} from '../customers/key-digest.js';
+import {type Customer} from '../customers/types.js';
 import {silentLogger} from '../observability/logger.js';
 import {type Consistency, type Route} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-connection.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
+import {type OperationAdmission} from './session-context.js';
 import {SessionProxy} from './session-proxy.js';
 import {type StatementSession} from './statement-session.js';
 
@@ -32,8 +35,18 @@
 	readonly members: readonly FakeMemberServer[];
 	readonly proxy: SessionProxy;
 
+	/** Maximum number of connections to each member. */
+	maximumConnections = 28;
+	/** Names of the customers for whose operations the limiter was asked. */
+	readonly askedCustomers: string[] = [];
+	/** Answers of the limiter to the next operations; all others are admitted. */
+	readonly admissions: Array<OperationAdmission | Promise<OperationAdmission>> = [];
+	readonly #consistency: Consistency;
+	#version = 1;
+
 	/** Several proxies may share a clock and the connector of other members than the fake ones. */
 	constructor(consistency: Consistency = 'readYourWrites', connector?: MemberConnector, readonly clock = new ManualClock()) {
+		this.#consistency = consistency;
 		this.directory = new BackendDirectory(clock);
 		this.members = ['a', 'b', 'c'].map(id => new FakeMemberServer({...testAnnouncement(id, {role: id === 'a' ? 'primary' : 'replica'}), isGone: false}));
 		this.primary.role = 'primary';
@@ -48,11 +61,13 @@
 			directory: this.directory,
 			connector: connector ?? new FakeMemberConnector(this.members),
 			dataCentre: 'here',
-			maximumConnections: () => 28,
-		});
-		this.proxy.replaceRoutingTable({
-			version: 1, routes: [routeOf(consistency)], services: [{name: 'ledger', connectionLimit: 20, synchronousReplicas: 0}], idleTransactionLimit: 3000,
+			maximumConnections: () => this.maximumConnections,
+			admitOperation: async ({name}) => {
+				this.askedCustomers.push(name);
+				return this.admissions.shift() ?? {admitted: true};
+			},
 		});
+		this.#replaceRoutingTable({});
 	}
 
 	/** First member, which starts as the primary. */
@@ -66,11 +81,11 @@
 			.map(({transaction}) => ({member: member.server.id, transaction})));
 	}
 
-	/** Opens a session on the test database. */
-	async open(): Promise<StatementSession> {
-		const session = await this.proxy.open('db');
-		if (!session || session === 'notReady') {
-			throw new Error('the session was not opened');
+	/** Opens a session on the test database with an API key. */
+	async open(key = 'any'): Promise<StatementSession> {
+		const session = await this.proxy.open({database: 'db', keyDigest: digestKey(key)});
+		if (typeof session === 'string') {
+			throw new TypeError(`the session was not opened: ${session}`);
 		}
 
 		return session;
@@ -93,10 +108,28 @@
 		return replies[0];
 	}
 
+	/** Puts a routing table with the customers and their keys in force, or one without customers. */
+	configureCustomers(keysByName: Readonly<Record<string, readonly string[]>> | undefined, changes: Partial<Route> = {}): void {
+		const customers = keysByName && Object.entries(keysByName).map(([name, keys]): Customer => ({
+			name, keyDigests: keys.map(key => digestKey(key)), priority: 0, rateLimit: undefined,
+		}));
+		this.#replaceRoutingTable(changes, customers);
+	}
+
 	/** Advances the clock by the duration in milliseconds. */
 	async advance(duration: number): Promise<void> {
 		await this.clock.advanceInSteps(duration, 5);
 	}
+
+	#replaceRoutingTable(changes: Partial<Route>, customers?: readonly Customer[]): void {
+		this.proxy.replaceRoutingTable({
+			version: this.#version++,
+			routes: [{...routeOf(this.#consistency), ...changes}],
+			services: [{name: 'ledger', connectionLimit: 20, synchronousReplicas: 0}],
+			idleTransactionLimit: 3000,
+			...(customers && {customers}),
+		});
+	}
 }
 
 function routeOf(consistency: Consistency): Route {
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -2,6 +2,7 @@
 import {type BackendServer} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {CustomerDirectory} from '../customers/customer-directory.js';
 import {type Logger} from '../observability/logger.js';
 import {uniqueId} from '../random/random.js';
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
@@ -10,6 +11,7 @@
 import {type RequestLog} from './request-log.js';
 import {type MemberPool} from './member-pool.js';
 import {ServiceClient} from './service-client.js';
+import {type CallerIdentity, type SessionDependencies} from './session-context.js';
 import {StatementSession} from './statement-session.js';
 
 /** Dependencies and limits of a session proxy. */
@@ -22,8 +24,13 @@
 	readonly dataCentre: string;
 	/** Returns the maximum number of connections from this instance to a member. */
 	readonly maximumConnections: (server: BackendServer) => number;
+	/** See `SessionDependencies.admitOperation`. */
+	readonly admitOperation?: SessionDependencies['admitOperation'];
 };
 
+/** Why a session was not opened. */
+export type SessionRefusal = 'notReady' | 'unknownDatabase' | 'notAuthorized';
+
 /** Time for which a new session waits for the first routing table; shorter than the time after which callers give up. */
 const initialRoutingTableTimeout: Milliseconds = 1500;
 
@@ -37,6 +44,9 @@
 export class SessionProxy extends Controller {
 	#table: RoutingTable | undefined;
 	#routes = new Map<string, Route>();
+	#customers = new CustomerDirectory({});
+	/** Open sessions. */
+	readonly #sessions = new Set<StatementSession>();
 	readonly #clients = new Map<string, ServiceClient>();
 	readonly #tableWaiters = new Set<() => void>();
 	#cancelRefresh: Cancel | undefined;
@@ -73,10 +83,15 @@
 		this.#cancelProbe?.();
 	}
 
-	/** Replaces the routing table. */
+	/** Replaces the routing table, and rolls back the open transactions of customers whose keys were revoked or moved. */
 	replaceRoutingTable(table: RoutingTable): void {
 		this.#table = table;
 		this.#routes = new Map(table.routes.map(route => [route.database, route]));
+		this.#customers = new CustomerDirectory(table);
+		for (const session of this.#sessions) {
+			session.checkCustomer();
+		}
+
 		for (const {name} of table.services) {
 			this.#getOrCreateClient(name);
 		}
@@ -105,8 +120,8 @@
 		return [...this.#clients.values()].flatMap(client => client.memberReachability());
 	}
 
-	/** Opens a session. Resolves with undefined if no route exists for the database, and with 'notReady' if no routing table arrived in time. */
-	async open(database: string): Promise<StatementSession | 'notReady' | undefined> {
+	/** Opens a session. Resolves with the reason if it is refused: no route exists for the database, the route needs an API key and the caller's is not known, or no routing table arrived in time. */
+	async open(caller: CallerIdentity): Promise<StatementSession | SessionRefusal> {
 		if (!this.#table) {
 			await this.#waitForRoutingTable();
 		}
@@ -115,18 +130,29 @@
 			return 'notReady';
 		}
 
-		if (!this.#routes.has(database)) {
-			return undefined;
+		const route = this.#routes.get(caller.database);
+		if (!route) {
+			return 'unknownDatabase';
+		}
+
+		if (!this.#customers.authorize(caller.keyDigest, route).isAuthorized) {
+			return 'notAuthorized';
 		}
 
-		return new StatementSession(uniqueId(), database, {
+		const session = new StatementSession(uniqueId(), caller, {
 			clock: this.options.clock,
 			dataCentre: this.options.dataCentre,
 			requestLog: this.options.requestLog,
 			table: () => this.#table,
 			route: name => this.#routes.get(name),
 			client: service => this.#getOrCreateClient(service),
+			customers: () => this.#customers,
+			admitOperation: this.options.admitOperation,
+		}, closed => {
+			this.#sessions.delete(closed);
 		});
+		this.#sessions.add(session);
+		return session;
 	}
 
 	async #waitForRoutingTable(): Promise<void> {
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -42,7 +42,7 @@
 			context.log(request.id, 'read', describeAttempt(last), {
 				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
 			});
-			if (last.kind === 'answered') {
+			if (last.kind === 'answered' || last.kind === 'refused') {
 				return {...last.reply, transaction: 'idle'};
 			}
 
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -15,6 +15,8 @@
 /** Outcome of sending a statement to a member. */
 export type StatementAttempt =
 	| {readonly kind: 'answered'; readonly reply: StatementReply}
+	/** The operation was refused without an attempt and must not be retried. */
+	| {readonly kind: 'refused'; readonly reply: StatementReply}
 	/** The statement has certainly not run. */
 	| {readonly kind: 'notRun'; readonly reason: RefusalReason; readonly detail: string}
 	/** The statement may have run. */
@@ -33,12 +35,16 @@
 	readonly route: Route;
 	readonly preparedStatement: PreparedStatementDefinition | undefined;
 	readonly deadline: Milliseconds;
+	/** Name of the customer for whom the statement is executed. */
+	readonly customer: string | undefined;
 	readonly isWanted?: () => boolean;
 };
 
-/** Resolves with a connection that has the session's variables and the prepared statement. Rejects before the statement itself is sent. */
-export async function acquireConnection(context: SessionContext, pool: MemberPool, {route, preparedStatement, deadline, isWanted = () => true}: ConnectionRequest): Promise<PooledConnection> {
-	const connection = await pool.acquire(deadline - context.now, route.priority, context.sessionState);
+/** Resolves with a connection that has the session's variables and the prepared statement. Rejects before the statement itself is sent, also when the caller's key was revoked or moved during the wait. */
+export async function acquireConnection(context: SessionContext, pool: MemberPool, request: ConnectionRequest): Promise<PooledConnection> {
+	const {route, preparedStatement, deadline, customer, isWanted: isAnswerWanted = () => true} = request;
+	const isWanted = (): boolean => isAnswerWanted() && context.isAuthorizedAs(customer);
+	const connection = await pool.acquire(deadline - context.now, route.priority, context.sessionState, customer);
 	try {
 		if (isWanted()) {
 			await connection.applySession(context.sessionState, preparedStatement, deadline - context.now);
@@ -50,7 +56,7 @@
 
 	if (!isWanted()) {
 		pool.release(connection);
-		throw new BuckthornhitchError('deadlinePassed', 'The caller has its answer already.');
+		throw new BuckthornhitchError('deadlinePassed', isAnswerWanted() ? 'The key of the caller was revoked or moved.' : 'The caller has its answer already.');
 	}
 
 	if (!pool.isAnswerableBefore(deadline)) {
@@ -63,17 +69,29 @@
 
 /** Sends a statement outside a transaction to a member. */
 export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, {after, isWanted = () => true}: AttemptOptions = {}): Promise<StatementAttempt> {
-	const {request, route, deadline} = routed;
+	const {request, operation, route, deadline} = routed;
+	const refused = operation.isAdmitted ? undefined : await operation.admit();
+	if (refused) {
+		return {kind: 'refused', reply: refused};
+	}
+
 	const startedAt = context.now;
+	// A concurrent attempt may admit the operation for another customer.
+	const {customer} = operation;
 	let connection: PooledConnection;
 	try {
 		connection = await acquireConnection(context, pool, {
-			route, preparedStatement: request.preparedStatement, deadline, isWanted,
+			route, preparedStatement: request.preparedStatement, deadline, customer, isWanted,
 		});
 	} catch (error) {
 		return {kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message};
 	}
 
+	if (!context.isAuthorizedAs(customer)) {
+		pool.release(connection);
+		return {kind: 'notRun', reason: 'busy', detail: 'the key of the caller was revoked or moved'};
+	}
+
 	try {
 		const reply = await connection.execute(request.createStatement(after), deadline - context.now);
 		pool.release(connection);
@@ -103,7 +121,8 @@
 /** Returns a description of an attempt for logs. */
 export function describeAttempt(attempt: StatementAttempt): string {
 	switch (attempt.kind) {
-		case 'answered': {
+		case 'answered':
+		case 'refused': {
 			return describeReply(attempt.reply);
 		}
 
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -1,10 +1,11 @@
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type SessionStatement, type StatementReply, type TransactionState} from '../statement/types.js';
+import {CallerOperation, refuseUnknownKey} from './caller-operation.js';
 import {CallerTransaction} from './caller-transaction.js';
 import {dataRequest, type DataStatement} from './data-request.js';
 import {SessionReadExecutor} from './session-read-executor.js';
 import {localReply, refusal} from './replies.js';
-import {SessionContext, type SessionDependencies} from './session-context.js';
+import {type CallerIdentity, SessionContext, type SessionDependencies} from './session-context.js';
 import {executeWrite} from './write-executor.js';
 
 /** Session of a caller with one database. */
@@ -13,8 +14,8 @@
 	readonly #readExecutor: SessionReadExecutor;
 	#transaction: CallerTransaction | undefined;
 
-	constructor(id: string, database: string, private readonly dependencies: SessionDependencies) {
-		this.#context = new SessionContext(id, database, dependencies);
+	constructor(id: string, caller: CallerIdentity, private readonly dependencies: SessionDependencies, private readonly onClosed: (session: StatementSession) => void) {
+		this.#context = new SessionContext(id, caller, dependencies);
 		this.#readExecutor = new SessionReadExecutor(this.#context);
 	}
 
@@ -27,7 +28,7 @@
 	async execute(statement: SessionStatement): Promise<StatementReply> {
 		this.#transaction?.cancelIdleTimeout();
 		try {
-			return await this.#dispatch(statement);
+			return this.#refuseUnauthorized(statement) ?? await this.#dispatch(statement);
 		} catch (error) {
 			const {message} = toBuckthornhitchError(error);
 			this.#context.log(statement.id, statement.kind, `fault ${message}`);
@@ -42,6 +43,14 @@
 	close(): void {
 		this.#transaction?.rollBack();
 		this.#transaction = undefined;
+		this.onClosed(this);
+	}
+
+	/** Rolls back an open transaction if the current routing table does not map the key to the customer for whom it was begun. */
+	checkCustomer(): void {
+		if (this.#transaction && !this.#context.isAuthorizedAs(this.#transaction.customer)) {
+			this.#transaction.abortForCustomer();
+		}
 	}
 
 	/** Aborts an open transaction because the process is stopping. */
@@ -71,12 +80,12 @@
 			case 'prepare':
 			case 'deallocate':
 			case 'malformed': {
-				return this.#transactionState === 'failed' ? refusal('malformed', 'the transaction has failed', 'failed') : this.#executeLocally(statement);
+				return this.#transaction?.refuseIfFailed() ?? this.#executeLocally(statement);
 			}
 		}
 	}
 
-	#executeLocally(statement: Extract<SessionStatement, {readonly kind: 'begin' | 'set' | 'prepare' | 'deallocate' | 'malformed'}>): StatementReply {
+	#executeLocally(statement: Extract<SessionStatement, {readonly kind: 'begin' | 'set' | 'prepare' | 'deallocate' | 'malformed'}>): StatementReply | Promise<StatementReply> {
 		const {variables, preparedStatements} = this.#context.sessionState;
 		switch (statement.kind) {
 			case 'begin': {
@@ -104,7 +113,7 @@
 		}
 	}
 
-	#begin(id: string, isReadOnly: boolean): StatementReply {
+	async #begin(id: string, isReadOnly: boolean): Promise<StatementReply> {
 		if (this.#transaction) {
 			return refusal('malformed', 'a transaction is open', this.#transactionState);
 		}
@@ -114,7 +123,15 @@
 			return this.#refuseUnknownDatabase(id);
 		}
 
-		this.#transaction = new CallerTransaction(this.#context, this.#readExecutor, {route, client: this.dependencies.client(route.service), isReadOnly});
+		const operation = new CallerOperation(this.#context, id);
+		const refused = await operation.admit();
+		if (refused) {
+			return refused;
+		}
+
+		this.#transaction = new CallerTransaction(this.#context, this.#readExecutor, {
+			operation, route, client: this.dependencies.client(route.service), isReadOnly,
+		});
 		return localReply(this.#transactionState);
 	}
 
@@ -150,12 +167,33 @@
 			return this.#refuseUnknownDatabase(statement.id);
 		}
 
+		const operation = new CallerOperation(this.#context, statement.id);
 		const routed = {
-			request, route, client: this.dependencies.client(route.service), arrivedAt: this.#context.now, deadline: this.#context.deadlineOf(route),
+			request, operation, route, client: this.dependencies.client(route.service), arrivedAt: this.#context.now, deadline: this.#context.deadlineOf(route),
 		};
+		const refused = await operation.admit();
+		if (refused) {
+			return refused;
+		}
+
 		return request.access === 'write' ? executeWrite(this.#context, routed) : this.#readExecutor.read(routed);
 	}
 
+	/** Refuses a statement of a caller whose key identifies no customer, and rolls back an open transaction first. A database without a route is reported as unknown instead. */
+	#refuseUnauthorized({kind, id}: SessionStatement): StatementReply | undefined {
+		const transaction = this.#transaction;
+		if (this.#context.authorize().isAuthorized || (!transaction && !this.dependencies.route(this.#context.database))) {
+			return undefined;
+		}
+
+		transaction?.failAsRefused();
+		if (kind === 'commit' || kind === 'rollback') {
+			this.#transaction = undefined;
+		}
+
+		return {...refuseUnknownKey(this.#context, id), transaction: this.#transactionState};
+	}
+
 	#refuseUnknownDatabase(id: string): StatementReply {
 		const {database} = this.#context;
 		this.#context.log(id, 'routing', 'no route');
