Test the moments at which a key may be revoked; name the digest in refusals

A transaction whose key was moved and moved back was not covered.

Refusals of statements are logged with the beginning of the key's digest, and the proxy states the number of open sessions.

--- a/source/session-proxy/caller-operation.ts
+++ b/source/session-proxy/caller-operation.ts
@@ -1,3 +1,4 @@
+import {shortDigest} from '../customers/key-digest.js';
 import {type Customer} from '../customers/types.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type StatementReply} from '../statement/types.js';
@@ -61,6 +62,6 @@
 
 /** Returns the refusal of a statement whose key identifies no customer. */
 export function refuseUnknownKey(context: SessionContext, id: string): StatementReply {
-	context.log(id, 'authorization', 'refused notAuthorized');
+	context.log(id, 'authorization', 'refused notAuthorized', {key: shortDigest(context.caller.keyDigest)});
 	return refusal('notAuthorized', 'the key is not known', 'idle');
 }
--- a/source/session-proxy/customer-session.spec.ts
+++ b/source/session-proxy/customer-session.spec.ts
@@ -191,6 +191,7 @@
 	const held = holder.execute(write);
 	await fixture.advance(20);
 	const session = await fixture.open(key);
+	await session.execute(set);
 	if (statement.kind === 'commit') {
 		await session.execute(begin);
 	}
@@ -208,12 +209,27 @@
 }
 
 test('a statement that waits for a connection when its key is revoked is refused and not sent', async () => {
+	for (const statement of [write, read]) {
+		const fixture = createFixture('primary');
+		const {reply, released} = await waitForConnection(fixture, {...statement, id: 'waiting'});
+		fixture.configureCustomers(revoked);
+		await released();
+		assert.deepEqual(summary(await reply), ['notAuthorized', 'idle']);
+		assert.ok(!fixture.members.some(member => member.received.some(({statement: sent}) => 'id' in sent && sent.id === 'waiting')), statement.kind);
+		assert.equal(fixture.received('set').length, 0, 'nor are the variables of the session set');
+	}
+});
+
+test('a statement whose key is revoked after its connection was prepared is not sent', async context => {
 	const fixture = createFixture();
-	const {reply, released} = await waitForConnection(fixture, {...write, id: 'waiting'});
-	fixture.configureCustomers(revoked);
-	await released();
-	assert.deepEqual(summary(await reply), ['notAuthorized', 'idle']);
-	assert.ok(!fixture.primary.received.some(({statement}) => 'id' in statement && statement.id === 'waiting'));
+	const session = await fixture.open('k1');
+	await fixture.run(session, write);
+	context.mock.method(MemberPool.prototype, 'isAnswerableBefore', () => {
+		fixture.configureCustomers(revoked);
+		return true;
+	});
+	assert.deepEqual(summary(await fixture.run(session, write)), ['notAuthorized', 'idle']);
+	assert.equal(fixture.received('write').length, 1);
 });
 
 // The connection was opened under the name of the first customer.
@@ -253,6 +269,18 @@
 	}
 });
 
+// Part of the transaction might otherwise have run for the customer that held the key in between.
+test('a transaction whose key is moved and moved back is aborted', async () => {
+	const fixture = createFixture();
+	const {reply, released} = await waitForConnection(fixture, commit);
+	const count = fixture.received('begin').length;
+	fixture.configureCustomers(moved);
+	fixture.configureCustomers(keys);
+	await released();
+	assert.deepEqual(summary(await reply), ['aborted', 'idle']);
+	assert.equal(fixture.received('begin').length, count);
+});
+
 test('a read that is running when the key is revoked is answered with its outcome, although its hedge is refused', async () => {
 	const fixture = createFixture();
 	const session = await fixture.open('k1');
@@ -332,15 +360,15 @@
 	}
 });
 
+// Each routing table is compared with every open session.
 test('a closed session is not kept', async () => {
 	const fixture = createFixture();
-	const session = await fixture.open('k1');
-	await fixture.run(session, begin);
-	await fixture.run(session, write);
-	session.close();
-	await fixture.advance(5);
-	const count = fixture.primary.received.length;
-	fixture.configureCustomers(revoked);
-	await fixture.advance(5);
-	assert.equal(fixture.primary.received.length, count);
+	const sessions = [await fixture.open('k1'), await fixture.open('k2')];
+	assert.equal(fixture.proxy.sessionCount, 2);
+	for (const session of sessions) {
+		session.close();
+		session.close();
+	}
+
+	assert.equal(fixture.proxy.sessionCount, 0);
 });
--- a/source/session-proxy/request-log.ts
+++ b/source/session-proxy/request-log.ts
@@ -10,6 +10,8 @@
 	readonly routingVersion?: number;
 	/** Name of the customer, on steps that admit an operation. */
 	readonly customer?: string;
+	/** Beginning of the digest of a key that identifies no customer (see `shortDigest`). */
+	readonly key?: string;
 	readonly member?: string;
 	/** Log position that a read requires, in the form `term.position`. */
 	readonly point?: string;
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -61,6 +61,11 @@
 		return this.#table;
 	}
 
+	/** Number of open sessions. */
+	get sessionCount(): number {
+		return this.#sessions.size;
+	}
+
 	override start(): void {
 		this.options.directory.onChange(server => {
 			this.#clients.get(server.service)?.refresh();
