--- a/source/session-proxy/request-log.ts
+++ b/source/session-proxy/request-log.ts
@@ -8,6 +8,10 @@
 	/** Kind of the step, for example `read`, `commit` or `routing`. */
 	readonly step: string;
 	readonly routingVersion?: number;
+	/** Name of the customer, on steps that admit an operation. */
+	readonly customer?: string;
+	/** Beginning of the digest of a key that identifies no customer (see `shortDigest`). */
+	readonly key?: string;
 	readonly member?: string;
 	/** Log position that a read requires, in the form `term.position`. */
 	readonly point?: string;
