Report a read that was sent and not answered with an unknown outcome

Cause: the read executor refused a read at its deadline as not run also when its last attempt, or an earlier one, had been sent and not answered. A member may have run it. The same was said of a read that one member had run and failed while the others refused it.

The executor now keeps the attempts that may have run. An unanswered one is reported as outcomeUnknown, a failure with the reply of the member; not run is said only if every attempt proved it.

--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -10,7 +10,7 @@
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {avoidTimeAfterRefusal, orderMembersForRead, type MemberCandidate} from './read-policy.js';
-import {notRunRefusal} from './replies.js';
+import {notRunRefusal, refusal} from './replies.js';
 import {type ServiceClient} from './service-client.js';
 import {type SessionContext} from './session-context.js';
 
@@ -26,6 +26,7 @@
 		const {context} = this;
 		const {request, route, client, arrivedAt, deadline} = routed;
 		let last: StatementAttempt = {kind: 'notRun', reason: 'busy', detail: 'no member was reached'};
+		const attemptsThatMayHaveRun: StatementAttempt[] = [];
 		while (context.now < deadline) {
 			const required = await this.requiredPosition(client, arrivedAt - route.maximumStaleness, deadline);
 			if (!required) {
@@ -37,7 +38,14 @@
 				break;
 			}
 
-			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => this.#readFrom(pool, routed, {after: required, isWanted}));
+			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => {
+				const attempt = await this.#readFrom(pool, routed, {after: required, isWanted});
+				if (attempt.kind !== 'notRun') {
+					attemptsThatMayHaveRun.push(attempt);
+				}
+
+				return attempt;
+			});
 			last = await read.run();
 			context.log(request.id, 'read', describeAttempt(last), {
 				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
@@ -49,8 +57,22 @@
 			await this.waitBeforeRetry(client, last.kind === 'notRun' && last.reason === 'lagging', deadline);
 		}
 
+		// A refusal after an attempt that may have run does not show that the read has not run.
+		last = attemptsThatMayHaveRun.at(-1) ?? last;
 		context.log(request.id, 'refusal', describeAttempt(last));
-		return notRunRefusal(describeAttempt(last), 'idle');
+		switch (last.kind) {
+			case 'answered': {
+				return {...last.reply, transaction: 'idle'};
+			}
+
+			case 'notRun': {
+				return notRunRefusal(describeAttempt(last), 'idle');
+			}
+
+			case 'unknown': {
+				return refusal('outcomeUnknown', last.detail, 'idle');
+			}
+		}
 	}
 
 	/** Resolves with the log position that a member must have reached to serve a read. It includes every commit acknowledged before `since` and the last commit of the session. Asks the primary if no such position is known. Resolves with undefined if the primary does not answer in time. */
--- a/source/session-proxy/statement-session.spec.ts
+++ b/source/session-proxy/statement-session.spec.ts
@@ -232,3 +232,69 @@
 	await fixture.advance(200);
 	assert.deepEqual(fixture.received('read').map(({member}) => member), [first.server.id]);
 });
+
+// The members may still run the read, so "not run" would be false.
+test('a read that was sent and not answered is reported with an unknown outcome', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	await fixture.run(session, write);
+	for (const member of fixture.members) {
+		member.point = fixture.primary.point;
+		member.holdsReplies = true;
+	}
+
+	const reply = await fixture.run(session, read);
+	assert.ok(fixture.received('read').length > 0);
+	assert.equal(reasonOrOutcome(reply), 'outcomeUnknown');
+	assert.equal(reply.transaction, 'idle');
+});
+
+// A later refusal says nothing about the attempt before it.
+test('a read keeps an unknown outcome when every other member refuses it later', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	await fixture.run(session, write);
+	for (const member of fixture.members) {
+		member.point = fixture.primary.point;
+		member.holdsReplies = true;
+	}
+
+	const reply = session.execute(read);
+	await fixture.advance(20);
+	const first = fixture.members.find(({receivedKinds}) => receivedKinds.includes('read'))!;
+	for (const member of fixture.members.filter(other => other !== first)) {
+		member.holdsReplies = false;
+		member.refusals.push(...Array.from({length: 200}, () => 'busy' as const));
+	}
+
+	await fixture.advance(1000);
+	assert.equal(reasonOrOutcome(await reply), 'outcomeUnknown');
+});
+
+// The failure is what is known of the read; a refusal of another member does not undo it.
+test('a read that one member ran and failed is answered with that failure when the other members refuse it', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	await fixture.run(session, write);
+	for (const member of fixture.members) {
+		member.point = fixture.primary.point;
+		member.refusals.push(...Array.from({length: 200}, () => 'busy' as const));
+	}
+
+	fixture.members[1].refusals[0] = 'timeout';
+	const reply = await fixture.run(session, read);
+	assert.equal(reasonOrOutcome(reply), 'timeout');
+});
+
+test('a read that every member refused is answered as not run', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	await fixture.run(session, write);
+	for (const member of fixture.members) {
+		member.point = fixture.primary.point;
+		member.refusals.push(...Array.from({length: 200}, () => 'busy' as const));
+	}
+
+	const reply = await fixture.run(session, read);
+	assert.match(reply.outcome === 'refused' ? reply.detail : '', /^not run, come back in \d+ ms: /v);
+});
