Give a recovering member a share of its reads that follows its answers

Cause: a member that has just started has neither load nor reply times, so that every read of every entry instance goes to it first, while its caches are cold. A member that resumed after a failure was left idle until its old reply times had decayed.

RecoveryPace decides the share of a member from its reply times against those of its peers; ReadPlacement, which ServiceClient owns, keeps it for each member and logs begin and end; orderMembersForRead holds a recovering member back for reads beyond its share.

--- a/source/session-proxy/read-policy.ts
+++ b/source/session-proxy/read-policy.ts
@@ -18,6 +18,17 @@
 	readonly logPosition: LogPosition | undefined;
 	/** Time since the log position was reported. */
 	readonly logPositionAge: Milliseconds;
+	/** Share of its usual reads that the member gets; 1 unless it recovers. */
+	readonly recoveryShare: number;
+};
+
+/** Requirements of a read on the members. */
+export type ReadRequirement = {
+	/** Log position that the read requires. */
+	readonly required: LogPosition;
+	readonly consistency: Consistency;
+	/** Random number from 0 up to but not including 1. A recovering member is held back unless the number is below its share. */
+	readonly draw?: number;
 };
 
 /** Time for which a replica that refused a read because it lags behind is avoided. */
@@ -44,13 +55,25 @@
 /** Cost of a member that does not answer; greater than the sum of all other costs under usual load. */
 const failingCost: Milliseconds = 10_000;
 
+/** Cost of a recovering member for a read beyond its share. Greater than the other costs under usual load, and less than that of members that cannot serve the read. */
+const heldBackCost: Milliseconds = 2500;
+
 /** Cost of a member that refused a request recently or is known to lag behind the required position. */
 const unavailableCost: Milliseconds = 5000;
 
-/** Returns the members by increasing cost of a read that requires the log position. On routes with primary consistency the primary comes first, since replicas lag behind it. */
-export function orderMembersForRead(candidates: readonly MemberCandidate[], required: LogPosition, consistency: Consistency): readonly MemberCandidate[] {
-	const rank = (candidate: MemberCandidate): number => consistency === 'primary' && candidate.isPrimary ? Number.NEGATIVE_INFINITY : memberCost(candidate, required);
-	return candidates.toSorted((first, second) => compareNumbers(rank(first), rank(second)));
+/** Returns the members by increasing cost of a read. On routes with primary consistency the primary comes first, since replicas lag behind it. Only when it is held back do replicas precede it that are known to be fresh enough. */
+export function orderMembersForRead(candidates: readonly MemberCandidate[], requirement: ReadRequirement): readonly MemberCandidate[] {
+	const {required, consistency, draw = 0} = requirement;
+	const isPrimaryHeldBack = candidates.some(candidate => candidate.isPrimary && isHeldBack(candidate, draw));
+	const tierOf = (candidate: MemberCandidate): number => {
+		if (consistency !== 'primary' || (isPrimaryHeldBack && isUsableReplica(candidate, required))) {
+			return 0;
+		}
+
+		return candidate.isPrimary ? 1 : 2;
+	};
+
+	return candidates.toSorted((first, second) => tierOf(first) - tierOf(second) || memberCost(first, requirement) - memberCost(second, requirement));
 }
 
 /** Returns the time for which reads avoid a member that refused one. Answers a primary that is overloaded after a burst: it recovers only when reads that replicas can serve stay away. */
@@ -62,17 +85,30 @@
 	return isPrimary ? primaryOverloadAvoidTime : overloadAvoidTime;
 }
 
-/** Compares numbers that may be infinite, for which a plain difference is not a number. */
-function compareNumbers(first: number, second: number): number {
-	return first === second ? 0 : first - second;
+/** Returns whether a replica can serve a read for certain: it answers and is known to be fresh enough. */
+function isUsableReplica(candidate: MemberCandidate, required: LogPosition): boolean {
+	const {isPrimary, isFailing, isAvoided} = candidate;
+	return !isPrimary && !isFailing && !isAvoided && hasCurrentLogPosition(candidate) && compareLogPositions(candidate.logPosition, required) >= 0;
+}
+
+function isHeldBack({recoveryShare}: MemberCandidate, draw: number): boolean {
+	return draw >= recoveryShare;
+}
+
+function hasCurrentLogPosition(candidate: MemberCandidate): candidate is MemberCandidate & {readonly logPosition: LogPosition} {
+	return candidate.logPosition !== undefined && candidate.logPositionAge < logPositionLifetime;
+}
+
+function isKnownToBeBehind(candidate: MemberCandidate, required: LogPosition): boolean {
+	return hasCurrentLogPosition(candidate) && compareLogPositions(candidate.logPosition, required) < 0;
 }
 
-function memberCost(candidate: MemberCandidate, required: LogPosition): Milliseconds {
-	const isBehind = candidate.logPosition !== undefined && candidate.logPositionAge < logPositionLifetime && compareLogPositions(candidate.logPosition, required) < 0;
+function memberCost(candidate: MemberCandidate, {required, draw = 0}: ReadRequirement): Milliseconds {
 	return candidate.expectedReplyTime
 		+ (candidate.load * loadCost)
 		+ (candidate.isInSameDataCentre ? 0 : crossDataCentreCost)
 		+ (candidate.isPrimary ? primaryCost : 0)
 		+ (candidate.isFailing ? failingCost : 0)
-		+ (isBehind || candidate.isAvoided ? unavailableCost : 0);
+		+ (isHeldBack(candidate, draw) ? heldBackCost : 0)
+		+ (candidate.isAvoided || isKnownToBeBehind(candidate, required) ? unavailableCost : 0);
 }
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -4,12 +4,14 @@
 import {compareLogPositions} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
+import {type Random} from '../random/random.js';
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnector} from '../statement/member-connection.js';
 import {FreshnessTracker} from './freshness-tracker.js';
 import {MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
+import {ReadPlacement} from './read-placement.js';
 
 /** Timeout for a member to confirm that it is the primary. The confirmation needs no execution slot on the member. */
 const confirmTimeout: Milliseconds = 400;
@@ -17,6 +19,12 @@
 /** Interval between two searches for the primary. */
 const primarySearchInterval: Milliseconds = 60;
 
+/** Time since the creation of a client after which a member that appears has just started; the directory is known by then. */
+const discoveryTime: Milliseconds = 2000;
+
+/** Age up to which a member has just started although it was known from the beginning. */
+const recentStartAge: Milliseconds = 5000;
+
 /** Dependencies and limits of a client of one service. */
 export type ServiceClientOptions = {
 	readonly service: string;
@@ -27,20 +35,29 @@
 	readonly dataCentre: string;
 	/** Returns the maximum number of connections from this instance to a member. */
 	readonly maximumConnections: (server: BackendServer) => number;
+	/** Source of random numbers for the placement of reads; that of the operating system if absent. */
+	readonly random?: Random;
 };
 
 /** Client of one service: connection pools of its members, the current primary and the freshness of its data. */
 export class ServiceClient {
 	readonly freshness: FreshnessTracker;
+	/** Placement of reads on recovering members. */
+	readonly placement: ReadPlacement;
+	readonly #createdAt: Milliseconds;
 	readonly #pools = new Map<string, MemberPool>();
 	readonly #poolsBeingProbed = new Set<MemberPool>();
 	#primary: string | undefined;
+	/** Last known primary, also after it was forgotten. */
+	#lastPrimary: string | undefined;
 	/** Term in which the primary last confirmed its role. */
 	#primaryTerm = 0;
 	#primarySearch: Promise<string | undefined> | undefined;
 
 	constructor(private readonly options: ServiceClientOptions) {
 		this.freshness = new FreshnessTracker(options.clock);
+		this.placement = new ReadPlacement(options);
+		this.#createdAt = options.clock.now();
 		this.refresh();
 	}
 
@@ -68,6 +85,7 @@
 				this.options.logger.info(`${this.options.service}: ${id} ${server?.isLeaving ? 'is leaving' : 'is gone or has restarted'}`);
 				pool.close();
 				this.#pools.delete(id);
+				this.placement.forget(id);
 				if (this.#primary === id) {
 					this.#primary = undefined;
 				}
@@ -77,6 +95,9 @@
 		for (const [id, server] of present) {
 			if (!this.#pools.has(id)) {
 				this.#pools.set(id, this.#openPool(server));
+				if (this.#hasJustStarted(server)) {
+					this.placement.beginRecovery(id, 'started');
+				}
 			}
 		}
 	}
@@ -106,8 +127,14 @@
 		}
 	}
 
+	/** Tells the placement of reads which members are failing. */
+	observePlacement(): void {
+		this.placement.observe([...this.#pools.values()].map(({server: {id}, isFailing}) => ({id, isFailing})));
+	}
+
 	/** Probes failing members, since reads avoid them until they answer. */
 	probeFailingMembers(): void {
+		this.observePlacement();
 		for (const pool of this.#pools.values()) {
 			if (pool.isFailing && !this.#poolsBeingProbed.has(pool)) {
 				this.#poolsBeingProbed.add(pool);
@@ -181,10 +208,21 @@
 			this.options.logger.info(`${this.options.service}: primary is ${id} in term ${term}, was ${this.#primary ?? 'unknown'} in term ${this.#primaryTerm}`);
 		}
 
+		if (this.#lastPrimary !== undefined && this.#lastPrimary !== id) {
+			this.placement.beginRecovery(id, 'promoted');
+		}
+
 		this.#primary = id;
+		this.#lastPrimary = id;
 		this.#primaryTerm = term;
 	}
 
+	#hasJustStarted({startedAt}: BackendServer): boolean {
+		const {clock} = this.options;
+		const age = clock.wallTime() - startedAt;
+		return clock.now() - this.#createdAt >= discoveryTime || (age >= 0 && age < recentStartAge);
+	}
+
 	/** Asks every member whether it is the primary. Resolves with the id of the member that confirms it. If several do, resolves with the one that has the latest log position. */
 	async #findPrimary(): Promise<string | undefined> {
 		const deadline = this.options.clock.now() + confirmTimeout;
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -9,6 +9,7 @@
 import {type MemberConnector} from '../statement/member-connection.js';
 import {type RequestLog} from './request-log.js';
 import {type MemberPool} from './member-pool.js';
+import {type ReadPlacement} from './read-placement.js';
 import {ServiceClient} from './service-client.js';
 import {StatementSession} from './statement-session.js';
 
@@ -100,6 +101,11 @@
 		return this.#clients.get(service)?.poolOf(member);
 	}
 
+	/** Placements of reads of all services. */
+	get placements(): readonly ReadPlacement[] {
+		return [...this.#clients.values()].map(({placement}) => placement);
+	}
+
 	/** Returns the reachability of each member of all services from this instance. */
 	memberReachability(): readonly BackendReachability[] {
 		return [...this.#clients.values()].flatMap(client => client.memberReachability());
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -11,6 +11,7 @@
 import {type MemberPool} from './member-pool.js';
 import {avoidTimeAfterRefusal, orderMembersForRead, type MemberCandidate} from './read-policy.js';
 import {notRunRefusal, refusal} from './replies.js';
+import {type ReadOutcome} from './read-placement.js';
 import {type ServiceClient} from './service-client.js';
 import {type SessionContext} from './session-context.js';
 
@@ -97,6 +98,7 @@
 	/** Returns the pools of the members to try for a read, best first. */
 	candidatePools(client: ServiceClient, route: Route, required: LogPosition): readonly MemberPool[] {
 		const {now, dependencies} = this.context;
+		client.observePlacement();
 		const candidates = client.pools.map((pool): MemberCandidate => ({
 			id: pool.server.id,
 			isPrimary: pool.server.id === client.primaryId,
@@ -107,8 +109,9 @@
 			expectedReplyTime: pool.expectedReplyTime,
 			logPosition: pool.logPosition,
 			logPositionAge: now - pool.logPositionAt,
+			recoveryShare: client.placement.recoveryShareOf(pool.server.id),
 		}));
-		const order = orderMembersForRead(candidates, required, route.consistency);
+		const order = orderMembersForRead(candidates, {required, consistency: route.consistency, draw: client.placement.drawRead()});
 		return order.map(candidate => client.poolOf(candidate.id)).filter(pool => pool !== undefined);
 	}
 
@@ -130,7 +133,9 @@
 	async #readFrom(pool: MemberPool, routed: RoutedDataRequest, options: AttemptOptions): Promise<StatementAttempt> {
 		const {context} = this;
 		const startedAt = context.now;
+		const recordEnd = routed.client.placement.recordSent(pool.server.id);
 		const attempt = await attemptStatement(context, pool, routed, options);
+		recordEnd({outcome: readOutcomeOf(attempt, options), sentAt: startedAt, latencyTarget: routed.route.latencyTarget});
 		if (attempt.kind === 'answered') {
 			pool.recordReplyTime(context.now - startedAt);
 		} else if (attempt.kind === 'notRun') {
@@ -140,3 +145,20 @@
 		return attempt;
 	}
 }
+
+/** Returns what an attempt shows about the member. An attempt that was given up because another member has answered shows nothing. */
+function readOutcomeOf(attempt: StatementAttempt, {isWanted = () => true}: AttemptOptions): ReadOutcome {
+	switch (attempt.kind) {
+		case 'answered': {
+			return 'replied';
+		}
+
+		case 'unknown': {
+			return 'unanswered';
+		}
+
+		case 'notRun': {
+			return attempt.reason === 'busy' && isWanted() ? 'overloaded' : 'withdrawn';
+		}
+	}
+}
