Eject members from reads that fail more of their requests than their peers

Cause: a member that fails part of its requests still answers, so that it is never taken for unreachable; with few callers it even is the first choice.

An ejected member stays the last choice among those that can serve a read, and returns through RecoveryPace. A primary is reported, not ejected. Log lines, a gauge and counters show ejections.

--- a/source/session-proxy/read-placement.spec.ts
+++ b/source/session-proxy/read-placement.spec.ts
@@ -36,14 +36,14 @@
 			this.#directory.applyAnnouncement(announcement);
 		}
 
+		const record = (text: string): void => {
+			this.logLines.push(text);
+		};
+
 		this.client = new ServiceClient({
 			service: 'ledger',
 			clock: this.clock,
-			logger: {
-				...silentLogger, info: text => {
-					this.logLines.push(text);
-				},
-			},
+			logger: {...silentLogger, info: record, warn: record},
 			directory: this.#directory,
 			connector: new FakeMemberConnector([...this.members.values()]),
 			dataCentre: 'here',
@@ -147,3 +147,43 @@
 	assert.equal(fixture.countLines(/b recovers \(promoted\)/v), 1);
 	assert.equal(fixture.client.placement.recoveryShareOf('b'), 1 / 4);
 });
+
+// The member answers, so that it is never taken for unreachable, and its empty load makes it the first choice.
+test('a member that fails part of its reads is ejected, is used again with a small share, and is logged', async () => {
+	const fixture = new PlacementFixture();
+	await fixture.read(20, 5);
+	const member = fixture.members.get('c')!;
+	for (let count = 0; count < 40; count++) {
+		if (count % 2 === 0) {
+			member.refusals.push('failed');
+		}
+
+		await fixture.read(1, 10);
+	}
+
+	assert.equal(fixture.client.placement.isEjected('c'), true);
+	assert.equal(fixture.countLines(/c is ejected from reads for 1000 ms/v), 1);
+	member.refusals.splice(0);
+	const {c: whileEjected} = await fixture.read(10, 10);
+	assert.equal(whileEjected, 0);
+	await fixture.clock.advanceInSteps(1000, 100);
+	const {c} = await fixture.read(10, 10);
+	assert.ok(c <= 3, `${c} of 10 reads`);
+	assert.equal(fixture.countLines(/c recovers \(readmitted\)/v), 1);
+	await fixture.read(150, 10);
+	const {c: atLast} = await fixture.read(10, 10);
+	assert.equal(atLast, 10);
+});
+
+// Writes have nowhere else to go, and an ejection would not help them.
+test('a primary that fails its requests is reported and not ejected', async () => {
+	const fixture = new PlacementFixture();
+	await fixture.read(30, 5);
+	for (let count = 0; count < 20; count++) {
+		fixture.client.placement.recordRequest('a', true);
+	}
+
+	assert.equal(fixture.client.placement.isEjected('a'), false);
+	assert.equal(fixture.client.placement.failingPrimaryCount, 1);
+	assert.equal(fixture.countLines(/the primary a fails its requests/v), 1);
+});
--- a/source/session-proxy/read-policy.spec.ts
+++ b/source/session-proxy/read-policy.spec.ts
@@ -16,6 +16,7 @@
 		logPosition: undefined,
 		logPositionAge: 0,
 		recoveryShare: 1,
+		isEjected: false,
 		...changes,
 	};
 }
@@ -61,3 +62,11 @@
 	assert.equal(order(candidates, {consistency: 'primary', draw: 0.99}), 'acb');
 	assert.equal(order(candidates, {draw: 0.99}), 'cab');
 });
+
+// Guards against both faults: reads that fail although another member would serve them, and reads that are refused because the only fresh member is ejected.
+test('an ejected member follows those that can serve the read and precedes those that cannot', () => {
+	const behind = {logPosition: {term: 1, position: 4}};
+	const ejected = candidate('a', {isEjected: true, expectedReplyTime: 0});
+	assert.equal(order([ejected, candidate('b', {isInSameDataCentre: false}), candidate('c', {recoveryShare: 0.1})], {draw: 0.9}), 'bca');
+	assert.equal(order([candidate('b', behind), candidate('c', {isFailing: true}), ejected]), 'abc');
+});
--- a/source/session-proxy/read-policy.ts
+++ b/source/session-proxy/read-policy.ts
@@ -20,6 +20,8 @@
 	readonly logPositionAge: Milliseconds;
 	/** Share of its usual reads that the member gets; 1 unless it recovers. */
 	readonly recoveryShare: number;
+	/** Whether the member is ejected from reads because it fails its requests. */
+	readonly isEjected: boolean;
 };
 
 /** Requirements of a read on the members. */
@@ -58,6 +60,9 @@
 /** Cost of a recovering member for a read beyond its share. Greater than the other costs under usual load, and less than that of members that cannot serve the read. */
 const heldBackCost: Milliseconds = 2500;
 
+/** Cost of a member that fails part of its requests. Less than that of members that cannot serve the read, so that it is used when it is the only one that can. */
+const ejectedCost: Milliseconds = 3750;
+
 /** Cost of a member that refused a request recently or is known to lag behind the required position. */
 const unavailableCost: Milliseconds = 5000;
 
@@ -85,10 +90,10 @@
 	return isPrimary ? primaryOverloadAvoidTime : overloadAvoidTime;
 }
 
-/** Returns whether a replica can serve a read for certain: it answers and is known to be fresh enough. */
+/** Returns whether a replica can serve a read for certain: it answers, does not fail its requests and is known to be fresh enough. */
 function isUsableReplica(candidate: MemberCandidate, required: LogPosition): boolean {
-	const {isPrimary, isFailing, isAvoided} = candidate;
-	return !isPrimary && !isFailing && !isAvoided && hasCurrentLogPosition(candidate) && compareLogPositions(candidate.logPosition, required) >= 0;
+	const {isPrimary, isFailing, isAvoided, isEjected} = candidate;
+	return !isPrimary && !isFailing && !isAvoided && !isEjected && hasCurrentLogPosition(candidate) && compareLogPositions(candidate.logPosition, required) >= 0;
 }
 
 function isHeldBack({recoveryShare}: MemberCandidate, draw: number): boolean {
@@ -110,5 +115,6 @@
 		+ (candidate.isPrimary ? primaryCost : 0)
 		+ (candidate.isFailing ? failingCost : 0)
 		+ (isHeldBack(candidate, draw) ? heldBackCost : 0)
+		+ (candidate.isEjected ? ejectedCost : 0)
 		+ (candidate.isAvoided || isKnownToBeBehind(candidate, required) ? unavailableCost : 0);
 }
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -42,7 +42,7 @@
 /** Client of one service: connection pools of its members, the current primary and the freshness of its data. */
 export class ServiceClient {
 	readonly freshness: FreshnessTracker;
-	/** Placement of reads on recovering members. */
+	/** Placement of reads on recovering and ejected members. */
 	readonly placement: ReadPlacement;
 	readonly #createdAt: Milliseconds;
 	readonly #pools = new Map<string, MemberPool>();
@@ -127,9 +127,9 @@
 		}
 	}
 
-	/** Tells the placement of reads which members are failing. */
+	/** Tells the placement of reads which members are failing, and which is the primary. */
 	observePlacement(): void {
-		this.placement.observe([...this.#pools.values()].map(({server: {id}, isFailing}) => ({id, isFailing})));
+		this.placement.observe([...this.#pools.values()].map(({server: {id}, isFailing}) => ({id, isFailing, isPrimary: id === this.#lastPrimary})));
 	}
 
 	/** Probes failing members, since reads avoid them until they answer. */
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -6,7 +6,7 @@
 import {type RoutedDataRequest} from './data-request.js';
 import {HedgedRead} from './hedged-read.js';
 import {
-	attemptStatement, describeAttempt, type StatementAttempt, type AttemptOptions,
+	attemptStatement, describeAttempt, isMemberFailure, type StatementAttempt, type AttemptOptions,
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {avoidTimeAfterRefusal, orderMembersForRead, type MemberCandidate} from './read-policy.js';
@@ -110,6 +110,7 @@
 			logPosition: pool.logPosition,
 			logPositionAge: now - pool.logPositionAt,
 			recoveryShare: client.placement.recoveryShareOf(pool.server.id),
+			isEjected: client.placement.isEjected(pool.server.id),
 		}));
 		const order = orderMembersForRead(candidates, {required, consistency: route.consistency, draw: client.placement.drawRead()});
 		return order.map(candidate => client.poolOf(candidate.id)).filter(pool => pool !== undefined);
@@ -150,11 +151,11 @@
 function readOutcomeOf(attempt: StatementAttempt, {isWanted = () => true}: AttemptOptions): ReadOutcome {
 	switch (attempt.kind) {
 		case 'answered': {
-			return 'replied';
+			return isMemberFailure(attempt) ? 'failed' : 'replied';
 		}
 
 		case 'unknown': {
-			return 'unanswered';
+			return 'failed';
 		}
 
 		case 'notRun': {
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -100,6 +100,12 @@
 	}
 }
 
+/** Returns whether the member did not answer the statement, or ran and failed it. */
+export function isMemberFailure(attempt: StatementAttempt): boolean {
+	return attempt.kind === 'unknown'
+		|| (attempt.kind === 'answered' && attempt.reply.outcome === 'refused' && (attempt.reply.reason === 'failed' || attempt.reply.reason === 'timeout'));
+}
+
 /** Returns a description of an attempt for logs. */
 export function describeAttempt(attempt: StatementAttempt): string {
 	switch (attempt.kind) {
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -2,7 +2,9 @@
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type RefusalReason, type StatementReply} from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
-import {attemptStatement, describeAttempt, type StatementAttempt} from './statement-attempt.js';
+import {
+	attemptStatement, describeAttempt, isMemberFailure, type StatementAttempt,
+} from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {notRunRefusal, refusal} from './replies.js';
 import {type ServiceClient} from './service-client.js';
@@ -34,6 +36,7 @@
 		const attempt = await attemptStatement(context, pool, routed);
 		context.log(request.id, 'write', describeAttempt(attempt), {member: pool.server.id, elapsed: Math.round(context.now - startedAt)});
 		if (attempt.kind !== 'notRun') {
+			client.placement.recordRequest(pool.server.id, isMemberFailure(attempt));
 			return finalReply(context, client, {attempt, pool, startedAt});
 		}
 
