--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -6,11 +6,12 @@
 import {type RoutedDataRequest} from './data-request.js';
 import {HedgedRead} from './hedged-read.js';
 import {
-	attemptStatement, describeAttempt, type StatementAttempt, type AttemptOptions,
+	attemptStatement, describeAttempt, isMemberFailure, type StatementAttempt, type AttemptOptions,
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {avoidTimeAfterRefusal, orderMembersForRead, type MemberCandidate} from './read-policy.js';
-import {notRunRefusal} from './replies.js';
+import {notRunRefusal, refusal} from './replies.js';
+import {type ReadOutcome} from './read-placement.js';
 import {type ServiceClient} from './service-client.js';
 import {type SessionContext} from './session-context.js';
 
@@ -26,6 +27,7 @@
 		const {context} = this;
 		const {request, route, client, arrivedAt, deadline} = routed;
 		let last: StatementAttempt = {kind: 'notRun', reason: 'busy', detail: 'no member was reached'};
+		const attemptsThatMayHaveRun: StatementAttempt[] = [];
 		while (context.now < deadline) {
 			const required = await this.requiredPosition(client, arrivedAt - route.maximumStaleness, deadline);
 			if (!required) {
@@ -37,7 +39,14 @@
 				break;
 			}
 
-			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => this.#readFrom(pool, routed, {after: required, isWanted}));
+			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => {
+				const attempt = await this.#readFrom(pool, routed, {after: required, isWanted});
+				if (attempt.kind !== 'notRun') {
+					attemptsThatMayHaveRun.push(attempt);
+				}
+
+				return attempt;
+			});
 			last = await read.run();
 			context.log(request.id, 'read', describeAttempt(last), {
 				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
@@ -49,8 +58,22 @@
 			await this.waitBeforeRetry(client, last.kind === 'notRun' && last.reason === 'lagging', deadline);
 		}
 
+		// A refusal after an attempt that may have run does not show that the read has not run.
+		last = attemptsThatMayHaveRun.at(-1) ?? last;
 		context.log(request.id, 'refusal', describeAttempt(last));
-		return notRunRefusal(describeAttempt(last), 'idle');
+		switch (last.kind) {
+			case 'answered': {
+				return {...last.reply, transaction: 'idle'};
+			}
+
+			case 'notRun': {
+				return notRunRefusal(describeAttempt(last), 'idle');
+			}
+
+			case 'unknown': {
+				return refusal('outcomeUnknown', last.detail, 'idle');
+			}
+		}
 	}
 
 	/** Resolves with the log position that a member must have reached to serve a read. It includes every commit acknowledged before `since` and the last commit of the session. Asks the primary if no such position is known. Resolves with undefined if the primary does not answer in time. */
@@ -75,6 +98,7 @@
 	/** Returns the pools of the members to try for a read, best first. */
 	candidatePools(client: ServiceClient, route: Route, required: LogPosition): readonly MemberPool[] {
 		const {now, dependencies} = this.context;
+		client.observePlacement();
 		const candidates = client.pools.map((pool): MemberCandidate => ({
 			id: pool.server.id,
 			isPrimary: pool.server.id === client.primaryId,
@@ -85,8 +109,10 @@
 			expectedReplyTime: pool.expectedReplyTime,
 			logPosition: pool.logPosition,
 			logPositionAge: now - pool.logPositionAt,
+			recoveryShare: client.placement.recoveryShareOf(pool.server.id),
+			isEjected: client.placement.isEjected(pool.server.id),
 		}));
-		const order = orderMembersForRead(candidates, required, route.consistency);
+		const order = orderMembersForRead(candidates, {required, consistency: route.consistency, draw: client.placement.drawRead()});
 		return order.map(candidate => client.poolOf(candidate.id)).filter(pool => pool !== undefined);
 	}
 
@@ -108,7 +134,9 @@
 	async #readFrom(pool: MemberPool, routed: RoutedDataRequest, options: AttemptOptions): Promise<StatementAttempt> {
 		const {context} = this;
 		const startedAt = context.now;
+		const recordEnd = routed.client.placement.recordSent(pool.server.id);
 		const attempt = await attemptStatement(context, pool, routed, options);
+		recordEnd({outcome: readOutcomeOf(attempt, options), sentAt: startedAt, latencyTarget: routed.route.latencyTarget});
 		if (attempt.kind === 'answered') {
 			pool.recordReplyTime(context.now - startedAt);
 		} else if (attempt.kind === 'notRun') {
@@ -118,3 +146,20 @@
 		return attempt;
 	}
 }
+
+/** Returns what an attempt shows about the member. An attempt that was given up because another member has answered shows nothing. */
+function readOutcomeOf(attempt: StatementAttempt, {isWanted = () => true}: AttemptOptions): ReadOutcome {
+	switch (attempt.kind) {
+		case 'answered': {
+			return isMemberFailure(attempt) ? 'failed' : 'replied';
+		}
+
+		case 'unknown': {
+			return 'failed';
+		}
+
+		case 'notRun': {
+			return attempt.reason === 'busy' && isWanted() ? 'overloaded' : 'withdrawn';
+		}
+	}
+}
