Keep no lease on the blackboard that was released while its renewal was in flight

Cause: at a handover a pool clears its leases and releases them on the members. The response to a renewal that was sent just before arrived after that and put the lease back on the blackboard, although the member executed the release next. The pool then served the database again as the holder: it opened transactions on members that its successor had leased, and closed their connections when the next renewal was refused. It also renewed leases that were free at that moment, so that the successor had to ask for a second handover.

Responses to requests that were sent before the release no longer grant a lease, and a lease that was requested but not granted yet is released as well.

--- a/source/database-group/group-fake.ts
+++ b/source/database-group/group-fake.ts
@@ -19,6 +19,8 @@
 	timesOutUsedConnections = false;
 	/** Whether all calls time out, on new connections too. */
 	isUnreachable = false;
+	/** Time from the execution of a call to its response. */
+	responseDelay: Milliseconds = 0;
 	/** For each of the next calls, in order, whether it times out. */
 	readonly nextCallTimeouts: boolean[] = [];
 	/** Names of the received calls. */
@@ -171,7 +173,12 @@
 		this.#isConnectionUnused = false;
 		await Promise.resolve();
 		action();
-		return member.status();
+		const status = member.status();
+		if (member.responseDelay > 0) {
+			await this.clock.sleep(member.responseDelay);
+		}
+
+		return status;
 	}
 }
 
--- a/source/database-group/member-monitor.ts
+++ b/source/database-group/member-monitor.ts
@@ -48,12 +48,18 @@
 	#pollRequested = false;
 	#stopped = false;
 	#lastPollAt = 0;
+	#pendingLeaseRequests = 0;
 	#cancelNext: Cancel | undefined;
 
 	constructor(private readonly options: MemberMonitorOptions, private readonly callbacks: MemberMonitorCallbacks) {
 		this.client = options.createClient();
 	}
 
+	/** Whether a request for the lease waits for its response. */
+	get isRequestingLease(): boolean {
+		return this.#pendingLeaseRequests > 0;
+	}
+
 	/** Starts polling. */
 	start(): void {
 		this.pollNow();
@@ -160,15 +166,18 @@
 	}
 
 	async #requestLease(client: MemberClient, timeout: Milliseconds): Promise<MemberStatus> {
+		this.#pendingLeaseRequests++;
 		try {
 			return await client.acquireLease(this.options.holder, this.options.timeouts().lease, timeout);
 		} catch (error) {
 			if (error instanceof BuckthornhitchError && error.codeName === 'memberRefused') {
 				this.callbacks.onLeaseRefused();
-				return client.status(timeout);
+				return await client.status(timeout);
 			}
 
 			throw error;
+		} finally {
+			this.#pendingLeaseRequests--;
 		}
 	}
 
--- a/source/database-group/monitor-controller.spec.ts
+++ b/source/database-group/monitor-controller.spec.ts
@@ -119,3 +119,48 @@
 	assert.ok(callsWhileWaiting > 50);
 	assert.ok(await callsDuring() <= 2);
 });
+
+/** Hands the leases over while the renewal of every lease waits for its response. */
+async function releaseDuringRenewal({clock, group, board, monitor}: Awaited<ReturnType<typeof startMonitor>>): Promise<void> {
+	for (const member of group.members.values()) {
+		member.responseDelay = 30;
+	}
+
+	monitor.pollNow();
+	await clock.advanceInSteps(10, 10);
+	board.write('isReleasingLeases', true);
+	const released = monitor.releaseLeases();
+	await clock.advanceInSteps(60, 10);
+	await released;
+}
+
+// Guards against a pool that believes after a handover that it still holds the leases: the requests that it accepted were interrupted when the next renewal was refused.
+test('the response to a renewal that was sent before the leases were released does not restore them', async () => {
+	const fixture = await startMonitor();
+	await releaseDuringRenewal(fixture);
+	assert.equal(fixture.board.read('leases').size, 0);
+	assert.equal(fixture.kinds().filter(kind => kind === 'lease taken').length, 3);
+});
+
+// Guards against a lease that blocks the successor until it expires, because the pool asked for it just before the handover.
+test('a lease that was requested but not granted yet is released as well', async () => {
+	const fixture = await startMonitor(0, ({members}) => {
+		for (const member of members.values()) {
+			member.lease('pool-2', 60_000);
+		}
+	});
+	for (const member of fixture.group.members.values()) {
+		member.leaseUntil = 0;
+		member.responseDelay = 30;
+	}
+
+	fixture.monitor.pollNow();
+	await fixture.clock.advanceInSteps(50, 10);
+	assert.ok(fixture.group.member('a').calls.includes('lease'));
+	fixture.board.write('isReleasingLeases', true);
+	const released = fixture.monitor.releaseLeases();
+	await fixture.clock.advanceInSteps(60, 10);
+	await released;
+	assert.deepEqual([...fixture.group.members.values()].map(({leaseUntil}) => leaseUntil), [0, 0, 0]);
+	assert.equal(fixture.board.read('leases').size, 0);
+});
--- a/source/database-group/monitor-controller.ts
+++ b/source/database-group/monitor-controller.ts
@@ -43,6 +43,8 @@
 	readonly #leaseFreeSince = new Map<string, Milliseconds>();
 	readonly #cancels: Cancel[] = [];
 	#rank: number | undefined;
+	/** Time of the last release of the leases. */
+	#releasedAt: Milliseconds | undefined;
 
 	constructor(private readonly options: MonitorControllerOptions) {
 		super();
@@ -111,10 +113,11 @@
 		board.write('observations', observations);
 	}
 
-	/** Releases the leases that this pool holds. */
+	/** Releases the leases that this pool holds or has requested. Responses to requests that were sent before do not restore them. */
 	async releaseLeases(): Promise<void> {
 		const {board, clock, holder, timeouts} = this.options;
-		const heldMonitors = [...this.#monitors].filter(([member]) => holdsLease(board, member, clock.now()));
+		const heldMonitors = [...this.#monitors].filter(([member, {monitor}]) => holdsLease(board, member, clock.now()) || monitor.isRequestingLease);
+		this.#releasedAt = clock.now();
 		board.write('leases', new Map());
 		for (const [member] of heldMonitors) {
 			this.#leaseFreeSince.set(member, clock.now());
@@ -183,7 +186,9 @@
 			return;
 		}
 
-		if (leaseUntil !== undefined) {
+		// A member executes the calls of a pool in order, so the release follows every request that was sent before it.
+		const wasReleased = this.#releasedAt !== undefined && observation.askedAt <= this.#releasedAt;
+		if (leaseUntil !== undefined && !wasReleased) {
 			this.#extendLease(name, leaseUntil);
 		}
 
