--- a/source/session-proxy/read-placement.spec.ts
+++ b/source/session-proxy/read-placement.spec.ts
@@ -4,10 +4,12 @@
 import {type BackendAnnouncement} from '../backend-directory/types.js';
 import {type Milliseconds} from '../clock/clock.js';
 import {ManualClock} from '../clock/manual-clock.js';
+import {CustomerDirectory} from '../customers/customer-directory.js';
 import {silentLogger} from '../observability/logger.js';
 import {SeededRandom} from '../random/random.js';
 import {type Route} from '../routing-table/types.js';
 import {type StatementReply} from '../statement/types.js';
+import {CallerOperation} from './caller-operation.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
 import {ServiceClient} from './service-client.js';
 import {SessionContext} from './session-context.js';
@@ -25,6 +27,7 @@
 	readonly client: ServiceClient;
 	readonly members: ReadonlyMap<string, FakeMemberServer>;
 	readonly #directory = new BackendDirectory(this.clock);
+	readonly #context: SessionContext;
 	readonly #executor: SessionReadExecutor;
 	#readCount = 0;
 
@@ -50,9 +53,16 @@
 			maximumConnections: () => 20,
 			random: new SeededRandom(3),
 		});
-		this.#executor = new SessionReadExecutor(new SessionContext('s', 'db', {
-			clock: this.clock, dataCentre: 'here', requestLog: {record: () => undefined}, table: () => undefined, route: () => route, client: () => this.client,
-		}));
+		this.#context = new SessionContext('s', {database: 'db', keyDigest: ''}, {
+			clock: this.clock,
+			dataCentre: 'here',
+			requestLog: {record: () => undefined},
+			table: () => undefined,
+			route: () => route,
+			client: () => this.client,
+			customers: () => new CustomerDirectory({}),
+		});
+		this.#executor = new SessionReadExecutor(this.#context);
 	}
 
 	/** Announces a member. */
@@ -82,6 +92,7 @@
 					kind: 'read', id, text: 'READ 1', after,
 				}),
 			},
+			operation: new CallerOperation(this.#context, id),
 			route,
 			client: this.client,
 			arrivedAt: now,
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -41,7 +41,7 @@
 
 			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => {
 				const attempt = await this.#readFrom(pool, routed, {after: required, isWanted});
-				if (attempt.kind !== 'notRun') {
+				if (attempt.kind === 'answered' || attempt.kind === 'unknown') {
 					attemptsThatMayHaveRun.push(attempt);
 				}
 
@@ -62,7 +62,8 @@
 		last = attemptsThatMayHaveRun.at(-1) ?? last;
 		context.log(request.id, 'refusal', describeAttempt(last));
 		switch (last.kind) {
-			case 'answered': {
+			case 'answered':
+			case 'refused': {
 				return {...last.reply, transaction: 'idle'};
 			}
 
@@ -158,6 +159,10 @@
 			return 'failed';
 		}
 
+		case 'refused': {
+			return 'withdrawn';
+		}
+
 		case 'notRun': {
 			return attempt.reason === 'busy' && isWanted() ? 'overloaded' : 'withdrawn';
 		}
