Place gateways near the member when connections are few

With 46 connections per member and 6 data centres, each data centre had 3 gateways with 2 connections, and primary requests queued there (median 162 ms for 5 ms of work).

Where gateways in every data centre would have fewer than 4 connections, or customers are configured, the gateways of a member are now 4 entries near it. Entries then request the list of the entries of all data centres, with their regions; nothing is added to messages otherwise. While no gateway relays, two reserve gateways open at most 2 direct connections each, and the others are refused as busy, which is not reported as a failure of the member.

--- a/source/registry/messages.ts
+++ b/source/registry/messages.ts
@@ -24,6 +24,8 @@
 	/** Link address at which other entries reach it. */
 	readonly address: Address;
 	readonly dataCentre: string;
+	/** Only sent while gateways are placed near the members (see `allocateConnections`). */
+	readonly region?: string;
 };
 
 /** Request `introduce`, by which control instances discover each other and compare their directories. */
@@ -94,8 +96,10 @@
 	readonly contacts: EncodedReachability;
 	/** Digest of the control instances that the sender knows. */
 	readonly controlsDigest: string;
-	/** Digest of the entries that the sender knows in its data centre. */
+	/** Digest of the entries that the sender knows, in its data centre or in all of them. */
 	readonly entriesDigest: string;
+	/** Whether the sender needs the entries of all data centres, because gateways are placed near the members; absent otherwise. */
+	readonly wantsAllEntries?: true;
 };
 
 /** Log position that the primary of a service confirmed. */
@@ -127,8 +131,10 @@
 	/** Servers not marked as gone whose last announcement is older than `announcementFreshness`, with its age. */
 	readonly silentServers: ReadonlyArray<readonly [id: string, age: Milliseconds]>;
 	readonly primaries: readonly PrimaryReport[];
-	/** Entries of the requester's data centre, when the digest of the request differs. */
+	/** Entries of the requester's data centre, or of all data centres if it wants them, when the digest of the request differs. */
 	readonly entries: readonly EntryRecord[] | undefined;
+	/** Whether the entries, or those with the digest of the request, are those of all data centres; only present if the requester wants them. Control instances of earlier builds do not send them. */
+	readonly coversAllEntries?: true;
 	/** Number of entry instances among which the connections of each backend server are divided. */
 	readonly entryCount: number;
 	/** Number of data centres with entry instances. */
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -311,7 +311,9 @@
 		this.reports.receive(request.self.name, 'entry', request.contacts);
 		this.#entries.recordWatch(request.self);
 		const entries = this.#entries.all;
-		const localEntries = entries.filter(({dataCentre}) => dataCentre === request.self.dataCentre);
+		const sentEntries = request.wantsAllEntries
+			? this.#entries.listForPlacement(request.self.dataCentre, () => this.#memberDataCentres())
+			: entries.filter(({dataCentre}) => dataCentre === request.self.dataCentre);
 		const {accepted} = this.#stateMachine;
 		const {newest} = this.#routingHistory;
 		const knownVersion = request.directoryId === this.#directoryId ? request.directoryVersion : 0;
@@ -328,13 +330,20 @@
 				.map(server => [server.id, Math.round(directory.timeSinceLastAnnouncement(server.id))] as const)
 				.filter(([, age]) => age > announcementFreshness),
 			primaries: monitor.primaryReports(),
-			entries: request.entriesDigest === entriesDigest(localEntries) ? undefined : localEntries,
+			entries: request.entriesDigest === entriesDigest(sentEntries) ? undefined : sentEntries,
+			...(request.wantsAllEntries && {coversAllEntries: true as const}),
 			entryCount: entries.length,
 			entryDataCentres: new Set(entries.map(({dataCentre}) => dataCentre)).size,
 			knowsEntries: this.options.clock.now() - this.#createdAt >= entryLearningTime,
 		};
 	}
 
+	/** Data centres with members of the services that the routing table names. */
+	#memberDataCentres(): ReadonlySet<string> {
+		const services = new Set(this.#table?.services.map(({name}) => name));
+		return new Set(this.options.directory.servers.filter(({service}) => services.has(service)).map(({dataCentre}) => dataCentre));
+	}
+
 	#self(): ControlRecord {
 		const {name, linkAddress, controlAddress, dataCentre, region, mayBootstrap} = this.options;
 		const {diskId, group} = this.voter.describe();
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -44,6 +44,8 @@
 	readonly seeds: () => readonly Address[];
 	/** Returns the reachability of each backend server from this instance. */
 	readonly reachability: () => readonly BackendReachability[];
+	/** Returns whether the entry instances of all data centres are needed, because gateways are placed near the members. */
+	readonly wantsAllEntries?: () => boolean;
 	/** Called with each newer routing table. */
 	readonly onRoutingTable: (table: RoutingTable) => void;
 	/** Called with the primary reports of each response and the time at which the request was sent. */
@@ -61,7 +63,10 @@
 	#directoryVersion = 0;
 	readonly #routing: RoutingFetcher;
 	readonly #backOff: BackOff;
+	/** Entry instances of the last list received: those in this data centre, or in all data centres. */
 	#entries: readonly EntryRecord[] = [];
+	#localEntries: readonly EntryRecord[] = [];
+	#coversAllEntries = false;
 	#entryCount = 1;
 	#entryDataCentres = 1;
 	#lastAnsweredRequestAt: Milliseconds | undefined;
@@ -88,7 +93,12 @@
 
 	/** Entry instances in this data centre, including this one. */
 	get entries(): readonly EntryRecord[] {
-		return this.#entries;
+		return this.#localEntries;
+	}
+
+	/** Entry instances in all data centres; undefined until their list was requested and received. */
+	get allEntries(): readonly EntryRecord[] | undefined {
+		return this.#coversAllEntries ? this.#entries : undefined;
 	}
 
 	/** Number of entry instances among which the connections of each backend server are divided. */
@@ -146,10 +156,11 @@
 	}
 
 	async #pollTarget(target: Address): Promise<boolean> {
-		const {clock, linkClient, logger, self, reachability} = this.options;
+		const {clock, linkClient, logger, self, region, reachability, wantsAllEntries} = this.options;
+		const isAllWanted = wantsAllEntries?.() ?? false;
 		const askedAt = clock.now();
 		const request: WatchRequest = {
-			self,
+			self: isAllWanted ? {...self, region} : self,
 			routingVersion: this.#routing.version,
 			routingDigest: this.#routing.digest,
 			directoryId: this.#directoryId,
@@ -157,6 +168,7 @@
 			contacts: encodeReachability(reachability()),
 			controlsDigest: this.#controlsDigest,
 			entriesDigest: entriesDigest(this.#entries),
+			...(isAllWanted && {wantsAllEntries: true as const}),
 		};
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
@@ -230,9 +242,13 @@
 	}
 
 	/** Updates the entries and their counts from a response. A control instance that started recently knows only some of the entries, so its list and counts are used only where they are larger than the known ones. */
-	#mergeEntries({entries, entryCount, entryDataCentres, knowsEntries}: WatchResponse): void {
+	#mergeEntries({entries, entryCount, entryDataCentres, knowsEntries, coversAllEntries}: WatchResponse): void {
 		if (knowsEntries || (entries?.length ?? 0) > this.#entries.length) {
-			this.#entries = entries ?? this.#entries;
+			this.#coversAllEntries = coversAllEntries ?? false;
+			if (entries) {
+				this.#entries = entries;
+				this.#localEntries = coversAllEntries ? entries.filter(({dataCentre}) => dataCentre === this.options.self.dataCentre) : entries;
+			}
 		}
 
 		this.#entryCount = Math.max(1, entryCount, knowsEntries ? 1 : this.#entryCount);
--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -22,6 +22,8 @@
 		handle(name: string, handler: RequestHandler): void;
 		onLinkClosed(listener: (peer: LinkPeer) => void): void;
 	};
+	/** Returns whether this instance is a gateway to the member; by default it is one to every member. */
+	readonly isGateway?: (service: string, member: string) => boolean;
 	/** Returns this instance's pool of direct connections to a member, if it reaches the member directly. */
 	readonly poolOf: (service: string, member: string) => MemberPool | undefined;
 };
@@ -84,6 +86,11 @@
 			return pool && !pool.isFailing && !pool.server.isLeaving ? pool : undefined;
 		};
 
+		if (this.options.isGateway?.(service, member) === false) {
+			// Not a sign that the member has failed; lists of entries differ for a moment after a change.
+			throw new BuckthornhitchError('notGateway', member);
+		}
+
 		if (this.#isDraining || !usablePool()) {
 			throw new BuckthornhitchError('memberUnreachable', this.#isDraining ? 'the gateway is stopping' : `${member} is not reached from here`);
 		}
--- a/source/relay/relay.spec.ts
+++ b/source/relay/relay.spec.ts
@@ -1,62 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type Milliseconds} from '../clock/clock.js';
 import {ManualClock} from '../clock/manual-clock.js';
-import {LinkClient, type LinkPeer, type RequestHandler} from '../links/link-client.js';
 import {silentLogger} from '../observability/logger.js';
 import {SeededRandom} from '../random/random.js';
 import {type EntryRecord} from '../registry/messages.js';
-import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {CallerSessionState} from '../session-proxy/caller-session-state.js';
 import {FakeMemberConnector, FakeMemberServer} from '../session-proxy/member-server-fake.js';
 import {MemberPool} from '../session-proxy/member-pool.js';
 import {testAnnouncement} from '../session-proxy/session-fixture.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
 import {selectGateways, allocateConnections, type ConnectionAllocation} from './connection-allocation.js';
+import {InMemoryLinks} from './in-memory-links-fixture.js';
 import {RelayServer} from './relay-server.js';
 import {RelayingConnector} from './relaying-connector.js';
 
-/** In-memory links between entries; tests may make an address unreachable. */
-class InMemoryLinks extends LinkClient {
-	readonly unreachableAddresses = new Set<string>();
-	readonly #handlers = new Map<string, Map<string, RequestHandler>>();
-	readonly #closeListeners = new Map<string, (peer: LinkPeer) => void>();
-
-	serverAt(address: string): {handle(name: string, handler: RequestHandler): void; onLinkClosed(listener: (peer: LinkPeer) => void): void} {
-		const handlers = new Map<string, RequestHandler>();
-		this.#handlers.set(address, handlers);
-		return {
-			handle(name, handler) {
-				handlers.set(name, handler);
-			},
-			onLinkClosed: listener => {
-				this.#closeListeners.set(address, listener);
-			},
-		};
-	}
-
-	/** Drops the link to the address and makes the address unreachable; the peer notices that the link is closed. */
-	dropLink(address: string): void {
-		this.unreachableAddresses.add(address);
-		this.#closeListeners.get(address)?.({linkId: 1});
-	}
-
-	override async request(address: string, name: string, body: unknown, timeout: Milliseconds): Promise<unknown> {
-		const handler = this.#handlers.get(address)?.get(name);
-		if (this.unreachableAddresses.has(address) || !handler) {
-			throw new BuckthornhitchError('linkNotSent', `${address} ${timeout}`);
-		}
-
-		return handler(body, {linkId: 1});
-	}
-
-	override notify(address: string, name: string, body: unknown): void {
-		if (!this.unreachableAddresses.has(address)) {
-			void this.#handlers.get(address)?.get(name)?.(body, {linkId: 1});
-		}
-	}
-}
-
 const entries: readonly EntryRecord[] = ['first', 'gateway', 'third'].map(name => ({name, address: `${name}:1`, dataCentre: 'here'}));
 const directAllocation: ConnectionAllocation = {connectionsPerEntry: 4, gatewaysPerDataCentre: undefined};
 const begin: MemberStatement = {kind: 'begin', isReadOnly: false};
@@ -285,8 +243,13 @@
 	assert.ok(scarce.connectionsPerEntry * scarce.gatewaysPerDataCentre * 6 <= 106);
 	for (const connectionLimit of [10, 20, 45, 106, 300]) {
 		for (const dataCentreCount of [1, 3, 6]) {
-			const {connectionsPerEntry, gatewaysPerDataCentre} = allocateConnections({connectionLimit, entryCount: 400, dataCentreCount});
-			assert.ok(connectionsPerEntry * gatewaysPerDataCentre! * dataCentreCount <= connectionLimit, `${connectionLimit} ${dataCentreCount}`);
+			for (const hasCustomers of [false, true]) {
+				const {connectionsPerEntry, gatewaysPerDataCentre, gatewaysNearMember} = allocateConnections({
+					connectionLimit, entryCount: 400, dataCentreCount, hasCustomers,
+				});
+				const gateways = gatewaysNearMember ?? (gatewaysPerDataCentre! * dataCentreCount);
+				assert.ok(connectionsPerEntry * gateways <= connectionLimit - 6, `${connectionLimit} ${dataCentreCount} ${String(hasCustomers)}`);
+			}
 		}
 	}
 });
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -3,12 +3,14 @@
 import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
 import {type EntryRecord} from '../registry/messages.js';
-import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {
 	MemberConnector, type MemberConnection, MemberRefusedError, type MemberTarget,
 } from '../statement/member-connection.js';
 import {type OpenRelayRequest} from './messages.js';
-import {selectGateways, maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
+import {maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
+import {GatewaySelection, type GatewaySelectionOptions} from './gateway-selection.js';
+import {ConnectionCounts} from './connection-counts.js';
 import {RelayedConnection} from './relayed-connection.js';
 
 /** Timeout of the request to open a relay: a round trip within a data centre, the time to open a new link and a short stall of the gateway. */
@@ -20,6 +22,9 @@
 /** Maximum number of gateways that are tried for one connection. */
 const maximumGatewayAttempts = 3;
 
+/** Maximum number of direct connections to a member that a reserve gateway opens while no gateway answers. */
+const maximumReserveConnections = 2;
+
 /** Period of the attempts to connect to a directly unreachable member. */
 const reconnectPeriod: Milliseconds = 1000;
 
@@ -27,22 +32,24 @@
 const reconnectTimeout: Milliseconds = 700;
 
 /** Dependencies of the connector. */
-export type RelayingConnectorOptions = {
-	/** Name of this instance. */
-	readonly name: string;
+export type RelayingConnectorOptions = GatewaySelectionOptions & {
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly linkClient: LinkClient;
 	/** Opens direct connections. */
 	readonly direct: MemberConnector;
-	/** Returns the entries of this data centre, this instance included. */
-	readonly entries: () => readonly EntryRecord[];
 	readonly connectionAllocation: (service: string) => ConnectionAllocation;
 	/** Returns whether a member with the id is still known. */
 	readonly isKnownMember: (member: string) => boolean;
 };
 
+/** Result of trying the gateways to a member. */
+type GatewayAttempts = {
+	readonly failures: readonly BuckthornhitchError[];
+	readonly connection: RelayedConnection | undefined;
+};
+
 /** Connects to members directly, or through a gateway (another entry) if this instance has no direct connections allocated or does not reach the member. */
 export class RelayingConnector extends MemberConnector {
 	/** Members that this instance does not reach directly. */
@@ -53,16 +60,26 @@
 	readonly #avoidedUntil = new Map<string, Milliseconds>();
 	/** Gateway used last for each member; it is preferred, and changes are logged. */
 	readonly #lastGateway = new Map<string, string>();
+	/** Direct connections that this instance opened as a reserve gateway, by member. */
+	readonly #reserveConnections = new ConnectionCounts();
+	readonly #selection: GatewaySelection;
 	#nextRelay = 1;
 
 	constructor(private readonly options: RelayingConnectorOptions) {
 		super();
+		this.#selection = new GatewaySelection(options);
 	}
 
 	/** Returns the maximum number of connections of this instance to a member. */
 	maximumConnections({id, service}: Pick<MemberTarget, 'id' | 'service'>): number {
 		const allocation = this.options.connectionAllocation(service);
-		return this.#hasDirectConnections(id, allocation) ? allocation.connectionsPerEntry : maximumRelayedConnections;
+		return this.#selection.hasDirectConnections(id, allocation) ? allocation.connectionsPerEntry : maximumRelayedConnections;
+	}
+
+	/** Returns whether this instance relays statements to the member for other entries. */
+	isGateway({id, service}: Pick<MemberTarget, 'id' | 'service'>): boolean {
+		const allocation = this.options.connectionAllocation(service);
+		return allocation.gatewaysNearMember === undefined || this.#selection.hasDirectConnections(id, allocation);
 	}
 
 	/** Returns whether this instance does not reach the member directly. */
@@ -78,11 +95,31 @@
 		}
 
 		const allocation = this.options.connectionAllocation(target.service);
-		if (this.#hasDirectConnections(target.id, allocation) && !this.#directlyUnreachable.has(target.id)) {
+		const isDirect = this.#selection.hasDirectConnections(target.id, allocation);
+		if (isDirect && !this.#directlyUnreachable.has(target.id)) {
 			return this.#connectDirectly(target, timeout, allocation);
 		}
 
-		return await this.#connectThroughGateway(target, allocation) ?? this.options.direct.connect(target, timeout);
+		if (isDirect || allocation.gatewaysNearMember === undefined) {
+			return await this.#connectThroughGateway(target, allocation) ?? this.options.direct.connect(target, timeout);
+		}
+
+		return this.#connectThroughGatewayNearMember(target, timeout, allocation);
+	}
+
+	/** Connects through a gateway near the member. While none relays, reserve gateways open a few direct connections; other entries do not, so that a fault of the gateways does not make all entries connect at once. */
+	async #connectThroughGatewayNearMember(target: MemberTarget, timeout: Milliseconds, allocation: ConnectionAllocation): Promise<MemberConnection> {
+		const {failures, connection} = await this.#tryGateways(target, allocation);
+		if (connection) {
+			return connection;
+		}
+
+		if (this.#selection.isReserveGateway(target.id, allocation) && this.#reserveConnections.countOf(target.id) < maximumReserveConnections) {
+			return this.#reserveConnections.open(target.id, async () => this.options.direct.connect(target, timeout));
+		}
+
+		// Only a gateway that answers shows that the member has failed. Entries that report a replica as unreachable keep it from being promoted.
+		throw failures.find(({codeName}) => codeName === 'memberUnreachable') ?? new MemberRefusedError('busy', `no gateway to ${target.id} relays`);
 	}
 
 	async #connectDirectly(target: MemberTarget, timeout: Milliseconds, allocation: ConnectionAllocation): Promise<MemberConnection> {
@@ -103,20 +140,29 @@
 		}
 	}
 
-	/** Resolves with a connection through a gateway, or with undefined when none of the gateways tried reaches the member. */
+	/** Resolves with a connection through a gateway, or with undefined when none of the gateways tried relays. */
 	async #connectThroughGateway(target: MemberTarget, allocation: ConnectionAllocation): Promise<MemberConnection | undefined> {
-		for (const gateway of this.#orderedGateways(target.id, allocation).slice(0, maximumGatewayAttempts)) {
+		const {connection} = await this.#tryGateways(target, allocation);
+		return connection;
+	}
+
+	/** Tries the gateways in order until one relays. Resolves with its connection, if there is one, and with the failures of those tried before. */
+	async #tryGateways(target: MemberTarget, allocation: ConnectionAllocation): Promise<GatewayAttempts> {
+		const failures: BuckthornhitchError[] = [];
+		for (const gateway of this.#orderedGateways(target, allocation).slice(0, allocation.gatewaysNearMember ?? maximumGatewayAttempts)) {
 			const relay = this.#nextRelay++;
 			try {
 				await this.options.linkClient.request(gateway.address, 'openRelay', {relay, service: target.service, member: target.id} satisfies OpenRelayRequest, openRelayTimeout);
 				this.#recordGateway(target, gateway);
-				return this.#createRelayedConnection(target, gateway, relay);
+				return {failures, connection: this.#createRelayedConnection(target, gateway, relay)};
 			} catch (error) {
-				this.#avoidGateway(gateway, target, toBuckthornhitchError(error).message);
+				const failure = toBuckthornhitchError(error);
+				failures.push(failure);
+				this.#avoidGateway(gateway, target, failure.message);
 			}
 		}
 
-		return undefined;
+		return {failures, connection: undefined};
 	}
 
 	#createRelayedConnection({id, service}: MemberTarget, gateway: EntryRecord, relay: number): RelayedConnection {
@@ -124,24 +170,18 @@
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
 			relay,
-			isObsolete: () => this.#hasDirectConnections(id, this.options.connectionAllocation(service)) && !this.#directlyUnreachable.has(id),
+			isObsolete: () => this.#selection.hasDirectConnections(id, this.options.connectionAllocation(service)) && !this.#directlyUnreachable.has(id),
 			onFailure: reason => {
 				this.#avoidGateway(gateway, {id}, reason);
 			},
 		});
 	}
 
-	/** Returns whether direct connections to the member are allocated to this instance. */
-	#hasDirectConnections(member: string, {gatewaysPerDataCentre}: ConnectionAllocation): boolean {
-		const {name, entries} = this.options;
-		return gatewaysPerDataCentre === undefined || selectGateways(member, entries(), gatewaysPerDataCentre, name).some(entry => entry.name === name);
-	}
-
 	/** Returns the gateways in the order in which to try them: the one used last comes first, those that failed recently come last. */
-	#orderedGateways(member: string, {gatewaysPerDataCentre}: ConnectionAllocation): readonly EntryRecord[] {
+	#orderedGateways({id: member, customer}: MemberTarget, allocation: ConnectionAllocation): readonly EntryRecord[] {
 		const {name, entries, random, clock} = this.options;
 		const known = entries();
-		const chosen = gatewaysPerDataCentre === undefined ? random.sample(known, known.length) : selectGateways(member, known, gatewaysPerDataCentre, name);
+		const chosen = this.#selection.gateways(member, allocation, customer) ?? random.sample(known, known.length);
 		const others = chosen.filter(entry => entry.name !== name);
 		const rank = (entry: EntryRecord): number => {
 			const isAvoided = (this.#avoidedUntil.get(avoidanceKey(entry, member)) ?? 0) > clock.now();
--- a/source/result-codes/result-codes.ts
+++ b/source/result-codes/result-codes.ts
@@ -121,6 +121,9 @@
 	controlBehind: {
 		code: 6007, execution: 'notApplicable', sqlState: '57P03', text: 'A control instance holds no newer routing than the entry.', action: 'Nothing; the entry asks another one.',
 	},
+	notGateway: {
+		code: 6008, execution: 'notRun', sqlState: '57P03', text: 'This entry is not a gateway to the backend server.', action: 'Nothing; the other entry tries the next gateway.',
+	},
 	internalFault: {
 		code: 6004, execution: 'unknown', sqlState: 'XX000', text: 'The process met an unexpected fault.', action: 'Report the log line.',
 	},
