--- a/source/relay/connection-allocation.ts
+++ b/source/relay/connection-allocation.ts
@@ -41,6 +41,8 @@
 	readonly gatewaysPerDataCentre: number | undefined;
 	/** Number of entries near the member that have direct connections and act as gateways for all data centres; absent when the gateways are in every data centre or all entries have direct connections. */
 	readonly gatewaysNearMember?: number;
+	/** Whether each customer has its own order of the gateways near the member; absent otherwise. */
+	readonly isByCustomer?: true;
 };
 
 /** Allocates the connections of a member to the entries. If there are enough, every entry has direct connections; otherwise a few gateways relay statements for the others. The gateways are in each data centre, or near the member where customers are configured or a gateway in each data centre would have too few connections. */
@@ -59,7 +61,12 @@
 	}
 
 	const gatewayCount = Math.max(1, Math.min(gatewaysNearMember, Math.floor(available / minimumConnectionsPerEntry)));
-	return {connectionsPerEntry: Math.max(1, Math.floor(available / gatewayCount)), gatewaysPerDataCentre: undefined, gatewaysNearMember: gatewayCount};
+	return {
+		connectionsPerEntry: Math.max(1, Math.floor(available / gatewayCount)),
+		gatewaysPerDataCentre: undefined,
+		gatewaysNearMember: gatewayCount,
+		...(hasCustomers && {isByCustomer: true}),
+	};
 }
 
 /** Returns the gateways of a data centre to the member, in the order in which the requesting entry tries them. The order differs between requesting entries, which spreads the load over the gateways. */
--- a/source/relay/connection-counts.ts
+++ b/source/relay/connection-counts.ts
@@ -1,35 +1,46 @@
 import {type MemberConnection} from '../statement/member-connection.js';
 
-/** Counts open connections by member. */
+/** Open connections by member. */
 export class ConnectionCounts {
-	readonly #counts = new Map<string, number>();
+	readonly #open = new Map<string, Set<MemberConnection | symbol>>();
 
 	/** Returns the number of connections to the member that are open or being opened. */
 	countOf(member: string): number {
-		return this.#counts.get(member) ?? 0;
+		return this.#open.get(member)?.size ?? 0;
+	}
+
+	/** Returns whether the connection was opened here and is still open. */
+	has(member: string, connection: MemberConnection): boolean {
+		return this.#open.get(member)?.has(connection) ?? false;
 	}
 
 	/** Opens a connection and counts it until it is closed. Rejects when the connection cannot be opened. */
 	async open(member: string, connect: () => Promise<MemberConnection>): Promise<MemberConnection> {
-		this.#change(member, 1);
+		const attempt = Symbol('attempt');
+		this.#add(member, attempt);
 		try {
 			const connection = await connect();
+			this.#add(member, connection);
 			connection.onClosed(() => {
-				this.#change(member, -1);
+				this.#remove(member, connection);
 			});
 			return connection;
-		} catch (error) {
-			this.#change(member, -1);
-			throw error;
+		} finally {
+			this.#remove(member, attempt);
 		}
 	}
 
-	#change(member: string, difference: number): void {
-		const count = this.countOf(member) + difference;
-		if (count === 0) {
-			this.#counts.delete(member);
-		} else {
-			this.#counts.set(member, count);
+	#add(member: string, connection: MemberConnection | symbol): void {
+		const open = this.#open.get(member) ?? new Set();
+		open.add(connection);
+		this.#open.set(member, open);
+	}
+
+	#remove(member: string, connection: MemberConnection | symbol): void {
+		const open = this.#open.get(member);
+		open?.delete(connection);
+		if (open?.size === 0) {
+			this.#open.delete(member);
 		}
 	}
 }
--- /dev/null
+++ b/source/relay/gateway-placement.ts
@@ -0,0 +1,65 @@
+import {type Milliseconds} from '../clock/clock.js';
+import {ConnectionPlacement, surplusIdleTimeout} from '../session-proxy/connection-placement.js';
+import {type ConnectionPath, type MemberConnection, type MemberTarget} from '../statement/member-connection.js';
+import {maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
+
+/** Time for which idle connections of customers are kept. With 87 customers and 4 gateways of 26 connections, nearly every customer can keep one. */
+const customerIdleTimeout: Milliseconds = 20_000;
+
+/** What a placement needs of the connector. */
+export type PlacementSource = {
+	maximumConnections(member: Pick<MemberTarget, 'id' | 'service'>): number;
+	isGateway(member: Pick<MemberTarget, 'id' | 'service'>): boolean;
+	allocationOf(service: string): ConnectionAllocation;
+	isDirectConnectionAllowed(member: Pick<MemberTarget, 'id' | 'service'>, connection: MemberConnection): boolean;
+	pathFor(target: Pick<MemberTarget, 'id' | 'service' | 'customer'>): ConnectionPath | undefined;
+};
+
+/** Placement of the connections to one member by the allocation in force. */
+export class GatewayPlacement extends ConnectionPlacement {
+	constructor(private readonly source: PlacementSource, private readonly member: Pick<MemberTarget, 'id' | 'service'>) {
+		super();
+	}
+
+	override get isByCustomer(): boolean {
+		return this.#allocation.isByCustomer ?? false;
+	}
+
+	override get isExact(): boolean {
+		return this.#allocation.gatewaysNearMember !== undefined;
+	}
+
+	get #allocation(): ConnectionAllocation {
+		return this.source.allocationOf(this.member.service);
+	}
+
+	override pathFor(customer: string | undefined): ConnectionPath | undefined {
+		const {id, service} = this.member;
+		return this.source.pathFor({id, service, customer});
+	}
+
+	override maximumConnections(path: ConnectionPath | undefined): number {
+		switch (path) {
+			case 'own': {
+				return this.#allocation.connectionsPerEntry;
+			}
+
+			case 'gateway': {
+				return maximumRelayedConnections;
+			}
+
+			case undefined: {
+				return this.source.maximumConnections(this.member);
+			}
+		}
+	}
+
+	override isAllowed(connection: MemberConnection): boolean {
+		return !this.isExact || connection.isRelayed || this.source.isDirectConnectionAllowed(this.member, connection);
+	}
+
+	override idleTimeout(connection: MemberConnection, customer: string | undefined): Milliseconds {
+		const isKept = customer !== undefined && this.isExact && (connection.isRelayed || this.source.isGateway(this.member));
+		return isKept ? customerIdleTimeout : surplusIdleTimeout;
+	}
+}
--- a/source/relay/messages.ts
+++ b/source/relay/messages.ts
@@ -7,6 +7,8 @@
 	readonly service: string;
 	/** Id of the member. */
 	readonly member: string;
+	/** Name of the customer whose statements are relayed; absent if there is none. */
+	readonly customer?: string;
 };
 
 /** Request `relayStatement`: executes a statement on the member. */
@@ -17,6 +19,8 @@
 	readonly statement: MemberStatement;
 	/** Time within which the requesting entry needs the reply. */
 	readonly timeout: Milliseconds;
+	/** Priority of the statement, by which the gateway orders it among its own; only sent to gateways near the member. */
+	readonly priority?: number;
 };
 
 /** Response to `relayStatement`. */
--- a/source/relay/placement-fixture.ts
+++ b/source/relay/placement-fixture.ts
@@ -66,7 +66,7 @@
 				isKnownMember: () => true,
 			});
 			const pool = new MemberPool(server, {
-				connector, clock, logger: silentLogger, maximumConnections: () => connector.maximumConnections(server),
+				connector, clock, logger: silentLogger, maximumConnections: () => connector.maximumConnections(server), placement: connector.placementOf(server),
 			});
 			const relayServer = new RelayServer({
 				clock,
--- a/source/relay/placement.spec.ts
+++ b/source/relay/placement.spec.ts
@@ -11,7 +11,9 @@
 	assert.deepEqual(allocateConnections({connectionLimit: 46, entryCount: 83, dataCentreCount: 6}), {connectionsPerEntry: 10, gatewaysPerDataCentre: undefined, gatewaysNearMember: 4});
 	const many = {connectionLimit: 112, entryCount: 142, dataCentreCount: 6};
 	assert.deepEqual(allocateConnections(many), {connectionsPerEntry: 5, gatewaysPerDataCentre: 3});
-	assert.deepEqual(allocateConnections({...many, hasCustomers: true}), {connectionsPerEntry: 26, gatewaysPerDataCentre: undefined, gatewaysNearMember: 4});
+	assert.deepEqual(allocateConnections({...many, hasCustomers: true}), {
+		connectionsPerEntry: 26, gatewaysPerDataCentre: undefined, gatewaysNearMember: 4, isByCustomer: true,
+	});
 	assert.deepEqual(allocateConnections({
 		connectionLimit: 45, entryCount: 15, dataCentreCount: 3, hasCustomers: true,
 	}), {connectionsPerEntry: 4, gatewaysPerDataCentre: undefined});
--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -80,7 +80,7 @@
 		this.#closeWhere(({session}) => session.isInTransaction);
 	}
 
-	async #open({relay, service, member}: OpenRelayRequest, peer: LinkPeer): Promise<null> {
+	async #open({relay, service, member, customer}: OpenRelayRequest, peer: LinkPeer): Promise<null> {
 		const usablePool = (): MemberPool | undefined => {
 			const pool = this.options.poolOf(service, member);
 			return pool && !pool.isFailing && !pool.server.isLeaving ? pool : undefined;
@@ -96,7 +96,7 @@
 		}
 
 		this.#relays.set(relayKey(relay, peer), {
-			linkId: peer.linkId, session: new RelaySession(member, this.options.clock, usablePool), usedAt: this.options.clock.now(),
+			linkId: peer.linkId, session: new RelaySession(member, this.options.clock, usablePool, customer), usedAt: this.options.clock.now(),
 		});
 		return null;
 	}
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -8,8 +8,8 @@
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
 import {type RelayStatementResponse, type RelayStatementRequest} from './messages.js';
 
-/** Priority of relayed statements among those that wait for a connection; the requesting entry has already ordered its own by priority. */
-const relayPriority = 1;
+/** Priority of relayed statements that state none among those that wait for a connection; the requesting entry has already ordered its own by priority. */
+const defaultPriority = 1;
 
 type HeldConnection = {
 	readonly pool: MemberPool;
@@ -24,12 +24,16 @@
 	#lastResponse: Promise<unknown> = Promise.resolve();
 	#pendingCount = 0;
 	#isClosed = false;
+	/** Priority of the statement that is being executed. */
+	#priority = defaultPriority;
 
 	constructor(
 		readonly member: string,
 		private readonly clock: Clock,
 		/** Returns this instance's connection pool to the member, if the member may be used. */
 		private readonly pool: () => MemberPool | undefined,
+		/** Name of the customer whose statements are relayed. */
+		private readonly customer: string | undefined,
 	) {}
 
 	/** Whether a statement is pending or a transaction is open. */
@@ -51,7 +55,10 @@
 		this.#nextSequence++;
 		this.#pendingCount++;
 		const deadline = this.clock.now() + request.timeout;
-		const response = this.#lastResponse.then(async () => this.#dispatch(request.statement, deadline)).finally(() => {
+		const response = this.#lastResponse.then(async () => {
+			this.#priority = request.priority ?? defaultPriority;
+			return this.#dispatch(request.statement, deadline);
+		}).finally(() => {
 			this.#pendingCount--;
 		});
 		this.#lastResponse = response;
@@ -167,7 +174,7 @@
 			throw new BuckthornhitchError('memberUnreachable', `${this.member} is not reached from here`);
 		}
 
-		const connection = await pool.acquire(deadline - this.clock.now(), relayPriority, this.#session);
+		const connection = await pool.acquireForRelay(deadline - this.clock.now(), this.#priority, this.#session, this.customer);
 		if (this.#isClosed || connection.memberConnection.isRelayed) {
 			// A statement is relayed only once; otherwise it could be relayed in a loop.
 			pool.release(connection);
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -19,7 +19,9 @@
 	readonly gateway: Address;
 	/** Number that identifies the relay on the link to the gateway. */
 	readonly relay: number;
-	/** Returns whether a direct connection should be used instead from now on. */
+	/** Whether the priority of the statements is sent. */
+	readonly sendsPriority: boolean;
+	/** Returns whether a direct connection, or another gateway, should be used instead from now on. */
 	readonly isObsolete: () => boolean;
 	/** Called when a request to the gateway fails. */
 	readonly onFailure: (reason: string) => void;
@@ -32,6 +34,7 @@
 	#pendingCount = 0;
 	#isInTransaction = false;
 	#isClosed = false;
+	#priority: number | undefined;
 
 	constructor(private readonly options: RelayedConnectionOptions) {
 		super();
@@ -45,6 +48,10 @@
 		return true;
 	}
 
+	override setPriority(priority: number): void {
+		this.#priority = priority;
+	}
+
 	override async execute(statement: MemberStatement, timeout = defaultTimeout): Promise<StatementReply> {
 		if (this.#isClosed) {
 			throw new BuckthornhitchError('linkNotSent', `the relay through ${this.options.gateway} is closed`);
@@ -76,9 +83,9 @@
 	}
 
 	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<RelayStatementResponse> {
-		const {linkClient, gateway, relay, onFailure} = this.options;
+		const {linkClient, gateway, relay, sendsPriority, onFailure} = this.options;
 		const body: RelayStatementRequest = {
-			relay, sequence: this.#nextSequence++, statement, timeout,
+			relay, sequence: this.#nextSequence++, statement, timeout, ...(sendsPriority && {priority: this.#priority}),
 		};
 		try {
 			return await linkClient.request(gateway, 'relayStatement', body, timeout + gatewayAllowance) as RelayStatementResponse;
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -5,10 +5,12 @@
 import {type EntryRecord} from '../registry/messages.js';
 import {type BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {
-	MemberConnector, type MemberConnection, MemberRefusedError, type MemberTarget,
+	MemberConnector, type ConnectionPath, type MemberConnection, MemberRefusedError, type MemberTarget,
 } from '../statement/member-connection.js';
+import {type ConnectionPlacement} from '../session-proxy/connection-placement.js';
 import {type OpenRelayRequest} from './messages.js';
 import {maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
+import {GatewayPlacement} from './gateway-placement.js';
 import {GatewaySelection, type GatewaySelectionOptions} from './gateway-selection.js';
 import {ConnectionCounts} from './connection-counts.js';
 import {RelayedConnection} from './relayed-connection.js';
@@ -54,7 +56,7 @@
 export class RelayingConnector extends MemberConnector {
 	/** Members that this instance does not reach directly. */
 	readonly #directlyUnreachable = new Set<string>();
-	/** Connections that the reconnect attempts opened and that the next request takes over. */
+	/** Connections that the reconnect attempts opened and that the next request takes over, by member and customer. */
 	readonly #spareConnections = new Map<string, MemberConnection>();
 	/** Time until which gateways that failed are avoided, by gateway and member. */
 	readonly #avoidedUntil = new Map<string, Milliseconds>();
@@ -87,14 +89,47 @@
 		return this.#directlyUnreachable.has(member);
 	}
 
+	/** Returns the placement of this instance's connections to a member. */
+	placementOf(member: Pick<MemberTarget, 'id' | 'service'>): ConnectionPlacement {
+		return new GatewayPlacement(this, member);
+	}
+
+	/** Returns the allocation of the connections to the members of a service. */
+	allocationOf(service: string): ConnectionAllocation {
+		return this.options.connectionAllocation(service);
+	}
+
+	/** Returns whether this instance has direct connections to the member, either its share or as a reserve gateway. */
+	isDirectConnectionAllowed({id, service}: Pick<MemberTarget, 'id' | 'service'>, connection: MemberConnection): boolean {
+		return this.#selection.hasDirectConnections(id, this.allocationOf(service)) || this.#reserveConnections.has(id, connection);
+	}
+
+	/** Returns how connections of the customer are opened; undefined unless each customer has a gateway. */
+	pathFor(target: Pick<MemberTarget, 'id' | 'service' | 'customer'>): ConnectionPath | undefined {
+		const allocation = this.allocationOf(target.service);
+		if (!allocation.isByCustomer) {
+			return undefined;
+		}
+
+		const isGateway = this.#selection.hasDirectConnections(target.id, allocation) && !this.#directlyUnreachable.has(target.id);
+		return isGateway && this.#rankedGateways(target, allocation).at(0)?.name === this.options.name ? 'own' : 'gateway';
+	}
+
 	override async connect(target: MemberTarget, timeout: Milliseconds): Promise<MemberConnection> {
-		const spare = this.#spareConnections.get(target.id);
-		this.#spareConnections.delete(target.id);
-		if (spare && !spare.isClosed) {
+		const allocation = this.allocationOf(target.service);
+		if (target.path === 'gateway') {
+			return this.#connectThroughGatewayNearMember(target, timeout, allocation);
+		}
+
+		const spare = this.#takeSpareConnection(target);
+		if (spare) {
 			return spare;
 		}
 
-		const allocation = this.options.connectionAllocation(target.service);
+		if (target.path === 'own') {
+			return this.#connectAsGateway(target, timeout);
+		}
+
 		const isDirect = this.#selection.hasDirectConnections(target.id, allocation);
 		if (isDirect && !this.#directlyUnreachable.has(target.id)) {
 			return this.#connectDirectly(target, timeout, allocation);
@@ -122,6 +157,19 @@
 		throw failures.find(({codeName}) => codeName === 'memberUnreachable') ?? new MemberRefusedError('busy', `no gateway to ${target.id} relays`);
 	}
 
+	/** Connects directly, because this instance is the customer's gateway or relays for others. Never leads through another gateway. */
+	async #connectAsGateway(target: MemberTarget, timeout: Milliseconds): Promise<MemberConnection> {
+		try {
+			return await this.options.direct.connect(target, timeout);
+		} catch (error) {
+			if (!(error instanceof MemberRefusedError)) {
+				this.#markDirectlyUnreachable(target, toBuckthornhitchError(error).message);
+			}
+
+			throw error;
+		}
+	}
+
 	async #connectDirectly(target: MemberTarget, timeout: Milliseconds, allocation: ConnectionAllocation): Promise<MemberConnection> {
 		try {
 			return await this.options.direct.connect(target, timeout);
@@ -151,8 +199,12 @@
 		const failures: BuckthornhitchError[] = [];
 		for (const gateway of this.#orderedGateways(target, allocation).slice(0, allocation.gatewaysNearMember ?? maximumGatewayAttempts)) {
 			const relay = this.#nextRelay++;
+			const {id, service, customer} = target;
+			const request: OpenRelayRequest = {
+				relay, service, member: id, ...(customer !== undefined && {customer}),
+			};
 			try {
-				await this.options.linkClient.request(gateway.address, 'openRelay', {relay, service: target.service, member: target.id} satisfies OpenRelayRequest, openRelayTimeout);
+				await this.options.linkClient.request(gateway.address, 'openRelay', request, openRelayTimeout);
 				this.#recordGateway(target, gateway);
 				return {failures, connection: this.#createRelayedConnection(target, gateway, relay)};
 			} catch (error) {
@@ -165,30 +217,39 @@
 		return {failures, connection: undefined};
 	}
 
-	#createRelayedConnection({id, service}: MemberTarget, gateway: EntryRecord, relay: number): RelayedConnection {
+	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number): RelayedConnection {
+		const {id, service, path} = target;
+		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#directlyUnreachable.has(id);
+		const isOtherPreferred = (): boolean => this.#orderedGateways(target, this.allocationOf(service)).at(0)?.name !== gateway.name;
 		return new RelayedConnection({
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
 			relay,
-			isObsolete: () => this.#selection.hasDirectConnections(id, this.options.connectionAllocation(service)) && !this.#directlyUnreachable.has(id),
+			sendsPriority: this.allocationOf(service).gatewaysNearMember !== undefined,
+			isObsolete: path === 'gateway' ? isOtherPreferred : hasDirectConnections,
 			onFailure: reason => {
 				this.#avoidGateway(gateway, {id}, reason);
 			},
 		});
 	}
 
-	/** Returns the gateways in the order in which to try them: the one used last comes first, those that failed recently come last. */
-	#orderedGateways({id: member, customer}: MemberTarget, allocation: ConnectionAllocation): readonly EntryRecord[] {
-		const {name, entries, random, clock} = this.options;
+	/** Returns the other gateways in the order in which to try them. */
+	#orderedGateways(target: Pick<MemberTarget, 'id' | 'customer'>, allocation: ConnectionAllocation): readonly EntryRecord[] {
+		return this.#rankedGateways(target, allocation).filter(entry => entry.name !== this.options.name);
+	}
+
+	/** Returns the gateways, this instance included if it is one of them: the one used last comes first unless each customer has its own order, those that failed recently come last. */
+	#rankedGateways({id: member, customer}: Pick<MemberTarget, 'id' | 'customer'>, allocation: ConnectionAllocation): readonly EntryRecord[] {
+		const {entries, random, clock} = this.options;
 		const known = entries();
 		const chosen = this.#selection.gateways(member, allocation, customer) ?? random.sample(known, known.length);
-		const others = chosen.filter(entry => entry.name !== name);
+		const preferred = allocation.isByCustomer ? undefined : this.#lastGateway.get(member);
 		const rank = (entry: EntryRecord): number => {
 			const isAvoided = (this.#avoidedUntil.get(avoidanceKey(entry, member)) ?? 0) > clock.now();
-			return isAvoided ? 1 : (entry.name === this.#lastGateway.get(member) ? -1 : 0);
+			return isAvoided ? 1 : (entry.name === preferred ? -1 : 0);
 		};
 
-		return others.toSorted((first, second) => rank(first) - rank(second));
+		return chosen.toSorted((first, second) => rank(first) - rank(second));
 	}
 
 	#avoidGateway(gateway: EntryRecord, {id}: Pick<MemberTarget, 'id'>, reason: string): void {
@@ -207,8 +268,8 @@
 		}
 	}
 
-	#recordGateway({id}: MemberTarget, {name}: EntryRecord): void {
-		if (this.#lastGateway.get(id) !== name) {
+	#recordGateway({id, path}: MemberTarget, {name}: EntryRecord): void {
+		if (path === undefined && this.#lastGateway.get(id) !== name) {
 			this.options.logger.info(`${id} is reached through gateway ${name} (previously ${this.#lastGateway.get(id) ?? 'none'})`);
 			this.#lastGateway.set(id, name);
 		}
@@ -251,17 +312,29 @@
 		logger.info(`${target.id} of ${target.service} is reached directly again`);
 	}
 
-	/** Keeps a connection for the next request and closes it if none takes it within the reconnect period. */
-	#keepSpareConnection({id}: MemberTarget, connection: MemberConnection): void {
-		this.#spareConnections.get(id)?.close();
-		this.#spareConnections.set(id, connection);
+	/** Keeps a connection for the next request of its customer and closes it if none takes it within the reconnect period. */
+	#keepSpareConnection(target: MemberTarget, connection: MemberConnection): void {
+		const key = spareKey(target);
+		this.#spareConnections.get(key)?.close();
+		this.#spareConnections.set(key, connection);
 		this.options.clock.schedule(reconnectPeriod, () => {
-			if (this.#spareConnections.get(id) === connection) {
-				this.#spareConnections.delete(id);
+			if (this.#spareConnections.get(key) === connection) {
+				this.#spareConnections.delete(key);
 				connection.close();
 			}
 		});
 	}
+
+	#takeSpareConnection(target: MemberTarget): MemberConnection | undefined {
+		const key = spareKey(target);
+		const spare = this.#spareConnections.get(key);
+		this.#spareConnections.delete(key);
+		return spare?.isClosed ? undefined : spare;
+	}
+}
+
+function spareKey({id, customer}: MemberTarget): string {
+	return customer === undefined ? id : `${id}\n${customer}`;
 }
 
 function avoidanceKey({name}: EntryRecord, member: string): string {
--- /dev/null
+++ b/source/session-proxy/connection-limit.ts
@@ -0,0 +1,66 @@
+import {type Clock, type Milliseconds} from '../clock/clock.js';
+
+/** Delay before another connection is opened after one failed or was refused. */
+const reconnectDelay: Milliseconds = 150;
+
+/** Initial limit on connections; it rises as the member accepts more. */
+const initialConnectionLimit = 2;
+
+/** Interval at which the connection limit rises by one while requests wait. */
+const limitIncreaseInterval: Milliseconds = 150;
+
+/** Time for which the connection limit does not rise after the member refused a connection because of its own limit. */
+const limitHoldTime: Milliseconds = 2000;
+
+/** Adaptive limit on the connections of one path to a member, and the delay after a failed attempt to open one. */
+export class ConnectionLimit {
+	#limit: number;
+	#raisedAt: Milliseconds = 0;
+	#refusedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	#reconnectAt: Milliseconds = 0;
+	/** Whether a connection was closed so that another one can be opened in its place. */
+	#isPlaceVacated = false;
+
+	/** The initial limit is low where the member may refuse more, since other instances hold the remaining connections. */
+	constructor(private readonly clock: Clock, private readonly maximum: () => number, initial = initialConnectionLimit) {
+		this.#limit = initial;
+	}
+
+	/** Time until another connection may be opened. */
+	get delay(): Milliseconds {
+		return Math.max(0, this.#reconnectAt - this.clock.now());
+	}
+
+	/** Raises the limit by one if it is reached, the increase interval has passed and the member has not refused a connection recently. Returns the limit. */
+	update(connectionCount: number): number {
+		const now = this.clock.now();
+		if (connectionCount >= this.#limit && now - this.#raisedAt >= limitIncreaseInterval && now - this.#refusedAt >= limitHoldTime) {
+			this.#limit++;
+			this.#raisedAt = now;
+		}
+
+		this.#limit = Math.min(this.#limit, this.maximum());
+		return this.#limit;
+	}
+
+	/** Records that a connection could not be opened. */
+	recordFailure(): void {
+		this.#reconnectAt = this.clock.now() + reconnectDelay;
+	}
+
+	/** Records that a connection is closed to open another one in its place. */
+	vacatePlace(): void {
+		this.#isPlaceVacated = true;
+	}
+
+	/** Records that a connection was opened. */
+	recordOpened(): void {
+		this.#isPlaceVacated = false;
+	}
+
+	/** Records that the member refused a connection because of its own limit, while this instance has the given number. A vacated place stays free for the next attempt, so that repeated refusals do not cost a connection each. */
+	recordRefusal(connectionCount: number): void {
+		this.#refusedAt = this.clock.now();
+		this.#limit = Math.max(1, connectionCount + Number(this.#isPlaceVacated));
+	}
+}
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -1,62 +1,36 @@
-import {isAnswerableInTime} from '../admission/deadline-rules.js';
 import {type BackendServer} from '../backend-directory/types.js';
-import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {type BackendReachability} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {MemberRefusedError, type MemberConnector} from '../statement/member-connection.js';
+import {type ConnectionPath, type MemberConnector} from '../statement/member-connection.js';
 import {type StatementReply} from '../statement/types.js';
 import {type CallerSessionState} from './caller-session-state.js';
+import {ConnectionOpener, type OpenedConnection} from './connection-opener.js';
+import {SharedPlacement, surplusIdleTimeout, type ConnectionPlacement} from './connection-placement.js';
+import {
+	ConnectionRequests, mayUse, type ConnectionRequest, type WaitingRequest,
+} from './connection-requests.js';
+import {IdleConnections} from './idle-connections.js';
+import {MemberHealth} from './member-health.js';
 import {PooledConnection} from './pooled-connection.js';
 
-/** Timeout for opening a connection. It covers a round trip between regions, the wait for a slot and the time that members take to accept a connection. */
-const connectTimeout: Milliseconds = 700;
-
-/** Delay before another connection is opened after one failed or was refused. */
-const reconnectDelay: Milliseconds = 150;
-
-/** Idle time after which a connection is closed unless it is the last one. Members keep the connections of a lost instance for seconds, so an instance should not hold more than it uses. */
-const surplusIdleTimeout: Milliseconds = 1000;
-
-/** Initial limit on connections; it rises as the member accepts more. */
-const initialConnectionLimit = 2;
-
-/** Interval at which the connection limit rises by one while requests wait. */
-const limitIncreaseInterval: Milliseconds = 150;
-
-/** Time for which the connection limit does not rise after the member refused a connection because of its own limit. */
-const limitHoldTime: Milliseconds = 2000;
-
 /** Maximum number of waiting requests per connection; as many as the queue of a member holds. */
 const maximumWaitersPerConnection = 24;
 
 /** Time to wait for an overdue reply and a rollback before the connection is closed; longer than a request waits in the queue of a slow member. */
 const rollbackTimeout: Milliseconds = 6000;
 
-/** Weight of the latest sample in the moving average of reply times. */
-const replyTimeWeight = 0.2;
-
-/** Half-life of the average reply time, so that a member that was slow is tried again. */
-const replyTimeHalfLife: Milliseconds = 3000;
-
-type Waiter = {
-	/** Waiters with a lower number are served first. */
-	readonly priority: number;
-	readonly deadline: Milliseconds;
-	readonly session: CallerSessionState | undefined;
-	readonly resolve: (connection: PooledConnection) => void;
-	readonly reject: (error: BuckthornhitchError) => void;
-	cancel: Cancel;
-};
-
 /** Dependencies and limits of a pool. */
 export type MemberPoolOptions = {
 	readonly connector: MemberConnector;
 	readonly clock: Clock;
 	readonly logger: Logger;
-	/** Returns the maximum number of connections from this instance to the member. */
+	/** Returns the maximum number of connections from this instance to the member. Not used if there is a placement. */
 	readonly maximumConnections: () => number;
+	/** Placement of the connections; by default, the connector opens all of them alike. */
+	readonly placement?: ConnectionPlacement;
 };
 
 /** Connection pool of this instance for one member. */
@@ -67,104 +41,107 @@
 	logPositionAt: Milliseconds = 0;
 	/** Time until which the member is avoided, after it refused a read or a transaction. */
 	avoidUntil: Milliseconds = 0;
-	readonly #idle: PooledConnection[] = [];
+	readonly #placement: ConnectionPlacement;
+	readonly #health: MemberHealth;
+	readonly #idle = new IdleConnections();
 	readonly #inUse = new Set<PooledConnection>();
-	readonly #waiters: Waiter[] = [];
-	#openingCount = 0;
-	#reconnectAt = 0;
-	#connectionRefusedAt: Milliseconds = Number.NEGATIVE_INFINITY;
-	#connectionLimit = initialConnectionLimit;
-	#limitRaisedAt: Milliseconds = 0;
-	#isFailureLogged = false;
-	#answeredAt: Milliseconds | undefined;
-	#failingSince: Milliseconds | undefined;
-	#averageReplyTime = 0;
-	#averageUpdatedAt = 0;
+	/** Connections whose transaction is being rolled back. */
+	readonly #rollingBack = new Set<PooledConnection>();
+	readonly #waiting: ConnectionRequests;
+	readonly #opener: ConnectionOpener;
+	#isSurplusCloseScheduled = false;
 	#isClosed = false;
 
-	constructor(readonly server: BackendServer, private readonly options: MemberPoolOptions) {}
+	constructor(readonly server: BackendServer, private readonly options: MemberPoolOptions) {
+		const {clock, connector, logger, maximumConnections, placement = new SharedPlacement(maximumConnections)} = options;
+		this.#placement = placement;
+		this.#health = new MemberHealth(server.id, clock);
+		this.#waiting = new ConnectionRequests(customer => [...this.#inUse].filter(connection => connection.customer === customer).length);
+		this.#opener = new ConnectionOpener({
+			server,
+			clock,
+			connector,
+			logger,
+			placement,
+			waiting: this.#waiting,
+			isServable: request => !this.#wouldHoldAll(request),
+			countOn: path => this.#countOn(path),
+			makeRoom: path => this.#idle.closeLeastRecent(path),
+			onOpened: opened => {
+				this.#addOpened(opened);
+			},
+			onMemberFailure: startedAt => {
+				this.reportFailure(startedAt);
+			},
+		});
+	}
 
 	/** Reachability of the member from this instance: the time since its last answer, and for how long it has been failing. */
 	get reachability(): BackendReachability {
-		const now = this.options.clock.now();
-		return {
-			id: this.server.id,
-			answeredAgo: this.#answeredAt === undefined ? null : Math.round(now - this.#answeredAt),
-			failingFor: this.#failingSince === undefined ? 0 : Math.max(1, Math.round(now - this.#failingSince)),
-		};
+		return this.#health.reachability;
 	}
 
 	/** Whether the member has not answered since an attempt failed. */
 	get isFailing(): boolean {
-		return this.#failingSince !== undefined;
+		return this.#health.isFailing;
 	}
 
 	/** Number of connections in use and of requests that wait for one. */
 	get load(): number {
-		return this.#inUse.size + this.#waiters.length;
+		return this.#inUse.size + this.#waiting.length;
 	}
 
 	/** Expected reply time: the moving average, decayed by its age. */
 	get expectedReplyTime(): Milliseconds {
-		const age = this.options.clock.now() - this.#averageUpdatedAt;
-		return this.#averageReplyTime * (0.5 ** (age / replyTimeHalfLife));
+		return this.#health.expectedReplyTime;
 	}
 
-	/** Resolves with a connection, preferably one on which exactly the variables of the session are set. If there is none, other variables may be set on the connection. Rejects with queueFull, deadlinePassed, memberRefused or memberUnreachable. */
-	async acquire(timeout: Milliseconds, priority: number, session?: CallerSessionState): Promise<PooledConnection> {
-		if (this.#isClosed) {
-			throw new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`);
-		}
-
-		const idle = this.#takeIdle(session);
-		if (idle) {
-			this.#inUse.add(idle);
-			return idle;
-		}
+	/**
+	Resolves with a connection that belongs to the customer, preferably one on which exactly the variables of the session are set. If there is none, other variables may be set on the connection. Without a session, the connection may belong to any customer; only the proxy's own statements may run on it.
 
-		if (this.#waiters.length >= maximumWaitersPerConnection * this.options.maximumConnections()) {
-			throw new BuckthornhitchError('queueFull', `${this.#waiters.length} requests wait for ${this.server.id}`);
-		}
+	Rejects with queueFull, deadlinePassed, memberRefused or memberUnreachable.
+	*/
+	async acquire(timeout: Milliseconds, priority: number, session?: CallerSessionState, customer?: string): Promise<PooledConnection> {
+		return this.#acquire({
+			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.pathFor(customer),
+		});
+	}
 
-		return new Promise((resolve, reject) => {
-			const waiter: Waiter = {
-				priority,
-				deadline: this.options.clock.now() + timeout,
-				session,
-				resolve,
-				reject,
-				cancel: this.options.clock.schedule(Math.max(0, timeout), () => {
-					this.#removeWaiter(waiter);
-					reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
-				}),
-			};
-			const index = this.#waiters.findIndex(other => other.priority > priority);
-			this.#waiters.splice(index === -1 ? this.#waiters.length : index, 0, waiter);
-			this.#openIfNeeded();
+	/** Resolves with a connection for statements that this instance relays for another one. Such a connection never leads through a gateway where each customer has one. */
+	async acquireForRelay(timeout: Milliseconds, priority: number, session: CallerSessionState, customer: string | undefined): Promise<PooledConnection> {
+		return this.#acquire({
+			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.isByCustomer ? 'own' : undefined,
 		});
 	}
 
 	/** Returns a connection without an open transaction to the pool. A connection that is not reusable is closed. */
 	release(connection: PooledConnection): void {
 		this.#inUse.delete(connection);
-		if (!connection.isReusable || this.#isClosed) {
+		if (!connection.isReusable || this.#isClosed || !this.#placement.isAllowed(connection.memberConnection)) {
 			if (connection.isInTransaction) {
 				this.options.logger.warn(`a connection to ${this.server.id} was returned with an open transaction and is closed`);
 			}
 
 			connection.memberConnection.close();
-			this.#openIfNeeded();
+			this.#opener.openIfNeeded();
 			return;
 		}
 
 		connection.releasedAt = this.options.clock.now();
-		const waiter = this.#takeNextWaiter();
-		if (waiter) {
-			this.#assign(waiter, connection);
+		const next = this.#nextRequestFor(connection);
+		if (next && mayUse(next, connection)) {
+			this.#assign(next, connection);
 			return;
 		}
 
-		this.#idle.push(connection);
+		if (next) {
+			// The place of the connection is needed for another customer.
+			connection.memberConnection.close();
+			this.#opener.replaceFor(next);
+			return;
+		}
+
+		this.#idle.add(connection);
 		this.#scheduleSurplusClose();
 	}
 
@@ -175,70 +152,93 @@
 	*/
 	releaseAfterRollback(connection: PooledConnection): void {
 		this.#inUse.delete(connection);
+		this.#rollingBack.add(connection);
 		const cancel = this.options.clock.schedule(rollbackTimeout, () => {
 			connection.memberConnection.close();
 		});
 		void this.#rollBack(connection).finally(cancel);
-		this.#openIfNeeded();
+		this.#opener.openIfNeeded();
 	}
 
 	/** Closes a connection whose state is unknown. */
 	discard(connection: PooledConnection): void {
 		this.#inUse.delete(connection);
 		connection.memberConnection.close();
-		this.#openIfNeeded();
+		this.#opener.openIfNeeded();
 	}
 
 	/** Records that the member did not answer a statement that was sent at `sentAt`. Has no effect if the member has answered since then. */
 	reportFailure(sentAt: Milliseconds): void {
-		if (this.#answeredAt !== undefined && this.#answeredAt >= sentAt) {
-			return;
+		if (this.#health.recordFailure(sentAt)) {
+			// Existing connections may never recover; new ones show whether the member is reachable.
+			this.#closeIdle();
 		}
-
-		this.#failingSince ??= sentAt;
-		// Existing connections may never recover; new ones show whether the member is reachable.
-		this.#closeIdle();
 	}
 
 	/** Adds the reply time of a read, in milliseconds, to the moving average. */
 	recordReplyTime(time: Milliseconds): void {
-		const previous = this.expectedReplyTime;
-		this.#averageReplyTime = previous === 0 ? time : previous + (replyTimeWeight * (time - previous));
-		this.#averageUpdatedAt = this.options.clock.now();
+		this.#health.recordReplyTime(time);
 	}
 
 	/** Returns whether a request with the deadline may still be answered by the member in time. */
 	isAnswerableBefore(deadline: Milliseconds): boolean {
-		return isAnswerableInTime(deadline - this.options.clock.now(), this.expectedReplyTime);
+		return this.#health.isAnswerableBefore(deadline);
 	}
 
 	/** Closes the pool and its idle connections. Connections in use are closed when they are released. */
 	close(): void {
 		this.#isClosed = true;
+		this.#opener.close();
 		this.#closeIdle();
-		this.#rejectWaiters(new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`));
+		this.#waiting.rejectWhere(() => true, new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`));
 	}
 
-	#takeIdle(session: CallerSessionState | undefined): PooledConnection | undefined {
-		for (let index = this.#idle.length - 1; index >= 0; index--) {
-			if (this.#idle[index].memberConnection.isClosed) {
-				this.#idle.splice(index, 1);
-			}
+	async #acquire(request: ConnectionRequest): Promise<PooledConnection> {
+		if (this.#isClosed) {
+			throw new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`);
 		}
 
-		const matching = session ? this.#idle.findLastIndex(connection => connection.matchesVariables(session)) : -1;
-		return matching === -1 ? this.#idle.pop() : this.#idle.splice(matching, 1)[0];
+		this.#closeForbidden();
+		const idle = this.#idle.take(request);
+		if (idle) {
+			this.#inUse.add(idle);
+			idle.memberConnection.setPriority(request.priority);
+			return idle;
+		}
+
+		if (this.#waiting.length >= maximumWaitersPerConnection * this.#placement.maximumConnections(request.path)) {
+			throw new BuckthornhitchError('queueFull', `${this.#waiting.length} requests wait for ${this.server.id}`);
+		}
+
+		return this.#waitForConnection(request);
+	}
+
+	async #waitForConnection(request: ConnectionRequest): Promise<PooledConnection> {
+		const {clock} = this.options;
+		const timeout = request.deadline - clock.now();
+		return new Promise((resolve, reject) => {
+			const waiting: WaitingRequest = {
+				...request,
+				resolve,
+				reject,
+				cancel: clock.schedule(Math.max(0, timeout), () => {
+					this.#waiting.remove(waiting);
+					reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
+				}),
+			};
+			this.#waiting.add(waiting);
+			this.#opener.openIfNeeded();
+		});
 	}
 
 	#closeIdle(): void {
-		for (const connection of this.#idle.splice(0)) {
-			connection.memberConnection.close();
-		}
+		this.#idle.closeWhere(() => true);
 	}
 
 	async #rollBack(connection: PooledConnection): Promise<void> {
 		try {
 			const reply = await connection.rollBack(rollbackTimeout);
+			this.#rollingBack.delete(connection);
 			if (connection.isReusable) {
 				this.release(connection);
 				return;
@@ -249,158 +249,112 @@
 			this.options.logger.debug(`connection to ${this.server.id} closed: the rollback failed: ${toBuckthornhitchError(error).message}`);
 		}
 
+		this.#rollingBack.delete(connection);
 		connection.memberConnection.close();
-	}
-
-	/** Removes and returns the next waiter, and rejects those before it that cannot be answered in time any more. */
-	#takeNextWaiter(): Waiter | undefined {
-		for (let waiter = this.#waiters.shift(); waiter; waiter = this.#waiters.shift()) {
-			if (this.isAnswerableBefore(waiter.deadline)) {
-				return waiter;
-			}
-
-			waiter.cancel();
-			waiter.reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} early enough for an answer in time`));
+		if (this.#placement.isExact) {
+			this.#opener.openIfNeeded();
 		}
-
-		return undefined;
 	}
 
-	#assign(waiter: Waiter, connection: PooledConnection): void {
-		waiter.cancel();
-		this.#inUse.add(connection);
-		waiter.resolve(connection);
+	/** Returns the request that a released connection is for. If the request may not use the connection, the connection has to be replaced for it. */
+	#nextRequestFor(connection: PooledConnection): WaitingRequest | undefined {
+		const isOpening = this.#opener.createOpeningCheck();
+		return this.#nextRequest(request => !this.#wouldHoldAll(request)
+			&& (mayUse(request, connection) || (request.path === connection.path && !isOpening(request) && this.#opener.mayOpen(request))));
 	}
 
-	#removeWaiter(waiter: Waiter): void {
-		const index = this.#waiters.indexOf(waiter);
-		if (index !== -1) {
-			this.#waiters.splice(index, 1);
-		}
-	}
-
-	#openIfNeeded(): void {
-		const connectionCount = this.#idle.length + this.#inUse.size + this.#openingCount;
-		if (this.#isClosed || this.#waiters.length <= this.#openingCount || connectionCount >= this.#updateConnectionLimit(connectionCount)) {
-			return;
-		}
-
-		const delay = this.#reconnectAt - this.options.clock.now();
-		if (delay > 0) {
-			if (connectionCount === 0) {
-				this.options.clock.schedule(delay, () => {
-					this.#openIfNeeded();
-				});
+	/** Returns the first waiting request that can be served, after rejecting those before it that cannot be answered in time any more. */
+	#nextRequest(canServe: (request: WaitingRequest) => boolean): WaitingRequest | undefined {
+		const late: WaitingRequest[] = [];
+		const next = this.#waiting.findNext(request => {
+			const isServed = canServe(request);
+			if (isServed && !this.isAnswerableBefore(request.deadline)) {
+				late.push(request);
+				return false;
 			}
 
-			return;
-		}
-
-		void this.#openConnection();
+			return isServed;
+		});
+		this.#waiting.rejectWhere(request => late.includes(request), new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} early enough for an answer in time`));
+		return next;
 	}
 
-	/** Raises the connection limit by one if it is reached, the increase interval has passed and the member has not refused a connection recently. Returns the limit. `#handleOpenFailure` lowers it when the member refuses a connection. */
-	#updateConnectionLimit(connectionCount: number): number {
-		const now = this.options.clock.now();
-		if (connectionCount >= this.#connectionLimit && now - this.#limitRaisedAt >= limitIncreaseInterval && now - this.#connectionRefusedAt >= limitHoldTime) {
-			this.#connectionLimit++;
-			this.#limitRaisedAt = now;
-		}
-
-		this.#connectionLimit = Math.min(this.#connectionLimit, this.options.maximumConnections());
-		return this.#connectionLimit;
+	/** Returns whether the customer of the request would hold all connections while another customer waits. */
+	#wouldHoldAll(request: ConnectionRequest): boolean {
+		const {customer, path, session} = request;
+		const maximum = this.#placement.maximumConnections(path);
+		return session !== undefined && maximum > 1 && this.#waiting.isOtherCustomerWaiting(request)
+			&& [...this.#inUse].filter(connection => connection.path === path && connection.customer === customer).length >= maximum - 1;
 	}
 
-	async #openConnection(): Promise<void> {
-		const startedAt = this.options.clock.now();
-		this.#openingCount++;
-		try {
-			const {id, service, address} = this.server;
-			const memberConnection = await this.options.connector.connect({id, service, address}, connectTimeout);
-			this.#openingCount--;
-			if (!memberConnection.isRelayed) {
-				this.#recordReachable();
-			}
-
-			this.#isFailureLogged = false;
-			this.#addOpened(new PooledConnection(memberConnection, this.options.clock, reply => {
-				this.#recordReachable(reply);
-			}));
-		} catch (error) {
-			this.#openingCount--;
-			this.#handleOpenFailure(toBuckthornhitchError(error), startedAt);
-		}
+	#assign(request: WaitingRequest, connection: PooledConnection): void {
+		this.#waiting.remove(request);
+		request.cancel();
+		this.#inUse.add(connection);
+		connection.memberConnection.setPriority(request.priority);
+		request.resolve(connection);
 	}
 
-	#addOpened(connection: PooledConnection): void {
-		connection.memberConnection.onClosed(() => {
-			const index = this.#idle.indexOf(connection);
-			if (index !== -1) {
-				this.#idle.splice(index, 1);
-			}
-		});
-		this.#inUse.add(connection);
-		this.release(connection);
+	/** Returns the number of connections on the path that the member counts. */
+	#countOn(path: ConnectionPath | undefined): number {
+		const counted = this.#placement.isExact ? [...this.#inUse, ...this.#rollingBack] : [...this.#inUse];
+		return this.#idle.countOn(path) + counted.filter(connection => connection.path === path).length;
 	}
 
-	#handleOpenFailure(error: BuckthornhitchError, startedAt: Milliseconds): void {
-		if (!this.#isFailureLogged) {
-			this.#isFailureLogged = true;
-			this.options.logger.warn(`cannot connect to ${this.server.id} of ${this.server.service} at ${this.server.address}: ${error.message}`);
+	#addOpened({memberConnection, customer, path}: OpenedConnection): void {
+		if (!memberConnection.isRelayed) {
+			this.#recordReachable();
 		}
 
-		this.#reconnectAt = this.options.clock.now() + reconnectDelay;
-		if (error instanceof MemberRefusedError) {
-			if (error.reason !== 'connectionLimit') {
-				this.#rejectWaiters(error);
-				return;
-			}
-
-			this.#connectionRefusedAt = this.options.clock.now();
-			this.#connectionLimit = Math.max(1, this.#idle.length + this.#inUse.size);
-			// Other instances hold the remaining connections; waiting requests share those of this instance.
-			if (this.#idle.length + this.#inUse.size > 0) {
-				return;
-			}
+		const connection = new PooledConnection(memberConnection, {
+			clock: this.options.clock,
+			customer,
+			path,
+			onReply: reply => {
+				this.#recordReachable(reply);
+			},
+		});
+		memberConnection.onClosed(() => {
+			this.#idle.remove(connection);
+		});
+		const own = connection.isReusable ? this.#nextRequest(request => mayUse(request, connection) && !this.#wouldHoldAll(request)) : undefined;
+		if (own) {
+			this.#assign(own, connection);
 		} else {
-			this.reportFailure(startedAt);
-			if (this.#inUse.size > 0) {
-				return;
-			}
-		}
-
-		this.#rejectWaiters(error);
-	}
-
-	#rejectWaiters(error: BuckthornhitchError): void {
-		for (const waiter of this.#waiters.splice(0)) {
-			waiter.cancel();
-			waiter.reject(error);
+			this.release(connection);
 		}
 	}
 
 	/** Records that the member is reachable, and the log position in its reply, if there is one. */
 	#recordReachable(reply?: StatementReply): void {
-		this.#answeredAt = this.options.clock.now();
-		this.#failingSince = undefined;
+		this.#health.recordAnswer();
 		if (reply?.point) {
 			this.logPosition = reply.point;
-			this.logPositionAt = this.#answeredAt;
+			this.logPositionAt = this.options.clock.now();
 		}
 	}
 
+	/** Closes surplus connections once they have been idle for their time-out. */
 	#scheduleSurplusClose(): void {
+		if (this.#isSurplusCloseScheduled) {
+			return;
+		}
+
+		// Where time-outs differ, a single timer serves all connections.
+		this.#isSurplusCloseScheduled = this.#placement.isExact;
 		this.options.clock.schedule(surplusIdleTimeout, () => {
+			this.#isSurplusCloseScheduled = false;
+			this.#closeForbidden();
 			const surplus = this.#idle.length + this.#inUse.size - 1;
-			const cutoff = this.options.clock.now() - surplusIdleTimeout;
-			for (let count = 0; count < surplus; count++) {
-				const index = this.#idle.findIndex(connection => connection.releasedAt <= cutoff);
-				if (index === -1) {
-					return;
-				}
-
-				this.#idle.splice(index, 1)[0].memberConnection.close();
+			this.#idle.closeOlderThan(({memberConnection, customer}) => this.#placement.idleTimeout(memberConnection, customer), this.options.clock.now(), surplus);
+			if (this.#placement.isExact && this.#idle.length > 0) {
+				this.#scheduleSurplusClose();
 			}
 		});
 	}
+
+	/** Closes the idle connections that the placement does not allow any more. */
+	#closeForbidden(): void {
+		this.#idle.closeWhere(({memberConnection}) => !this.#placement.isAllowed(memberConnection));
+	}
 }
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -72,7 +72,7 @@
 	#transaction: TransactionState = 'idle';
 	readonly #listeners: Array<() => void> = [];
 
-	constructor(private readonly member: FakeMemberServer, private readonly connectionNumber: number) {
+	constructor(private readonly member: FakeMemberServer, private readonly connectionNumber: number, readonly customer?: string) {
 		super();
 	}
 
@@ -173,7 +173,7 @@
 		this.#members = new Map(members.map(member => [member.server.id, member]));
 	}
 
-	override async connect({id}: MemberTarget): Promise<MemberConnection> {
+	override async connect({id, customer}: MemberTarget): Promise<MemberConnection> {
 		const member = this.#members.get(id);
 		if (!member || member.isUnresponsive) {
 			throw new BuckthornhitchError('memberUnreachable', id);
@@ -184,7 +184,7 @@
 		}
 
 		await member.connectBarrier;
-		const memberConnection = new FakeMemberConnection(member, ++this.#connectionCount);
+		const memberConnection = new FakeMemberConnection(member, ++this.#connectionCount, customer);
 		member.connections.push(memberConnection);
 		return memberConnection;
 	}
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -1,11 +1,21 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
+import {type ConnectionPath, type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
 import {
 	type MemberStatement, type PreparedStatementDefinition, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {pooledStatementName, type CallerSessionState} from './caller-session-state.js';
 
+/** Dependencies of a pooled connection, and to whom it belongs. */
+export type PooledConnectionOptions = {
+	readonly clock: Clock;
+	/** Name of the customer to whom the connection belongs. */
+	readonly customer: string | undefined;
+	readonly path: ConnectionPath | undefined;
+	/** Called with each reply of the member. */
+	readonly onReply: (reply: StatementReply) => void;
+};
+
 /** Pooled connection to a member, with the session variables and prepared statements set on it. */
 export class PooledConnection {
 	/** Time at which the connection was last released to the pool. */
@@ -19,7 +29,17 @@
 	/** Whether the connection was returned for a rollback, so that its previous holder may not use it any more. */
 	#isRollingBack = false;
 
-	constructor(readonly memberConnection: MemberConnection, private readonly clock: Clock, private readonly onReply: (reply: StatementReply) => void) {}
+	constructor(readonly memberConnection: MemberConnection, private readonly options: PooledConnectionOptions) {}
+
+	/** Name of the customer to whom the connection belongs for its whole lifetime; undefined if there is none. */
+	get customer(): string | undefined {
+		return this.options.customer;
+	}
+
+	/** How the connection was opened; undefined unless each customer has a gateway. */
+	get path(): ConnectionPath | undefined {
+		return this.options.path;
+	}
 
 	/** Whether a statement is waiting for its reply. */
 	get hasPendingStatement(): boolean {
@@ -76,7 +96,7 @@
 	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
 		this.#pendingCount++;
 		return new Promise((resolve, reject) => {
-			const cancel = this.clock.schedule(Math.max(0, timeout), () => {
+			const cancel = this.options.clock.schedule(Math.max(0, timeout), () => {
 				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer within ${Math.round(timeout)} ms`));
 			});
 			this.#lastReply = this.memberConnection.execute(statement, timeout).then(reply => {
@@ -86,7 +106,7 @@
 				cancel();
 				// A gateway answers some statements itself; such a reply does not show that the member is reachable.
 				if (!this.memberConnection.isRelayed || reply.point) {
-					this.onReply(reply);
+					this.options.onReply(reply);
 				}
 
 				resolve(reply);
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -7,6 +7,7 @@
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnector} from '../statement/member-connection.js';
+import {type ConnectionPlacement} from './connection-placement.js';
 import {FreshnessTracker} from './freshness-tracker.js';
 import {MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
@@ -27,6 +28,8 @@
 	readonly dataCentre: string;
 	/** Returns the maximum number of connections from this instance to a member. */
 	readonly maximumConnections: (server: BackendServer) => number;
+	/** Returns the placement of the connections to a member; by default, the connector opens all of them alike. */
+	readonly connectionPlacement?: (server: BackendServer) => ConnectionPlacement;
 };
 
 /** Client of one service: connection pools of its members, the current primary and the freshness of its data. */
@@ -215,12 +218,13 @@
 	}
 
 	#openPool(server: BackendServer): MemberPool {
-		const {connector, clock, logger, maximumConnections} = this.options;
+		const {connector, clock, logger, maximumConnections, connectionPlacement} = this.options;
 		return new MemberPool(server, {
 			connector,
 			clock,
 			logger,
 			maximumConnections: () => maximumConnections(server),
+			placement: connectionPlacement?.(server),
 		});
 	}
 }
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -7,6 +7,7 @@
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {type Route, type RoutingTable} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-connection.js';
+import {type ConnectionPlacement} from './connection-placement.js';
 import {type RequestLog} from './request-log.js';
 import {type MemberPool} from './member-pool.js';
 import {ServiceClient} from './service-client.js';
@@ -22,6 +23,8 @@
 	readonly dataCentre: string;
 	/** Returns the maximum number of connections from this instance to a member. */
 	readonly maximumConnections: (server: BackendServer) => number;
+	/** Returns the placement of the connections to a member; by default, the connector opens all of them alike. */
+	readonly connectionPlacement?: (server: BackendServer) => ConnectionPlacement;
 };
 
 /** Time for which a new session waits for the first routing table; shorter than the time after which callers give up. */
@@ -147,7 +150,7 @@
 	#getOrCreateClient(service: string): ServiceClient {
 		let client = this.#clients.get(service);
 		if (!client) {
-			const {clock, logger, directory, connector, dataCentre, maximumConnections} = this.options;
+			const {clock, logger, directory, connector, dataCentre, maximumConnections, connectionPlacement} = this.options;
 			client = new ServiceClient({
 				service,
 				clock,
@@ -156,6 +159,7 @@
 				connector,
 				dataCentre,
 				maximumConnections,
+				connectionPlacement,
 			});
 			this.#clients.set(service, client);
 		}
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -3,6 +3,9 @@
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberStatement, type RefusalReason, type StatementReply} from './types.js';
 
+/** How a connection is opened where each customer has a gateway of its own: directly, because this instance is the gateway, or through the gateway. */
+export type ConnectionPath = 'own' | 'gateway';
+
 /** A member, which is a backend server of a service, to connect to. */
 export type MemberTarget = {
 	readonly id: string;
@@ -10,6 +13,8 @@
 	readonly address: Address;
 	/** Name of the customer for whom the connection is opened; undefined for a connection of the proxy itself or in a deployment without customers. */
 	readonly customer?: string;
+	/** Undefined where the connector decides how it opens the connection. */
+	readonly path?: ConnectionPath;
 };
 
 /** A member refused a connection, or a statement that sets a session variable or prepares a statement on it. */
@@ -29,6 +34,11 @@
 		return false;
 	}
 
+	/** Sets the priority of the statements that follow. A direct connection has no use for it, since its statements do not wait for a connection again. */
+	setPriority(_priority: number): void {
+		// Only relayed connections pass the priority on.
+	}
+
 	/** Sends a statement and resolves with its reply. The timeout, in milliseconds, limits the wait on a relayed connection; a direct one ignores it. Rejects with linkOutcomeUnknown when the connection ends before the reply, and with linkNotSent when it had ended before the statement was sent. */
 	abstract execute(statement: MemberStatement, timeout?: Milliseconds): Promise<StatementReply>;
 
