--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -8,6 +8,7 @@
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {type Route, type RoutingTable} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-connection.js';
+import {type ConnectionPlacement} from './connection-placement.js';
 import {type RequestLog} from './request-log.js';
 import {type MemberPool} from './member-pool.js';
 import {type ReadPlacement} from './read-placement.js';
@@ -27,6 +28,8 @@
 	readonly maximumConnections: (server: BackendServer) => number;
 	/** See `SessionDependencies.admitOperation`. */
 	readonly admitOperation?: SessionDependencies['admitOperation'];
+	/** Returns the placement of the connections to a member; by default, the connector opens all of them alike. */
+	readonly connectionPlacement?: (server: BackendServer) => ConnectionPlacement;
 };
 
 /** Why a session was not opened. */
@@ -184,7 +187,7 @@
 	#getOrCreateClient(service: string): ServiceClient {
 		let client = this.#clients.get(service);
 		if (!client) {
-			const {clock, logger, directory, connector, dataCentre, maximumConnections} = this.options;
+			const {clock, logger, directory, connector, dataCentre, maximumConnections, connectionPlacement} = this.options;
 			client = new ServiceClient({
 				service,
 				clock,
@@ -193,6 +196,7 @@
 				connector,
 				dataCentre,
 				maximumConnections,
+				connectionPlacement,
 			});
 			this.#clients.set(service, client);
 		}
