Limit the operations of customers over all instances

A customer's rate limit holds for the sum of all instances, none of which sees the operations of the others.

Entry instances report counts of the last window with each watch request and get credits; a control instance that is asked grants further operations, and control instances share their sums every 200 ms. Credits and grants count as used until a report contains them, so that a lost message cannot raise the sum.

--- a/source/clock/manual-clock.ts
+++ b/source/clock/manual-clock.ts
@@ -2,14 +2,12 @@
 
 type ScheduledAction = {
 	readonly dueAt: Milliseconds;
-	readonly order: number;
 	readonly action: () => void;
 };
 
 /** Clock that advances only on request, for tests and model checking. */
 export class ManualClock extends Clock {
 	#now: Milliseconds = 0;
-	#order = 0;
 	readonly #scheduled = new Set<ScheduledAction>();
 
 	override now(): Milliseconds {
@@ -21,7 +19,7 @@
 	}
 
 	override schedule(delay: Milliseconds, action: () => void): Cancel {
-		const entry = {dueAt: this.#now + delay, order: this.#order++, action};
+		const entry = {dueAt: this.#now + delay, action};
 		this.#scheduled.add(entry);
 		return () => {
 			this.#scheduled.delete(entry);
@@ -51,8 +49,14 @@
 	}
 
 	#nextDue(end: Milliseconds): ScheduledAction | undefined {
-		const due = [...this.#scheduled].filter(entry => entry.dueAt <= end);
-		due.sort((first, second) => first.dueAt - second.dueAt || first.order - second.order);
-		return due[0];
+		let next: ScheduledAction | undefined;
+		for (const entry of this.#scheduled) {
+			// Actions are kept in the order of their scheduling, so the first of those with the same time comes first.
+			if (entry.dueAt <= end && (next === undefined || entry.dueAt < next.dueAt)) {
+				next = entry;
+			}
+		}
+
+		return next;
 	}
 }
--- a/source/registry/messages.ts
+++ b/source/registry/messages.ts
@@ -3,6 +3,7 @@
 import {type VoterRecord} from '../control-log/types.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Address} from '../links/address.js';
+import {type UsageReport, type UsageResponse} from '../rate-limit/messages.js';
 import {type RoutingTableVersion} from '../routing-table/routing-difference.js';
 import {type AcceptedRouting} from '../routing-table/routing-state-machine.js';
 
@@ -96,6 +97,8 @@
 	readonly controlsDigest: string;
 	/** Digest of the entries that the sender knows in its data centre. */
 	readonly entriesDigest: string;
+	/** Operations of the customers; absent while no customer has a limit. */
+	readonly usage?: UsageReport;
 };
 
 /** Log position that the primary of a service confirmed. */
@@ -135,6 +138,8 @@
 	readonly entryDataCentres: number;
 	/** Whether the responding instance has run for long enough to know all entries. */
 	readonly knowsEntries: boolean;
+	/** Answer to the usage report of the request; absent when it has none. */
+	readonly usage?: UsageResponse;
 };
 
 /** Request `submitRouting`, by which a control instance forwards a routing document to the leader. */
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -11,6 +11,7 @@
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {type Random, uniqueId} from '../random/random.js';
+import {defaultRateLimitSettings, type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {validateRoutingTable} from '../routing-table/routing-table-validation.js';
 import {RoutingStateMachine, type AcceptedRouting, type SubmitResult} from '../routing-table/routing-state-machine.js';
@@ -28,6 +29,7 @@
 } from './messages.js';
 import {RoutingHistory} from './routing-history.js';
 import {type RoutingPieceRequest} from './routing-transfer.js';
+import {UsageExchange} from './usage-exchange.js';
 
 /** Time within which a quorum must confirm a request. It is shorter than 1 s, the time after which operators send an unanswered request to another instance. */
 const confirmationTimeout: Milliseconds = 800;
@@ -71,6 +73,7 @@
 	readonly controls: ControlDirectory;
 	readonly monitor: BackendServerMonitor;
 	readonly timing?: VoterTiming;
+	readonly rateLimitSettings?: RateLimitSettings;
 };
 
 /** Control process of a deployment with a routing table: holds the routing document, the directory of backend servers and the fencing tokens. */
@@ -84,6 +87,7 @@
 	readonly #introductions: IntroductionController;
 	readonly #directoryId = uniqueId();
 	readonly #entries: EntryDirectory;
+	readonly #usage: UsageExchange;
 	readonly #createdAt: Milliseconds;
 	#table: RoutingTable | undefined;
 	#cancel: Cancel | undefined;
@@ -139,6 +143,13 @@
 			reachability: () => this.#reachability(),
 			takeAnnouncedServers: () => this.#takeAnnouncedServers(),
 		});
+		this.#usage = new UsageExchange({
+			...options,
+			runId: this.#directoryId,
+			settings: options.rateLimitSettings ?? defaultRateLimitSettings,
+			controls: () => controls.records,
+			entryCount: () => this.#entries.all.length,
+		});
 	}
 
 	/** The routing table known to this instance; it may be older than the accepted one. */
@@ -174,6 +185,7 @@
 			directory.merge((body as AnnouncementNotice).servers);
 		});
 		this.#introductions.start();
+		this.#usage.start();
 		this.#cancel = clock.repeat(housekeepingPeriod, () => {
 			directory.prune();
 			this.#reportFailuresToLeader();
@@ -184,6 +196,7 @@
 	override async stop(): Promise<void> {
 		this.#cancel?.();
 		this.#introductions.stop();
+		this.#usage.stop();
 		await this.voter.stop();
 	}
 
@@ -332,6 +345,7 @@
 			entryCount: entries.length,
 			entryDataCentres: new Set(entries.map(({dataCentre}) => dataCentre)).size,
 			knowsEntries: this.options.clock.now() - this.#createdAt >= entryLearningTime,
+			...this.#usage.answerReport(request.usage),
 		};
 	}
 
@@ -348,6 +362,7 @@
 		if (accepted && accepted.version !== this.#table?.version) {
 			this.#table = this.options.routingDocumentParser.parse(accepted.document);
 			this.#routingHistory.add(this.#table);
+			this.#usage.replaceCustomers(this.#table.customers);
 		}
 	}
 
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -6,7 +6,9 @@
 import {type LinkClient} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
-import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type OperationsRequest, type OperationsResponse} from '../rate-limit/messages.js';
+import {type OperationLimiter, type SentReport} from '../rate-limit/operation-limiter.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type RoutingTable} from '../routing-table/types.js';
 import {encodeReachability} from './reachability-reports.js';
 import {entriesDigest} from './entry-directory.js';
@@ -21,6 +23,9 @@
 /** Time after which an unanswered request makes the watcher switch to another control instance. */
 const watchTimeout: Milliseconds = 600;
 
+/** Timeout of a request for operations of a customer. It covers a round trip between regions and one that the control instance makes to another. */
+const operationsTimeout: Milliseconds = 300;
+
 /** Time without a leader after which the watcher switches to another control instance. */
 const leaderSilenceLimit: Milliseconds = 1200;
 
@@ -48,6 +53,8 @@
 	readonly onRoutingTable: (table: RoutingTable) => void;
 	/** Called with the primary reports of each response and the time at which the request was sent. */
 	readonly onPrimaryReports: (reports: readonly PrimaryReport[], askedAt: Milliseconds) => void;
+	/** Limiter whose usage is reported with each request. */
+	readonly operationLimiter?: OperationLimiter;
 };
 
 /** Keeps routing, directories and primary reports of an entry instance current by polling one control instance at a time. */
@@ -106,6 +113,15 @@
 		return this.#lastAnsweredRequestAt === undefined ? undefined : this.options.clock.now() - this.#lastAnsweredRequestAt;
 	}
 
+	/** Asks the control instance that is watched for operations of a customer. Rejects when none is watched or when it does not answer in time. */
+	async requestOperations(request: OperationsRequest): Promise<OperationsResponse | null> {
+		if (this.#target === undefined) {
+			throw new BuckthornhitchError('linkNotSent', 'No control instance is watched.');
+		}
+
+		return await this.options.linkClient.request(this.#target, 'requestOperations', request, operationsTimeout) as OperationsResponse | null;
+	}
+
 	override start(): void {
 		void this.#watch();
 	}
@@ -146,7 +162,8 @@
 	}
 
 	async #pollTarget(target: Address): Promise<boolean> {
-		const {clock, linkClient, logger, self, reachability} = this.options;
+		const {clock, linkClient, logger, self, reachability, operationLimiter} = this.options;
+		const sentReport = operationLimiter?.createReport(target);
 		const askedAt = clock.now();
 		const request: WatchRequest = {
 			self,
@@ -157,10 +174,12 @@
 			contacts: encodeReachability(reachability()),
 			controlsDigest: this.#controlsDigest,
 			entriesDigest: entriesDigest(this.#entries),
+			...(sentReport && {usage: sentReport.report}),
 		};
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
 			this.#handleResponse(response, target, askedAt);
+			this.#applyCredits(response, sentReport);
 			const {leaderSilence} = response;
 			if (leaderSilence === null || leaderSilence > leaderSilenceLimit) {
 				this.#dropTarget(target, leaderSilence === null ? 'it knows no leader' : `it has had no leader for ${Math.round(leaderSilence)} ms`);
@@ -178,6 +197,12 @@
 		}
 	}
 
+	#applyCredits({usage, entryCount}: WatchResponse, sentReport: SentReport | undefined): void {
+		if (usage && sentReport) {
+			this.options.operationLimiter?.handleResponse(sentReport, usage, Math.max(entryCount, this.#entryCount));
+		}
+	}
+
 	#dropTarget(target: Address, reason: string): void {
 		if (this.#lastAnsweredRequestAt === undefined) {
 			return;
