--- a/source/session-proxy/session-context.ts
+++ b/source/session-proxy/session-context.ts
@@ -2,6 +2,7 @@
 import {type CallerAuthorization, type CustomerDirectory} from '../customers/customer-directory.js';
 import {type Customer} from '../customers/types.js';
 import {type LogPosition} from '../database-group/types.js';
+import {type OperationAdmission} from '../rate-limit/messages.js';
 import {type Route, type RoutingTable} from '../routing-table/types.js';
 import {CallerSessionState} from './caller-session-state.js';
 import {type SessionCommit} from './freshness-tracker.js';
@@ -11,9 +12,6 @@
 /** Part of the statement timeout that is reserved for the reply to reach the caller. */
 const replyMargin: Milliseconds = 20;
 
-/** Result of asking whether an operation of a customer may run. */
-export type OperationAdmission = {readonly admitted: true} | {readonly admitted: false; readonly retryAfter: Milliseconds};
-
 /** Dependencies that the sessions of a process share. */
 export type SessionDependencies = {
 	readonly clock: Clock;
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -9,7 +9,6 @@
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
-import {type OperationAdmission} from './session-context.js';
 import {SessionProxy} from './session-proxy.js';
 import {type StatementSession} from './statement-session.js';
 
