--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -3,6 +3,7 @@
 import {ManualClock} from '../clock/manual-clock.js';
 import {digestKey} from '../customers/key-digest.js';
 import {type Customer} from '../customers/types.js';
+import {type OperationAdmission} from '../rate-limit/messages.js';
 import {silentLogger} from '../observability/logger.js';
 import {type Consistency, type Route} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-connection.js';
