Keep connections of a gateway for statements outside transactions

Cause: callers that rest inside transactions hold their connections until the idle limit of 3 s.

It opens its connections at once instead of one each 150 ms, since the shares of the gateways fit into the member's limit.

--- a/source/relay/messages.ts
+++ b/source/relay/messages.ts
@@ -21,6 +21,8 @@
 	readonly timeout: Milliseconds;
 	/** Priority of the statement, by which the gateway orders it among its own; only sent to gateways near the member. */
 	readonly priority?: number;
+	/** Whether a caller's transaction is opened; absent for all other statements. */
+	readonly isForTransaction?: boolean;
 };
 
 /** Response to `relayStatement`. */
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -5,6 +5,7 @@
 import {type MemberPool} from '../session-proxy/member-pool.js';
 import {type PooledConnection} from '../session-proxy/pooled-connection.js';
 import {localReply, refusal} from '../session-proxy/replies.js';
+import {type ConnectionUse} from '../statement/member-connection.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
 import {type RelayStatementResponse, type RelayStatementRequest} from './messages.js';
 
@@ -24,8 +25,8 @@
 	#lastResponse: Promise<unknown> = Promise.resolve();
 	#pendingCount = 0;
 	#isClosed = false;
-	/** Priority of the statement that is being executed. */
-	#priority = defaultPriority;
+	/** What the statement that is being executed is for. */
+	#use: ConnectionUse = {priority: defaultPriority, isForTransaction: false};
 
 	constructor(
 		readonly member: string,
@@ -56,7 +57,7 @@
 		this.#pendingCount++;
 		const deadline = this.clock.now() + request.timeout;
 		const response = this.#lastResponse.then(async () => {
-			this.#priority = request.priority ?? defaultPriority;
+			this.#use = {priority: request.priority ?? defaultPriority, isForTransaction: request.isForTransaction ?? false};
 			return this.#dispatch(request.statement, deadline);
 		}).finally(() => {
 			this.#pendingCount--;
@@ -174,7 +175,7 @@
 			throw new BuckthornhitchError('memberUnreachable', `${this.member} is not reached from here`);
 		}
 
-		const connection = await pool.acquireForRelay(deadline - this.clock.now(), this.#priority, this.#session, this.customer);
+		const connection = await pool.acquireForRelay(deadline - this.clock.now(), this.#use, this.#session, this.customer);
 		if (this.#isClosed || connection.memberConnection.isRelayed) {
 			// A statement is relayed only once; otherwise it could be relayed in a loop.
 			pool.release(connection);
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -2,7 +2,7 @@
 import {type Address} from '../links/address.js';
 import {type LinkClient} from '../links/link-client.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {MemberConnection} from '../statement/member-connection.js';
+import {MemberConnection, type ConnectionUse} from '../statement/member-connection.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
 import {type CloseRelayNotice, type RelayStatementResponse, type RelayStatementRequest} from './messages.js';
 
@@ -34,7 +34,7 @@
 	#pendingCount = 0;
 	#isInTransaction = false;
 	#isClosed = false;
-	#priority: number | undefined;
+	#use: ConnectionUse | undefined;
 
 	constructor(private readonly options: RelayedConnectionOptions) {
 		super();
@@ -48,8 +48,8 @@
 		return true;
 	}
 
-	override setPriority(priority: number): void {
-		this.#priority = priority;
+	override setUse(use: ConnectionUse): void {
+		this.#use = use;
 	}
 
 	override async execute(statement: MemberStatement, timeout = defaultTimeout): Promise<StatementReply> {
@@ -85,7 +85,7 @@
 	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<RelayStatementResponse> {
 		const {linkClient, gateway, relay, sendsPriority, onFailure} = this.options;
 		const body: RelayStatementRequest = {
-			relay, sequence: this.#nextSequence++, statement, timeout, ...(sendsPriority && {priority: this.#priority}),
+			relay, sequence: this.#nextSequence++, statement, timeout, ...(sendsPriority && {priority: this.#use?.priority, ...(this.#use?.isForTransaction && {isForTransaction: true})}),
 		};
 		try {
 			return await linkClient.request(gateway, 'relayStatement', body, timeout + gatewayAllowance) as RelayStatementResponse;
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -294,7 +294,7 @@
 		let connection: PooledConnection | undefined;
 		try {
 			connection = await acquireConnection(context, pool, {
-				route, preparedStatement, deadline, customer: this.customer,
+				route, preparedStatement, deadline, customer: this.customer, isForTransaction: true,
 			});
 			if (this.#hasLostCustomer) {
 				pool.release(connection);
--- a/source/session-proxy/connection-limit.ts
+++ b/source/session-proxy/connection-limit.ts
@@ -14,27 +14,32 @@
 
 /** Adaptive limit on the connections of one path to a member, and the delay after a failed attempt to open one. */
 export class ConnectionLimit {
-	#limit: number;
+	#limit = initialConnectionLimit;
 	#raisedAt: Milliseconds = 0;
 	#refusedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	#reconnectAt: Milliseconds = 0;
 	/** Whether a connection was closed so that another one can be opened in its place. */
 	#isPlaceVacated = false;
 
-	/** The initial limit is low where the member may refuse more, since other instances hold the remaining connections. */
-	constructor(private readonly clock: Clock, private readonly maximum: () => number, initial = initialConnectionLimit) {
-		this.#limit = initial;
-	}
+	/** `isExact` returns whether the shares of all instances fit into the member's limit. Elsewhere the limit is found by trial, since other instances may hold the remaining connections. */
+	constructor(private readonly clock: Clock, private readonly maximum: () => number, private readonly isExact: () => boolean) {}
 
 	/** Time until another connection may be opened. */
 	get delay(): Milliseconds {
 		return Math.max(0, this.#reconnectAt - this.clock.now());
 	}
 
-	/** Raises the limit by one if it is reached, the increase interval has passed and the member has not refused a connection recently. Returns the limit. */
+	/** Raises the limit, unless the member has refused a connection recently: to the maximum where that is exact, otherwise by one if the limit is reached and the increase interval has passed. Returns the limit. */
 	update(connectionCount: number): number {
 		const now = this.clock.now();
-		if (connectionCount >= this.#limit && now - this.#raisedAt >= limitIncreaseInterval && now - this.#refusedAt >= limitHoldTime) {
+		if (now - this.#refusedAt < limitHoldTime) {
+			this.#limit = Math.min(this.#limit, this.maximum());
+			return this.#limit;
+		}
+
+		if (this.isExact()) {
+			this.#limit = this.maximum();
+		} else if (connectionCount >= this.#limit && now - this.#raisedAt >= limitIncreaseInterval) {
 			this.#limit++;
 			this.#raisedAt = now;
 		}
--- a/source/session-proxy/connection-opener.ts
+++ b/source/session-proxy/connection-opener.ts
@@ -212,9 +212,7 @@
 		let limit = this.#limits.get(path);
 		if (!limit) {
 			const {clock, placement} = this.options;
-			// The shares of the gateways near a member fit into its limit, so that they need not be found by trial.
-			const initialLimit = path === 'own' ? Number.POSITIVE_INFINITY : undefined;
-			limit = new ConnectionLimit(clock, () => placement.maximumConnections(path), initialLimit);
+			limit = new ConnectionLimit(clock, () => placement.maximumConnections(path), () => placement.isExact);
 			this.#limits.set(path, limit);
 		}
 
--- a/source/session-proxy/connection-requests.ts
+++ b/source/session-proxy/connection-requests.ts
@@ -14,6 +14,8 @@
 	/** Name of the customer to whom the connection must belong. */
 	readonly customer: string | undefined;
 	readonly path: ConnectionPath | undefined;
+	/** Whether a caller's transaction is opened on the connection, which then stays in use until the transaction ends. */
+	readonly isForTransaction: boolean;
 };
 
 /** Request that waits for a connection. */
--- a/source/session-proxy/customer-session.spec.ts
+++ b/source/session-proxy/customer-session.spec.ts
@@ -3,6 +3,7 @@
 import {digestKey} from '../customers/key-digest.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {MemberPool} from './member-pool.js';
+import {type PooledConnection} from './pooled-connection.js';
 import {SessionFixture} from './session-fixture.js';
 
 const begin: SessionStatement = {kind: 'begin', id: 'b', isReadOnly: false};
@@ -26,8 +27,19 @@
 
 /** Returns a function that lists the customers for whom connections were acquired for sessions. */
 function recordAcquired(context: TestContext): () => readonly unknown[] {
-	const {mock} = context.mock.method(MemberPool.prototype, 'acquire');
-	return () => mock.calls.filter(call => call.arguments.length > 3).map(call => call.arguments[3]);
+	const acquired: unknown[] = [];
+	for (const name of ['acquire', 'acquireForTransaction'] as const) {
+		const original = MemberPool.prototype[name] as (...values: readonly unknown[]) => Promise<PooledConnection>;
+		context.mock.method(MemberPool.prototype, name, async function (this: MemberPool, ...values: readonly unknown[]) {
+			if (values.length > 3) {
+				acquired.push(values[3]);
+			}
+
+			return original.call(this, ...values);
+		});
+	}
+
+	return () => acquired;
 }
 
 function createFixture(consistency: 'primary' | 'readYourWrites' = 'readYourWrites'): SessionFixture {
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -1,10 +1,11 @@
+import {maximumTransactions} from '../admission/transaction-share.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {type BackendReachability} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type ConnectionPath, type MemberConnector} from '../statement/member-connection.js';
+import {type ConnectionPath, type ConnectionUse, type MemberConnector} from '../statement/member-connection.js';
 import {type StatementReply} from '../statement/types.js';
 import {type CallerSessionState} from './caller-session-state.js';
 import {ConnectionOpener, type OpenedConnection} from './connection-opener.js';
@@ -45,6 +46,8 @@
 	readonly #health: MemberHealth;
 	readonly #idle = new IdleConnections();
 	readonly #inUse = new Set<PooledConnection>();
+	/** Connections on which callers' transactions are opened, until they are returned or closed. */
+	readonly #inTransaction = new Set<PooledConnection>();
 	/** Connections whose transaction is being rolled back. */
 	readonly #rollingBack = new Set<PooledConnection>();
 	readonly #waiting: ConnectionRequests;
@@ -64,7 +67,7 @@
 			logger,
 			placement,
 			waiting: this.#waiting,
-			isServable: request => !this.#wouldHoldAll(request),
+			isServable: request => this.#isServable(request),
 			countOn: path => this.#countOn(path),
 			makeRoom: path => this.#idle.closeLeastRecent(path),
 			onOpened: opened => {
@@ -103,20 +106,27 @@
 	*/
 	async acquire(timeout: Milliseconds, priority: number, session?: CallerSessionState, customer?: string): Promise<PooledConnection> {
 		return this.#acquire({
-			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.pathFor(customer),
+			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.pathFor(customer), isForTransaction: false,
+		});
+	}
+
+	/** Resolves with a connection on which a caller's transaction is opened. Rejects like `acquire`. */
+	async acquireForTransaction(timeout: Milliseconds, priority: number, session: CallerSessionState, customer: string | undefined): Promise<PooledConnection> {
+		return this.#acquire({
+			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.pathFor(customer), isForTransaction: true,
 		});
 	}
 
 	/** Resolves with a connection for statements that this instance relays for another one. Such a connection never leads through a gateway where each customer has one. */
-	async acquireForRelay(timeout: Milliseconds, priority: number, session: CallerSessionState, customer: string | undefined): Promise<PooledConnection> {
+	async acquireForRelay(timeout: Milliseconds, use: ConnectionUse, session: CallerSessionState, customer: string | undefined): Promise<PooledConnection> {
 		return this.#acquire({
-			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.isByCustomer ? 'own' : undefined,
+			...use, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.isByCustomer ? 'own' : undefined,
 		});
 	}
 
 	/** Returns a connection without an open transaction to the pool. A connection that is not reusable is closed. */
 	release(connection: PooledConnection): void {
-		this.#inUse.delete(connection);
+		this.#removeFromUse(connection);
 		if (!connection.isReusable || this.#isClosed || !this.#placement.isAllowed(connection.memberConnection)) {
 			if (connection.isInTransaction) {
 				this.options.logger.warn(`a connection to ${this.server.id} was returned with an open transaction and is closed`);
@@ -162,7 +172,7 @@
 
 	/** Closes a connection whose state is unknown. */
 	discard(connection: PooledConnection): void {
-		this.#inUse.delete(connection);
+		this.#removeFromUse(connection);
 		connection.memberConnection.close();
 		this.#opener.openIfNeeded();
 	}
@@ -199,10 +209,9 @@
 		}
 
 		this.#closeForbidden();
-		const idle = this.#idle.take(request);
+		const idle = this.#isTransactionShareUsed(request) ? undefined : this.#idle.take(request);
 		if (idle) {
-			this.#inUse.add(idle);
-			idle.memberConnection.setPriority(request.priority);
+			this.#markInUse(idle, request);
 			return idle;
 		}
 
@@ -250,6 +259,7 @@
 		}
 
 		this.#rollingBack.delete(connection);
+		this.#inTransaction.delete(connection);
 		connection.memberConnection.close();
 		if (this.#placement.isExact) {
 			this.#opener.openIfNeeded();
@@ -259,7 +269,7 @@
 	/** Returns the request that a released connection is for. If the request may not use the connection, the connection has to be replaced for it. */
 	#nextRequestFor(connection: PooledConnection): WaitingRequest | undefined {
 		const isOpening = this.#opener.createOpeningCheck();
-		return this.#nextRequest(request => !this.#wouldHoldAll(request)
+		return this.#nextRequest(request => this.#isServable(request)
 			&& (mayUse(request, connection) || (request.path === connection.path && !isOpening(request) && this.#opener.mayOpen(request))));
 	}
 
@@ -287,14 +297,43 @@
 			&& [...this.#inUse].filter(connection => connection.path === path && connection.customer === customer).length >= maximum - 1;
 	}
 
+	/** Returns whether a free connection may be given to the request now. */
+	#isServable(request: ConnectionRequest): boolean {
+		return !this.#wouldHoldAll(request) && !this.#isTransactionShareUsed(request);
+	}
+
+	/** Returns whether the request is for a transaction and the connections that may be in transactions are. */
+	#isTransactionShareUsed({isForTransaction, path}: ConnectionRequest): boolean {
+		// Elsewhere the connections of an instance are few and its callers are its own.
+		if (!isForTransaction || !this.#placement.isExact || path === 'gateway') {
+			return false;
+		}
+
+		const count = [...this.#inTransaction].filter(connection => connection.path === path).length;
+		return count >= maximumTransactions(this.#placement.maximumConnections(path));
+	}
+
 	#assign(request: WaitingRequest, connection: PooledConnection): void {
 		this.#waiting.remove(request);
 		request.cancel();
-		this.#inUse.add(connection);
-		connection.memberConnection.setPriority(request.priority);
+		this.#markInUse(connection, request);
 		request.resolve(connection);
 	}
 
+	#markInUse(connection: PooledConnection, {priority, isForTransaction}: ConnectionRequest): void {
+		this.#inUse.add(connection);
+		if (isForTransaction) {
+			this.#inTransaction.add(connection);
+		}
+
+		connection.memberConnection.setUse({priority, isForTransaction});
+	}
+
+	#removeFromUse(connection: PooledConnection): void {
+		this.#inUse.delete(connection);
+		this.#inTransaction.delete(connection);
+	}
+
 	/** Returns the number of connections on the path that the member counts. */
 	#countOn(path: ConnectionPath | undefined): number {
 		const counted = this.#placement.isExact ? [...this.#inUse, ...this.#rollingBack] : [...this.#inUse];
@@ -317,7 +356,7 @@
 		memberConnection.onClosed(() => {
 			this.#idle.remove(connection);
 		});
-		const own = connection.isReusable ? this.#nextRequest(request => mayUse(request, connection) && !this.#wouldHoldAll(request)) : undefined;
+		const own = connection.isReusable ? this.#nextRequest(request => mayUse(request, connection) && this.#isServable(request)) : undefined;
 		if (own) {
 			this.#assign(own, connection);
 		} else {
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -37,14 +37,19 @@
 	readonly deadline: Milliseconds;
 	/** Name of the customer for whom the statement is executed. */
 	readonly customer: string | undefined;
+	/** Whether a transaction is opened on the connection. */
+	readonly isForTransaction?: boolean;
 	readonly isWanted?: () => boolean;
 };
 
 /** Resolves with a connection that has the session's variables and the prepared statement. Rejects before the statement itself is sent, also when the caller's key was revoked or moved during the wait. */
 export async function acquireConnection(context: SessionContext, pool: MemberPool, request: ConnectionRequest): Promise<PooledConnection> {
-	const {route, preparedStatement, deadline, customer, isWanted: isAnswerWanted = () => true} = request;
+	const {route, preparedStatement, deadline, customer, isForTransaction = false, isWanted: isAnswerWanted = () => true} = request;
 	const isWanted = (): boolean => isAnswerWanted() && context.isAuthorizedAs(customer);
-	const connection = await pool.acquire(deadline - context.now, route.priority, context.sessionState, customer);
+	const timeout = deadline - context.now;
+	const connection = isForTransaction
+		? await pool.acquireForTransaction(timeout, route.priority, context.sessionState, customer)
+		: await pool.acquire(timeout, route.priority, context.sessionState, customer);
 	try {
 		if (isWanted()) {
 			await connection.applySession(context.sessionState, preparedStatement, deadline - context.now);
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -24,6 +24,14 @@
 	}
 }
 
+/** What a connection is used for until it is released. */
+export type ConnectionUse = {
+	/** Priority of the statements among those that wait for a connection; 0 is the highest. */
+	readonly priority: number;
+	/** Whether a caller's transaction is opened on the connection. */
+	readonly isForTransaction: boolean;
+};
+
 /** An open connection to a member; statements are answered in the order in which they were sent. */
 export abstract class MemberConnection {
 	/** Whether the connection has ended. */
@@ -34,9 +42,9 @@
 		return false;
 	}
 
-	/** Sets the priority of the statements that follow. A direct connection has no use for it, since its statements do not wait for a connection again. */
-	setPriority(_priority: number): void {
-		// Only relayed connections pass the priority on.
+	/** Sets what the statements that follow are for. A direct connection has no use for it, since its statements do not wait for a connection again. */
+	setUse(_use: ConnectionUse): void {
+		// Only relayed connections pass the use on.
 	}
 
 	/** Sends a statement and resolves with its reply. The timeout, in milliseconds, limits the wait on a relayed connection; a direct one ignores it. Rejects with linkOutcomeUnknown when the connection ends before the reply, and with linkNotSent when it had ended before the statement was sent. */
