Send the first statements of a relay together with the request to open it

Through gateways near the member, statements whose lost answer has no effect (reads, begin, session changes) are now sent at once. A gateway that failed recently, or any other gateway outside this placement, is still asked first.

While all gateways have failed recently, a reserve gateway connects directly without asking them again.

--- a/source/relay/placement-fixture.ts
+++ b/source/relay/placement-fixture.ts
@@ -6,9 +6,12 @@
 import {type EntryRecord} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {MemberPool} from '../session-proxy/member-pool.js';
+import {CallerSessionState} from '../session-proxy/caller-session-state.js';
+import {type PooledConnection} from '../session-proxy/pooled-connection.js';
+import {type MemberStatement} from '../statement/types.js';
 import {FakeMemberConnector, FakeMemberServer} from '../session-proxy/member-server-fake.js';
 import {testAnnouncement} from '../session-proxy/session-fixture.js';
-import {allocateConnections, orderByDistance} from './connection-allocation.js';
+import {allocateConnections, orderByDistance, orderGateways} from './connection-allocation.js';
 import {InMemoryLinks} from './in-memory-links-fixture.js';
 import {RelayServer} from './relay-server.js';
 import {RelayingConnector} from './relaying-connector.js';
@@ -88,6 +91,28 @@
 		return this.entries.find(({record}) => record.name === name)!;
 	}
 
+	/** Returns the address of the gateway that an entry without direct connections tries first. */
+	firstGatewayOf({record}: PlacedEntry, customer?: string): string {
+		return orderGateways(this.member.server.id, this.order.slice(0, 4).map(other => other.record), record.name, customer)[0].address;
+	}
+
+	/** Executes a statement as the sessions do. Resolves with 'done', the reason of a refusal or the name of a result code. */
+	async attempt(pool: MemberPool, statement: MemberStatement, customer?: string): Promise<string> {
+		let connection: PooledConnection | undefined;
+		try {
+			connection = await this.settle(pool.acquire(2000, 1, new CallerSessionState(), customer));
+			const reply = await this.settle(connection.execute(statement, 500));
+			pool.release(connection);
+			return reply.outcome === 'done' ? 'done' : reply.reason;
+		} catch (error) {
+			if (connection) {
+				pool.releaseAfterRollback(connection);
+			}
+
+			return toBuckthornhitchError(error).codeName;
+		}
+	}
+
 	/** Advances the clock until the promise is settled. */
 	async settle<Value>(promise: Promise<Value>): Promise<Value> {
 		const settled: Array<{readonly value?: Value; readonly error?: unknown}> = [];
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -1,4 +1,4 @@
-import {type Milliseconds} from '../clock/clock.js';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
 import {type LinkClient} from '../links/link-client.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -12,8 +12,12 @@
 /** Timeout of statements that have none of their own, such as the rollback before a connection is reused. */
 const defaultTimeout: Milliseconds = 6000;
 
+/** Statements that are sent before the gateway has confirmed the relay. Without an answer it is not known whether they ran, but that has no effect: a transaction is rolled back with its relay. */
+const pipelinedKinds: ReadonlySet<MemberStatement['kind']> = new Set(['begin', 'rollback', 'read', 'set', 'reset', 'prepare']);
+
 /** Dependencies of a relayed connection. */
 export type RelayedConnectionOptions = {
+	readonly clock: Clock;
 	readonly linkClient: LinkClient;
 	/** Link address of the entry that relays the statements. */
 	readonly gateway: Address;
@@ -23,6 +27,8 @@
 	readonly sendsPriority: boolean;
 	/** Returns whether a direct connection, or another gateway, should be used instead from now on. */
 	readonly isObsolete: () => boolean;
+	/** Settles when the gateway has answered the request to open the relay; undefined if it has done so before. */
+	readonly opening?: Promise<unknown>;
 	/** Called when a request to the gateway fails. */
 	readonly onFailure: (reason: string) => void;
 };
@@ -35,9 +41,15 @@
 	#isInTransaction = false;
 	#isClosed = false;
 	#priority: number | undefined;
+	/** Settles when the gateway has confirmed the relay; undefined afterwards. */
+	#opening: Promise<unknown> | undefined;
+	/** Whether a statement waits until the relay is confirmed, so that later ones must not overtake it. */
+	#isConfirmationAwaited = false;
 
 	constructor(private readonly options: RelayedConnectionOptions) {
 		super();
+		this.#opening = options.opening;
+		void this.#awaitOpening();
 	}
 
 	override get isClosed(): boolean {
@@ -59,7 +71,12 @@
 
 		this.#pendingCount++;
 		try {
-			return this.#toReply(await this.#send(statement, timeout));
+			const startedAt = this.options.clock.now();
+			if (this.#opening && (this.#isConfirmationAwaited || !pipelinedKinds.has(statement.kind))) {
+				await this.#confirmOpening(this.#opening);
+			}
+
+			return this.#toReply(await this.#sendWhileOpening(statement, timeout - (this.options.clock.now() - startedAt)));
 		} finally {
 			this.#pendingCount--;
 		}
@@ -82,6 +99,49 @@
 		this.#closeListeners.push(listener);
 	}
 
+	async #awaitOpening(): Promise<void> {
+		try {
+			await this.options.opening;
+		} catch (error) {
+			this.options.onFailure(toBuckthornhitchError(error).message);
+			this.close();
+		}
+
+		this.#opening = undefined;
+	}
+
+	/** Waits until the gateway has confirmed the relay. Rejects with linkNotSent if it does not. */
+	async #confirmOpening(opening: Promise<unknown>): Promise<void> {
+		this.#isConfirmationAwaited = true;
+		try {
+			await opening;
+		} catch (error) {
+			throw new BuckthornhitchError('linkNotSent', `the relay through ${this.options.gateway} was not opened: ${toBuckthornhitchError(error).message}`);
+		}
+	}
+
+	/** Sends a statement. While the gateway has not confirmed the relay, rejects as soon as the request to open it was not answered in time, without blaming the member. */
+	async #sendWhileOpening(statement: MemberStatement, timeout: Milliseconds): Promise<RelayStatementResponse> {
+		const response = this.#send(statement, timeout);
+		if (!this.#opening) {
+			return response;
+		}
+
+		const noAnswer = this.#opening.then(async () => response, async (error: unknown) => {
+			const failure = toBuckthornhitchError(error);
+			if (failure.codeName === 'linkOutcomeUnknown') {
+				throw new BuckthornhitchError('outcomeUnknown', `the relay through ${this.options.gateway} was not opened: ${failure.message}`);
+			}
+
+			// The gateway refused the relay, and answers the statement as not run.
+			return response;
+		});
+		response.catch(() => {
+			// The rejection is reported through the race, which may have been decided before.
+		});
+		return Promise.race([response, noAnswer]);
+	}
+
 	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<RelayStatementResponse> {
 		const {linkClient, gateway, relay, sendsPriority, onFailure} = this.options;
 		const body: RelayStatementRequest = {
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -144,15 +144,21 @@
 
 	/** Connects through a gateway near the member. While none relays, reserve gateways open a few direct connections; other entries do not, so that a fault of the gateways does not make all entries connect at once. */
 	async #connectThroughGatewayNearMember(target: MemberTarget, timeout: Milliseconds, allocation: ConnectionAllocation): Promise<MemberConnection> {
-		const {failures, connection} = await this.#tryGateways(target, allocation);
-		if (connection) {
-			return connection;
+		const pipelined = this.#openPipelined(target, allocation);
+		if (pipelined) {
+			return pipelined;
 		}
 
+		// All gateways failed recently.
 		if (this.#selection.isReserveGateway(target.id, allocation) && this.#reserveConnections.countOf(target.id) < maximumReserveConnections) {
 			return this.#reserveConnections.open(target.id, async () => this.options.direct.connect(target, timeout));
 		}
 
+		const {failures, connection} = await this.#tryGateways(target, allocation);
+		if (connection) {
+			return connection;
+		}
+
 		// Only a gateway that answers shows that the member has failed. Entries that report a replica as unreachable keep it from being promoted.
 		throw failures.find(({codeName}) => codeName === 'memberUnreachable') ?? new MemberRefusedError('busy', `no gateway to ${target.id} relays`);
 	}
@@ -199,13 +205,8 @@
 		const failures: BuckthornhitchError[] = [];
 		for (const gateway of this.#orderedGateways(target, allocation).slice(0, allocation.gatewaysNearMember ?? maximumGatewayAttempts)) {
 			const relay = this.#nextRelay++;
-			const {id, service, customer} = target;
-			const request: OpenRelayRequest = {
-				relay, service, member: id, ...(customer !== undefined && {customer}),
-			};
 			try {
-				await this.options.linkClient.request(gateway.address, 'openRelay', request, openRelayTimeout);
-				this.#recordGateway(target, gateway);
+				await this.#requestRelay(target, gateway, relay);
 				return {failures, connection: this.#createRelayedConnection(target, gateway, relay)};
 			} catch (error) {
 				const failure = toBuckthornhitchError(error);
@@ -217,14 +218,36 @@
 		return {failures, connection: undefined};
 	}
 
-	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number): RelayedConnection {
+	/** Returns a connection through the first gateway whose statements do not wait until the gateway has confirmed the relay, which saves a round trip; undefined if the gateway failed recently. */
+	#openPipelined(target: MemberTarget, allocation: ConnectionAllocation): RelayedConnection | undefined {
+		const gateway = this.#orderedGateways(target, allocation).at(0);
+		if (!gateway || this.#isAvoided(gateway, target.id)) {
+			return undefined;
+		}
+
+		const relay = this.#nextRelay++;
+		return this.#createRelayedConnection(target, gateway, relay, this.#requestRelay(target, gateway, relay));
+	}
+
+	async #requestRelay(target: MemberTarget, gateway: EntryRecord, relay: number): Promise<void> {
+		const {id, service, customer} = target;
+		const request: OpenRelayRequest = {
+			relay, service, member: id, ...(customer !== undefined && {customer}),
+		};
+		await this.options.linkClient.request(gateway.address, 'openRelay', request, openRelayTimeout);
+		this.#recordGateway(target, gateway);
+	}
+
+	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number, opening?: Promise<void>): RelayedConnection {
 		const {id, service, path} = target;
 		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#directlyUnreachable.has(id);
 		const isOtherPreferred = (): boolean => this.#orderedGateways(target, this.allocationOf(service)).at(0)?.name !== gateway.name;
 		return new RelayedConnection({
+			clock: this.options.clock,
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
 			relay,
+			opening,
 			sendsPriority: this.allocationOf(service).gatewaysNearMember !== undefined,
 			isObsolete: path === 'gateway' ? isOtherPreferred : hasDirectConnections,
 			onFailure: reason => {
@@ -240,18 +263,20 @@
 
 	/** Returns the gateways, this instance included if it is one of them: the one used last comes first unless each customer has its own order, those that failed recently come last. */
 	#rankedGateways({id: member, customer}: Pick<MemberTarget, 'id' | 'customer'>, allocation: ConnectionAllocation): readonly EntryRecord[] {
-		const {entries, random, clock} = this.options;
+		const {entries, random} = this.options;
 		const known = entries();
 		const chosen = this.#selection.gateways(member, allocation, customer) ?? random.sample(known, known.length);
 		const preferred = allocation.isByCustomer ? undefined : this.#lastGateway.get(member);
-		const rank = (entry: EntryRecord): number => {
-			const isAvoided = (this.#avoidedUntil.get(avoidanceKey(entry, member)) ?? 0) > clock.now();
-			return isAvoided ? 1 : (entry.name === preferred ? -1 : 0);
-		};
+		const rank = (entry: EntryRecord): number => this.#isAvoided(entry, member) ? 1 : (entry.name === preferred ? -1 : 0);
 
 		return chosen.toSorted((first, second) => rank(first) - rank(second));
 	}
 
+	/** Returns whether the gateway to the member failed recently. */
+	#isAvoided(gateway: EntryRecord, member: string): boolean {
+		return (this.#avoidedUntil.get(avoidanceKey(gateway, member)) ?? 0) > this.options.clock.now();
+	}
+
 	#avoidGateway(gateway: EntryRecord, {id}: Pick<MemberTarget, 'id'>, reason: string): void {
 		const {clock, logger} = this.options;
 		const key = avoidanceKey(gateway, id);
