Move on to a gateway near the member that answers faster

Without customers an entry used one gateway until it failed, also while its statements queued there. Entries now measure the reply times through each gateway and move on when they rise to three times the lowest ones and another gateway is expected to answer in half the time, at most once a second.

--- a/source/relay/placement.spec.ts
+++ b/source/relay/placement.spec.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
 import {type EntryRecord} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
 import {allocateConnections, orderByDistance, orderGateways} from './connection-allocation.js';
+import {GatewayLoad} from './gateway-load.js';
 import {RelayedConnection} from './relayed-connection.js';
 import {PlacementFixture} from './placement-fixture.js';
 
@@ -198,3 +200,45 @@
 	const request = {relay: 1, service: 'ledger', member: 'a'};
 	await assert.rejects(fixture.links.request(other.record.address, 'openRelay', request, 300), {codeName: 'notGateway'});
 });
+
+// A gateway with a long transaction, or beside a busy neighbour, otherwise delays the same entries until it fails.
+test('an entry moves on to another gateway when its statements queue, and not when all gateways are equally slow', () => {
+	const clock = new ManualClock();
+	const load = new GatewayLoad(clock);
+	const candidates = ['first', 'second', 'third'];
+	for (let sample = 0; sample < 20; sample++) {
+		load.record('first', 6);
+	}
+
+	assert.equal(load.chooseFaster('first', candidates), undefined);
+	for (let sample = 0; sample < 20; sample++) {
+		load.record('first', 150);
+	}
+
+	assert.equal(load.chooseFaster('first', candidates), 'second');
+	load.record('second', 140);
+	assert.equal(load.chooseFaster('second', candidates), undefined, 'an entry stays with a gateway for a moment');
+	load.record('third', 140);
+	clock.advance(1000);
+	load.record('second', 140);
+	load.record('third', 140);
+	load.record('first', 150);
+	assert.equal(load.chooseFaster('second', candidates), undefined);
+});
+
+test('relays through a gateway at which statements queue are replaced by relays through another one', async () => {
+	const fixture = new PlacementFixture();
+	const requester = fixture.order.at(-1)!;
+	const slow = fixture.firstGatewayOf(requester);
+	assert.equal(await fixture.attempt(requester.pool, write), 'done');
+	fixture.member.holdsReplies = true;
+	const delayed = fixture.attempt(requester.pool, write);
+	await fixture.clock.advanceInSteps(150, 5);
+	fixture.member.releaseReplies();
+	assert.equal(await delayed, 'done');
+	const since = fixture.links.requests.length;
+	assert.equal(await fixture.attempt(requester.pool, write), 'done');
+	const used = fixture.links.requests.slice(since).filter(({name}) => name === 'relayStatement').map(({address}) => address);
+	assert.equal(used.length, 1);
+	assert.notEqual(used[0], slow);
+});
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -15,6 +15,9 @@
 /** Statements that are sent before the gateway has confirmed the relay. Without an answer it is not known whether they ran, but that has no effect: a transaction is rolled back with its relay. */
 const pipelinedKinds: ReadonlySet<MemberStatement['kind']> = new Set(['begin', 'rollback', 'read', 'set', 'reset', 'prepare']);
 
+/** Statements that the gateway does not answer itself. */
+const dataKinds: ReadonlySet<MemberStatement['kind']> = new Set(['read', 'write', 'execute']);
+
 /** Dependencies of a relayed connection. */
 export type RelayedConnectionOptions = {
 	readonly clock: Clock;
@@ -29,6 +32,8 @@
 	readonly isObsolete: () => boolean;
 	/** Settles when the gateway has answered the request to open the relay; undefined if it has done so before. */
 	readonly opening?: Promise<unknown>;
+	/** Called with the time in which a data statement outside a transaction was answered. */
+	readonly onAnswered?: (time: Milliseconds) => void;
 	/** Called when a request to the gateway fails. */
 	readonly onFailure: (reason: string) => void;
 };
@@ -76,7 +81,13 @@
 				await this.#confirmOpening(this.#opening);
 			}
 
-			return this.#toReply(await this.#sendWhileOpening(statement, timeout - (this.options.clock.now() - startedAt)));
+			const sentAt = this.options.clock.now();
+			const response = await this.#sendWhileOpening(statement, timeout - (sentAt - startedAt));
+			if (response.kind === 'answered' && !this.#isInTransaction && dataKinds.has(statement.kind)) {
+				this.options.onAnswered?.(this.options.clock.now() - sentAt);
+			}
+
+			return this.#toReply(response);
 		} finally {
 			this.#pendingCount--;
 		}
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -10,6 +10,7 @@
 import {type ConnectionPlacement} from '../session-proxy/connection-placement.js';
 import {type OpenRelayRequest} from './messages.js';
 import {maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
+import {GatewayLoad} from './gateway-load.js';
 import {GatewayPlacement} from './gateway-placement.js';
 import {GatewaySelection, type GatewaySelectionOptions} from './gateway-selection.js';
 import {ConnectionCounts} from './connection-counts.js';
@@ -64,6 +65,8 @@
 	readonly #lastGateway = new Map<string, string>();
 	/** Direct connections that this instance opened as a reserve gateway, by member. */
 	readonly #reserveConnections = new ConnectionCounts();
+	/** Reply times of the gateways near a member, by member. */
+	readonly #loads = new Map<string, GatewayLoad>();
 	readonly #selection: GatewaySelection;
 	#nextRelay = 1;
 
@@ -242,20 +245,59 @@
 		const {id, service, path} = target;
 		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#directlyUnreachable.has(id);
 		const isOtherPreferred = (): boolean => this.#orderedGateways(target, this.allocationOf(service)).at(0)?.name !== gateway.name;
+		const {gatewaysNearMember} = this.allocationOf(service);
+		const mayMoveOn = gatewaysNearMember !== undefined && path === undefined;
+		const hasMovedOn = (): boolean => mayMoveOn && (this.#lastGateway.get(id) ?? gateway.name) !== gateway.name;
 		return new RelayedConnection({
 			clock: this.options.clock,
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
 			relay,
 			opening,
-			sendsPriority: this.allocationOf(service).gatewaysNearMember !== undefined,
-			isObsolete: path === 'gateway' ? isOtherPreferred : hasDirectConnections,
+			sendsPriority: gatewaysNearMember !== undefined,
+			isObsolete: path === 'gateway' ? isOtherPreferred : () => hasDirectConnections() || hasMovedOn(),
+			onAnswered: mayMoveOn
+				? time => {
+					this.#recordReplyTime(target, gateway, time);
+				}
+				: undefined,
 			onFailure: reason => {
 				this.#avoidGateway(gateway, {id}, reason);
 			},
 		});
 	}
 
+	/** Records the reply time of a statement, and moves on to another gateway if statements queue at this one. */
+	#recordReplyTime(target: MemberTarget, gateway: EntryRecord, time: Milliseconds): void {
+		const {id, service} = target;
+		const load = this.#loadOf(id);
+		load.record(gateway.name, time);
+		if (this.#lastGateway.get(id) === gateway.name) {
+			const candidates = this.#orderedGateways(target, this.allocationOf(service)).filter(other => !this.#isAvoided(other, id));
+			const faster = load.chooseFaster(gateway.name, candidates.map(({name}) => name));
+			const chosen = candidates.find(({name}) => name === faster);
+			if (chosen) {
+				this.#recordGateway(target, chosen);
+			}
+		}
+	}
+
+	#loadOf(member: string): GatewayLoad {
+		const known = this.#loads.get(member);
+		if (known) {
+			return known;
+		}
+
+		// Members that restarted have new ids.
+		for (const other of [...this.#loads.keys()].filter(id => !this.options.isKnownMember(id))) {
+			this.#loads.delete(other);
+		}
+
+		const load = new GatewayLoad(this.options.clock);
+		this.#loads.set(member, load);
+		return load;
+	}
+
 	/** Returns the other gateways in the order in which to try them. */
 	#orderedGateways(target: Pick<MemberTarget, 'id' | 'customer'>, allocation: ConnectionAllocation): readonly EntryRecord[] {
 		return this.#rankedGateways(target, allocation).filter(entry => entry.name !== this.options.name);
