--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -1,6 +1,5 @@
-import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Milliseconds} from '../clock/clock.js';
 import {type LinkClient} from '../links/link-client.js';
-import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
 import {type EntryRecord} from '../registry/messages.js';
 import {type BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -15,6 +14,7 @@
 import {GatewaySelection, type GatewaySelectionOptions} from './gateway-selection.js';
 import {ConnectionCounts} from './connection-counts.js';
 import {RelayedConnection} from './relayed-connection.js';
+import {UnreachableMembers, type UnreachableMembersOptions} from './unreachable-members.js';
 
 /** Timeout of the request to open a relay: a round trip within a data centre, the time to open a new link and a short stall of the gateway. */
 const openRelayTimeout: Milliseconds = 300;
@@ -28,23 +28,11 @@
 /** Maximum number of direct connections to a member that a reserve gateway opens while no gateway answers. */
 const maximumReserveConnections = 2;
 
-/** Period of the attempts to connect to a directly unreachable member. */
-const reconnectPeriod: Milliseconds = 1000;
-
-/** Timeout of an attempt to reconnect. No request waits for these attempts. */
-const reconnectTimeout: Milliseconds = 700;
-
 /** Dependencies of the connector. */
-export type RelayingConnectorOptions = GatewaySelectionOptions & {
-	readonly clock: Clock;
+export type RelayingConnectorOptions = GatewaySelectionOptions & UnreachableMembersOptions & {
 	readonly random: Random;
-	readonly logger: Logger;
 	readonly linkClient: LinkClient;
-	/** Opens direct connections. */
-	readonly direct: MemberConnector;
 	readonly connectionAllocation: (service: string) => ConnectionAllocation;
-	/** Returns whether a member with the id is still known. */
-	readonly isKnownMember: (member: string) => boolean;
 };
 
 /** Result of trying the gateways to a member. */
@@ -55,10 +43,7 @@
 
 /** Connects to members directly, or through a gateway (another entry) if this instance has no direct connections allocated or does not reach the member. */
 export class RelayingConnector extends MemberConnector {
-	/** Members that this instance does not reach directly. */
-	readonly #directlyUnreachable = new Set<string>();
-	/** Connections that the reconnect attempts opened and that the next request takes over, by member and customer. */
-	readonly #spareConnections = new Map<string, MemberConnection>();
+	readonly #unreachable: UnreachableMembers;
 	/** Time until which gateways that failed are avoided, by gateway and member. */
 	readonly #avoidedUntil = new Map<string, Milliseconds>();
 	/** Gateway used last for each member; it is preferred, and changes are logged. */
@@ -73,6 +58,7 @@
 	constructor(private readonly options: RelayingConnectorOptions) {
 		super();
 		this.#selection = new GatewaySelection(options);
+		this.#unreachable = new UnreachableMembers(options);
 	}
 
 	/** Returns the maximum number of connections of this instance to a member. */
@@ -89,7 +75,7 @@
 
 	/** Returns whether this instance does not reach the member directly. */
 	isDirectlyUnreachable(member: string): boolean {
-		return this.#directlyUnreachable.has(member);
+		return this.#unreachable.has(member);
 	}
 
 	/** Returns the placement of this instance's connections to a member. */
@@ -114,7 +100,7 @@
 			return undefined;
 		}
 
-		const isGateway = this.#selection.hasDirectConnections(target.id, allocation) && !this.#directlyUnreachable.has(target.id);
+		const isGateway = this.#selection.hasDirectConnections(target.id, allocation) && !this.#unreachable.has(target.id);
 		return isGateway && this.#rankedGateways(target, allocation).at(0)?.name === this.options.name ? 'own' : 'gateway';
 	}
 
@@ -124,7 +110,7 @@
 			return this.#connectThroughGatewayNearMember(target, timeout, allocation);
 		}
 
-		const spare = this.#takeSpareConnection(target);
+		const spare = this.#unreachable.takeConnection(target);
 		if (spare) {
 			return spare;
 		}
@@ -134,7 +120,7 @@
 		}
 
 		const isDirect = this.#selection.hasDirectConnections(target.id, allocation);
-		if (isDirect && !this.#directlyUnreachable.has(target.id)) {
+		if (isDirect && !this.#unreachable.has(target.id)) {
 			return this.#connectDirectly(target, timeout, allocation);
 		}
 
@@ -172,7 +158,7 @@
 			return await this.options.direct.connect(target, timeout);
 		} catch (error) {
 			if (!(error instanceof MemberRefusedError)) {
-				this.#markDirectlyUnreachable(target, toBuckthornhitchError(error).message);
+				this.#unreachable.add(target, toBuckthornhitchError(error).message);
 			}
 
 			throw error;
@@ -187,7 +173,7 @@
 				throw error;
 			}
 
-			this.#markDirectlyUnreachable(target, toBuckthornhitchError(error).message);
+			this.#unreachable.add(target, toBuckthornhitchError(error).message);
 			const relayed = await this.#connectThroughGateway(target, allocation);
 			if (!relayed) {
 				throw error;
@@ -243,7 +229,7 @@
 
 	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number, opening?: Promise<void>): RelayedConnection {
 		const {id, service, path} = target;
-		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#directlyUnreachable.has(id);
+		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#unreachable.has(id);
 		const isOtherPreferred = (): boolean => this.#orderedGateways(target, this.allocationOf(service)).at(0)?.name !== gateway.name;
 		const {gatewaysNearMember} = this.allocationOf(service);
 		const mayMoveOn = gatewaysNearMember !== undefined && path === undefined;
@@ -341,67 +327,6 @@
 			this.#lastGateway.set(id, name);
 		}
 	}
-
-	#markDirectlyUnreachable(target: MemberTarget, reason: string): void {
-		if (this.#directlyUnreachable.has(target.id)) {
-			return;
-		}
-
-		this.options.logger.warn(`${target.id} of ${target.service} at ${target.address} is not reached directly: ${reason}`);
-		this.#directlyUnreachable.add(target.id);
-		this.#scheduleReconnect(target);
-	}
-
-	#scheduleReconnect(target: MemberTarget): void {
-		this.options.clock.schedule(reconnectPeriod, () => {
-			void this.#reconnect(target);
-		});
-	}
-
-	async #reconnect(target: MemberTarget): Promise<void> {
-		const {direct, logger, isKnownMember} = this.options;
-		if (!isKnownMember(target.id)) {
-			this.#directlyUnreachable.delete(target.id);
-			return;
-		}
-
-		try {
-			const connection = await direct.connect(target, reconnectTimeout);
-			this.#keepSpareConnection(target, connection);
-		} catch (error) {
-			if (!(error instanceof MemberRefusedError)) {
-				this.#scheduleReconnect(target);
-				return;
-			}
-		}
-
-		this.#directlyUnreachable.delete(target.id);
-		logger.info(`${target.id} of ${target.service} is reached directly again`);
-	}
-
-	/** Keeps a connection for the next request of its customer and closes it if none takes it within the reconnect period. */
-	#keepSpareConnection(target: MemberTarget, connection: MemberConnection): void {
-		const key = spareKey(target);
-		this.#spareConnections.get(key)?.close();
-		this.#spareConnections.set(key, connection);
-		this.options.clock.schedule(reconnectPeriod, () => {
-			if (this.#spareConnections.get(key) === connection) {
-				this.#spareConnections.delete(key);
-				connection.close();
-			}
-		});
-	}
-
-	#takeSpareConnection(target: MemberTarget): MemberConnection | undefined {
-		const key = spareKey(target);
-		const spare = this.#spareConnections.get(key);
-		this.#spareConnections.delete(key);
-		return spare?.isClosed ? undefined : spare;
-	}
-}
-
-function spareKey({id, customer}: MemberTarget): string {
-	return customer === undefined ? id : `${id}\n${customer}`;
 }
 
 function avoidanceKey({name}: EntryRecord, member: string): string {
