--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -1,6 +1,5 @@
-import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {type Milliseconds} from '../clock/clock.js';
 import {type LinkClient} from '../links/link-client.js';
-import {type Logger} from '../observability/logger.js';
 import {type Random} from '../random/random.js';
 import {type EntryRecord} from '../registry/messages.js';
 import {type BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -10,10 +9,12 @@
 import {type ConnectionPlacement} from '../session-proxy/connection-placement.js';
 import {type OpenRelayRequest} from './messages.js';
 import {maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
+import {GatewayLoad} from './gateway-load.js';
 import {GatewayPlacement} from './gateway-placement.js';
 import {GatewaySelection, type GatewaySelectionOptions} from './gateway-selection.js';
 import {ConnectionCounts} from './connection-counts.js';
 import {RelayedConnection} from './relayed-connection.js';
+import {UnreachableMembers, type UnreachableMembersOptions} from './unreachable-members.js';
 
 /** Timeout of the request to open a relay: a round trip within a data centre, the time to open a new link and a short stall of the gateway. */
 const openRelayTimeout: Milliseconds = 300;
@@ -27,23 +28,11 @@
 /** Maximum number of direct connections to a member that a reserve gateway opens while no gateway answers. */
 const maximumReserveConnections = 2;
 
-/** Period of the attempts to connect to a directly unreachable member. */
-const reconnectPeriod: Milliseconds = 1000;
-
-/** Timeout of an attempt to reconnect. No request waits for these attempts. */
-const reconnectTimeout: Milliseconds = 700;
-
 /** Dependencies of the connector. */
-export type RelayingConnectorOptions = GatewaySelectionOptions & {
-	readonly clock: Clock;
+export type RelayingConnectorOptions = GatewaySelectionOptions & UnreachableMembersOptions & {
 	readonly random: Random;
-	readonly logger: Logger;
 	readonly linkClient: LinkClient;
-	/** Opens direct connections. */
-	readonly direct: MemberConnector;
 	readonly connectionAllocation: (service: string) => ConnectionAllocation;
-	/** Returns whether a member with the id is still known. */
-	readonly isKnownMember: (member: string) => boolean;
 };
 
 /** Result of trying the gateways to a member. */
@@ -54,22 +43,22 @@
 
 /** Connects to members directly, or through a gateway (another entry) if this instance has no direct connections allocated or does not reach the member. */
 export class RelayingConnector extends MemberConnector {
-	/** Members that this instance does not reach directly. */
-	readonly #directlyUnreachable = new Set<string>();
-	/** Connections that the reconnect attempts opened and that the next request takes over, by member and customer. */
-	readonly #spareConnections = new Map<string, MemberConnection>();
+	readonly #unreachable: UnreachableMembers;
 	/** Time until which gateways that failed are avoided, by gateway and member. */
 	readonly #avoidedUntil = new Map<string, Milliseconds>();
 	/** Gateway used last for each member; it is preferred, and changes are logged. */
 	readonly #lastGateway = new Map<string, string>();
 	/** Direct connections that this instance opened as a reserve gateway, by member. */
 	readonly #reserveConnections = new ConnectionCounts();
+	/** Reply times of the gateways near a member, by member. */
+	readonly #loads = new Map<string, GatewayLoad>();
 	readonly #selection: GatewaySelection;
 	#nextRelay = 1;
 
 	constructor(private readonly options: RelayingConnectorOptions) {
 		super();
 		this.#selection = new GatewaySelection(options);
+		this.#unreachable = new UnreachableMembers(options);
 	}
 
 	/** Returns the maximum number of connections of this instance to a member. */
@@ -86,7 +75,7 @@
 
 	/** Returns whether this instance does not reach the member directly. */
 	isDirectlyUnreachable(member: string): boolean {
-		return this.#directlyUnreachable.has(member);
+		return this.#unreachable.has(member);
 	}
 
 	/** Returns the placement of this instance's connections to a member. */
@@ -111,7 +100,7 @@
 			return undefined;
 		}
 
-		const isGateway = this.#selection.hasDirectConnections(target.id, allocation) && !this.#directlyUnreachable.has(target.id);
+		const isGateway = this.#selection.hasDirectConnections(target.id, allocation) && !this.#unreachable.has(target.id);
 		return isGateway && this.#rankedGateways(target, allocation).at(0)?.name === this.options.name ? 'own' : 'gateway';
 	}
 
@@ -121,7 +110,7 @@
 			return this.#connectThroughGatewayNearMember(target, timeout, allocation);
 		}
 
-		const spare = this.#takeSpareConnection(target);
+		const spare = this.#unreachable.takeConnection(target);
 		if (spare) {
 			return spare;
 		}
@@ -131,7 +120,7 @@
 		}
 
 		const isDirect = this.#selection.hasDirectConnections(target.id, allocation);
-		if (isDirect && !this.#directlyUnreachable.has(target.id)) {
+		if (isDirect && !this.#unreachable.has(target.id)) {
 			return this.#connectDirectly(target, timeout, allocation);
 		}
 
@@ -144,15 +133,21 @@
 
 	/** Connects through a gateway near the member. While none relays, reserve gateways open a few direct connections; other entries do not, so that a fault of the gateways does not make all entries connect at once. */
 	async #connectThroughGatewayNearMember(target: MemberTarget, timeout: Milliseconds, allocation: ConnectionAllocation): Promise<MemberConnection> {
-		const {failures, connection} = await this.#tryGateways(target, allocation);
-		if (connection) {
-			return connection;
+		const pipelined = this.#openPipelined(target, allocation);
+		if (pipelined) {
+			return pipelined;
 		}
 
+		// All gateways failed recently.
 		if (this.#selection.isReserveGateway(target.id, allocation) && this.#reserveConnections.countOf(target.id) < maximumReserveConnections) {
 			return this.#reserveConnections.open(target.id, async () => this.options.direct.connect(target, timeout));
 		}
 
+		const {failures, connection} = await this.#tryGateways(target, allocation);
+		if (connection) {
+			return connection;
+		}
+
 		// Only a gateway that answers shows that the member has failed. Entries that report a replica as unreachable keep it from being promoted.
 		throw failures.find(({codeName}) => codeName === 'memberUnreachable') ?? new MemberRefusedError('busy', `no gateway to ${target.id} relays`);
 	}
@@ -163,7 +158,7 @@
 			return await this.options.direct.connect(target, timeout);
 		} catch (error) {
 			if (!(error instanceof MemberRefusedError)) {
-				this.#markDirectlyUnreachable(target, toBuckthornhitchError(error).message);
+				this.#unreachable.add(target, toBuckthornhitchError(error).message);
 			}
 
 			throw error;
@@ -178,7 +173,7 @@
 				throw error;
 			}
 
-			this.#markDirectlyUnreachable(target, toBuckthornhitchError(error).message);
+			this.#unreachable.add(target, toBuckthornhitchError(error).message);
 			const relayed = await this.#connectThroughGateway(target, allocation);
 			if (!relayed) {
 				throw error;
@@ -199,13 +194,8 @@
 		const failures: BuckthornhitchError[] = [];
 		for (const gateway of this.#orderedGateways(target, allocation).slice(0, allocation.gatewaysNearMember ?? maximumGatewayAttempts)) {
 			const relay = this.#nextRelay++;
-			const {id, service, customer} = target;
-			const request: OpenRelayRequest = {
-				relay, service, member: id, ...(customer !== undefined && {customer}),
-			};
 			try {
-				await this.options.linkClient.request(gateway.address, 'openRelay', request, openRelayTimeout);
-				this.#recordGateway(target, gateway);
+				await this.#requestRelay(target, gateway, relay);
 				return {failures, connection: this.#createRelayedConnection(target, gateway, relay)};
 			} catch (error) {
 				const failure = toBuckthornhitchError(error);
@@ -217,22 +207,83 @@
 		return {failures, connection: undefined};
 	}
 
-	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number): RelayedConnection {
+	/** Returns a connection through the first gateway whose statements do not wait until the gateway has confirmed the relay, which saves a round trip; undefined if the gateway failed recently. */
+	#openPipelined(target: MemberTarget, allocation: ConnectionAllocation): RelayedConnection | undefined {
+		const gateway = this.#orderedGateways(target, allocation).at(0);
+		if (!gateway || this.#isAvoided(gateway, target.id)) {
+			return undefined;
+		}
+
+		const relay = this.#nextRelay++;
+		return this.#createRelayedConnection(target, gateway, relay, this.#requestRelay(target, gateway, relay));
+	}
+
+	async #requestRelay(target: MemberTarget, gateway: EntryRecord, relay: number): Promise<void> {
+		const {id, service, customer} = target;
+		const request: OpenRelayRequest = {
+			relay, service, member: id, ...(customer !== undefined && {customer}),
+		};
+		await this.options.linkClient.request(gateway.address, 'openRelay', request, openRelayTimeout);
+		this.#recordGateway(target, gateway);
+	}
+
+	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number, opening?: Promise<void>): RelayedConnection {
 		const {id, service, path} = target;
-		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#directlyUnreachable.has(id);
+		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#unreachable.has(id);
 		const isOtherPreferred = (): boolean => this.#orderedGateways(target, this.allocationOf(service)).at(0)?.name !== gateway.name;
+		const {gatewaysNearMember} = this.allocationOf(service);
+		const mayMoveOn = gatewaysNearMember !== undefined && path === undefined;
+		const hasMovedOn = (): boolean => mayMoveOn && (this.#lastGateway.get(id) ?? gateway.name) !== gateway.name;
 		return new RelayedConnection({
+			clock: this.options.clock,
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
 			relay,
-			sendsPriority: this.allocationOf(service).gatewaysNearMember !== undefined,
-			isObsolete: path === 'gateway' ? isOtherPreferred : hasDirectConnections,
+			opening,
+			sendsPriority: gatewaysNearMember !== undefined,
+			isObsolete: path === 'gateway' ? isOtherPreferred : () => hasDirectConnections() || hasMovedOn(),
+			onAnswered: mayMoveOn
+				? time => {
+					this.#recordReplyTime(target, gateway, time);
+				}
+				: undefined,
 			onFailure: reason => {
 				this.#avoidGateway(gateway, {id}, reason);
 			},
 		});
 	}
 
+	/** Records the reply time of a statement, and moves on to another gateway if statements queue at this one. */
+	#recordReplyTime(target: MemberTarget, gateway: EntryRecord, time: Milliseconds): void {
+		const {id, service} = target;
+		const load = this.#loadOf(id);
+		load.record(gateway.name, time);
+		if (this.#lastGateway.get(id) === gateway.name) {
+			const candidates = this.#orderedGateways(target, this.allocationOf(service)).filter(other => !this.#isAvoided(other, id));
+			const faster = load.chooseFaster(gateway.name, candidates.map(({name}) => name));
+			const chosen = candidates.find(({name}) => name === faster);
+			if (chosen) {
+				this.#recordGateway(target, chosen);
+			}
+		}
+	}
+
+	#loadOf(member: string): GatewayLoad {
+		const known = this.#loads.get(member);
+		if (known) {
+			return known;
+		}
+
+		// Members that restarted have new ids.
+		for (const other of [...this.#loads.keys()].filter(id => !this.options.isKnownMember(id))) {
+			this.#loads.delete(other);
+		}
+
+		const load = new GatewayLoad(this.options.clock);
+		this.#loads.set(member, load);
+		return load;
+	}
+
 	/** Returns the other gateways in the order in which to try them. */
 	#orderedGateways(target: Pick<MemberTarget, 'id' | 'customer'>, allocation: ConnectionAllocation): readonly EntryRecord[] {
 		return this.#rankedGateways(target, allocation).filter(entry => entry.name !== this.options.name);
@@ -240,18 +291,20 @@
 
 	/** Returns the gateways, this instance included if it is one of them: the one used last comes first unless each customer has its own order, those that failed recently come last. */
 	#rankedGateways({id: member, customer}: Pick<MemberTarget, 'id' | 'customer'>, allocation: ConnectionAllocation): readonly EntryRecord[] {
-		const {entries, random, clock} = this.options;
+		const {entries, random} = this.options;
 		const known = entries();
 		const chosen = this.#selection.gateways(member, allocation, customer) ?? random.sample(known, known.length);
 		const preferred = allocation.isByCustomer ? undefined : this.#lastGateway.get(member);
-		const rank = (entry: EntryRecord): number => {
-			const isAvoided = (this.#avoidedUntil.get(avoidanceKey(entry, member)) ?? 0) > clock.now();
-			return isAvoided ? 1 : (entry.name === preferred ? -1 : 0);
-		};
+		const rank = (entry: EntryRecord): number => this.#isAvoided(entry, member) ? 1 : (entry.name === preferred ? -1 : 0);
 
 		return chosen.toSorted((first, second) => rank(first) - rank(second));
 	}
 
+	/** Returns whether the gateway to the member failed recently. */
+	#isAvoided(gateway: EntryRecord, member: string): boolean {
+		return (this.#avoidedUntil.get(avoidanceKey(gateway, member)) ?? 0) > this.options.clock.now();
+	}
+
 	#avoidGateway(gateway: EntryRecord, {id}: Pick<MemberTarget, 'id'>, reason: string): void {
 		const {clock, logger} = this.options;
 		const key = avoidanceKey(gateway, id);
@@ -274,67 +327,6 @@
 			this.#lastGateway.set(id, name);
 		}
 	}
-
-	#markDirectlyUnreachable(target: MemberTarget, reason: string): void {
-		if (this.#directlyUnreachable.has(target.id)) {
-			return;
-		}
-
-		this.options.logger.warn(`${target.id} of ${target.service} at ${target.address} is not reached directly: ${reason}`);
-		this.#directlyUnreachable.add(target.id);
-		this.#scheduleReconnect(target);
-	}
-
-	#scheduleReconnect(target: MemberTarget): void {
-		this.options.clock.schedule(reconnectPeriod, () => {
-			void this.#reconnect(target);
-		});
-	}
-
-	async #reconnect(target: MemberTarget): Promise<void> {
-		const {direct, logger, isKnownMember} = this.options;
-		if (!isKnownMember(target.id)) {
-			this.#directlyUnreachable.delete(target.id);
-			return;
-		}
-
-		try {
-			const connection = await direct.connect(target, reconnectTimeout);
-			this.#keepSpareConnection(target, connection);
-		} catch (error) {
-			if (!(error instanceof MemberRefusedError)) {
-				this.#scheduleReconnect(target);
-				return;
-			}
-		}
-
-		this.#directlyUnreachable.delete(target.id);
-		logger.info(`${target.id} of ${target.service} is reached directly again`);
-	}
-
-	/** Keeps a connection for the next request of its customer and closes it if none takes it within the reconnect period. */
-	#keepSpareConnection(target: MemberTarget, connection: MemberConnection): void {
-		const key = spareKey(target);
-		this.#spareConnections.get(key)?.close();
-		this.#spareConnections.set(key, connection);
-		this.options.clock.schedule(reconnectPeriod, () => {
-			if (this.#spareConnections.get(key) === connection) {
-				this.#spareConnections.delete(key);
-				connection.close();
-			}
-		});
-	}
-
-	#takeSpareConnection(target: MemberTarget): MemberConnection | undefined {
-		const key = spareKey(target);
-		const spare = this.#spareConnections.get(key);
-		this.#spareConnections.delete(key);
-		return spare?.isClosed ? undefined : spare;
-	}
-}
-
-function spareKey({id, customer}: MemberTarget): string {
-	return customer === undefined ? id : `${id}\n${customer}`;
 }
 
 function avoidanceKey({name}: EntryRecord, member: string): string {
