Count the usage of an entry instance at one control instance only

An entry instance that changes its control instance reports all of its usage to the new one, while the old one still counted it. Without a leader it changes with each request, and its usage counted several times.

A control instance now tells the others which entry instances began to report to it, and they end their earlier reports. Requests for operations are sent to the control instance that answered last while none is watched.

--- a/source/rate-limit/messages.ts
+++ b/source/rate-limit/messages.ts
@@ -10,6 +10,8 @@
 export type UsageReport = {
 	/** Identifies the process, so that the operations of an earlier process of the same name still count. */
 	readonly runId: string;
+	/** Number of the report, which increases with each report of the process. */
+	readonly number: number;
 	/** Whether the report replaces all earlier ones; otherwise it contains what changed since the last answered request. */
 	readonly isComplete: boolean;
 	readonly counts: readonly CustomerUsage[];
@@ -49,6 +51,9 @@
 	readonly pause: Milliseconds;
 };
 
+/** Process of an entry instance that began to watch a control instance, with the number and the first open request of the report with which it began. */
+export type JoinedEntry = readonly [runId: string, number: number, firstOpenRequest: number];
+
 /** Usage of the entry instances that watch a control instance, by customer. */
 export type SharedSums = {
 	readonly name: string;
@@ -61,6 +66,8 @@
 	/** Version of the sums. */
 	readonly version: number;
 	readonly sums: ReadonlyArray<readonly [customer: string, sum: number]>;
+	/** Entry instances that began to watch the sender after the base version. The receiver ends their earlier reports to itself, which would count twice. */
+	readonly joined: readonly JoinedEntry[];
 	/** Process and version of the receiver's sums that the sender knows. */
 	readonly knownRunId: string;
 	readonly knownVersion: number;
--- a/source/rate-limit/operation-limiter.ts
+++ b/source/rate-limit/operation-limiter.ts
@@ -66,7 +66,10 @@
 	#limits: ReadonlyMap<string, RateLimit> = new Map();
 	#answered: {readonly target: string; readonly counts: ReadonlyMap<string, CustomerUsage>} | undefined;
 	#answeredAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	#isLastRequestFailed = false;
 	#entryCount = 1;
+	/** Number of the last report. */
+	#lastReport = 0;
 
 	constructor(private readonly options: OperationLimiterOptions) {}
 
@@ -159,7 +162,7 @@
 		const ended = [...base?.keys() ?? []].filter(name => !counts.has(name)).map(name => [name, 0, 0] as const);
 		return {
 			report: {
-				runId: this.options.runId, isComplete: base === undefined, counts: [...changed, ...ended], firstOpenRequest: this.#requests.first,
+				runId: this.options.runId, number: ++this.#lastReport, isComplete: base === undefined, counts: [...changed, ...ended], firstOpenRequest: this.#requests.first,
 			},
 			target,
 			sentAt: now,
@@ -171,6 +174,7 @@
 	handleResponse({target, counts, sentAt}: SentReport, {credits, wantsCompleteUsage}: UsageResponse, entryCount: number): void {
 		this.#answered = wantsCompleteUsage ? undefined : {target, counts};
 		this.#answeredAt = Math.max(this.#answeredAt, sentAt);
+		this.#isLastRequestFailed = false;
 		this.#entryCount = entryCount;
 		const told = new Map(credits.map(credit => [credit[0], credit]));
 		for (const [name, state] of this.#customers) {
@@ -210,6 +214,7 @@
 			response = null;
 		}
 
+		this.#isLastRequestFailed = response === null;
 		if (!response) {
 			this.#requests.end(number);
 			await this.#repeatOrDecide(name, state, batch);
@@ -266,9 +271,9 @@
 		return {admitted: false, retryAfter: Math.max(0, Math.round(retryAfter))};
 	}
 
-	/** Whether no control instance has answered for the lifetime of a credit. */
+	/** Whether no control instance has answered a report for the lifetime of a credit, nor the last request for operations. */
 	#isDisconnected(): boolean {
-		return this.options.clock.now() - Math.max(this.#answeredAt, this.#activeSince) >= creditLifetime;
+		return this.#isLastRequestFailed && this.options.clock.now() - Math.max(this.#answeredAt, this.#activeSince) >= creditLifetime;
 	}
 
 	/** Whether the credits are still counted by a control instance. Durations across a suspected suspension cannot be trusted. */
--- a/source/rate-limit/peer-sums.ts
+++ b/source/rate-limit/peer-sums.ts
@@ -55,8 +55,8 @@
 		return {knownRunId: peer?.runId ?? '', knownVersion: peer?.version ?? 0, acknowledgedVersion: peer?.acknowledgedVersion ?? 0};
 	}
 
-	/** Stores the sums that a peer shared, unless newer ones are known or ones between are missing. */
-	receive({name, runId, watchingCount, baseVersion, version, sums}: SharedSums, heardAt: Milliseconds): void {
+	/** Stores the sums that a peer shared. Returns false when newer ones are known or ones between are missing. */
+	receive({name, runId, watchingCount, baseVersion, version, sums}: SharedSums, heardAt: Milliseconds): boolean {
 		let peer = this.#peers.get(name);
 		if (peer?.runId !== runId) {
 			peer = createPeer(runId);
@@ -66,13 +66,15 @@
 		peer.heardAt = Math.max(peer.heardAt, heardAt);
 		peer.watchingCount = watchingCount;
 		if (baseVersion > peer.version || version < peer.version) {
-			return;
+			return false;
 		}
 
 		peer.version = version;
 		for (const [customer, sum] of sums) {
 			peer.sums.set(customer, sum);
 		}
+
+		return true;
 	}
 
 	/** Records the version of the own sums that a peer states to have, after it received the sums given here. */
--- a/source/rate-limit/usage-book.ts
+++ b/source/rate-limit/usage-book.ts
@@ -1,5 +1,5 @@
 import {type Milliseconds} from '../clock/clock.js';
-import {type UsageReport} from './messages.js';
+import {type JoinedEntry, type UsageReport} from './messages.js';
 
 type Grant = {
 	readonly number: number;
@@ -18,6 +18,11 @@
 	/** Whether reports of the process are kept here. */
 	isEntry: boolean;
 	confirmedAt: Milliseconds;
+	/** Number of the last report. */
+	reportNumber: number;
+	/** Version at which the process began to report here, and its report. */
+	joinedAt: number;
+	joined: JoinedEntry;
 	readonly holdings: Map<string, Holding>;
 	/** Granted operations that no report contains yet. */
 	grants: readonly Grant[];
@@ -66,6 +71,12 @@
 
 		const holder = this.#holder(report.runId, true, now);
 		holder.confirmedAt = now;
+		holder.reportNumber = report.number;
+		if (report.isComplete) {
+			holder.joinedAt = ++this.#version;
+			holder.joined = [report.runId, report.number, report.firstOpenRequest];
+		}
+
 		this.endGrants(report.runId, report.firstOpenRequest);
 		const reported = new Set(report.counts.map(([customer]) => customer));
 		for (const customer of holder.holdings.keys()) {
@@ -81,6 +92,20 @@
 		return true;
 	}
 
+	/** Returns the processes that began to report here after the version. */
+	joinedSince(version: number): readonly JoinedEntry[] {
+		return [...this.#holders.values()].filter(({isEntry, joinedAt}) => isEntry && joinedAt > version).map(({joined}) => joined);
+	}
+
+	/** Ends the reports of a process that has reported to another control instance since. */
+	endReports([runId, number, firstOpenRequest]: JoinedEntry): void {
+		const holder = this.#holders.get(runId);
+		if (holder?.isEntry && holder.reportNumber < number) {
+			this.#endHoldings(holder);
+			this.endGrants(runId, firstOpenRequest);
+		}
+	}
+
 	/** Returns the customers that a process used recently or holds a credit for. */
 	customersOf(runId: string): readonly string[] {
 		return [...this.#holders.get(runId)?.holdings.keys() ?? []];
@@ -124,12 +149,7 @@
 				continue;
 			}
 
-			// The next report of the process must be complete, since its earlier ones are removed.
-			holder.isEntry = false;
-			for (const customer of holder.holdings.keys()) {
-				this.#hold(holder, customer, {used: 0, credit: 0});
-			}
-
+			this.#endHoldings(holder);
 			if (holder.grants.length === 0) {
 				this.#holders.delete(runId);
 			}
@@ -143,12 +163,20 @@
 		}
 
 		const holder: Holder = {
-			isEntry, confirmedAt: now, holdings: new Map(), grants: known?.grants ?? [],
+			isEntry, confirmedAt: now, reportNumber: 0, joinedAt: 0, joined: [runId, 0, 0], holdings: new Map(), grants: known?.grants ?? [],
 		};
 		this.#holders.set(runId, holder);
 		return holder;
 	}
 
+	/** The next report of the process must be complete, since its earlier ones are removed. */
+	#endHoldings(holder: Holder): void {
+		holder.isEntry = false;
+		for (const customer of holder.holdings.keys()) {
+			this.#hold(holder, customer, {used: 0, credit: 0});
+		}
+	}
+
 	#hold(holder: Holder, customer: string, {used, credit}: Holding): void {
 		const known = holder.holdings.get(customer);
 		this.#add(customer, used + credit - (known ? known.used + known.credit : 0));
--- a/source/rate-limit/usage-ledger.ts
+++ b/source/rate-limit/usage-ledger.ts
@@ -143,7 +143,7 @@
 
 	/** Stores the sums that a peer shared and returns the own ones. */
 	handleShare(request: SharedSums): SharedSums {
-		this.#peers.receive(request, this.#now());
+		this.#receive(request, this.#now());
 		this.#book.endGrants(request.runId, request.firstOpenRequest);
 		const {knownRunId, knownVersion} = this.#peers.describe(request.name);
 		return this.#createSums(knownRunId, knownVersion, request.knownRunId === this.options.runId ? request.knownVersion : 0);
@@ -151,10 +151,18 @@
 
 	/** Stores the answer of a peer to the sums that were sent to it at the given time. */
 	handleShareResponse(sent: SharedSums, response: SharedSums, sentAt: Milliseconds): void {
-		this.#peers.receive(response, sentAt);
+		this.#receive(response, sentAt);
 		this.#peers.acknowledge(response.name, sent, response.knownRunId === this.options.runId ? response.knownVersion : 0);
 	}
 
+	#receive(shared: SharedSums, heardAt: Milliseconds): void {
+		if (this.#peers.receive(shared, heardAt)) {
+			for (const joined of shared.joined) {
+				this.#book.endReports(joined);
+			}
+		}
+	}
+
 	#createSums(knownRunId: string, knownVersion: number, baseVersion: number): SharedSums {
 		const {name, runId} = this.options;
 		return {
@@ -164,6 +172,7 @@
 			baseVersion,
 			version: this.#book.version,
 			sums: this.#book.changesSince(baseVersion),
+			joined: this.#book.joinedSince(baseVersion),
 			knownRunId,
 			knownVersion,
 			firstOpenRequest: this.options.firstOpenForward(),
--- a/source/registry/customer-limit-faults.spec.ts
+++ b/source/registry/customer-limit-faults.spec.ts
@@ -52,3 +52,18 @@
 	const refused = refusedShare(simulation, 7000, hot.name);
 	assert.ok(refused < 0.01, `${refused} of the other customers refused`);
 });
+
+// Guards against usage that counts at every control instance which an entry instance has watched, while it finds none with a leader and tries one after the other.
+test('when a region is cut off with two control instances, which know no leader, no window is above the limit and other customers are served on both sides', async () => {
+	const simulation = await runUsualThenHot();
+	const isInRegion = (name: string): boolean => Number(name.split('-')[1]) % 6 < 2;
+	simulation.network.isCut = (from, to) => isInRegion(from) !== isInRegion(to);
+	simulation.network.knowsNoLeader = isInRegion;
+	await simulation.run(11_000, rates);
+	simulation.network.isCut = () => false;
+	simulation.network.knowsNoLeader = () => false;
+	await simulation.run(7000, rates);
+	assert.deepEqual(windowsAboveLimit(simulation, customers), []);
+	const refused = refusedShare(simulation, 7000, hot.name);
+	assert.ok(refused < 0.01, `${refused} of the other customers refused`);
+});
--- a/source/registry/limit-fixture.ts
+++ b/source/registry/limit-fixture.ts
@@ -108,8 +108,12 @@
 	/** Whether messages between two instances are lost. */
 	isCut: (from: string, to: string) => boolean;
 
+	/** Whether a control instance knows no leader, so that entry instances leave it after its answer. */
+	knowsNoLeader: (control: string) => boolean;
+
 	constructor(readonly clock: ManualClock) {
 		this.isCut = () => false;
+		this.knowsNoLeader = () => false;
 	}
 
 	delay(from: Instance, to: Instance): Milliseconds {
@@ -338,6 +342,7 @@
 	#createEntry(index: number): Entry {
 		const instance = new Instance(`entry-${index}`, index % dataCentres, this.network);
 		let target: string | undefined;
+		let answeredBy: string | undefined;
 		const limiter = new OperationLimiter({
 			name: instance.name,
 			runId: `run-${this.#runs++}`,
@@ -345,11 +350,12 @@
 			settings: this.settings,
 			observer: this.observer,
 			async requestOperations(request) {
-				if (target === undefined) {
+				const asked = target ?? answeredBy;
+				if (asked === undefined) {
 					throw new BuckthornhitchError('linkNotSent', 'No control instance is watched.');
 				}
 
-				return await instance.link.request(target, 'requestOperations', request, operationsTimeout) as never;
+				return await instance.link.request(asked, 'requestOperations', request, operationsTimeout) as never;
 			},
 		});
 		limiter.replaceCustomers(this.customers);
@@ -371,6 +377,7 @@
 			const startedAt = this.clock.now();
 			target ??= selectTarget();
 			const sent = limiter.createReport(target)!;
+			const watched = target;
 			let delay: Milliseconds;
 			try {
 				const {usage} = await instance.link.request(target, 'watch', sent.report, watchTimeout) as {readonly usage?: UsageResponse};
@@ -378,9 +385,15 @@
 					limiter.handleResponse(sent, usage, this.entries.length);
 				}
 
+				answeredBy = target;
+				if (this.network.knowsNoLeader(target)) {
+					failed.add(target);
+					target = undefined;
+				}
+
 				delay = Math.max(1, watchPeriod - (this.clock.now() - startedAt));
 			} catch {
-				failed.add(target);
+				failed.add(watched);
 				instance.clock.schedule(3000, () => {
 					failed.clear();
 				});
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -62,6 +62,8 @@
 	#controls: readonly ControlRecord[] = [];
 	#controlsDigest = '';
 	#target: Address | undefined;
+	/** Control instance that answered the last request which was answered. */
+	#answeredBy: Address | undefined;
 	#failedTargets = new Set<Address>();
 	#lastFailureAt: Milliseconds = 0;
 	#directoryId = '';
@@ -115,11 +117,13 @@
 
 	/** Asks the control instance that is watched for operations of a customer. Rejects when none is watched or when it does not answer in time. */
 	async requestOperations(request: OperationsRequest): Promise<OperationsResponse | null> {
-		if (this.#target === undefined) {
+		// While no control instance knows a leader, each one is left after its answer; the last one to answer has the newest report.
+		const target = this.#target ?? this.#answeredBy;
+		if (target === undefined) {
 			throw new BuckthornhitchError('linkNotSent', 'No control instance is watched.');
 		}
 
-		return await this.options.linkClient.request(this.#target, 'requestOperations', request, operationsTimeout) as OperationsResponse | null;
+		return await this.options.linkClient.request(target, 'requestOperations', request, operationsTimeout) as OperationsResponse | null;
 	}
 
 	override start(): void {
@@ -163,7 +167,8 @@
 
 	async #pollTarget(target: Address): Promise<boolean> {
 		const {clock, linkClient, logger, self, reachability, operationLimiter} = this.options;
-		const sentReport = operationLimiter?.createReport(target);
+		// Before the first answer, all seeds are asked at the same time; usage is reported to one control instance only.
+		const sentReport = target === this.#target ? operationLimiter?.createReport(target) : undefined;
 		const askedAt = clock.now();
 		const request: WatchRequest = {
 			self,
@@ -179,6 +184,7 @@
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
 			this.#handleResponse(response, target, askedAt);
+			this.#answeredBy = target;
 			this.#applyCredits(response, sentReport);
 			const {leaderSilence} = response;
 			if (leaderSilence === null || leaderSilence > leaderSilenceLimit) {
