Keep entry instances in the share of a partition while they look for a leader

An entry instance that tries three control instances without an answer sends requests up to 2.5 s apart. Counting only those of the last second made the share of a cut-off region, and with it its limits, drop to nothing: 6.5% of the operations of customers below their limits were refused there.

Entry instances count as watching for 3 s, and requests for operations go to the control instance that answered last.

--- a/source/rate-limit/messages.ts
+++ b/source/rate-limit/messages.ts
@@ -59,7 +59,7 @@
 	readonly name: string;
 	/** Identifies the process of the control instance. */
 	readonly runId: string;
-	/** Number of entry instances that watched the control instance within the last second. */
+	/** Number of entry instances that watched the control instance recently. */
 	readonly watchingCount: number;
 	/** The sums contain all changes after this version of the receiver's knowledge. */
 	readonly baseVersion: number;
--- a/source/rate-limit/usage-book.ts
+++ b/source/rate-limit/usage-book.ts
@@ -28,8 +28,8 @@
 	grants: readonly Grant[];
 };
 
-/** Time without a `watch` request after which an entry instance no longer counts as watching. It covers a request timeout and the longest delay before the next request. */
-const watchingTime: Milliseconds = 1000;
+/** Time without a `watch` request after which an entry instance no longer counts as watching. While an entry instance tries three control instances that do not answer, its requests are up to 2.5 s apart. */
+const watchingTime: Milliseconds = 3000;
 
 /** Operations that a control instance counts: what the entry instances that watch it reported, their credits, and the operations granted since their reports. */
 export class UsageBook {
--- a/source/registry/limit-fixture.ts
+++ b/source/registry/limit-fixture.ts
@@ -350,7 +350,7 @@
 			settings: this.settings,
 			observer: this.observer,
 			async requestOperations(request) {
-				const asked = target ?? answeredBy;
+				const asked = answeredBy ?? target;
 				if (asked === undefined) {
 					throw new BuckthornhitchError('linkNotSent', 'No control instance is watched.');
 				}
@@ -394,6 +394,7 @@
 				delay = Math.max(1, watchPeriod - (this.clock.now() - startedAt));
 			} catch {
 				failed.add(watched);
+				answeredBy = answeredBy === watched ? undefined : answeredBy;
 				instance.clock.schedule(3000, () => {
 					failed.clear();
 				});
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -62,7 +62,7 @@
 	#controls: readonly ControlRecord[] = [];
 	#controlsDigest = '';
 	#target: Address | undefined;
-	/** Control instance that answered the last request which was answered. */
+	/** Control instance that answered the last request which was answered; undefined when it has not answered a later one. */
 	#answeredBy: Address | undefined;
 	#failedTargets = new Set<Address>();
 	#lastFailureAt: Milliseconds = 0;
@@ -117,8 +117,8 @@
 
 	/** Asks the control instance that is watched for operations of a customer. Rejects when none is watched or when it does not answer in time. */
 	async requestOperations(request: OperationsRequest): Promise<OperationsResponse | null> {
-		// While no control instance knows a leader, each one is left after its answer; the last one to answer has the newest report.
-		const target = this.#target ?? this.#answeredBy;
+		// The control instance that answered last has the newest report. The one that is watched may be another one that has not answered yet, for example while none knows a leader and each is left after its answer.
+		const target = this.#answeredBy ?? this.#target;
 		if (target === undefined) {
 			throw new BuckthornhitchError('linkNotSent', 'No control instance is watched.');
 		}
@@ -198,6 +198,7 @@
 			return true;
 		} catch (error) {
 			logger.warn(`request to control instance ${target} failed: ${toBuckthornhitchError(error).message}`);
+			this.#answeredBy = this.#answeredBy === target ? undefined : this.#answeredBy;
 			this.#dropTarget(target, 'no answer');
 			return false;
 		}
