--- a/source/registry/customer-limit-faults.spec.ts
+++ b/source/registry/customer-limit-faults.spec.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	admittedShare, customersFor, LimitSimulation, refusedShare, usualRates, windowsAboveLimit,
-} from './limit-fixture.js';
+	admittedShare, customersFor, refusedShare, usualRates, windowsAboveLimit,
+} from './limit-checks-fixture.js';
+import {LimitSimulation} from './limit-fixture.js';
 
 const rates = usualRates();
 const customers = customersFor(rates);
--- a/source/registry/customer-limits.spec.ts
+++ b/source/registry/customer-limits.spec.ts
@@ -2,8 +2,9 @@
 import {test} from 'node:test';
 import {type Customer} from '../customers/types.js';
 import {
-	admittedShare, customersFor, highestWindowCount, LimitSimulation, permittedInWindow, refusedShare, usualRates, windowsAboveLimit,
-} from './limit-fixture.js';
+	admittedShare, customersFor, highestWindowCount, permittedInWindow, refusedShare, usualRates, windowsAboveLimit,
+} from './limit-checks-fixture.js';
+import {LimitSimulation} from './limit-fixture.js';
 
 const rates = usualRates();
 const customers = customersFor(rates);
--- a/source/registry/limit-fixture.ts
+++ b/source/registry/limit-fixture.ts
@@ -1,8 +1,6 @@
-import {Clock, type Cancel, type Milliseconds} from '../clock/clock.js';
+import {type Milliseconds} from '../clock/clock.js';
 import {ManualClock} from '../clock/manual-clock.js';
 import {type Customer} from '../customers/types.js';
-import {LinkClient, type RequestHandler} from '../links/link-client.js';
-import {encodeFrame} from '../links/framing.js';
 import {silentLogger} from '../observability/logger.js';
 import {SeededRandom} from '../random/random.js';
 import {LimitObserver} from '../rate-limit/limit-observer.js';
@@ -10,13 +8,13 @@
 import {type OperationAdmission, type UsageReport, type UsageResponse} from '../rate-limit/messages.js';
 import {OperationLimiter} from '../rate-limit/operation-limiter.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {Instance, Network} from './limit-network-fixture.js';
 import {UsageExchange} from './usage-exchange.js';
 
 /** Settings of the deployment that the simulation follows. */
 export const simulatedSettings: RateLimitSettings = {window: 5000, overage: 0.1, slack: 20};
 
 const dataCentres = 6;
-const dataCentresPerRegion = 2;
 const controlCount = 5;
 
 /** Delays of the simulated `watch` requests, as in the routing watcher. */
@@ -25,168 +23,9 @@
 const failureDelay: Milliseconds = 100;
 const operationsTimeout: Milliseconds = 300;
 
-/** Time until a lost link is noticed when its other end is dead. */
-const resetDelay: Milliseconds = 1;
-
 /** Time step after which pending promises settle. */
 const step: Milliseconds = 2;
 
-/** Clock of one simulated instance, which can be frozen: its actions run when it is resumed. */
-export class InstanceClock extends Clock {
-	isFrozen = false;
-	isDead = false;
-	#deferred: Array<() => void> = [];
-
-	constructor(private readonly clock: ManualClock) {
-		super();
-	}
-
-	override now(): Milliseconds {
-		return this.clock.now();
-	}
-
-	override wallTime(): Milliseconds {
-		return this.clock.wallTime();
-	}
-
-	override schedule(delay: Milliseconds, action: () => void): Cancel {
-		let isCancelled = false;
-		const run = (): void => {
-			if (isCancelled || this.isDead) {
-				return;
-			}
-
-			if (this.isFrozen) {
-				this.#deferred.push(run);
-			} else {
-				action();
-			}
-		};
-
-		const cancel = this.clock.schedule(delay, run);
-		return () => {
-			isCancelled = true;
-			cancel();
-		};
-	}
-
-	/** Runs the actions that became due while the instance was frozen. */
-	resume(): void {
-		this.isFrozen = false;
-		const deferred = this.#deferred;
-		this.#deferred = [];
-		for (const action of deferred) {
-			this.clock.schedule(0, action);
-		}
-	}
-}
-
-/** Bytes and number of the messages of one kind. */
-type Traffic = {count: number; bytes: number; largest: number};
-
-/** A simulated process with a clock of its own, its place and its request handlers. */
-class Instance {
-	readonly clock: InstanceClock;
-	readonly handlers = new Map<string, RequestHandler>();
-	readonly link: LinkClient;
-
-	constructor(readonly name: string, readonly dataCentre: number, network: Network) {
-		this.clock = new InstanceClock(network.clock);
-		this.link = new SimulatedLink(this, network);
-	}
-
-	handle(name: string, handler: RequestHandler): void {
-		this.handlers.set(name, handler);
-	}
-}
-
-/** Delays between the instances, and which of them cannot reach each other. */
-class Network {
-	readonly instances = new Map<string, Instance>();
-	readonly traffic = new Map<string, Traffic>();
-	isMeasuring = false;
-	/** Whether messages between two instances are lost. */
-	isCut: (from: string, to: string) => boolean;
-
-	/** Whether a control instance knows no leader, so that entry instances leave it after its answer. */
-	knowsNoLeader: (control: string) => boolean;
-
-	constructor(readonly clock: ManualClock) {
-		this.isCut = () => false;
-		this.knowsNoLeader = () => false;
-	}
-
-	delay(from: Instance, to: Instance): Milliseconds {
-		if (from.dataCentre === to.dataCentre) {
-			return 0.2;
-		}
-
-		return Math.floor(from.dataCentre / dataCentresPerRegion) === Math.floor(to.dataCentre / dataCentresPerRegion) ? 1.4 : 12;
-	}
-
-	measure(name: string, body: unknown): void {
-		if (!this.isMeasuring) {
-			return;
-		}
-
-		const bytes = encodeFrame({
-			kind: 'response', number: 1, code: 0, body, time: {milliseconds: 0, counter: 0},
-		}).length;
-		const known = this.traffic.get(name) ?? {count: 0, bytes: 0, largest: 0};
-		this.traffic.set(name, {count: known.count + 1, bytes: known.bytes + bytes, largest: Math.max(known.largest, bytes)});
-	}
-}
-
-class SimulatedLink extends LinkClient {
-	constructor(private readonly self: Instance, private readonly network: Network) {
-		super();
-	}
-
-	override async request(address: string, name: string, body: unknown, timeout: Milliseconds): Promise<unknown> {
-		const {self, network} = this;
-		return new Promise((resolve, reject) => {
-			const fail = (): void => {
-				reject(new BuckthornhitchError('linkOutcomeUnknown', `${address} did not answer ${name}.`));
-			};
-
-			const cancelTimeout = self.clock.schedule(timeout, fail);
-			const target = network.instances.get(address);
-			if (!target || target.clock.isDead) {
-				self.clock.schedule(resetDelay, fail);
-				return;
-			}
-
-			if (network.isCut(self.name, address)) {
-				return;
-			}
-
-			const delay = network.delay(self, target);
-			network.measure(`${name} request`, body);
-			const answer = (response: unknown): void => {
-				network.measure(`${name} response`, response);
-				network.clock.schedule(delay, () => {
-					if (!network.isCut(address, self.name)) {
-						self.clock.schedule(0, () => {
-							cancelTimeout();
-							resolve(response);
-						});
-					}
-				});
-			};
-
-			network.clock.schedule(delay, () => {
-				target.clock.schedule(0, () => {
-					void target.handlers.get(name)?.(body, {linkId: 0}).then(answer);
-				});
-			});
-		});
-	}
-
-	override notify(): void {
-		// Nothing here sends notices.
-	}
-}
-
 /** Counts what the limiters do. */
 class CountingObserver extends LimitObserver {
 	readonly counts = new Map<string, number>();
@@ -327,8 +166,8 @@
 			linkClient: instance.link,
 			linkServer: instance,
 			logger: silentLogger,
-			settings: this.settings,
-			controls: () => Array.from({length: controlCount}, (_, other) => ({name: `control-${other}`, address: `control-${other}`})),
+			rateLimitSettings: this.settings,
+			controls: {records: Array.from({length: controlCount}, (_, other) => ({name: `control-${other}`, address: `control-${other}`}))},
 			entryCount: () => this.entries.length,
 		});
 		instance.handle('watch', async body => exchange.answerReport(body as UsageReport));
@@ -413,72 +252,3 @@
 		return {instance, limiter};
 	}
 }
-
-/** Returns the usual rates of the customers of the deployment, per second: 492 operations with a Zipf distribution of exponent 1.2. */
-export function usualRates(count = 87, total = 492): ReadonlyMap<string, number> {
-	const weights = Array.from({length: count}, (_, index) => (index + 1) ** -1.2);
-	const sum = weights.reduce((partial, weight) => partial + weight, 0);
-	return new Map(weights.map((weight, index) => [`customer-${index}`, total * weight / sum] as const));
-}
-
-/** Returns customers whose limits are 1.6 times the usual rates. */
-export function customersFor(rates: ReadonlyMap<string, number>): readonly Customer[] {
-	return [...rates].map(([name, rate]) => ({
-		name, keyDigests: [], priority: 1, rateLimit: {ratePerSecond: rate * 1.6, burst: Math.ceil(rate / 2)},
-	}));
-}
-
-/** Returns the highest number of times in a window of the length that ends at or after the start. Independent of the classes that it checks. */
-export function highestWindowCount(times: readonly Milliseconds[], length: Milliseconds, start = 0): number {
-	const sorted = [...times].toSorted((first, second) => first - second);
-	let highest = 0;
-	let first = 0;
-	for (const [last, time] of sorted.entries()) {
-		while (sorted[first] <= time - length) {
-			first++;
-		}
-
-		if (time >= start) {
-			highest = Math.max(highest, last - first + 1);
-		}
-	}
-
-	return highest;
-}
-
-/** Returns the operations of a customer per window that members may run, computed from the requirement and not by the code that it checks. */
-export function permittedInWindow(customer: Customer, {window, overage, slack}: RateLimitSettings): number {
-	const {ratePerSecond, burst} = customer.rateLimit!;
-	return (((ratePerSecond * window / 1000) + burst) * (1 + overage)) + slack;
-}
-
-/** Longest time from the admission of an operation to its arrival at a member. */
-const longestArrivalDelay: Milliseconds = 100;
-
-/** Returns the sliding windows above the limit, as texts, counted at admission and at the arrival at a member. */
-export function windowsAboveLimit(simulation: LimitSimulation, customers: readonly Customer[], start: Milliseconds = 0): readonly string[] {
-	const {settings, operations} = simulation;
-	const random = new SeededRandom(1);
-	return customers.flatMap(customer => {
-		const admitted = operations.filter(operation => operation.isAdmitted && operation.customer === customer.name).map(({answeredAt}) => answeredAt);
-		const arrived = admitted.map(time => time + random.integerBelow(longestArrivalDelay));
-		const permitted = permittedInWindow(customer, settings);
-		return ([['admitted', admitted], ['arrived', arrived]] as const).flatMap(([when, times]) => {
-			const count = highestWindowCount(times, settings.window, start);
-			return count > permitted ? [`${customer.name}: ${count} ${when}, ${permitted.toFixed(1)} permitted`] : [];
-		});
-	});
-}
-
-/** Returns the share of the operations sent from the start on that were refused; of all customers except one, if it is given. */
-export function refusedShare(simulation: LimitSimulation, start: Milliseconds, exceptCustomer?: string): number {
-	const sent = simulation.operations.filter(({customer, sentAt}) => sentAt >= start && customer !== exceptCustomer);
-	return sent.filter(({isAdmitted}) => !isAdmitted).length / sent.length;
-}
-
-/** Returns the admitted operations of a customer relative to what its limit permits, between two times. */
-export function admittedShare(simulation: LimitSimulation, customer: Customer, from: Milliseconds, to: Milliseconds): number {
-	const {settings, operations} = simulation;
-	const admitted = operations.filter(operation => operation.isAdmitted && operation.customer === customer.name && operation.answeredAt >= from && operation.answeredAt < to);
-	return admitted.length / (permittedInWindow(customer, settings) * (to - from) / settings.window);
-}
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -11,7 +11,7 @@
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
 import {type Random, uniqueId} from '../random/random.js';
-import {defaultRateLimitSettings, type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
+import {type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {validateRoutingTable} from '../routing-table/routing-table-validation.js';
 import {RoutingStateMachine, type AcceptedRouting, type SubmitResult} from '../routing-table/routing-state-machine.js';
@@ -143,13 +143,7 @@
 			reachability: () => this.#reachability(),
 			takeAnnouncedServers: () => this.#takeAnnouncedServers(),
 		});
-		this.#usage = new UsageExchange({
-			...options,
-			runId: this.#directoryId,
-			settings: options.rateLimitSettings ?? defaultRateLimitSettings,
-			controls: () => controls.records,
-			entryCount: () => this.#entries.all.length,
-		});
+		this.#usage = new UsageExchange({...options, runId: this.#directoryId, entryCount: () => this.#entries.all.length});
 	}
 
 	/** The routing table known to this instance; it may be older than the accepted one. */
--- a/source/registry/usage-exchange.ts
+++ b/source/registry/usage-exchange.ts
@@ -4,7 +4,7 @@
 import {type Address} from '../links/address.js';
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
-import {type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
+import {defaultRateLimitSettings, type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
 import {
 	type OperationsRequest, type OperationsResponse, type SharedSums, type UsageReport, type UsageResponse,
 } from '../rate-limit/messages.js';
@@ -30,9 +30,9 @@
 	readonly linkClient: LinkClient;
 	readonly linkServer: {handle(name: string, handler: RequestHandler): void};
 	readonly logger: Logger;
-	readonly settings: RateLimitSettings;
-	/** Returns the names and addresses of the known control instances. */
-	readonly controls: () => ReadonlyArray<{readonly name: string; readonly address: Address}>;
+	readonly rateLimitSettings?: RateLimitSettings;
+	/** The known control instances. */
+	readonly controls: {readonly records: ReadonlyArray<{readonly name: string; readonly address: Address}>};
 	/** Returns the number of entry instances. */
 	readonly entryCount: () => number;
 };
@@ -47,7 +47,7 @@
 
 	constructor(private readonly options: UsageExchangeOptions) {
 		super();
-		const {name, runId, clock, settings} = options;
+		const {name, runId, clock, rateLimitSettings: settings = defaultRateLimitSettings} = options;
 		this.#ledger = new UsageLedger({
 			name, runId, clock, settings, firstOpenForward: () => this.#forwards.first,
 		});
@@ -82,7 +82,7 @@
 		}
 
 		const {controls, entryCount, name: ownName} = this.options;
-		const others = controls().filter(({name}) => name !== ownName);
+		const others = controls.records.filter(({name}) => name !== ownName);
 		this.#ledger.updateInstances(entryCount(), others.map(({name}) => name));
 		for (const {name, address} of others) {
 			if (!this.#exchangingWith.has(name)) {
@@ -121,7 +121,7 @@
 		const own = this.#ledger.grant(request);
 		const missing = request.count - own.granted;
 		const owner = request.forwardedBy === undefined && missing > 0 ? this.#ledger.ownerOf(request.customer) : undefined;
-		const address = this.options.controls().find(({name}) => name === owner)?.address;
+		const address = this.options.controls.records.find(({name}) => name === owner)?.address;
 		if (address === undefined) {
 			return own;
 		}
