--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -64,6 +64,8 @@
 	#controls: readonly ControlRecord[] = [];
 	#controlsDigest = '';
 	#target: Address | undefined;
+	/** Control instance that answered the last request which was answered; undefined when it has not answered a later one. */
+	#answeredBy: Address | undefined;
 	#failedTargets = new Set<Address>();
 	#lastFailureAt: Milliseconds = 0;
 	#directoryId = '';
@@ -125,11 +127,13 @@
 
 	/** Asks the control instance that is watched for operations of a customer. Rejects when none is watched or when it does not answer in time. */
 	async requestOperations(request: OperationsRequest): Promise<OperationsResponse | null> {
-		if (this.#target === undefined) {
+		// The control instance that answered last has the newest report. The one that is watched may be another one that has not answered yet, for example while none knows a leader and each is left after its answer.
+		const target = this.#answeredBy ?? this.#target;
+		if (target === undefined) {
 			throw new BuckthornhitchError('linkNotSent', 'No control instance is watched.');
 		}
 
-		return await this.options.linkClient.request(this.#target, 'requestOperations', request, operationsTimeout) as OperationsResponse | null;
+		return await this.options.linkClient.request(target, 'requestOperations', request, operationsTimeout) as OperationsResponse | null;
 	}
 
 	override start(): void {
@@ -174,7 +178,8 @@
 	async #pollTarget(target: Address): Promise<boolean> {
 		const {clock, linkClient, logger, self, region, reachability, wantsAllEntries, operationLimiter} = this.options;
 		const isAllWanted = wantsAllEntries?.() ?? false;
-		const sentReport = operationLimiter?.createReport(target);
+		// Before the first answer, all seeds are asked at the same time; usage is reported to one control instance only.
+		const sentReport = target === this.#target ? operationLimiter?.createReport(target) : undefined;
 		const askedAt = clock.now();
 		const request: WatchRequest = {
 			self: isAllWanted ? {...self, region} : self,
@@ -191,6 +196,7 @@
 		try {
 			const response = await linkClient.request(target, 'watch', request, watchTimeout) as WatchResponse;
 			this.#handleResponse(response, target, askedAt);
+			this.#answeredBy = target;
 			this.#applyCredits(response, sentReport);
 			const {leaderSilence} = response;
 			if (leaderSilence === null || leaderSilence > leaderSilenceLimit) {
@@ -204,6 +210,7 @@
 			return true;
 		} catch (error) {
 			logger.warn(`request to control instance ${target} failed: ${toBuckthornhitchError(error).message}`);
+			this.#answeredBy = this.#answeredBy === target ? undefined : this.#answeredBy;
 			this.#dropTarget(target, 'no answer');
 			return false;
 		}
