Compute the retry-after time of refusals from their cause

Cause: every refusal named 200 ms. During a promotion, clients returned several times before its end; all refused clients returned together.

ServiceClient computes the time: what is left of a promotion while no primary is known, the work ahead in the least loaded pool after a refusal because of load, and 200 ms with jitter when nothing is known. The text is unchanged.

--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -170,10 +170,18 @@
 	}
 
 	#fail(id: string, {reason, detail}: TransactionRefusal): StatementReply {
+		const {client, route, isReadOnly} = this.options;
+		const pools = this.#held ? [this.#held.pool] : client.pools.filter(({server}) => isReadOnly || server.id === client.primaryId);
 		this.context.log(id, 'transaction', `failed ${reason} ${detail}`, {member: this.#held?.pool.server.id});
 		this.rollBack();
 		this.#failure = 'malformed';
-		return reason === 'busy' ? notRunRefusal(detail, 'failed') : refusal(reason, detail, 'failed');
+		if (reason !== 'busy') {
+			return refusal(reason, detail, 'failed');
+		}
+
+		return notRunRefusal(detail, 'failed', client.retryAfter({
+			pools, reason, needsPrimary: !isReadOnly, usefulTime: route.statementTimeout,
+		}));
 	}
 
 	#releaseAfterCommit(reply: StatementReply): void {
--- a/source/session-proxy/replies.ts
+++ b/source/session-proxy/replies.ts
@@ -3,9 +3,6 @@
 	proxySignature, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 
-/** Time after which callers should retry a request that did not run; about as long as two searches for a primary. */
-const retryAfter: Milliseconds = 200;
-
 /** Returns the reply to a statement that the proxy executed itself. */
 export function localReply(transaction: TransactionState): StatementReply {
 	return {
@@ -20,8 +17,8 @@
 	};
 }
 
-/** Returns a reply that refuses a request which has not run, and says when to retry it. */
-export function notRunRefusal(detail: string, transaction: TransactionState): StatementReply {
+/** Returns a reply that refuses a request which has not run, and says after which time to retry it. */
+export function notRunRefusal(detail: string, transaction: TransactionState, retryAfter: Milliseconds): StatementReply {
 	return refusal('busy', `not run, come back in ${retryAfter} ms: ${detail}`, transaction);
 }
 
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -1,13 +1,15 @@
+import {retryAfter, type RetryCause} from '../admission/retry-after.js';
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {compareLogPositions} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
-import {type Random} from '../random/random.js';
+import {SystemRandom, type Random} from '../random/random.js';
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnector} from '../statement/member-connection.js';
+import {type RefusalReason} from '../statement/types.js';
 import {FreshnessTracker} from './freshness-tracker.js';
 import {MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
@@ -39,6 +41,16 @@
 	readonly random?: Random;
 };
 
+/** A request that did not run on any of the pools. */
+export type NotRunRequest = {
+	readonly pools: readonly MemberPool[];
+	/** Reason of the last refusal. */
+	readonly reason: RefusalReason;
+	readonly needsPrimary: boolean;
+	/** Time for which the caller has a use for the reply. */
+	readonly usefulTime: Milliseconds;
+};
+
 /** Client of one service: connection pools of its members, the current primary and the freshness of its data. */
 export class ServiceClient {
 	readonly freshness: FreshnessTracker;
@@ -52,11 +64,16 @@
 	#lastPrimary: string | undefined;
 	/** Term in which the primary last confirmed its role. */
 	#primaryTerm = 0;
+	/** Time since which no primary is known. */
+	#primaryMissingSince: Milliseconds;
+	readonly #random: Random;
 	#primarySearch: Promise<string | undefined> | undefined;
 
 	constructor(private readonly options: ServiceClientOptions) {
 		this.freshness = new FreshnessTracker(options.clock);
-		this.placement = new ReadPlacement(options);
+		this.#random = options.random ?? new SystemRandom();
+		this.placement = new ReadPlacement({...options, random: this.#random});
+		this.#primaryMissingSince = options.clock.now();
 		this.#createdAt = options.clock.now();
 		this.refresh();
 	}
@@ -86,9 +103,7 @@
 				pool.close();
 				this.#pools.delete(id);
 				this.placement.forget(id);
-				if (this.#primary === id) {
-					this.#primary = undefined;
-				}
+				this.forgetPrimary(id);
 			}
 		}
 
@@ -114,9 +129,18 @@
 	forgetPrimary(id: string): void {
 		if (this.#primary === id) {
 			this.#primary = undefined;
+			this.#primaryMissingSince = this.options.clock.now();
 		}
 	}
 
+	/** Returns the time after which a caller should repeat a request that did not run. */
+	retryAfter({pools, reason, needsPrimary, usefulTime}: NotRunRequest): Milliseconds {
+		const cause: RetryCause = needsPrimary && this.#primary === undefined
+			? {kind: 'promotion', missingFor: this.options.clock.now() - this.#primaryMissingSince}
+			: causeOfRefusal(pools, reason);
+		return retryAfter(cause, usefulTime, this.#random);
+	}
+
 	/** Records the log position in a reply of the primary to a statement that was sent at `askedAt`. */
 	recordPrimaryPosition(id: string, logPosition: LogPosition | undefined, askedAt: Milliseconds): void {
 		if (logPosition) {
@@ -262,3 +286,10 @@
 		});
 	}
 }
+
+/** Returns the cause of a refusal because of load: the time in which the least loaded pool answers the requests that it has. The end of other causes, such as replicas that lag behind, is not known. */
+function causeOfRefusal(pools: readonly MemberPool[], reason: RefusalReason): RetryCause {
+	const reachable = pools.filter(({isFailing}) => !isFailing);
+	const workAhead = Math.min(...reachable.map(({expectedReplyTime, load}) => expectedReplyTime * (1 + load)));
+	return reason === 'busy' && Number.isFinite(workAhead) ? {kind: 'queue', workAhead} : {kind: 'unknown'};
+}
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -28,9 +28,11 @@
 		const {request, route, client, arrivedAt, deadline} = routed;
 		let last: StatementAttempt = {kind: 'notRun', reason: 'busy', detail: 'no member was reached'};
 		const attemptsThatMayHaveRun: StatementAttempt[] = [];
+		let isPrimaryMissing = false;
 		while (context.now < deadline) {
 			const required = await this.requiredPosition(client, arrivedAt - route.maximumStaleness, deadline);
 			if (!required) {
+				isPrimaryMissing = true;
 				break;
 			}
 
@@ -67,7 +69,9 @@
 			}
 
 			case 'notRun': {
-				return notRunRefusal(describeAttempt(last), 'idle');
+				return notRunRefusal(describeAttempt(last), 'idle', client.retryAfter({
+					pools: client.pools, reason: last.reason, needsPrimary: isPrimaryMissing, usefulTime: route.statementTimeout,
+				}));
 			}
 
 			case 'unknown': {
--- a/source/session-proxy/statement-session.spec.ts
+++ b/source/session-proxy/statement-session.spec.ts
@@ -298,3 +298,21 @@
 	const reply = await fixture.run(session, read);
 	assert.match(reply.outcome === 'refused' ? reply.detail : '', /^not run, come back in \d+ ms: /v);
 });
+
+function retryAfterOf(reply: StatementReply): number {
+	return Number(/come back in (?<time>\d+) ms/v.exec(reply.outcome === 'refused' ? reply.detail : '')?.groups?.time);
+}
+
+// A time that is the same for all causes brings clients back in the middle of a promotion, all at once.
+test('the time to retry follows the cause and differs between callers', async () => {
+	const times: number[] = [];
+	for (let caller = 0; caller < 8; caller++) {
+		const fixture = new SessionFixture();
+		fixture.primary.role = 'replica';
+		times.push(retryAfterOf(await fixture.run(await fixture.open(), write)));
+	}
+
+	// The primary has been missing for about 720 ms of the 1,100 ms that a promotion takes.
+	assert.ok(times.every(time => time >= 250 && time <= 500), times.join(' '));
+	assert.ok(new Set(times).size > 1);
+});
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -21,8 +21,10 @@
 
 /** Executes a write outside a transaction on the primary. Retries it until its deadline, but only while each attempt has certainly not run. */
 export async function executeWrite(context: SessionContext, routed: RoutedDataRequest): Promise<StatementReply> {
-	const {request, client, deadline} = routed;
+	const {request, route, client, deadline} = routed;
 	let detail = 'no primary was found';
+	let reason: RefusalReason = 'busy';
+	let pools: readonly MemberPool[] = [];
 	while (context.now < deadline) {
 		let pool: MemberPool;
 		try {
@@ -40,7 +42,8 @@
 			return finalReply(context, client, {attempt, pool, startedAt});
 		}
 
-		({detail} = attempt);
+		({detail, reason} = attempt);
+		pools = [pool];
 		if (!pool.isAnswerableBefore(deadline)) {
 			break;
 		}
@@ -49,7 +52,9 @@
 	}
 
 	context.log(request.id, 'refusal', detail);
-	return notRunRefusal(detail, 'idle');
+	return notRunRefusal(detail, 'idle', client.retryAfter({
+		pools, reason, needsPrimary: true, usefulTime: route.statementTimeout,
+	}));
 }
 
 type FinalAttempt = {
