--- a/source/session-proxy/caller-operation.ts
+++ b/source/session-proxy/caller-operation.ts
@@ -1,10 +1,14 @@
+import {retryAfter, type RetryCause} from '../admission/retry-after.js';
 import {shortDigest} from '../customers/key-digest.js';
 import {type Customer} from '../customers/types.js';
+import {SystemRandom} from '../random/random.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type StatementReply} from '../statement/types.js';
 import {notRunRefusal, refusal} from './replies.js';
 import {type SessionContext} from './session-context.js';
 
+const random = new SystemRandom();
+
 /** Operation of a caller, which is one statement outside a transaction or a whole transaction. It is executed for the customer for whom it was admitted. */
 export class CallerOperation {
 	#isAdmitted = false;
@@ -51,13 +55,19 @@
 		try {
 			const admission = await context.dependencies.admitOperation?.(customer) ?? {admitted: true};
 			context.log(id, 'admission', admission.admitted ? 'done' : 'limited', {customer: customer.name});
-			return admission.admitted ? undefined : notRunRefusal('the limit of the customer is reached', 'idle', admission.retryAfter);
+			return admission.admitted ? undefined : this.#refuse('the limit of the customer is reached', {kind: 'customerLimit', remaining: admission.retryAfter});
 		} catch (error) {
 			const {message} = toBuckthornhitchError(error);
 			context.log(id, 'admission', `fault ${message}`);
-			return notRunRefusal(message, 'idle');
+			return this.#refuse(message, {kind: 'unknown'});
 		}
 	}
+
+	#refuse(detail: string, cause: RetryCause): StatementReply {
+		const {dependencies, database} = this.context;
+		const usefulTime = dependencies.route(database)?.statementTimeout ?? Number.POSITIVE_INFINITY;
+		return notRunRefusal(detail, 'idle', retryAfter(cause, usefulTime, random));
+	}
 }
 
 /** Returns the refusal of a statement whose key identifies no customer. */
