Send no request of a check on a session that ended with a FATAL error

Cause: an entry that stops ends the session of an idle caller with a FATAL error and closes the connection. The caller of the check took the error as the answer to its request (refused, draining, not run) and sent the next request on the same connection before it saw the end of the connection; that request was never received and counted as interrupted.

A FATAL error now ends the use of the connection, as the protocol defines it. The check itself is unchanged.

--- a/verification/caller-connection.ts
+++ b/verification/caller-connection.ts
@@ -62,7 +62,8 @@
 			return {command, rows};
 		} catch (error) {
 			// The answer to a request that timed out may still arrive and would be taken for that of the next one, so the connection is not used again.
-			this.isUnusable ||= outcomeOfError(error).kind === 'unknown' && !hasResultCode(error);
+			// After a FATAL error the server has ended the session. The end of the connection may arrive later than the error, and a request sent in between is never received.
+			this.isUnusable ||= (outcomeOfError(error).kind === 'unknown' && !hasResultCode(error)) || (error as {readonly severity?: string}).severity === 'FATAL';
 			throw error;
 		}
 	}
