Wait in the checks until lookups of a stated age must see their tables

Cause: lookups that state an age of 5 s ran right after CREATE TABLE and got 42P01 (relation does not exist). A pool serves such a lookup from any member that has applied a freshness floor of the last 5 s, and such a floor may be from before the table was created; the answer is allowed by the stated age.

The workload now waits that age out after it has created the tables. The check is unchanged: a later 42P01 still fails it.

--- a/verification/workload.ts
+++ b/verification/workload.ts
@@ -51,16 +51,20 @@
 		this.#callers = Array.from({length: options.callerCount}, (_, index) => new WorkloadCaller(`s${index + 1}`, options, history, sharedKeys));
 	}
 
-	/** Creates the tables and the callers' rows in `register`; retries until the group accepts them. Rejects after `maximumAttempts` failures of one statement. */
+	/** Creates the tables and the callers' rows in `register`; retries until the group accepts them. Resolves once a lookup of the stated age must see the tables. Rejects after `maximumAttempts` failures of one statement. */
 	async prepare(): Promise<void> {
 		const tables = ['notice (key text, value text)', 'pair (key text, value text)', 'register (key text PRIMARY KEY, value text, sequence int)'];
 		for (const table of tables) {
 			await this.#callers[0].runUntilAccepted({text: `CREATE TABLE IF NOT EXISTS ${table}`});
 		}
 
+		const createdAt = performance.now();
 		for (const caller of this.#callers) {
 			await caller.runUntilAccepted({text: `INSERT INTO register (key, value, sequence) VALUES ('${caller.session}', '${writtenValue(caller.session, '0')}', 0) ON CONFLICT DO NOTHING`});
 		}
+
+		// Until then, a lookup of the stated age may be served from before the tables were created.
+		await delay(Math.max(0, createdAt + lookupMaximumAge - performance.now()));
 	}
 
 	/** Starts the load, which runs until `stop`. */
