--- a/source/binaries/buckthornhitch.ts
+++ b/source/binaries/buckthornhitch.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 import process from 'node:process';
 import {run, subcommands} from 'cmd-ts';
+import {checkCommand} from '../command-line/check-command.js';
 import {
-	applyCommand, bootstrapCommand, checkCommand, fetchCommand,
+	applyCommand, bootstrapCommand, fetchCommand,
 } from '../command-line/configuration-commands.js';
 import {explainCommand} from '../command-line/explain-command.js';
 import {drainCommand, promoteCommand, timelineCommand} from '../command-line/fleet-commands.js';
--- a/source/command-line/configuration-commands.ts
+++ b/source/command-line/configuration-commands.ts
@@ -10,24 +10,10 @@
 import {
 	deriveChangeId, readConfigurationFolder, readRevision, writeConfigurationFolder, writeRevision,
 } from './configuration-files.js';
-import {reportFailure, runWithSession, type OperatorSession} from './operator-session.js';
+import {runWithSession, type OperatorSession} from './operator-session.js';
 
-const folderArgument = positional({type: string, displayName: 'folder', description: 'folder with base.yaml and one overlay file for each site'});
-
-/** `check`: validates a folder of configuration files without submitting it. */
-export const checkCommand = command({
-	name: 'check',
-	description: 'check a folder of configuration files',
-	args: {folder: folderArgument},
-	async handler({folder}) {
-		try {
-			assertFilesValid(await readConfigurationFolder(folder));
-			console.log('The files are valid.');
-		} catch (error) {
-			reportFailure(error);
-		}
-	},
-});
+/** Argument for a folder of configuration files. */
+export const folderArgument = positional({type: string, displayName: 'folder', description: 'folder with base.yaml and one overlay file for each site'});
 
 /** `fetch`: writes the accepted configuration files into a folder. */
 export const fetchCommand = command({
@@ -88,7 +74,8 @@
 	},
 });
 
-async function fetchAccepted(session: OperatorSession): Promise<AcceptedConfiguration> {
+/** Returns the accepted configuration. Rejects if no control instance answers. */
+export async function fetchAccepted(session: OperatorSession): Promise<AcceptedConfiguration> {
 	// Revisions are not negative, so the control process has no complete list of changes since -1 and responds with a snapshot of the whole configuration.
 	const response = await session.controlClient.configurationSince({revision: -1});
 	if (response.kind !== 'snapshot') {
--- a/source/command-line/operator-session.ts
+++ b/source/command-line/operator-session.ts
@@ -20,12 +20,19 @@
 
 /** Runs a command with a session and closes its links afterwards. If the command fails, prints the error with its result code and sets exit status 1. */
 export async function runWithSession(controls: readonly Address[], command: (session: OperatorSession) => Promise<void>): Promise<void> {
-	const clock = new SystemClock();
-	const linkClient = new TcpLinkClient(clock, new HybridClock(clock));
 	try {
-		await command({controls, linkClient, controlClient: new ControlClient(linkClient, clock, controls)});
+		await withSession(controls, command);
 	} catch (error) {
 		reportFailure(error);
+	}
+}
+
+/** Runs an action with a session, closes its links afterwards, and resolves with the result of the action. Rejects like the action. */
+export async function withSession<Result>(controls: readonly Address[], action: (session: OperatorSession) => Promise<Result>): Promise<Result> {
+	const clock = new SystemClock();
+	const linkClient = new TcpLinkClient(clock, new HybridClock(clock));
+	try {
+		return await action({controls, linkClient, controlClient: new ControlClient(linkClient, clock, controls)});
 	} finally {
 		await linkClient.close();
 	}
--- a/source/settings/common-settings.ts
+++ b/source/settings/common-settings.ts
@@ -74,3 +74,8 @@
 export const controlsOption = option({
 	type: addressListType, long: 'controls', env: 'BUCKTHORNHITCH_CONTROLS', description: 'link addresses of the control instances',
 });
+
+/** Command-line flag for the control processes, for commands that also work without them. It does not read the environment, so that such a command asks them only on request. */
+export const optionalControlsOption = option({
+	type: addressListType, long: 'controls', description: 'link addresses of the control instances', defaultValue: () => [],
+});
