Let stand-in members count statements inside another caller's transaction

The stand-in executed a statement that the proxy sent on a connection with the open transaction of another caller, and nothing showed it. Callers of a test can now mark a statement with a comment that names their session and transaction; the member executes and counts a marked statement that arrives inside the transaction of another caller, and logs it.

--- a/stand-in/client-session.ts
+++ b/stand-in/client-session.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
+import {parseCallerMark} from './caller-mark.js';
 import {
 	backendMessages, ClientMessageReader, startupCodes, type MessageBodyReader, type ClientMessage, type ResultColumn,
 } from './postgres-messages.js';
@@ -17,11 +18,13 @@
 	removeSession(session: ClientSession): void;
 	describe(statement: ParsedStatement, transaction: Transaction): readonly ResultColumn[] | undefined;
 	execute(statement: ParsedStatement, values: readonly Value[], transaction: SessionTransaction): Promise<StatementResult>;
+	/** Records a marked statement that arrived inside the transaction of another caller. */
+	recordMisplacedStatement(mark: string, caller: string): void;
 	/** Takes over a connection on which a replica has requested replication. */
 	serveReplica(socket: Socket, received: Buffer): void;
 };
 
-type PreparedStatement = {readonly statement: ParsedStatement | undefined; readonly parameterTypes: readonly number[]};
+type PreparedStatement = {readonly statement: ParsedStatement | undefined; readonly parameterTypes: readonly number[]; readonly mark: string | undefined};
 type Portal = PreparedStatement & {readonly values: readonly Value[]; result?: StatementResult; sentRowCount: number};
 
 const integerTypeOids = new Set([20, 21, 23]);
@@ -207,8 +210,9 @@
 			this.#enqueue(backendMessages.emptyQuery);
 		}
 
+		const mark = parseCallerMark(text);
 		for (const [index, statement] of statements.entries()) {
-			const result = await this.#execute(statement, []);
+			const result = await this.#execute(statement, [], mark);
 			if (index === statements.length - 1) {
 				this.#transaction.endImplicit();
 			}
@@ -247,7 +251,8 @@
 
 	#parse(body: MessageBodyReader): void {
 		const name = body.string();
-		const statements = parseStatements(body.string());
+		const text = body.string();
+		const statements = parseStatements(text);
 		if (statements.length > 1) {
 			throw new SqlError('42601', 'cannot insert multiple commands into a prepared statement');
 		}
@@ -256,7 +261,7 @@
 			throw new SqlError('42P05', `prepared statement "${name}" already exists`);
 		}
 
-		this.#preparedStatements.set(name, {statement: statements[0], parameterTypes: body.list(() => body.int32())});
+		this.#preparedStatements.set(name, {statement: statements[0], parameterTypes: body.list(() => body.int32()), mark: parseCallerMark(text)});
 		this.#enqueue(backendMessages.parseComplete);
 	}
 
@@ -304,7 +309,7 @@
 			return;
 		}
 
-		portal.result ??= await this.#execute(portal.statement, portal.values);
+		portal.result ??= await this.#execute(portal.statement, portal.values, portal.mark);
 		const {rows, tag} = portal.result;
 		this.#sendRows(rows.slice(portal.sentRowCount, portal.sentRowCount + limit));
 		portal.sentRowCount += limit;
@@ -329,7 +334,12 @@
 		return portal;
 	}
 
-	async #execute(statement: ParsedStatement, values: readonly Value[]): Promise<StatementResult> {
+	async #execute(statement: ParsedStatement, values: readonly Value[], mark: string | undefined): Promise<StatementResult> {
+		const otherCaller = mark === undefined ? undefined : this.#transaction.callerOtherThan(mark);
+		if (mark !== undefined && otherCaller !== undefined) {
+			this.host.recordMisplacedStatement(mark, otherCaller);
+		}
+
 		const endsTransaction = statement.type === 'commit' || statement.type === 'rollback';
 		if (!endsTransaction) {
 			this.#transaction.assertNotFailed();
--- a/stand-in/member.spec.ts
+++ b/stand-in/member.spec.ts
@@ -3,6 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import type pg from 'pg';
 import {ManualClock} from '../source/clock/manual-clock.js';
+import {formatCallerMark} from './caller-mark.js';
 import {
 	connectClient, promoteFirst, startMembers, waitUntil,
 } from './group-fixture.js';
@@ -135,3 +136,25 @@
 	assert.equal(requests[0], expectedRequest(false));
 	assert.equal(requests.at(-1), expectedRequest(true));
 });
+
+// Guards against a proxy that shares a connection with an open transaction: without the count, the statements of both callers succeed.
+test('a marked statement inside the transaction of another caller is executed and counted', {timeout}, async context => {
+	const member = await startPrimary(context);
+	const client = await connectClient(member.address);
+	const mark = formatCallerMark;
+	await client.query('CREATE TABLE t (id text)');
+	await client.query(`SELECT * FROM t ${mark('s1')}`);
+	await client.query(`SELECT * FROM t ${mark('s2')}`);
+	await client.query('BEGIN');
+	await client.query(`INSERT INTO t VALUES ($1) ${mark('s1.t1')}`, ['a']);
+	assert.equal(member.misplacedStatementCount, 0);
+	await client.query(`INSERT INTO t VALUES ($1) ${mark('s2')}`, ['b']);
+	await client.query(`SELECT * FROM t ${mark('s1.t2')}`);
+	assert.equal(member.misplacedStatementCount, 2);
+	await client.query(`COMMIT ${mark('s1.t1')}`);
+	assert.deepEqual(await selectRows(client, 'SELECT count(*) FROM t'), [['2']]);
+	await client.query('BEGIN');
+	await client.query(`SELECT * FROM t ${mark('s2.t3')}`);
+	await client.query('COMMIT');
+	assert.equal(member.misplacedStatementCount, 2);
+});
--- a/stand-in/member.ts
+++ b/stand-in/member.ts
@@ -38,6 +38,8 @@
 	/** Announcements of the member to entries; none are sent if absent. */
 	readonly announcement?: AnnouncerOptions;
 	readonly clock?: Clock;
+	/** Called for each statement that arrives inside the transaction of another caller, with a description. */
+	readonly onMisplacedStatement?: (description: string) => void;
 };
 
 const appNamePrefix = 'buckthornhitch/';
@@ -57,6 +59,8 @@
 	maximumConnections = 0;
 	/** Number of statements received so far, not counting calls of the `group_*` functions. */
 	statementsReceived = 0;
+	/** Number of marked statements that arrived inside the transaction of another caller. They are executed nevertheless, as a backend server would. */
+	misplacedStatementCount = 0;
 	readonly #clock: Clock;
 	readonly #slotSemaphore: SlotSemaphore;
 	readonly #lease: MemberLease;
@@ -251,6 +255,11 @@
 		});
 	}
 
+	recordMisplacedStatement(mark: string, caller: string): void {
+		this.misplacedStatementCount++;
+		this.options.onMisplacedStatement?.(`a statement of ${mark} arrived inside the transaction of ${caller}`);
+	}
+
 	serveReplica(socket: Socket, received: Buffer): void {
 		this.#state.serveReplica(socket, received);
 	}
--- a/stand-in/session-transaction.ts
+++ b/stand-in/session-transaction.ts
@@ -15,6 +15,8 @@
 	#isReadOnly = false;
 	#isFailed = false;
 	#isTerminated = false;
+	/** Mark of the first marked statement of the explicit transaction. */
+	#caller: string | undefined;
 
 	constructor(private readonly host: TransactionHost) {}
 
@@ -40,6 +42,16 @@
 		this.#isReadOnly = isReadOnly;
 	}
 
+	/** Returns the mark of the caller to which the explicit transaction belongs, if it is another one than that of the statement. The first marked statement determines it. */
+	callerOtherThan(mark: string): string | undefined {
+		if (!this.#isExplicit) {
+			return undefined;
+		}
+
+		this.#caller ??= mark;
+		return this.#caller === mark ? undefined : this.#caller;
+	}
+
 	/** Throws 25P02 if an error has occurred in the transaction. */
 	assertNotFailed(): void {
 		if (this.#isFailed) {
@@ -90,6 +102,7 @@
 		this.#isExplicit = false;
 		this.#isReadOnly = false;
 		this.#isFailed = false;
+		this.#caller = undefined;
 	}
 
 	/** Rolls back. Statements in progress have no effect. */
--- a/stand-in/stand-in-member.ts
+++ b/stand-in/stand-in-member.ts
@@ -43,6 +43,9 @@
 		const logger = createLogger(options.name, 'stand-in', 'info');
 		const member = new StandInMember({
 			...options,
+			onMisplacedStatement(description) {
+				logger.error(description);
+			},
 			announcement: {
 				entries, database, dataCentre, address: announcedAddress,
 			},
