--- a/source/session-proxy/customer-session.spec.ts
+++ b/source/session-proxy/customer-session.spec.ts
@@ -339,7 +339,7 @@
 		assert.deepEqual(summary(reply), ['busy', 'idle']);
 		const time = Number(/^not run, come back in (\d+) ms: /v.exec(reply.outcome === 'refused' ? reply.detail : '')?.[1]);
 		// The time of the limiter, with the jitter that keeps callers from returning together.
-		assert.ok(time >= 321.5 * 0.75 - 1 && time <= 321.5 * 1.25 + 1, String(time));
+		assert.ok(time >= (321.5 * 0.75) - 1 && time <= (321.5 * 1.25) + 1, String(time));
 	}
 
 	assert.equal(session.isInTransaction, false);
