Let operations wait while a control instance cannot grant yet

It now answers that they may be asked for again while the headroom is ample, and grants nothing before it heard all others or 1 s has passed. What is known of the other instances is computed once for each message, and the pause after a refusal bounds the requests for each customer as stated.

--- a/source/rate-limit/messages.ts
+++ b/source/rate-limit/messages.ts
@@ -42,12 +42,12 @@
 	readonly count: number;
 };
 
-/** Response to `requestOperations`; null from a control instance that was just started or suspended and knows nothing of the others yet. */
+/** Response to `requestOperations`. */
 export type OperationsResponse = {
 	readonly granted: number;
 	/** Time after which the operations that were not granted may be sent again. */
 	readonly retryAfter: Milliseconds;
-	/** Time for which the entry instance refuses operations of the customer without asking; 0 when all were granted. */
+	/** Time for which the entry instance refuses operations of the customer without asking. 0 when all were granted, or when the others are not refused but may be asked for again shortly. */
 	readonly pause: Milliseconds;
 };
 
--- a/source/rate-limit/operation-limiter.spec.ts
+++ b/source/rate-limit/operation-limiter.spec.ts
@@ -19,7 +19,7 @@
 	readonly metrics = new Registry();
 	readonly lines: string[] = [];
 	readonly limiter: OperationLimiter;
-	respond: (request: OperationsRequest) => OperationsResponse | null | Error;
+	respond: (request: OperationsRequest) => OperationsResponse | Error;
 
 	constructor() {
 		this.respond = ({count}) => ({granted: count, retryAfter: 0, pause: 0});
@@ -138,7 +138,7 @@
 test('operations wait while the control instance is not ready', async () => {
 	const fixture = new LimiterFixture();
 	fixture.limiter.replaceCustomers([limited]);
-	fixture.respond = () => null;
+	fixture.respond = () => ({granted: 0, retryAfter: 0, pause: 0});
 	assert.deepEqual(await fixture.send(limited, 5, 200), {admitted: 0, refused: 0});
 	fixture.respond = ({count}) => ({granted: count, retryAfter: 0, pause: 0});
 	assert.deepEqual(await fixture.send(limited, 1, 100), {admitted: 1, refused: 0});
--- a/source/rate-limit/operation-limiter.ts
+++ b/source/rate-limit/operation-limiter.ts
@@ -9,7 +9,7 @@
 import {OpenRequests} from './open-requests.js';
 import {SlidingWindow} from './sliding-window.js';
 
-/** Delay before a request that failed is sent again, while a control instance may still answer. */
+/** Delay before a request that failed or is to be repeated is sent again. It covers an exchange between the control instances after the start of one. */
 const repeatDelay: Milliseconds = 50;
 
 /** A credit that was not used for this long is returned. */
@@ -25,7 +25,7 @@
 	readonly settings: RateLimitSettings;
 	readonly observer: LimitObserver;
 	/** Sends `requestOperations` to the control instance that is watched. Rejects when it does not answer in time. */
-	readonly requestOperations: (request: OperationsRequest) => Promise<OperationsResponse | null>;
+	readonly requestOperations: (request: OperationsRequest) => Promise<OperationsResponse>;
 };
 
 type Waiting = {
@@ -204,17 +204,17 @@
 	async #askFor(name: string, state: CustomerState, batch: readonly Waiting[]): Promise<void> {
 		const {clock, observer, requestOperations, runId} = this.options;
 		const number = this.#requests.begin();
-		let response: OperationsResponse | null;
+		let response: OperationsResponse | undefined;
 		try {
 			observer.operationsRequested(batch.length);
 			response = await requestOperations({
 				forwardedBy: undefined, runId, number, customer: name, count: batch.length,
 			});
 		} catch {
-			response = null;
+			// Handled below: the operations wait, or are decided by history.
 		}
 
-		this.#isLastRequestFailed = response === null;
+		this.#isLastRequestFailed = response === undefined;
 		if (!response) {
 			this.#requests.end(number);
 			await this.#repeatOrDecide(name, state, batch);
@@ -230,6 +230,11 @@
 		// The granted operations are in the window before the request counts as ended.
 		this.#requests.end(number);
 		const refused = batch.slice(response.granted);
+		if (refused.length > 0 && response.pause === 0) {
+			await this.#repeatOrDecide(name, state, refused);
+			return;
+		}
+
 		if (refused.length > 0) {
 			state.refusedUntil = now + response.pause;
 			state.retryAt = now + response.retryAfter;
@@ -240,7 +245,7 @@
 		}
 	}
 
-	/** After a request that failed, operations wait until a control instance answers, or are decided by history when none has answered for the lifetime of a credit. */
+	/** After a request that failed or is to be repeated, operations wait until a control instance answers, or are decided by history when none has answered for the lifetime of a credit. */
 	async #repeatOrDecide(name: string, state: CustomerState, batch: readonly Waiting[]): Promise<void> {
 		const {clock} = this.options;
 		await clock.sleep(repeatDelay);
--- a/source/rate-limit/usage-ledger.ts
+++ b/source/rate-limit/usage-ledger.ts
@@ -12,8 +12,10 @@
 /** Entry instances ask each control instance at most this often per second for a customer that has nothing left. */
 const maximumRefusedRequestsPerSecond = 500;
 
-/** Shortest and longest time after which a refused operation may be sent again, and the shortest pause between requests for a customer that has nothing left. */
-const shortestRetry: Milliseconds = 20;
+/** Share of the limit above which a headroom is ample: operations that cannot be granted now are then not refused. */
+const ampleShare = 0.25;
+
+/** Shortest pause between requests of an entry instance for a customer that has nothing left. */
 const shortestPause: Milliseconds = 100;
 
 /** Identity and settings of a ledger. */
@@ -28,6 +30,16 @@
 	readonly firstOpenForward: () => number;
 };
 
+/** What a control instance knows about the other instances, computed once for each message. */
+type View = {
+	readonly now: Milliseconds;
+	/** Names of the control instances that are heard. */
+	readonly heard: readonly string[];
+	/** Share of the limits for the instances that hear each other. */
+	readonly limitShare: number;
+	readonly isReady: boolean;
+};
+
 /** What a control instance knows about the operations of a customer. */
 type Standing = {
 	/** Operations that all instances which hear each other may admit in a window. */
@@ -46,7 +58,7 @@
 	readonly #peers: PeerSums;
 	readonly #startedAt: Milliseconds;
 	readonly #owners = new Map<string, string>();
-	#ownerCandidates = '';
+	#ownerCandidates: readonly string[] = [];
 	#limits: ReadonlyMap<string, number> = new Map();
 	#entryCount = 1;
 	/** Number of entry instances when all control instances were last heard. */
@@ -64,10 +76,15 @@
 		return this.#limits.size > 0;
 	}
 
-	/** Whether operations may be granted. After a start or a suspected suspension, nothing is granted before another control instance was heard or could have been. */
+	/** Whether operations may be granted. After a start, nothing is granted until all other control instances were heard or could have been; after a suspected suspension, until one was. */
 	get isReady(): boolean {
-		const since = Math.max(this.#startedAt, this.options.clock.lastSuspectedSuspension());
-		return this.#heard().length > 0 || this.#peers.names.length === 0 || this.#now() - since >= hearingTime;
+		const now = this.#now();
+		const heard = this.#heard();
+		if (heard.length === this.#peers.names.length) {
+			return true;
+		}
+
+		return now - this.#startedAt >= hearingTime && (heard.length > 0 || now - this.options.clock.lastSuspectedSuspension() >= hearingTime);
 	}
 
 	/** Replaces the customers, of which those without a limit are not counted. */
@@ -93,9 +110,10 @@
 			return {credits: [], wantsCompleteUsage: true};
 		}
 
+		const view = this.#view();
 		const credits: CustomerCredit[] = [];
 		for (const customer of this.#book.customersOf(report.runId)) {
-			const {limit, used, headroom, available} = this.#standing(customer);
+			const {limit, used, headroom, available} = this.#standing(customer, view);
 			const held = this.#book.creditOf(report.runId, customer);
 			const target = Math.floor((headroom + held) / (2 * this.#entryCount));
 			const credit = Math.max(0, Math.min(target, held + available));
@@ -111,7 +129,8 @@
 
 	/** Grants operations to an entry instance, or to a control instance that forwards its request. */
 	grant({runId, number, customer, count}: OperationsRequest): OperationsResponse {
-		const {limit, used, available} = this.#standing(customer);
+		const view = this.#view();
+		const {limit, used, headroom, available} = this.#standing(customer, view);
 		const granted = Math.max(0, Math.min(count, available));
 		if (granted > 0) {
 			this.#book.addGrant(runId, {
@@ -119,7 +138,9 @@
 			});
 		}
 
-		return {granted, ...this.#delays(count - granted, limit, used)};
+		// After a start, a suspension or while another control instance is silent, operations are missing although few are counted; the entry instance asks again.
+		const isTemporary = !view.isReady || headroom > limit * ampleShare;
+		return {granted, ...(isTemporary ? {retryAfter: 0, pause: 0} : this.#delays(count - granted, limit, used))};
 	}
 
 	/** Counts operations that another control instance granted to an entry instance which watches this one. */
@@ -131,7 +152,8 @@
 
 	/** Returns the control instance that may grant the last operations of a customer, or undefined when this instance is it. */
 	ownerOf(customer: string): string | undefined {
-		const owner = this.#owner(customer, this.#heard());
+		this.#view();
+		const owner = this.#owner(customer);
 		return owner === this.options.name ? undefined : owner;
 	}
 
@@ -180,15 +202,13 @@
 	}
 
 	/** Computes what may be granted. Each control instance grants a fixed part of the headroom that it knows before the others acknowledge it, so that all together grant no more than the headroom. */
-	#standing(customer: string): Standing {
-		const now = this.#now();
-		const heard = this.#heard();
+	#standing(customer: string, {now, heard, limitShare, isReady}: View): Standing {
 		const own = this.#book.total(customer);
 		const used = own + this.#peers.sumOf(customer, heard);
 		const aimed = this.#limits.get(customer) ?? 0;
-		const limit = Math.floor(aimed * this.#partitionShare(heard));
+		const limit = Math.floor(aimed * limitShare);
 		const headroom = Math.min(limit - used, aimed - used - this.#peers.unheardSum(customer, heard, now));
-		if (!this.isReady) {
+		if (!isReady) {
 			return {
 				limit, used, headroom: 0, available: 0,
 			};
@@ -198,7 +218,7 @@
 		const controlCount = heard.length + 1;
 		const acknowledgedHeadroom = Math.max(0, headroom + unseen);
 		const othersPart = Math.floor(acknowledgedHeadroom / (2 * controlCount));
-		const isOwner = this.#owner(customer, heard) === this.options.name;
+		const isOwner = this.#owner(customer) === this.options.name;
 		const part = isOwner ? acknowledgedHeadroom - ((controlCount - 1) * othersPart) : othersPart;
 		return {
 			limit, used, headroom, available: Math.max(0, Math.min(headroom, part - unseen)),
@@ -223,29 +243,36 @@
 		// The counted operations leave the window at an even rate, on average.
 		const {window} = this.options.settings;
 		const leaving = missing + Math.max(0, used - limit);
-		const retryAfter = Math.min(window, Math.max(shortestRetry, window * leaving / Math.max(1, used)));
 		const pause = Math.max(shortestPause, this.#book.watchingCount(this.#now()) * 1000 / maximumRefusedRequestsPerSecond);
-		return {retryAfter: Math.round(retryAfter), pause: Math.round(Math.min(pause, retryAfter + shortestPause))};
+		const retryAfter = Math.min(window, Math.max(pause, window * leaving / Math.max(1, used)));
+		return {retryAfter: Math.round(retryAfter), pause: Math.round(pause)};
 	}
 
-	#owner(customer: string, heard: readonly string[]): string {
-		const candidates = [this.options.name, ...heard].toSorted((first, second) => first.localeCompare(second));
-		const key = candidates.join('\n');
-		if (key !== this.#ownerCandidates) {
-			this.#ownerCandidates = key;
-			this.#owners.clear();
-		}
-
+	/** Returns the control instance that may grant the last operations of a customer, of those that are heard and this one. */
+	#owner(customer: string): string {
 		const known = this.#owners.get(customer);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const [{name}] = ownershipOrder(customer, candidates.map(candidate => ({name: candidate, dataCentre: ''})));
+		const [{name}] = ownershipOrder(customer, this.#ownerCandidates.map(candidate => ({name: candidate, dataCentre: ''})));
 		this.#owners.set(customer, name);
 		return name;
 	}
 
+	#view(): View {
+		const heard = this.#heard();
+		const [own, ...others] = this.#ownerCandidates;
+		if (own === undefined || others.length !== heard.length || others.some((name, index) => name !== heard[index])) {
+			this.#ownerCandidates = [this.options.name, ...heard];
+			this.#owners.clear();
+		}
+
+		return {
+			now: this.#now(), heard, limitShare: this.#partitionShare(heard), isReady: this.isReady,
+		};
+	}
+
 	#watchingCount(heard: readonly string[]): number {
 		return this.#book.watchingCount(this.#now()) + this.#peers.watchingCount(heard);
 	}
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -116,14 +116,14 @@
 	}
 
 	/** Asks the control instance that is watched for operations of a customer. Rejects when none is watched or when it does not answer in time. */
-	async requestOperations(request: OperationsRequest): Promise<OperationsResponse | null> {
+	async requestOperations(request: OperationsRequest): Promise<OperationsResponse> {
 		// The control instance that answered last has the newest report. The one that is watched may be another one that has not answered yet, for example while none knows a leader and each is left after its answer.
 		const target = this.#answeredBy ?? this.#target;
 		if (target === undefined) {
 			throw new BuckthornhitchError('linkNotSent', 'No control instance is watched.');
 		}
 
-		return await this.options.linkClient.request(target, 'requestOperations', request, operationsTimeout) as OperationsResponse | null;
+		return await this.options.linkClient.request(target, 'requestOperations', request, operationsTimeout) as OperationsResponse;
 	}
 
 	override start(): void {
--- a/source/registry/usage-exchange.ts
+++ b/source/registry/usage-exchange.ts
@@ -112,12 +112,8 @@
 		}
 	}
 
-	/** Grants operations, and asks the control instance that may grant the last ones of the customer for those that are missing. */
-	async #handleRequest(request: OperationsRequest): Promise<OperationsResponse | null> {
-		if (!this.#ledger.isReady) {
-			return null;
-		}
-
+	/** Grants operations. Those that are missing are asked for at the control instance that may grant the last ones of the customer. */
+	async #handleRequest(request: OperationsRequest): Promise<OperationsResponse> {
 		const own = this.#ledger.grant(request);
 		const missing = request.count - own.granted;
 		const owner = request.forwardedBy === undefined && missing > 0 ? this.#ledger.ownerOf(request.customer) : undefined;
@@ -130,16 +126,12 @@
 		try {
 			const forwarded = await this.options.linkClient.request(address, 'requestOperations', {
 				forwardedBy: this.options.name, runId: this.options.runId, number, customer: request.customer, count: missing,
-			} satisfies OperationsRequest, forwardTimeout) as OperationsResponse | null;
-			if (!forwarded) {
-				return own;
-			}
-
+			} satisfies OperationsRequest, forwardTimeout) as OperationsResponse;
 			if (forwarded.granted > 0) {
 				this.#ledger.addForwardedGrant(request, forwarded.granted);
 			}
 
-			return {...forwarded, granted: own.granted + forwarded.granted};
+			return {...forwarded, granted: own.granted + forwarded.granted, pause: own.pause === 0 ? 0 : forwarded.pause};
 		} catch {
 			return own;
 		} finally {
