Grant nothing before the other instances are known

Before its first exchange a control instance took itself for the only one with one entry instance, and gave half of a customer's limit as credit to the first entry instance that reported.

A spec covers it.

--- a/source/rate-limit/usage-ledger.spec.ts
+++ b/source/rate-limit/usage-ledger.spec.ts
@@ -156,3 +156,15 @@
 	assert.deepEqual(a.sumsFor('b').sums, [], 'everything is acknowledged');
 	assert.equal(restarted.grant(request(1, 200)).granted <= aimed - 100, true);
 });
+
+// Guards against a credit of half of the headroom for the first entry instance that reports after a start.
+test('nothing is granted before the other instances are known', () => {
+	const ledger = new UsageLedger({
+		name: 'a', runId: 'run-a', clock: new ManualClock(), settings, firstOpenForward: () => 1,
+	});
+	ledger.replaceCustomers([customer]);
+	assert.deepEqual(ledger.handleReport(report(1, 1)).credits, []);
+	assert.deepEqual(ledger.grant(request(1, 1)), {granted: 0, retryAfter: 0, pause: 0});
+	ledger.updateInstances(10, []);
+	assert.equal(ledger.grant(request(2, 1)).granted, 1);
+});
--- a/source/rate-limit/usage-ledger.ts
+++ b/source/rate-limit/usage-ledger.ts
@@ -61,6 +61,8 @@
 	#ownerCandidates: readonly string[] = [];
 	#limits: ReadonlyMap<string, number> = new Map();
 	#entryCount = 1;
+	/** Whether the other instances are known. Before, this instance would divide the headroom by one. */
+	#isUpdated = false;
 	/** Number of entry instances when all control instances were last heard. */
 	#lastWatchingCount = 0;
 
@@ -78,6 +80,10 @@
 
 	/** Whether operations may be granted. After a start, nothing is granted until all other control instances were heard or could have been; after a suspected suspension, until one was. */
 	get isReady(): boolean {
+		if (!this.#isUpdated) {
+			return false;
+		}
+
 		const now = this.#now();
 		const heard = this.#heard();
 		if (heard.length === this.#peers.names.length) {
@@ -95,10 +101,12 @@
 
 	/** Updates the number of entry instances and the names of the other control instances, and removes what has expired. */
 	updateInstances(entryCount: number, otherControls: readonly string[]): void {
-		this.#entryCount = Math.max(1, entryCount);
+		this.#isUpdated = true;
 		this.#peers.replaceNames(otherControls);
 		this.#book.expire(this.#now());
 		const heard = this.#heard();
+		// A control instance that was just started may not know all entry instances yet.
+		this.#entryCount = Math.max(1, entryCount, this.#watchingCount(heard));
 		if (heard.length === otherControls.length) {
 			this.#lastWatchingCount = this.#watchingCount(heard);
 		}
