Mark the statements of the failure scenarios' callers

The callers mark simple queries and unnamed statements with their session and transaction (prepared statements are shared by their text and stay unmarked).

--- a/stand-in/caller-mark.ts
+++ b/stand-in/caller-mark.ts
@@ -9,3 +9,8 @@
 export function parseCallerMark(text: string): string | undefined {
 	return markPattern.exec(text)?.groups?.mark;
 }
+
+/** Returns the text without its mark. */
+export function withoutCallerMark(text: string): string {
+	return text.replace(markPattern, '');
+}
--- a/stand-in/client-session.ts
+++ b/stand-in/client-session.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
-import {parseCallerMark} from './caller-mark.js';
+import {parseCallerMark, withoutCallerMark} from './caller-mark.js';
 import {
 	backendMessages, ClientMessageReader, startupCodes, type MessageBodyReader, type ClientMessage, type ResultColumn,
 } from './postgres-messages.js';
@@ -205,7 +205,7 @@
 	}
 
 	async #runSimpleQuery(text: string): Promise<void> {
-		const statements = parseStatements(text);
+		const statements = parseStatements(withoutCallerMark(text));
 		if (statements.length === 0) {
 			this.#enqueue(backendMessages.emptyQuery);
 		}
@@ -252,7 +252,7 @@
 	#parse(body: MessageBodyReader): void {
 		const name = body.string();
 		const text = body.string();
-		const statements = parseStatements(text);
+		const statements = parseStatements(withoutCallerMark(text));
 		if (statements.length > 1) {
 			throw new SqlError('42601', 'cannot insert multiple commands into a prepared statement');
 		}
--- a/stand-in/member.ts
+++ b/stand-in/member.ts
@@ -42,6 +42,9 @@
 	readonly onMisplacedStatement?: (description: string) => void;
 };
 
+/** Text with which a member describes a statement that arrived inside the transaction of another caller. */
+export const misplacedStatementText = 'inside the transaction of another caller';
+
 const appNamePrefix = 'buckthornhitch/';
 
 const statusColumns: readonly ResultColumn[] = Object.entries({
@@ -257,7 +260,7 @@
 
 	recordMisplacedStatement(mark: string, caller: string): void {
 		this.misplacedStatementCount++;
-		this.options.onMisplacedStatement?.(`a statement of ${mark} arrived inside the transaction of ${caller}`);
+		this.options.onMisplacedStatement?.(`a statement of ${mark} arrived ${misplacedStatementText}, ${caller}`);
 	}
 
 	serveReplica(socket: Socket, received: Buffer): void {
--- a/stand-in/process-fleet.ts
+++ b/stand-in/process-fleet.ts
@@ -1,5 +1,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {cpSync, createWriteStream, mkdirSync} from 'node:fs';
+import {
+	cpSync, createWriteStream, mkdirSync, readFileSync,
+} from 'node:fs';
 import {join} from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
@@ -141,6 +143,11 @@
 		return ended;
 	}
 
+	/** Returns what a process has logged so far, over its restarts. */
+	logOf(name: string): string {
+		return readFileSync(join(this.options.folder, `${name}.log`), 'utf8');
+	}
+
 	/** Restarts an exited process with the same flags. */
 	restart(name: string): void {
 		const {module, flags} = this.processes.get(name)!;
--- a/verification/scenario.ts
+++ b/verification/scenario.ts
@@ -89,7 +89,7 @@
 	history.endLoad();
 	await workload.checkEntriesAndClose();
 	const violations = checkHistory({...history, finalContent: await fleet.finalContent()});
-	return [...problems, ...violations.map(({rule, detail}) => `${rule}: ${detail}`)];
+	return [...problems, ...violations.map(({rule, detail}) => `${rule}: ${detail}`), ...fleet.misplacedStatements()];
 }
 
 async function rejectAfterTimeLimit(signal: AbortSignal): Promise<never> {
--- a/verification/tested-fleet.ts
+++ b/verification/tested-fleet.ts
@@ -12,7 +12,7 @@
 import {type ProcessRecord} from '../source/membership/process-record.js';
 import {HybridClock} from '../source/timeline/hybrid-clock.js';
 import {FaultInjectingRelay} from '../stand-in/fault-injecting-relay.js';
-import {StandInMember} from '../stand-in/member.js';
+import {misplacedStatementText, StandInMember} from '../stand-in/member.js';
 import {ProcessFleet, type FleetProcess} from '../stand-in/process-fleet.js';
 import {type FinalContent, type History, type HistoryRow} from './history.js';
 
@@ -241,6 +241,15 @@
 		}));
 	}
 
+	/** Returns a description of each statement that a member received inside the transaction of another caller. */
+	misplacedStatements(): readonly string[] {
+		if (this.membersInProcess) {
+			return this.members.filter(({misplacedStatementCount}) => misplacedStatementCount > 0).map(({name}) => `${name}: a statement arrived ${misplacedStatementText}`);
+		}
+
+		return [...this.processes.memberAddresses.keys()].flatMap(name => this.processes.logOf(name).split('\n').filter(line => line.includes(misplacedStatementText)));
+	}
+
 	/** Stops all processes, members, relays and links. */
 	async stop(): Promise<void> {
 		this.#isSampling = false;
--- a/verification/workload.ts
+++ b/verification/workload.ts
@@ -1,6 +1,7 @@
 import {type Milliseconds} from '../source/clock/clock.js';
 import {type Address} from '../source/links/address.js';
 import {SeededRandom, type Random} from '../source/random/random.js';
+import {formatCallerMark} from '../stand-in/caller-mark.js';
 import {CallerConnection, outcomeOfError, type CallerStatement} from './caller-connection.js';
 import {
 	writtenValue, type History, type Outcome, type SentRequest,
@@ -103,6 +104,9 @@
 	#token = '';
 	#sequence = 0;
 	#keyCount = 0;
+	#transactionCount = 0;
+	/** Mark of the statements in the open transaction. */
+	#transactionMark: string | undefined;
 
 	constructor(readonly session: string, private readonly options: WorkloadOptions, private readonly history: History, private readonly sharedKeys: WrittenKeys) {
 		this.#random = new SeededRandom((options.seed * 1000) + Number(session.slice(1)));
@@ -230,6 +234,7 @@
 			kind: 'transaction', key, value: key, requestId: null,
 		}, async () => {
 			let isCommitSent = false;
+			this.#transactionMark = `${this.session}.t${++this.#transactionCount}`;
 			try {
 				await connection.query({text: 'BEGIN'});
 				for (const part of ['first', 'second']) {
@@ -243,6 +248,8 @@
 				const outcome = outcomeOfError(error);
 				await this.#rollBackTransaction(connection);
 				return outcome.kind === 'unknown' && !isCommitSent ? {kind: 'error', detail: `before COMMIT: ${outcome.detail}`} : outcome;
+			} finally {
+				this.#transactionMark = undefined;
 			}
 		});
 	}
@@ -288,15 +295,16 @@
 		return outcome;
 	}
 
-	/** Returns the statement as a simple query, with parameters, or prepared, chosen at random. Updates and statements with a request id are not prepared, since their text changes each time. */
+	/** Returns the statement as a simple query, with parameters, or prepared, chosen at random. Statements that are not prepared carry the mark of the caller. Updates and statements with a request id are not prepared, since their text changes each time. */
 	#statement(text: string, values: readonly string[], requestId: string | null): CallerStatement {
-		const textWithRequestId = requestId === null ? text : `/*buckthornhitch request_id=${requestId}*/ ${text}`;
+		const mark = formatCallerMark(this.#transactionMark ?? this.session);
+		const sentText = requestId === null ? `${text} ${mark}` : `/*buckthornhitch request_id=${requestId}*/ ${text} ${mark}`;
 		const fraction = this.#random.fraction();
 		if (fraction < 0.3) {
-			return {text: textWithRequestId.replaceAll(/\$(?<index>\d)/gv, (_, index: string) => `'${values[Number(index) - 1]}'`)};
+			return {text: sentText.replaceAll(/\$(?<index>\d)/gv, (_, index: string) => `'${values[Number(index) - 1]}'`)};
 		}
 
-		return requestId === null && fraction < 0.6 && !text.includes('UPDATE') ? {text, values, name: text.slice(0, 60)} : {text: textWithRequestId, values};
+		return requestId === null && fraction < 0.6 && !text.includes('UPDATE') ? {text, values, name: text.slice(0, 60)} : {text: sentText, values};
 	}
 
 	#nextKey(kind: keyof WrittenKeys): string {
