--- a/stand-in/client-session.ts
+++ b/stand-in/client-session.ts
@@ -18,8 +18,6 @@
 	removeSession(session: ClientSession): void;
 	describe(statement: ParsedStatement, transaction: Transaction): readonly ResultColumn[] | undefined;
 	execute(statement: ParsedStatement, values: readonly Value[], transaction: SessionTransaction): Promise<StatementResult>;
-	/** Records a marked statement that arrived inside the transaction of another caller. */
-	recordMisplacedStatement(mark: string, caller: string): void;
 	/** Takes over a connection on which a replica has requested replication. */
 	serveReplica(socket: Socket, received: Buffer): void;
 };
@@ -335,11 +333,7 @@
 	}
 
 	async #execute(statement: ParsedStatement, values: readonly Value[], mark: string | undefined): Promise<StatementResult> {
-		const otherCaller = mark === undefined ? undefined : this.#transaction.callerOtherThan(mark);
-		if (mark !== undefined && otherCaller !== undefined) {
-			this.host.recordMisplacedStatement(mark, otherCaller);
-		}
-
+		this.#transaction.checkCaller(mark);
 		const endsTransaction = statement.type === 'commit' || statement.type === 'rollback';
 		if (!endsTransaction) {
 			this.#transaction.assertNotFailed();
--- a/stand-in/session-transaction.ts
+++ b/stand-in/session-transaction.ts
@@ -6,6 +6,8 @@
 	beginTransaction(): Transaction;
 	/** Commits the writes. Throws if the member must not accept them. */
 	commit(transaction: Transaction): void;
+	/** Records a marked statement that arrived inside the transaction of another caller. */
+	recordMisplacedStatement(mark: string, caller: string): void;
 };
 
 /** Transaction of one session: explicit (started by BEGIN) or implicit (for one Query message or up to the next Sync). */
@@ -42,14 +44,16 @@
 		this.#isReadOnly = isReadOnly;
 	}
 
-	/** Returns the mark of the caller to which the explicit transaction belongs, if it is another one than that of the statement. The first marked statement determines it. */
-	callerOtherThan(mark: string): string | undefined {
-		if (!this.#isExplicit) {
-			return undefined;
+	/** Reports a marked statement if the explicit transaction belongs to another caller. The first marked statement determines the caller. */
+	checkCaller(mark: string | undefined): void {
+		if (!this.#isExplicit || mark === undefined) {
+			return;
 		}
 
 		this.#caller ??= mark;
-		return this.#caller === mark ? undefined : this.#caller;
+		if (this.#caller !== mark) {
+			this.host.recordMisplacedStatement(mark, this.#caller);
+		}
 	}
 
 	/** Throws 25P02 if an error has occurred in the transaction. */
