--- a/stand-in/client-session.ts
+++ b/stand-in/client-session.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
-import {parseCallerMark} from './caller-mark.js';
+import {parseCallerMark, withoutCallerMark} from './caller-mark.js';
 import {
 	backendMessages, ClientMessageReader, startupCodes, type MessageBodyReader, type ClientMessage, type ResultColumn,
 } from './postgres-messages.js';
@@ -18,8 +18,6 @@
 	removeSession(session: ClientSession): void;
 	describe(statement: ParsedStatement, transaction: Transaction): readonly ResultColumn[] | undefined;
 	execute(statement: ParsedStatement, values: readonly Value[], transaction: SessionTransaction): Promise<StatementResult>;
-	/** Records a marked statement that arrived inside the transaction of another caller. */
-	recordMisplacedStatement(mark: string, caller: string): void;
 	/** Takes over a connection on which a replica has requested replication. */
 	serveReplica(socket: Socket, received: Buffer): void;
 };
@@ -205,7 +203,7 @@
 	}
 
 	async #runSimpleQuery(text: string): Promise<void> {
-		const statements = parseStatements(text);
+		const statements = parseStatements(withoutCallerMark(text));
 		if (statements.length === 0) {
 			this.#enqueue(backendMessages.emptyQuery);
 		}
@@ -252,7 +250,7 @@
 	#parse(body: MessageBodyReader): void {
 		const name = body.string();
 		const text = body.string();
-		const statements = parseStatements(text);
+		const statements = parseStatements(withoutCallerMark(text));
 		if (statements.length > 1) {
 			throw new SqlError('42601', 'cannot insert multiple commands into a prepared statement');
 		}
@@ -335,11 +333,7 @@
 	}
 
 	async #execute(statement: ParsedStatement, values: readonly Value[], mark: string | undefined): Promise<StatementResult> {
-		const otherCaller = mark === undefined ? undefined : this.#transaction.callerOtherThan(mark);
-		if (mark !== undefined && otherCaller !== undefined) {
-			this.host.recordMisplacedStatement(mark, otherCaller);
-		}
-
+		this.#transaction.checkCaller(mark);
 		const endsTransaction = statement.type === 'commit' || statement.type === 'rollback';
 		if (!endsTransaction) {
 			this.#transaction.assertNotFailed();
