Decide by one rule whether a relay near the member is still the preferred one

Cause: new relays go to the first gateway that has not failed recently, but a relay counted as obsolete while it was not at the gateway used last. When that one had failed, the relay through the next one was obsolete at once; the pool opened and closed it in a loop that blocked the process until the last gateway was tried again, 1.5 s later.

The order of the gateways is also kept for each customer, since it was hashed again for each idle connection.

--- a/source/relay/gateway-selection.ts
+++ b/source/relay/gateway-selection.ts
@@ -22,11 +22,13 @@
 	readonly entries: readonly EntryRecord[];
 	readonly dataCentre: string | undefined;
 	readonly order: readonly EntryRecord[];
+	/** Orders in which the gateways are tried, by their number and the customer. */
+	readonly gatewayOrders: Map<string, readonly EntryRecord[]>;
 };
 
 const noEntries: readonly EntryRecord[] = [];
 
-/** Selects the gateways to a member. Where gateways are placed near the members, keeps the order of the entries for each member, since hashing all entries for every request would be slow. */
+/** Selects the gateways to a member. Where gateways are placed near the members, keeps the order of the entries for each member, and that of the gateways for each customer, since hashing for every request would be slow. */
 export class GatewaySelection {
 	readonly #orders = new Map<string, CachedOrder>();
 
@@ -47,7 +49,12 @@
 	gateways(member: string, {gatewaysPerDataCentre, gatewaysNearMember}: ConnectionAllocation, customer: string | undefined): readonly EntryRecord[] | undefined {
 		const {name, entries} = this.options;
 		if (gatewaysNearMember !== undefined) {
-			return orderGateways(member, this.#nearMember(member, 0, gatewaysNearMember), name, customer);
+			const gateways = this.#nearMember(member, 0, gatewaysNearMember);
+			const {gatewayOrders} = this.#orders.get(member)!;
+			const key = `${gatewaysNearMember} ${customer ?? ''}`;
+			const order = gatewayOrders.get(key) ?? orderGateways(member, gateways, name, customer);
+			gatewayOrders.set(key, order);
+			return order;
 		}
 
 		return gatewaysPerDataCentre === undefined ? undefined : selectGateways(member, entries(), gatewaysPerDataCentre, name);
@@ -76,7 +83,9 @@
 		}
 
 		const order = orderByDistance(member, dataCentre, entries);
-		this.#orders.set(member, {entries, dataCentre, order});
+		this.#orders.set(member, {
+			entries, dataCentre, order, gatewayOrders: new Map(),
+		});
 		return order.slice(first, last);
 	}
 }
--- a/source/relay/placement.spec.ts
+++ b/source/relay/placement.spec.ts
@@ -58,6 +58,19 @@
 	}
 });
 
+// A relay through another gateway than the last one counted as obsolete, so that it was opened and closed in an endless loop until the last one was tried again.
+test('when the gateway used so far fails, the next one is used at once', async () => {
+	const fixture = new PlacementFixture();
+	const requester = fixture.order.at(-1)!;
+	assert.equal(await fixture.attempt(requester.pool, write), 'done');
+	fixture.links.silentAddresses.add(fixture.firstGatewayOf(requester));
+	assert.notEqual(await fixture.attempt(requester.pool, write), 'done');
+	await fixture.clock.advanceInSteps(400, 5);
+	const startedAt = fixture.clock.now();
+	assert.equal(await fixture.attempt(requester.pool, write), 'done');
+	assert.ok(fixture.clock.now() - startedAt < 300);
+});
+
 // Lists of only the local data centre would make 4 entries of every data centre connect.
 test('no entry connects directly before it knows the entries of all data centres', async () => {
 	const fixture = new PlacementFixture();
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -233,7 +233,8 @@
 		const isOtherPreferred = (): boolean => this.#orderedGateways(target, this.allocationOf(service)).at(0)?.name !== gateway.name;
 		const {gatewaysNearMember} = this.allocationOf(service);
 		const mayMoveOn = gatewaysNearMember !== undefined && path === undefined;
-		const hasMovedOn = (): boolean => mayMoveOn && (this.#lastGateway.get(id) ?? gateway.name) !== gateway.name;
+		// The same rule as for new connections; with another one, a connection would be obsolete at once and be opened again without end.
+		const hasMovedOn = (): boolean => mayMoveOn && isOtherPreferred();
 		return new RelayedConnection({
 			clock: this.options.clock,
 			linkClient: this.options.linkClient,
