--- a/source/relay/placement.spec.ts
+++ b/source/relay/placement.spec.ts
@@ -58,7 +58,7 @@
 	}
 });
 
-// A relay through another gateway than the last one counted as obsolete, so that it was opened and closed in an endless loop until the last one was tried again.
+// Relays through another gateway than the one used last counted as obsolete, so that requests waited until the last one was tried again.
 test('when the gateway used so far fails, the next one is used at once', async () => {
 	const fixture = new PlacementFixture();
 	const requester = fixture.order.at(-1)!;
