Use a gateway that does not answer for no member until it answers a probe

The state of a silent gateway now belongs to the gateway as a whole, and probes instead of requests show when it is back.

--- a/source/relay/messages.ts
+++ b/source/relay/messages.ts
@@ -1,6 +1,9 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {type MemberStatement, type RefusalReason, type StatementReply} from '../statement/types.js';
 
+/** Name of the request without a body by which an entry finds out whether a gateway that was silent answers again. */
+export const gatewayProbeName = 'probeGateway';
+
 /** Request `openRelay`: an entry (an instance that accepts callers) asks another entry, the gateway, to relay statements to a member. The relay number is unique on the link between the two. */
 export type OpenRelayRequest = {
 	readonly relay: number;
--- a/source/relay/placement.spec.ts
+++ b/source/relay/placement.spec.ts
@@ -131,8 +131,8 @@
 		sendsPriority: true,
 		opening,
 		isObsolete: () => false,
-		onFailure(reason) {
-			failures.push(reason);
+		onFailure({message}) {
+			failures.push(message);
 		},
 	});
 	const written = connection.execute(write, 500).catch((error: unknown) => toBuckthornhitchError(error).codeName);
--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -5,7 +5,7 @@
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
 import {
-	type CloseRelayNotice, type OpenRelayRequest, type RelayStatementResponse, type RelayStatementRequest,
+	gatewayProbeName, type CloseRelayNotice, type OpenRelayRequest, type RelayStatementResponse, type RelayStatementRequest,
 } from './messages.js';
 import {RelaySession} from './relay-session.js';
 
@@ -56,6 +56,7 @@
 		linkServer.handle('closeRelay', async (body, peer) => {
 			this.#close(relayKey((body as CloseRelayNotice).relay, peer));
 		});
+		linkServer.handle(gatewayProbeName, async () => null);
 		linkServer.onLinkClosed(peer => {
 			this.#closeWhere(({linkId}) => linkId === peer.linkId);
 		});
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -35,7 +35,7 @@
 	/** Called with the time in which a data statement outside a transaction was answered. */
 	readonly onAnswered?: (time: Milliseconds) => void;
 	/** Called when a request to the gateway fails. */
-	readonly onFailure: (reason: string) => void;
+	readonly onFailure: (failure: BuckthornhitchError) => void;
 };
 
 /** Connection to a member through a gateway, which is another entry. The gateway holds one of its own connections for the duration of each statement or transaction. */
@@ -114,7 +114,7 @@
 		try {
 			await this.options.opening;
 		} catch (error) {
-			this.options.onFailure(toBuckthornhitchError(error).message);
+			this.options.onFailure(toBuckthornhitchError(error));
 			this.close();
 		}
 
@@ -162,7 +162,7 @@
 			return await linkClient.request(gateway, 'relayStatement', body, timeout + gatewayAllowance) as RelayStatementResponse;
 		} catch (error) {
 			const failure = toBuckthornhitchError(error);
-			onFailure(failure.message);
+			onFailure(failure);
 			this.close();
 			// The gateway may have relayed the statement, whatever error it reported.
 			throw failure.codeName === 'linkNotSent' ? failure : new BuckthornhitchError('linkOutcomeUnknown', failure.message);
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -7,8 +7,9 @@
 	MemberConnector, type ConnectionPath, type MemberConnection, MemberRefusedError, type MemberTarget,
 } from '../statement/member-connection.js';
 import {type ConnectionPlacement} from '../session-proxy/connection-placement.js';
-import {type OpenRelayRequest} from './messages.js';
+import {gatewayProbeName, type OpenRelayRequest} from './messages.js';
 import {maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
+import {GatewayAvailability, isSilence} from './gateway-availability.js';
 import {GatewayLoad} from './gateway-load.js';
 import {GatewayPlacement} from './gateway-placement.js';
 import {GatewaySelection, type GatewaySelectionOptions} from './gateway-selection.js';
@@ -19,8 +20,8 @@
 /** Timeout of the request to open a relay: a round trip within a data centre, the time to open a new link and a short stall of the gateway. */
 const openRelayTimeout: Milliseconds = 300;
 
-/** How long a gateway that failed or refused is avoided. */
-const gatewayAvoidanceTime: Milliseconds = 1500;
+/** Timeout of a probe of a gateway: a round trip between regions and a short stall of the gateway. */
+const probeTimeout: Milliseconds = 300;
 
 /** Maximum number of gateways that are tried for one connection. */
 const maximumGatewayAttempts = 3;
@@ -44,8 +45,7 @@
 /** Connects to members directly, or through a gateway (another entry) if this instance has no direct connections allocated or does not reach the member. */
 export class RelayingConnector extends MemberConnector {
 	readonly #unreachable: UnreachableMembers;
-	/** Time until which gateways that failed are avoided, by gateway and member. */
-	readonly #avoidedUntil = new Map<string, Milliseconds>();
+	readonly #availability: GatewayAvailability;
 	/** Gateway used last for each member; it is preferred, and changes are logged. */
 	readonly #lastGateway = new Map<string, string>();
 	/** Direct connections that this instance opened as a reserve gateway, by member. */
@@ -59,6 +59,16 @@
 		super();
 		this.#selection = new GatewaySelection(options);
 		this.#unreachable = new UnreachableMembers(options);
+		const {clock, random, logger, linkClient} = options;
+		this.#availability = new GatewayAvailability({
+			clock,
+			random,
+			logger,
+			async probe({address}) {
+				await linkClient.request(address, gatewayProbeName, null, probeTimeout);
+			},
+			isKnown: ({name}) => (options.allEntries?.() ?? options.entries()).some(entry => entry.name === name),
+		});
 	}
 
 	/** Returns the maximum number of connections of this instance to a member. */
@@ -192,7 +202,8 @@
 	/** Tries the gateways in order until one relays. Resolves with its connection, if there is one, and with the failures of those tried before. */
 	async #tryGateways(target: MemberTarget, allocation: ConnectionAllocation): Promise<GatewayAttempts> {
 		const failures: BuckthornhitchError[] = [];
-		for (const gateway of this.#orderedGateways(target, allocation).slice(0, allocation.gatewaysNearMember ?? maximumGatewayAttempts)) {
+		const gateways = this.#orderedGateways(target, allocation).filter(gateway => !this.#availability.isUnavailable(gateway));
+		for (const gateway of gateways.slice(0, allocation.gatewaysNearMember ?? maximumGatewayAttempts)) {
 			const relay = this.#nextRelay++;
 			try {
 				await this.#requestRelay(target, gateway, relay);
@@ -200,7 +211,7 @@
 			} catch (error) {
 				const failure = toBuckthornhitchError(error);
 				failures.push(failure);
-				this.#avoidGateway(gateway, target, failure.message);
+				this.#handleGatewayFailure(gateway, target, failure);
 			}
 		}
 
@@ -248,8 +259,8 @@
 					this.#recordReplyTime(target, gateway, time);
 				}
 				: undefined,
-			onFailure: reason => {
-				this.#avoidGateway(gateway, {id}, reason);
+			onFailure: failure => {
+				this.#handleGatewayFailure(gateway, target, failure);
 			},
 		});
 	}
@@ -303,22 +314,15 @@
 
 	/** Returns whether the gateway to the member failed recently. */
 	#isAvoided(gateway: EntryRecord, member: string): boolean {
-		return (this.#avoidedUntil.get(avoidanceKey(gateway, member)) ?? 0) > this.options.clock.now();
+		return this.#availability.isAvoided({gateway, member});
 	}
 
-	#avoidGateway(gateway: EntryRecord, {id}: Pick<MemberTarget, 'id'>, reason: string): void {
-		const {clock, logger} = this.options;
-		const key = avoidanceKey(gateway, id);
-		const now = clock.now();
-		if ((this.#avoidedUntil.get(key) ?? 0) <= now) {
-			logger.info(`${gateway.name} is not used as a gateway to ${id} for ${gatewayAvoidanceTime} ms: ${reason}`);
-		}
-
-		this.#avoidedUntil.set(key, now + gatewayAvoidanceTime);
-		for (const [other, until] of this.#avoidedUntil) {
-			if (until <= now) {
-				this.#avoidedUntil.delete(other);
-			}
+	/** Avoids a gateway after a failed request. Where gateways are near the members, one that does not answer is not used for any member. */
+	#handleGatewayFailure(gateway: EntryRecord, {id, service}: Pick<MemberTarget, 'id' | 'service'>, failure: BuckthornhitchError): void {
+		if (isSilence(failure) && this.allocationOf(service).gatewaysNearMember !== undefined) {
+			this.#availability.markUnavailable(gateway, failure.message);
+		} else {
+			this.#availability.avoid({gateway, member: id}, failure.message);
 		}
 	}
 
@@ -329,7 +333,3 @@
 		}
 	}
 }
-
-function avoidanceKey({name}: EntryRecord, member: string): string {
-	return `${name}/${member}`;
-}
