--- a/source/rate-limit/limit-arithmetic.ts
+++ b/source/rate-limit/limit-arithmetic.ts
@@ -19,9 +19,14 @@
 
 const millisecondsPerSecond = 1000;
 
+/** Returns the number of operations in a window at the customer's rate, without its burst. It may be fractional. */
+export function operationsAtRate({ratePerSecond}: RateLimit, {window}: RateLimitSettings): number {
+	return ratePerSecond * window / millisecondsPerSecond;
+}
+
 /** Returns the number of operations that are permitted in each sliding window. It may be fractional. */
-export function permittedOperations({ratePerSecond, burst}: RateLimit, {window, overage, slack}: RateLimitSettings): number {
-	return (((ratePerSecond * window / millisecondsPerSecond) + burst) * (1 + overage)) + slack;
+export function permittedOperations(limit: RateLimit, settings: RateLimitSettings): number {
+	return ((operationsAtRate(limit, settings) + limit.burst) * (1 + settings.overage)) + settings.slack;
 }
 
 /** Returns the number of operations to admit in each sliding window. It is rounded up where the permitted number allows, so that a customer with a permitted sum of few operations does not lose one of them. */
--- a/source/rate-limit/usage-ledger.ts
+++ b/source/rate-limit/usage-ledger.ts
@@ -1,11 +1,12 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Customer} from '../customers/types.js';
 import {ownershipOrder} from '../ownership/rendezvous.js';
-import {aimedOperations, type RateLimitSettings} from './limit-arithmetic.js';
+import {aimedOperations, operationsAtRate, type RateLimitSettings} from './limit-arithmetic.js';
 import {
 	type CustomerCredit, type OperationsRequest, type OperationsResponse, type SharedSums, type UsageReport, type UsageResponse,
 } from './messages.js';
 import {creditLifetime, maximumHeadroom} from './entry-rules.js';
+import {PacedLimit, type WindowLimit} from './paced-limit.js';
 import {hearingTime, PeerSums} from './peer-sums.js';
 import {UsageBook} from './usage-book.js';
 
@@ -18,6 +19,9 @@
 /** Shortest pause between requests of an entry instance for a customer that has nothing left. */
 const shortestPause: Milliseconds = 100;
 
+/** Limit of a customer that was removed. */
+const noLimit: WindowLimit = {maximum: 0, atRate: 0};
+
 /** Identity and settings of a ledger. */
 export type UsageLedgerOptions = {
 	/** Name of the control instance. */
@@ -58,8 +62,9 @@
 	readonly #peers: PeerSums;
 	readonly #startedAt: Milliseconds;
 	readonly #owners = new Map<string, string>();
+	readonly #pacedLimits = new Map<string, PacedLimit>();
 	#ownerCandidates: readonly string[] = [];
-	#limits: ReadonlyMap<string, number> = new Map();
+	#limits: ReadonlyMap<string, WindowLimit> = new Map();
 	#entryCount = 1;
 	/** Whether the other instances are known. Before, this instance would divide the headroom by one. */
 	#isUpdated = false;
@@ -95,8 +100,15 @@
 
 	/** Replaces the customers, of which those without a limit are not counted. */
 	replaceCustomers(customers: readonly Customer[] | undefined): void {
-		const limited = customers?.flatMap(({name, rateLimit}) => rateLimit ? [[name, aimedOperations(rateLimit, this.options.settings)] as const] : []);
-		this.#limits = new Map(limited);
+		const {settings} = this.options;
+		this.#limits = new Map(customers?.flatMap(({name, rateLimit}) => rateLimit
+			? [[name, {maximum: aimedOperations(rateLimit, settings), atRate: operationsAtRate(rateLimit, settings)}] as const]
+			: []));
+		for (const name of this.#pacedLimits.keys()) {
+			if (!this.#limits.has(name)) {
+				this.#pacedLimits.delete(name);
+			}
+		}
 	}
 
 	/** Updates the number of entry instances and the names of the other control instances, and removes what has expired. */
@@ -213,8 +225,8 @@
 	#standing(customer: string, {now, heard, limitShare, isReady}: View): Standing {
 		const own = this.#book.total(customer);
 		const used = own + this.#peers.sumOf(customer, heard);
-		const aimed = this.#limits.get(customer) ?? 0;
-		const limit = Math.floor(aimed * limitShare);
+		const {maximum: aimed, atRate} = this.#limits.get(customer) ?? noLimit;
+		const limit = this.#pacedLimitOf(customer, used, now).update(used, {maximum: Math.floor(aimed * limitShare), atRate: atRate * limitShare}, now);
 		const headroom = Math.min(limit - used, aimed - used - this.#peers.unheardSum(customer, heard, now));
 		if (!isReady) {
 			return {
@@ -233,6 +245,17 @@
 		};
 	}
 
+	#pacedLimitOf(customer: string, used: number, now: Milliseconds): PacedLimit {
+		const known = this.#pacedLimits.get(customer);
+		if (known) {
+			return known;
+		}
+
+		const limit = new PacedLimit(used, now, this.options.settings.window);
+		this.#pacedLimits.set(customer, limit);
+		return limit;
+	}
+
 	/** Returns the share of the limit for the instances that hear each other. */
 	#partitionShare(heard: readonly string[]): number {
 		if (heard.length === this.#peers.names.length) {
