Send no pings on idle links between entries and gateways near members

With customers each entry has links to about 60 gateways, which carry a request every ten seconds each and pings in both directions every second: about 34,000 ping events a second at 142 entries, against 5,000 of statements. Both ends must allow the silence, so that earlier builds and all other links are unchanged. A link is watched while a request or a relayed transaction is open. A customer without a burst may use a quarter of its limit at once.

--- a/source/links/link-client.ts
+++ b/source/links/link-client.ts
@@ -3,6 +3,11 @@
 
 /** Sends requests and notices to other processes over links. A link is a connection between two processes that can carry several requests at the same time. */
 export abstract class LinkClient {
+	/** Allows links to the address to be silent while no request is open and the peer does not need them. A dead link is then found by the next request instead of a ping. */
+	allowSilence(_address: Address): void {
+		// Links that send no pings have nothing to omit.
+	}
+
 	/**
 	Sends one request and resolves with the body of its response.
 
--- a/source/links/link-server.ts
+++ b/source/links/link-server.ts
@@ -12,7 +12,9 @@
 /** Accepts links and dispatches requests and notices to registered handlers. */
 export class LinkServer {
 	readonly #handlers = new Map<string, RequestHandler>();
-	readonly #links = new Set<LinkSocket>();
+	readonly #links = new Map<number, LinkSocket>();
+	/** Ids of the links whose peers must be known to be there. */
+	readonly #watchedLinks = new Set<number>();
 	readonly #closeListeners = new ListenerSet<[peer: LinkPeer]>();
 	readonly #server: Server;
 	#nextLinkId = 1;
@@ -33,6 +35,16 @@
 		this.#closeListeners.add(listener);
 	}
 
+	/** Sets whether the peer of a link must be known to be there; if so, the link is closed when it is not. Otherwise a link that may be silent shows only with the next request that the peer is gone. */
+	watchPeer(linkId: number, isNeeded: boolean): void {
+		if (isNeeded) {
+			this.#watchedLinks.add(linkId);
+			this.#links.get(linkId)?.watchPeer();
+		} else {
+			this.#watchedLinks.delete(linkId);
+		}
+	}
+
 	/** Listens on the address and resolves with the bound address. */
 	async listen(address: Address): Promise<Address> {
 		return listenOn(this.#server, address);
@@ -40,7 +52,7 @@
 
 	/** Stops accepting links and closes the open ones. */
 	async close(): Promise<void> {
-		for (const link of this.#links) {
+		for (const link of this.#links.values()) {
 			link.destroy();
 		}
 
@@ -57,15 +69,18 @@
 			socket,
 			clock: this.clock,
 			hybridClock: this.hybridClock,
+			isPeerNeeded: () => this.#watchedLinks.has(peer.linkId),
+			allowsSilence: false,
 			onMessage: message => {
 				void this.#receive(link, peer, message);
 			},
 			onClose: () => {
-				this.#links.delete(link);
+				this.#links.delete(peer.linkId);
+				this.#watchedLinks.delete(peer.linkId);
 				this.#closeListeners.notify(peer);
 			},
 		});
-		this.#links.add(link);
+		this.#links.set(peer.linkId, link);
 	}
 
 	async #receive(link: LinkSocket, peer: LinkPeer, message: LinkMessage): Promise<void> {
--- a/source/links/link-socket.ts
+++ b/source/links/link-socket.ts
@@ -5,7 +5,7 @@
 import {FrameReader, FrameWriter} from './framing.js';
 import {pingName, type LinkMessage, type PingBody} from './messages.js';
 
-/** Each end of a link sends a ping with this period. */
+/** Each end of a link sends a ping with this period, unless the link may be silent. */
 export const pingPeriod: Milliseconds = 1000;
 
 /** A link that has received nothing for this long, more than two ping periods, is closed. */
@@ -13,29 +13,45 @@
 
 type MessageWithoutTime = LinkMessage extends infer Message ? Message extends LinkMessage ? Omit<Message, 'time'> : never : never;
 
+/** Time without packets after which the operating system checks a link that may be silent, so that links to lost instances are closed at last. */
+const keepAliveDelay: Milliseconds = 30_000;
+
 /** Socket, clocks and callbacks of a {@link LinkSocket}. */
 export type LinkSocketOptions = {
 	readonly socket: Socket;
 	readonly clock: Clock;
 	readonly hybridClock: HybridClock;
+	/** Returns whether this end needs to know that the peer is there, for example because a request is open. */
+	readonly isPeerNeeded: () => boolean;
+	/** Whether this end allows the link to be silent; the end that accepted it follows the other one. */
+	readonly allowsSilence: boolean;
 	readonly onMessage: (message: LinkMessage) => void;
 	readonly onClose: () => void;
 };
 
-/** An open link: sends and receives frames over a socket, sends pings and closes the link when the peer stops sending. */
+/**
+An open link: sends and receives frames over a socket, sends pings and closes the link when the peer stops sending.
+
+Where both ends allow it, pings are sent only while an end needs the other. Answers hundreds of entries with links to dozens of gateways each: most links carry a request every ten seconds, and pings in both directions were most of what the processes did.
+*/
 export class LinkSocket {
 	#lastReceivedAt: Milliseconds;
 	readonly #reader = new FrameReader();
 	readonly #writer = new FrameWriter();
-	readonly #cancelPing: Cancel;
+	/** Cancels the pings; undefined while the link is silent. */
+	#cancelPing: Cancel | undefined;
+	#allowsSilence: boolean;
+	/** Whether the peer was told that the link may be silent. */
+	#isSilenceTold = false;
+	#doesPeerAllowSilence = false;
+	#isClosed = false;
 
 	constructor(private readonly options: LinkSocketOptions) {
-		const {socket, clock} = options;
+		const {socket, clock, allowsSilence} = options;
 		this.#lastReceivedAt = clock.now();
-		this.#cancelPing = clock.repeat(pingPeriod, () => {
-			this.#checkTimeoutAndPing();
-		});
+		this.#allowsSilence = allowsSilence;
 		socket.setNoDelay(true);
+		this.#startPings();
 		this.#ping();
 		socket.on('data', chunk => {
 			this.#receive(chunk);
@@ -44,7 +60,8 @@
 			// The close event follows and is handled below.
 		});
 		socket.on('close', () => {
-			this.#cancelPing();
+			this.#isClosed = true;
+			this.#cancelPing?.();
 			options.onClose();
 		});
 	}
@@ -54,18 +71,33 @@
 		this.options.socket.write(this.#writer.encode({...message, time: this.options.hybridClock.tick()}));
 	}
 
+	/** Sends pings again while `isPeerNeeded` returns true. Must be called when it begins to. */
+	watchPeer(): void {
+		if (this.#cancelPing === undefined && !this.#isClosed) {
+			// The silence before was allowed.
+			this.#lastReceivedAt = this.options.clock.now();
+			this.#startPings();
+		}
+	}
+
 	/** Closes the link immediately. */
 	destroy(): void {
 		this.options.socket.destroy();
 	}
 
+	#startPings(): void {
+		this.#cancelPing = this.options.clock.repeat(pingPeriod, () => {
+			this.#checkTimeoutAndPing();
+		});
+	}
+
 	#receive(chunk: Buffer): void {
 		this.#lastReceivedAt = this.options.clock.now();
 		try {
 			for (const message of this.#reader.read(chunk)) {
 				this.options.hybridClock.observe(message.time);
 				if (message.kind === 'notice' && message.name === pingName) {
-					this.#writer.isCompressing = (message.body as PingBody | null)?.readsCompressed ?? false;
+					this.#receivePing(message.body as PingBody | null);
 				}
 
 				this.options.onMessage(message);
@@ -75,16 +107,38 @@
 		}
 	}
 
+	#receivePing(body: PingBody | null): void {
+		this.#writer.isCompressing = body?.readsCompressed ?? false;
+		if (body?.mayBeSilent && !this.#doesPeerAllowSilence) {
+			this.#doesPeerAllowSilence = true;
+			this.#allowsSilence = true;
+			this.options.socket.setKeepAlive(true, keepAliveDelay);
+		}
+
+		if (body?.needsReply) {
+			this.#ping();
+		}
+	}
+
 	#checkTimeoutAndPing(): void {
+		const maySilence = this.#doesPeerAllowSilence && this.#isSilenceTold;
+		if (maySilence && !this.options.isPeerNeeded()) {
+			this.#cancelPing?.();
+			this.#cancelPing = undefined;
+			return;
+		}
+
 		if (this.options.clock.now() - this.#lastReceivedAt > receiveTimeout) {
 			this.destroy();
 			return;
 		}
 
-		this.#ping();
+		this.#ping(maySilence);
 	}
 
-	#ping(): void {
-		this.send({kind: 'notice', name: pingName, body: {readsCompressed: true} satisfies PingBody});
+	#ping(needsReply = false): void {
+		const body: PingBody = {readsCompressed: true, ...(this.#allowsSilence && {mayBeSilent: true}), ...(needsReply && {needsReply: true})};
+		this.#isSilenceTold ||= this.#allowsSilence;
+		this.send({kind: 'notice', name: pingName, body});
 	}
 }
--- a/source/links/messages.ts
+++ b/source/links/messages.ts
@@ -36,4 +36,8 @@
 export type PingBody = {
 	/** Whether the sender reads compressed frames. */
 	readonly readsCompressed: boolean;
+	/** Whether the link may be silent while neither end needs the other; absent for other links. */
+	readonly mayBeSilent?: true;
+	/** Whether the sender needs a reply at once, to see that the link works; absent otherwise. */
+	readonly needsReply?: true;
 };
--- a/source/links/tcp-link-client.ts
+++ b/source/links/tcp-link-client.ts
@@ -29,6 +29,7 @@
 /** Sends requests and notices over TCP; keeps one link per address. */
 export class TcpLinkClient extends LinkClient {
 	readonly #links = new Map<Address, Promise<OpenLink>>();
+	readonly #silentAddresses = new Set<Address>();
 	#nextRequestNumber = 1;
 	#lateResponses = 0;
 
@@ -51,6 +52,7 @@
 				reject(new BuckthornhitchError('linkOutcomeUnknown', `${address} did not answer ${name} within ${Math.round(timeout)} ms.`));
 			});
 			pending.set(number, {resolve, reject, cancelTimeout});
+			link.watchPeer();
 			try {
 				link.send({
 					kind: 'request', number, name, body,
@@ -71,6 +73,10 @@
 		});
 	}
 
+	override allowSilence(address: Address): void {
+		this.#silentAddresses.add(address);
+	}
+
 	/** Closes all links. */
 	async close(): Promise<void> {
 		const linkPromises = [...this.#links.values()];
@@ -113,6 +119,8 @@
 			socket,
 			clock: this.clock,
 			hybridClock: this.hybridClock,
+			isPeerNeeded: () => pending.size > 0,
+			allowsSilence: this.#silentAddresses.has(address),
 			onMessage: message => {
 				this.#receive(pending, message);
 			},
--- a/source/rate-limit/paced-limit.spec.ts
+++ b/source/rate-limit/paced-limit.spec.ts
@@ -39,6 +39,14 @@
 	}
 });
 
+// The maximum is 95% of what is permitted, so that without a burst it is below the operations at the rate.
+test('a customer without a burst is admitted as well', () => {
+	const admitted = play(() => 18, 10, {maximum: 95, atRate: 100});
+	for (const [second, count] of admitted.entries()) {
+		assert.ok(count >= 17.9, `${count} operations in second ${second}`);
+	}
+});
+
 // The permitted sum of a window holds whatever the pace allows.
 test('no window exceeds the maximum', () => {
 	const limit = {maximum: 1100, atRate: 900};
--- a/source/rate-limit/paced-limit.ts
+++ b/source/rate-limit/paced-limit.ts
@@ -3,6 +3,9 @@
 /** Factor on the rate at which the bound rises. Usage is reported late and rounded to whole operations, which must not refuse a customer at its rate. */
 const riseFactor = 1.25;
 
+/** Smallest part of the maximum that may be admitted at once, for customers with little or no burst; requests never arrive evenly. */
+const smallestBurstShare = 0.25;
+
 /** Limit of a customer for the instances that hear each other. */
 export type WindowLimit = {
 	/** Operations to admit in a window at most. */
@@ -32,6 +35,7 @@
 		const rise = riseFactor * atRate * (now - this.#updatedAt) / this.window;
 		this.#updatedAt = now;
 		this.#baseline = Math.min(used, this.#baseline + rise);
-		return Math.min(maximum, Math.ceil(Math.min(this.#baseline, atRate) + maximum - atRate));
+		const burst = Math.max(maximum - atRate, maximum * smallestBurstShare);
+		return Math.min(maximum, Math.ceil(Math.min(this.#baseline, atRate) + burst));
 	}
 }
--- a/source/relay/gateway-availability.spec.ts
+++ b/source/relay/gateway-availability.spec.ts
@@ -5,6 +5,7 @@
 import {SeededRandom} from '../random/random.js';
 import {type EntryRecord} from '../registry/messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type MemberStatement} from '../statement/types.js';
 import {GatewayAvailability, gatewayAvoidanceTime} from './gateway-availability.js';
 import {PlacementFixture} from './placement-fixture.js';
 
@@ -98,3 +99,20 @@
 	await fixture.clock.advanceInSteps(1500, 10);
 	assert.equal(await fixture.attempt(requester.pool, {kind: 'write', id: 'w', text: 'WRITE 1 x'}), 'done');
 });
+
+// Links between entries are silent while no request is open; an entry lost inside a transaction would keep its connection for 30 s.
+test('a gateway watches the requesting entry while a transaction is open', async () => {
+	const fixture = new PlacementFixture();
+	const {links, order} = fixture;
+	const {address} = order[0].record;
+	const execute = async (sequence: number, statement: MemberStatement): Promise<unknown> => fixture.settle(links.requestOn(7, address, 'relayStatement', {
+		relay: 1, sequence, statement, timeout: 500,
+	}, 800));
+	await links.requestOn(7, address, 'openRelay', {relay: 1, service: 'ledger', member: 'a'}, 300);
+	await execute(0, {kind: 'read', id: 'r', text: 'READ 1'});
+	assert.deepEqual([...links.watchedLinks], []);
+	await execute(1, {kind: 'begin', isReadOnly: false});
+	assert.deepEqual([...links.watchedLinks], [7]);
+	await execute(2, {kind: 'rollback'});
+	assert.deepEqual([...links.watchedLinks], []);
+});
--- a/source/relay/in-memory-links-fixture.ts
+++ b/source/relay/in-memory-links-fixture.ts
@@ -6,6 +6,7 @@
 export type InMemoryLinkServer = {
 	handle(name: string, handler: RequestHandler): void;
 	onLinkClosed(listener: (peer: LinkPeer) => void): void;
+	watchPeer(linkId: number, isNeeded: boolean): void;
 };
 
 /** In-memory links between entries; tests may make an address unreachable or silent. */
@@ -13,6 +14,8 @@
 	readonly unreachableAddresses = new Set<string>();
 	/** Addresses that receive requests and never answer them. */
 	readonly silentAddresses = new Set<string>();
+	/** Links whose peers the servers watch. */
+	readonly watchedLinks = new Set<number>();
 	/** Requests sent so far, with their address. */
 	readonly requests: Array<{readonly address: string; readonly name: string; readonly body: unknown}> = [];
 	readonly #handlers = new Map<string, Map<string, RequestHandler>>();
@@ -29,6 +32,13 @@
 			onLinkClosed: listener => {
 				this.#closeListeners.set(address, listener);
 			},
+			watchPeer: (linkId, isNeeded) => {
+				if (isNeeded) {
+					this.watchedLinks.add(linkId);
+				} else {
+					this.watchedLinks.delete(linkId);
+				}
+			},
 		};
 	}
 
--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -21,6 +21,7 @@
 	readonly linkServer: {
 		handle(name: string, handler: RequestHandler): void;
 		onLinkClosed(listener: (peer: LinkPeer) => void): void;
+		watchPeer(linkId: number, isNeeded: boolean): void;
 	};
 	/** Returns whether this instance is a gateway to the member; by default it is one to every member. */
 	readonly isGateway?: (service: string, member: string) => boolean;
@@ -37,6 +38,8 @@
 /** Gateway: executes statements on members for other entries, which are instances that accept callers. */
 export class RelayServer extends Controller {
 	readonly #relays = new Map<string, Relay>();
+	/** Relays with an open transaction, by the link on which they were opened. */
+	readonly #openTransactions = new Map<number, Set<RelaySession>>();
 	#isDraining = false;
 	#cancelIdleCheck: Cancel | undefined;
 
@@ -112,6 +115,7 @@
 
 		relay.usedAt = this.options.clock.now();
 		const response = await relay.session.execute(request);
+		this.#watchPeer(relay);
 		if (response.kind !== 'answered') {
 			const {statement} = request;
 			this.options.logger.info(`relayed statement ${response.kind}: ${response.detail}`, {
@@ -131,8 +135,33 @@
 	}
 
 	#close(key: string): void {
-		this.#relays.get(key)?.session.close();
+		const relay = this.#relays.get(key);
 		this.#relays.delete(key);
+		if (relay) {
+			relay.session.close();
+			this.#watchPeer(relay);
+		}
+	}
+
+	/** Watches the requesting entry while a transaction is open, which must be rolled back when the entry is gone. */
+	#watchPeer({linkId, session}: Relay): void {
+		const wasOpen = this.#openTransactions.get(linkId)?.has(session) ?? false;
+		if (session.isInTransaction === wasOpen) {
+			return;
+		}
+
+		const open = this.#openTransactions.get(linkId) ?? new Set();
+		if (session.isInTransaction) {
+			open.add(session);
+			this.#openTransactions.set(linkId, open);
+		} else {
+			open.delete(session);
+			if (open.size === 0) {
+				this.#openTransactions.delete(linkId);
+			}
+		}
+
+		this.options.linkServer.watchPeer(linkId, open.size > 0);
 	}
 }
 
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -231,6 +231,10 @@
 
 	async #requestRelay(target: MemberTarget, gateway: EntryRecord, relay: number): Promise<void> {
 		const {id, service, customer} = target;
+		if (this.allocationOf(service).gatewaysNearMember !== undefined) {
+			this.options.linkClient.allowSilence(gateway.address);
+		}
+
 		const request: OpenRelayRequest = {
 			relay, service, member: id, ...(customer !== undefined && {customer}),
 		};
--- a/stand-in/replication.ts
+++ b/stand-in/replication.ts
@@ -25,6 +25,8 @@
 		socket,
 		clock,
 		hybridClock: new HybridClock(clock),
+		isPeerNeeded: () => true,
+		allowsSilence: false,
 		onMessage(message: LinkMessage) {
 			if (message.kind === 'notice' && message.name !== 'ping') {
 				onMessage(message.body);
