--- a/source/relay/gateway-placement.ts
+++ b/source/relay/gateway-placement.ts
@@ -6,6 +6,9 @@
 /** Time for which idle connections of customers are kept. With 87 customers and 4 gateways of 26 connections, nearly every customer can keep one. */
 const customerIdleTimeout: Milliseconds = 20_000;
 
+/** Share of a gateway's connections that it keeps while they are idle. With half, the successors of two lost gateways, or of all after a loss of power, can connect while the member still counts the old connections. */
+const keptShare = 0.5;
+
 /** What a placement needs of the connector. */
 export type PlacementSource = {
 	maximumConnections(member: Pick<MemberTarget, 'id' | 'service'>): number;
@@ -54,6 +57,11 @@
 		}
 	}
 
+	override keptConnections(path: ConnectionPath | undefined): number {
+		const maximum = this.maximumConnections(path);
+		return this.isExact && path === 'own' ? Math.max(1, Math.floor(maximum * keptShare)) : maximum;
+	}
+
 	override isAllowed(connection: MemberConnection): boolean {
 		return !this.isExact || connection.isRelayed || this.source.isDirectConnectionAllowed(this.member, connection);
 	}
--- a/source/session-proxy/connection-placement.ts
+++ b/source/session-proxy/connection-placement.ts
@@ -21,6 +21,9 @@
 	/** Returns whether the connection may still be used; otherwise it is closed once it is idle. */
 	abstract isAllowed(connection: MemberConnection): boolean;
 
+	/** Returns the number of connections on the path above which idle ones are surplus. Members count the connections of a lost instance for seconds; its successors need room meanwhile. */
+	abstract keptConnections(path: ConnectionPath | undefined): number;
+
 	/** Returns the time after which an idle connection is closed. */
 	abstract idleTimeout(connection: MemberConnection, customer: string | undefined): Milliseconds;
 }
@@ -42,6 +45,10 @@
 		return this.limit();
 	}
 
+	override keptConnections(): number {
+		return this.limit();
+	}
+
 	override isAllowed(): boolean {
 		return true;
 	}
--- a/source/session-proxy/customer-connections.spec.ts
+++ b/source/session-proxy/customer-connections.spec.ts
@@ -5,9 +5,21 @@
 import {CallerSessionState} from './caller-session-state.js';
 import {MemberPool} from './member-pool.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
+import {SharedPlacement, type ConnectionPlacement} from './connection-placement.js';
 import {type PooledConnection} from './pooled-connection.js';
 import {testAnnouncement} from './session-fixture.js';
 
+/** Placement that keeps idle connections of customers, but only some of them. */
+class KeepingPlacement extends SharedPlacement {
+	override keptConnections(): number {
+		return 2;
+	}
+
+	override idleTimeout(): number {
+		return 20_000;
+	}
+}
+
 /** Pool with a limit on its connections, and the order in which its requests were served. */
 class PoolFixture {
 	readonly clock = new ManualClock();
@@ -15,9 +27,9 @@
 	readonly served: string[] = [];
 	readonly pool: MemberPool;
 
-	constructor(maximumConnections: number) {
+	constructor(maximumConnections: number, placement?: ConnectionPlacement) {
 		this.pool = new MemberPool(this.member.server, {
-			connector: new FakeMemberConnector([this.member]), clock: this.clock, logger: silentLogger, maximumConnections: () => maximumConnections,
+			connector: new FakeMemberConnector([this.member]), clock: this.clock, logger: silentLogger, maximumConnections: () => maximumConnections, placement,
 		});
 	}
 
@@ -159,6 +171,20 @@
 	assert.equal(served.customer, 'fifth');
 });
 
+// After a loss of power, members refused the connections of the restarted gateways for 3 s, since they still counted those of before.
+test('idle connections beyond those that are kept are closed after a moment, the least recently used first', async () => {
+	const fixture = new PoolFixture(6, new KeepingPlacement(() => 6));
+	const {pool, acquire} = bound(fixture);
+	for (const customer of ['first', 'second', 'third', 'fourth']) {
+		pool.release(await acquire(customer));
+		await fixture.advance(150);
+	}
+
+	assert.equal(fixture.openCount, 4, 'a burst of customers gets its connections');
+	await fixture.advance(2500);
+	assert.deepEqual(fixture.customers, ['third', 'fourth']);
+});
+
 function bound(fixture: PoolFixture): {readonly pool: MemberPool; readonly member: FakeMemberServer; readonly acquire: (customer: string | undefined, priority?: number) => Promise<PooledConnection>} {
 	return {pool: fixture.pool, member: fixture.member, acquire: async (customer, priority) => fixture.acquire(customer, priority)};
 }
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -386,12 +386,21 @@
 			this.#closeForbidden();
 			const surplus = this.#idle.length + this.#inUse.size - 1;
 			this.#idle.closeOlderThan(({memberConnection, customer}) => this.#placement.idleTimeout(memberConnection, customer), this.options.clock.now(), surplus);
+			this.#closeBeyondKept();
 			if (this.#placement.isExact && this.#idle.length > 0) {
 				this.#scheduleSurplusClose();
 			}
 		});
 	}
 
+	/** Closes idle connections beyond those that are kept, the least recently used first, once they have been idle for a moment. */
+	#closeBeyondKept(): void {
+		for (const path of ['own', 'gateway', undefined] as const) {
+			const excess = this.#countOn(path) - this.#placement.keptConnections(path);
+			this.#idle.closeOlderThan(connection => connection.path === path ? surplusIdleTimeout : Number.POSITIVE_INFINITY, this.options.clock.now(), excess);
+		}
+	}
+
 	/** Closes the idle connections that the placement does not allow any more. */
 	#closeForbidden(): void {
 		this.#idle.closeWhere(({memberConnection}) => !this.#placement.isAllowed(memberConnection));
--- a/source/session-proxy/transaction-share.spec.ts
+++ b/source/session-proxy/transaction-share.spec.ts
@@ -29,6 +29,10 @@
 		return true;
 	}
 
+	override keptConnections(): number {
+		return connectionLimit;
+	}
+
 	override idleTimeout(): number {
 		return 20_000;
 	}
