Send single reads of the primary to it without confirming its position first

A read on a route with primary consistency took two round trips: BEGIN and ROLLBACK confirmed the position of the primary, then the read was sent with that position. Where gateways are near the member, the process that holds the connection to the member now begins a write transaction, runs the read inside it, and rolls it back after the answer. Only a primary accepts BEGIN, so no position is needed. The answer to openRelay states whether a gateway does so.

--- a/source/relay/messages.ts
+++ b/source/relay/messages.ts
@@ -11,6 +11,12 @@
 	readonly customer?: string;
 };
 
+/** Response to `openRelay`; null unless the gateways are near the member. */
+export type OpenRelayResponse = {
+	/** Whether the gateway runs primary reads and checks `isInTransaction`. A gateway of an earlier build ignores both fields and would run such a statement outside a transaction. */
+	readonly supportsPrimaryReads: true;
+} | null;
+
 /** Request `relayStatement`: executes a statement on the member. */
 export type RelayStatementRequest = {
 	readonly relay: number;
@@ -23,6 +29,10 @@
 	readonly priority?: number;
 	/** Whether a caller's transaction is opened; absent for all other statements. */
 	readonly isForTransaction?: boolean;
+	/** Whether the gateway runs the read inside a write transaction that it opens and rolls back itself, so that only the primary answers it. Only sent on relays whose gateway supports it. */
+	readonly isPrimaryRead?: true;
+	/** Whether the statement belongs to a transaction that was begun on the relay. The gateway never runs it unless that transaction is open. */
+	readonly isInTransaction?: true;
 };
 
 /** Response to `relayStatement`. */
--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -5,7 +5,7 @@
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
 import {
-	type CloseRelayNotice, type OpenRelayRequest, type RelayStatementResponse, type RelayStatementRequest,
+	type CloseRelayNotice, type OpenRelayRequest, type OpenRelayResponse, type RelayStatementResponse, type RelayStatementRequest,
 } from './messages.js';
 import {RelaySession} from './relay-session.js';
 
@@ -80,7 +80,7 @@
 		this.#closeWhere(({session}) => session.isInTransaction);
 	}
 
-	async #open({relay, service, member, customer}: OpenRelayRequest, peer: LinkPeer): Promise<null> {
+	async #open({relay, service, member, customer}: OpenRelayRequest, peer: LinkPeer): Promise<OpenRelayResponse> {
 		const usablePool = (): MemberPool | undefined => {
 			const pool = this.options.poolOf(service, member);
 			return pool && !pool.isFailing && !pool.server.isLeaving ? pool : undefined;
@@ -91,14 +91,15 @@
 			throw new BuckthornhitchError('notGateway', member);
 		}
 
-		if (this.#isDraining || !usablePool()) {
+		const pool = usablePool();
+		if (this.#isDraining || !pool) {
 			throw new BuckthornhitchError('memberUnreachable', this.#isDraining ? 'the gateway is stopping' : `${member} is not reached from here`);
 		}
 
 		this.#relays.set(relayKey(relay, peer), {
 			linkId: peer.linkId, session: new RelaySession(member, this.options.clock, usablePool, customer), usedAt: this.options.clock.now(),
 		});
-		return null;
+		return pool.hasGatewaysNearMember ? {supportsPrimaryReads: true} : null;
 	}
 
 	async #execute(request: RelayStatementRequest, peer: LinkPeer): Promise<RelayStatementResponse> {
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -4,6 +4,7 @@
 import {refusalReasonOf} from '../session-proxy/statement-attempt.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
 import {type PooledConnection} from '../session-proxy/pooled-connection.js';
+import {readInWriteTransaction, relayedReplyOf, returnAfterPrimaryRead} from '../session-proxy/primary-read.js';
 import {localReply, refusal} from '../session-proxy/replies.js';
 import {type ConnectionUse} from '../statement/member-connection.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
@@ -58,7 +59,7 @@
 		const deadline = this.clock.now() + request.timeout;
 		const response = this.#lastResponse.then(async () => {
 			this.#use = {priority: request.priority ?? defaultPriority, isForTransaction: request.isForTransaction ?? false};
-			return this.#dispatch(request.statement, deadline);
+			return this.#refuseScope(request) ?? (request.isPrimaryRead ? this.#readFromPrimary(request.statement, deadline) : this.#dispatch(request.statement, deadline));
 		}).finally(() => {
 			this.#pendingCount--;
 		});
@@ -130,15 +131,68 @@
 		return {kind: 'answered', reply: localReply(held ? 'open' : 'idle')};
 	}
 
+	/** Refuses a statement that would not run in the transaction that it is meant for: one of a transaction that is not open, or a primary read that is no read or would run inside a transaction. A commit without a transaction is answered as aborted instead. */
+	#refuseScope({isInTransaction, isPrimaryRead, statement}: RelayStatementRequest): RelayStatementResponse | undefined {
+		if (isInTransaction && statement.kind !== 'commit' && !this.#held?.connection.isInTransaction) {
+			return {
+				kind: 'notRun', reason: 'busy', detail: 'the transaction is not open', isLost: false,
+			};
+		}
+
+		return isPrimaryRead && (this.#held ?? !this.#isRead(statement)) ? relayLost(`a primary read is not possible for ${statement.kind} here`) : undefined;
+	}
+
+	#isRead(statement: MemberStatement): boolean {
+		return statement.kind === 'read' || (statement.kind === 'execute' && this.#session.preparedStatements.get(statement.name)?.access === 'read');
+	}
+
+	/** Executes a read in a write transaction of its own, so that only the primary answers it. The response does not wait for the rollback. */
+	async #readFromPrimary(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
+		if (this.#isClosed) {
+			return relayLost('the relay was closed');
+		}
+
+		let held: HeldConnection;
+		try {
+			held = await this.#acquire(deadline);
+		} catch (error) {
+			return notAcquired(error);
+		}
+
+		this.#held = held;
+		const {pool, connection} = held;
+		const isHeld = (): boolean => this.#held?.connection === connection;
+		try {
+			const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
+			await connection.applySession(this.#session, preparedStatement, deadline - this.clock.now());
+			if (!isHeld()) {
+				return relayLost('the relay was closed before the statement was sent');
+			}
+
+			const outcome = await readInWriteTransaction({
+				clock: this.clock, pool, connection, statement, deadline, isWanted: isHeld,
+			});
+			const reply = relayedReplyOf(outcome);
+			return reply ? {kind: 'answered', reply} : {kind: 'unknown', detail: 'the read was not answered inside its transaction'};
+		} catch (error) {
+			return {
+				kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, isLost: false,
+			};
+		} finally {
+			// A relay that was closed meanwhile has returned the connection already.
+			if (isHeld()) {
+				this.#held = undefined;
+				returnAfterPrimaryRead(pool, connection);
+			}
+		}
+	}
+
 	async #executeOnMember(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
 		const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
 		try {
 			this.#held ??= await this.#acquire(deadline);
 		} catch (error) {
-			const isLost = toBuckthornhitchError(error).codeName === 'memberUnreachable';
-			return {
-				kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, isLost,
-			};
+			return notAcquired(error);
 		}
 
 		const {pool, connection} = this.#held;
@@ -199,6 +253,14 @@
 	}
 }
 
+/** Returns the response to a statement for which no connection to the member was acquired. */
+function notAcquired(error: unknown): RelayStatementResponse {
+	const {codeName, message} = toBuckthornhitchError(error);
+	return {
+		kind: 'notRun', reason: refusalReasonOf(error), detail: message, isLost: codeName === 'memberUnreachable',
+	};
+}
+
 function relayLost(detail: string): RelayStatementResponse {
 	return {
 		kind: 'notRun', reason: 'busy', detail, isLost: true,
--- a/source/relay/relay.spec.ts
+++ b/source/relay/relay.spec.ts
@@ -272,3 +272,8 @@
 	assert.equal(signatureOrReason(await fixture.settle(connection.execute(write, 500))), 'signed a');
 	assert.equal(fixture.directMember.connections.length, 0);
 });
+
+test('a gateway that is not near the member states no support for primary reads', async () => {
+	const fixture = new RelayFixture();
+	assert.equal(await fixture.links.request('gateway:1', 'openRelay', {relay: 1, service: 'ledger', member: 'a'}, 300), null);
+});
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -2,9 +2,11 @@
 import {type Address} from '../links/address.js';
 import {type LinkClient} from '../links/link-client.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {MemberConnection, type ConnectionUse} from '../statement/member-connection.js';
+import {MemberConnection, type ConnectionUse, type StatementScope} from '../statement/member-connection.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
-import {type CloseRelayNotice, type RelayStatementResponse, type RelayStatementRequest} from './messages.js';
+import {
+	type CloseRelayNotice, type OpenRelayResponse, type RelayStatementResponse, type RelayStatementRequest,
+} from './messages.js';
 
 /** Time for the gateway's response on top of the statement's own timeout: one round trip between data centres and a short stall of the gateway. */
 const gatewayAllowance: Milliseconds = 300;
@@ -30,8 +32,10 @@
 	readonly sendsPriority: boolean;
 	/** Returns whether a direct connection, or another gateway, should be used instead from now on. */
 	readonly isObsolete: () => boolean;
-	/** Settles when the gateway has answered the request to open the relay; undefined if it has done so before. */
+	/** Settles with the answer of the gateway to the request to open the relay; undefined if it has answered before. */
 	readonly opening?: Promise<unknown>;
+	/** Answer of the gateway, if it has answered before. */
+	readonly openResponse?: OpenRelayResponse;
 	/** Called with the time in which a data statement outside a transaction was answered. */
 	readonly onAnswered?: (time: Milliseconds) => void;
 	/** Called when a request to the gateway fails. */
@@ -46,15 +50,20 @@
 	#isInTransaction = false;
 	#isClosed = false;
 	#use: ConnectionUse | undefined;
+	#supportsScopes: boolean;
 	/** Settles when the gateway has confirmed the relay; undefined afterwards. */
 	#opening: Promise<unknown> | undefined;
+	/** Resolves when the gateway has answered the request to open the relay, also if it refused. */
+	readonly #opened: Promise<void>;
 	/** Whether a statement waits until the relay is confirmed, so that later ones must not overtake it. */
 	#isConfirmationAwaited = false;
 
 	constructor(private readonly options: RelayedConnectionOptions) {
 		super();
-		this.#opening = options.opening;
-		void this.#awaitOpening();
+		const {opening, openResponse} = options;
+		this.#supportsScopes = openResponse?.supportsPrimaryReads === true;
+		this.#opening = opening;
+		this.#opened = opening ? this.#awaitOpening(opening) : Promise.resolve();
 	}
 
 	override get isClosed(): boolean {
@@ -65,13 +74,21 @@
 		return true;
 	}
 
+	override get supportsScopes(): boolean {
+		return this.#supportsScopes && !this.#isClosed;
+	}
+
+	override async waitUntilOpen(): Promise<void> {
+		return this.#opened;
+	}
+
 	override setUse(use: ConnectionUse): void {
 		this.#use = use;
 	}
 
-	override async execute(statement: MemberStatement, timeout = defaultTimeout): Promise<StatementReply> {
-		if (this.#isClosed) {
-			throw new BuckthornhitchError('linkNotSent', `the relay through ${this.options.gateway} is closed`);
+	override async execute(statement: MemberStatement, timeout = defaultTimeout, scope?: StatementScope): Promise<StatementReply> {
+		if (this.#isClosed || (scope === 'primaryRead' && !this.#supportsScopes)) {
+			throw new BuckthornhitchError('linkNotSent', `the relay through ${this.options.gateway} is closed or does not run primary reads`);
 		}
 
 		this.#pendingCount++;
@@ -82,7 +99,7 @@
 			}
 
 			const sentAt = this.options.clock.now();
-			const response = await this.#sendWhileOpening(statement, timeout - (sentAt - startedAt));
+			const response = await this.#sendWhileOpening(statement, timeout - (sentAt - startedAt), scope);
 			if (response.kind === 'answered' && !this.#isInTransaction && dataKinds.has(statement.kind)) {
 				this.options.onAnswered?.(this.options.clock.now() - sentAt);
 			}
@@ -110,9 +127,10 @@
 		this.#closeListeners.push(listener);
 	}
 
-	async #awaitOpening(): Promise<void> {
+	async #awaitOpening(opening: Promise<unknown>): Promise<void> {
 		try {
-			await this.options.opening;
+			const response = await opening as OpenRelayResponse | undefined;
+			this.#supportsScopes = response?.supportsPrimaryReads === true;
 		} catch (error) {
 			this.options.onFailure(toBuckthornhitchError(error).message);
 			this.close();
@@ -132,8 +150,8 @@
 	}
 
 	/** Sends a statement. While the gateway has not confirmed the relay, rejects as soon as the request to open it was not answered in time, without blaming the member. */
-	async #sendWhileOpening(statement: MemberStatement, timeout: Milliseconds): Promise<RelayStatementResponse> {
-		const response = this.#send(statement, timeout);
+	async #sendWhileOpening(statement: MemberStatement, timeout: Milliseconds, scope: StatementScope | undefined): Promise<RelayStatementResponse> {
+		const response = this.#send(statement, timeout, scope);
 		if (!this.#opening) {
 			return response;
 		}
@@ -153,10 +171,15 @@
 		return Promise.race([response, noAnswer]);
 	}
 
-	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<RelayStatementResponse> {
+	async #send(statement: MemberStatement, timeout: Milliseconds, scope: StatementScope | undefined): Promise<RelayStatementResponse> {
 		const {linkClient, gateway, relay, sendsPriority, onFailure} = this.options;
 		const body: RelayStatementRequest = {
-			relay, sequence: this.#nextSequence++, statement, timeout, ...(sendsPriority && {priority: this.#use?.priority, ...(this.#use?.isForTransaction && {isForTransaction: true})}),
+			relay,
+			sequence: this.#nextSequence++,
+			statement,
+			timeout,
+			...(sendsPriority && {priority: this.#use?.priority, ...(this.#use?.isForTransaction && {isForTransaction: true})}),
+			...scopeFields(scope),
 		};
 		try {
 			return await linkClient.request(gateway, 'relayStatement', body, timeout + gatewayAllowance) as RelayStatementResponse;
@@ -192,3 +215,19 @@
 		}
 	}
 }
+
+function scopeFields(scope: StatementScope | undefined): Pick<RelayStatementRequest, 'isPrimaryRead' | 'isInTransaction'> {
+	switch (scope) {
+		case 'primaryRead': {
+			return {isPrimaryRead: true};
+		}
+
+		case 'transaction': {
+			return {isInTransaction: true};
+		}
+
+		case undefined: {
+			return {};
+		}
+	}
+}
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -7,13 +7,13 @@
 	MemberConnector, type ConnectionPath, type MemberConnection, MemberRefusedError, type MemberTarget,
 } from '../statement/member-connection.js';
 import {type ConnectionPlacement} from '../session-proxy/connection-placement.js';
-import {type OpenRelayRequest} from './messages.js';
+import {type OpenRelayRequest, type OpenRelayResponse} from './messages.js';
 import {maximumRelayedConnections, type ConnectionAllocation} from './connection-allocation.js';
 import {GatewayLoad} from './gateway-load.js';
 import {GatewayPlacement} from './gateway-placement.js';
 import {GatewaySelection, type GatewaySelectionOptions} from './gateway-selection.js';
 import {ConnectionCounts} from './connection-counts.js';
-import {RelayedConnection} from './relayed-connection.js';
+import {RelayedConnection, type RelayedConnectionOptions} from './relayed-connection.js';
 import {UnreachableMembers, type UnreachableMembersOptions} from './unreachable-members.js';
 
 /** Timeout of the request to open a relay: a round trip within a data centre, the time to open a new link and a short stall of the gateway. */
@@ -195,8 +195,8 @@
 		for (const gateway of this.#orderedGateways(target, allocation).slice(0, allocation.gatewaysNearMember ?? maximumGatewayAttempts)) {
 			const relay = this.#nextRelay++;
 			try {
-				await this.#requestRelay(target, gateway, relay);
-				return {failures, connection: this.#createRelayedConnection(target, gateway, relay)};
+				const openResponse = await this.#requestRelay(target, gateway, relay);
+				return {failures, connection: this.#createRelayedConnection(target, gateway, relay, {openResponse})};
 			} catch (error) {
 				const failure = toBuckthornhitchError(error);
 				failures.push(failure);
@@ -215,19 +215,20 @@
 		}
 
 		const relay = this.#nextRelay++;
-		return this.#createRelayedConnection(target, gateway, relay, this.#requestRelay(target, gateway, relay));
+		return this.#createRelayedConnection(target, gateway, relay, {opening: this.#requestRelay(target, gateway, relay)});
 	}
 
-	async #requestRelay(target: MemberTarget, gateway: EntryRecord, relay: number): Promise<void> {
+	async #requestRelay(target: MemberTarget, gateway: EntryRecord, relay: number): Promise<OpenRelayResponse> {
 		const {id, service, customer} = target;
 		const request: OpenRelayRequest = {
 			relay, service, member: id, ...(customer !== undefined && {customer}),
 		};
-		await this.options.linkClient.request(gateway.address, 'openRelay', request, openRelayTimeout);
+		const response = await this.options.linkClient.request(gateway.address, 'openRelay', request, openRelayTimeout) as OpenRelayResponse;
 		this.#recordGateway(target, gateway);
+		return response;
 	}
 
-	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number, opening?: Promise<void>): RelayedConnection {
+	#createRelayedConnection(target: MemberTarget, gateway: EntryRecord, relay: number, answer: Pick<RelayedConnectionOptions, 'opening' | 'openResponse'>): RelayedConnection {
 		const {id, service, path} = target;
 		const hasDirectConnections = (): boolean => this.#selection.hasDirectConnections(id, this.allocationOf(service)) && !this.#unreachable.has(id);
 		const isOtherPreferred = (): boolean => this.#orderedGateways(target, this.allocationOf(service)).at(0)?.name !== gateway.name;
@@ -240,7 +241,7 @@
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
 			relay,
-			opening,
+			...answer,
 			sendsPriority: gatewaysNearMember !== undefined,
 			isObsolete: path === 'gateway' ? isOtherPreferred : () => hasDirectConnections() || hasMovedOn(),
 			onAnswered: mayMoveOn
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -89,6 +89,11 @@
 		return this.#health.isFailing;
 	}
 
+	/** Whether gateways near the member hold its connections. Single reads of the primary then run in a transaction of their own (see `primary-read.ts`). */
+	get hasGatewaysNearMember(): boolean {
+		return this.#placement.isExact;
+	}
+
 	/** Number of connections in use and of requests that wait for one. */
 	get load(): number {
 		return this.#inUse.size + this.#waiting.length;
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -70,6 +70,8 @@
 export class FakeMemberConnection extends MemberConnection {
 	#isClosed = false;
 	#transaction: TransactionState = 'idle';
+	/** Whether the open transaction, if there is one, was begun as a write transaction. */
+	#isWriteTransaction = false;
 	readonly #listeners: Array<() => void> = [];
 
 	constructor(private readonly member: FakeMemberServer, private readonly connectionNumber: number, readonly customer?: string) {
@@ -146,13 +148,16 @@
 			return 'lagging';
 		}
 
-		const writes = statement.kind === 'write' || (statement.kind === 'begin' && !statement.isReadOnly);
+		// A member that has lost its role refuses every statement of a write transaction.
+		const isInWriteTransaction = isDataStatement && this.#transaction === 'open' && this.#isWriteTransaction;
+		const writes = statement.kind === 'write' || isInWriteTransaction || (statement.kind === 'begin' && !statement.isReadOnly);
 		return writes && this.member.role === 'replica' ? 'readOnly' : undefined;
 	}
 
 	#applyStatement(statement: MemberStatement): void {
 		if (statement.kind === 'begin') {
 			this.#transaction = 'open';
+			this.#isWriteTransaction = !statement.isReadOnly;
 		} else if (statement.kind === 'commit' || statement.kind === 'rollback') {
 			this.#transaction = 'idle';
 		}
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -1,6 +1,8 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type ConnectionPath, type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
+import {
+	type ConnectionPath, type MemberConnection, MemberRefusedError, type StatementScope,
+} from '../statement/member-connection.js';
 import {
 	type MemberStatement, type PreparedStatementDefinition, type StatementReply, type TransactionState,
 } from '../statement/types.js';
@@ -66,12 +68,12 @@
 	}
 
 	/** Sends a statement and resolves with its reply. Rejects with linkOutcomeUnknown after the timeout in milliseconds or when the connection ends, and with linkNotSent when it had ended before or was returned for a rollback. */
-	async execute(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
+	async execute(statement: MemberStatement, timeout: Milliseconds, scope?: StatementScope): Promise<StatementReply> {
 		if (this.#isRollingBack) {
 			throw new BuckthornhitchError('linkNotSent', 'the connection was returned for a rollback');
 		}
 
-		return this.#send(statement, timeout);
+		return this.#send(statement, timeout, scope);
 	}
 
 	/** Waits until every statement was answered, and then rolls back the open transaction. Statements that the previous holder sends from now on are rejected. Rejects like `execute`. */
@@ -93,13 +95,13 @@
 		}
 	}
 
-	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<StatementReply> {
+	async #send(statement: MemberStatement, timeout: Milliseconds, scope?: StatementScope): Promise<StatementReply> {
 		this.#pendingCount++;
 		return new Promise((resolve, reject) => {
 			const cancel = this.options.clock.schedule(Math.max(0, timeout), () => {
 				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer within ${Math.round(timeout)} ms`));
 			});
-			this.#lastReply = this.memberConnection.execute(statement, timeout).then(reply => {
+			this.#lastReply = this.memberConnection.execute(statement, timeout, scope).then(reply => {
 				this.#pendingCount--;
 				this.#transaction = reply.transaction;
 				this.#recordSessionChange(statement, reply);
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -1,5 +1,5 @@
 import {BackendDirectory} from '../backend-directory/backend-directory.js';
-import {type BackendAnnouncement} from '../backend-directory/types.js';
+import {type BackendAnnouncement, type BackendServer} from '../backend-directory/types.js';
 import {ManualClock} from '../clock/manual-clock.js';
 import {digestKey} from '../customers/key-digest.js';
 import {type Customer} from '../customers/types.js';
@@ -8,6 +8,7 @@
 import {type Consistency, type Route} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-connection.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
+import {type ConnectionPlacement} from './connection-placement.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
 import {SessionProxy} from './session-proxy.js';
@@ -45,7 +46,7 @@
 	#version = 1;
 
 	/** Several proxies may share a clock and the connector of other members than the fake ones. */
-	constructor(consistency: Consistency = 'readYourWrites', connector?: MemberConnector, readonly clock = new ManualClock()) {
+	constructor(consistency: Consistency = 'readYourWrites', connector?: MemberConnector, readonly clock = new ManualClock(), connectionPlacement?: (server: BackendServer) => ConnectionPlacement) {
 		this.#consistency = consistency;
 		this.directory = new BackendDirectory(clock);
 		this.members = ['a', 'b', 'c'].map(id => new FakeMemberServer({...testAnnouncement(id, {role: id === 'a' ? 'primary' : 'replica'}), isGone: false}));
@@ -62,6 +63,7 @@
 			connector: connector ?? new FakeMemberConnector(this.members),
 			dataCentre: 'here',
 			maximumConnections: () => this.maximumConnections,
+			connectionPlacement,
 			admitOperation: async ({name}) => {
 				this.askedCustomers.push(name);
 				return this.admissions.shift() ?? {admitted: true};
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -4,11 +4,12 @@
 import {type Route} from '../routing-table/types.js';
 import {type StatementReply} from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
-import {HedgedRead} from './hedged-read.js';
+import {HedgedRead, type ReadSource} from './hedged-read.js';
 import {
 	attemptStatement, describeAttempt, isMemberFailure, type StatementAttempt, type AttemptOptions,
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
+import {primaryReadPool} from './primary-read-attempt.js';
 import {avoidTimeAfterRefusal, orderMembersForRead, type MemberCandidate} from './read-policy.js';
 import {notRunRefusal, refusal} from './replies.js';
 import {type ReadOutcome} from './read-placement.js';
@@ -18,6 +19,21 @@
 /** Delay before a read that no member could serve is retried. */
 const retryDelay: Milliseconds = 15;
 
+/** Options of a read at a position that the primary has confirmed. */
+type PositionedReadOptions = {
+	/** Returns whether the caller still waits for the reply. */
+	readonly isWanted: () => boolean;
+	/** Called with each attempt that may have run. */
+	readonly onMayHaveRun: (attempt: StatementAttempt) => void;
+};
+
+/** Outcome of a read at a position that the primary has confirmed. */
+type PositionedRead = {
+	readonly attempt: StatementAttempt;
+	/** Whether no primary confirmed a position. */
+	readonly isPrimaryMissing: boolean;
+};
+
 /** Executes the reads of one session on members whose data is fresh enough. */
 export class SessionReadExecutor {
 	constructor(private readonly context: SessionContext) {}
@@ -25,43 +41,22 @@
 	/** Executes a read outside a transaction, and retries it until its deadline while no member serves it. */
 	async read(routed: RoutedDataRequest): Promise<StatementReply> {
 		const {context} = this;
-		const {request, route, client, arrivedAt, deadline} = routed;
-		let last: StatementAttempt = {kind: 'notRun', reason: 'busy', detail: 'no member was reached'};
+		const {request, route, client} = routed;
 		const attemptsThatMayHaveRun: StatementAttempt[] = [];
-		let isPrimaryMissing = false;
-		while (context.now < deadline) {
-			const required = await this.requiredPosition(client, arrivedAt - route.maximumStaleness, deadline);
-			if (!required) {
-				isPrimaryMissing = true;
-				break;
-			}
-
-			const pools = this.candidatePools(client, route, required);
-			if (!pools.some(pool => pool.isAnswerableBefore(deadline))) {
-				break;
-			}
-
-			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => {
-				const attempt = await this.#readFrom(pool, routed, {after: required, isWanted});
-				if (attempt.kind === 'answered' || attempt.kind === 'unknown') {
-					attemptsThatMayHaveRun.push(attempt);
-				}
-
-				return attempt;
-			});
-			last = await read.run();
-			context.log(request.id, 'read', describeAttempt(last), {
-				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
-			});
-			if (last.kind === 'answered' || last.kind === 'refused') {
-				return {...last.reply, transaction: 'idle'};
-			}
-
-			await this.waitBeforeRetry(client, last.kind === 'notRun' && last.reason === 'lagging', deadline);
+		const onMayHaveRun = (attempt: StatementAttempt): void => {
+			attemptsThatMayHaveRun.push(attempt);
+		};
+
+		const pool = primaryReadPool(routed);
+		const {attempt, isPrimaryMissing} = pool
+			? await this.#readFromPrimaryFirst(pool, routed, onMayHaveRun)
+			: await this.#readAtPosition(routed, {onMayHaveRun, isWanted: () => true});
+		if (attempt.kind === 'answered' || attempt.kind === 'refused') {
+			return {...attempt.reply, transaction: 'idle'};
 		}
 
 		// A refusal after an attempt that may have run does not show that the read has not run.
-		last = attemptsThatMayHaveRun.at(-1) ?? last;
+		const last = attemptsThatMayHaveRun.at(-1) ?? attempt;
 		context.log(request.id, 'refusal', describeAttempt(last));
 		switch (last.kind) {
 			case 'answered':
@@ -136,6 +131,69 @@
 		}
 	}
 
+	/** Sends a read to the primary without a position. If that does not answer it, or is slow, the read is executed at a position that the primary has confirmed. */
+	async #readFromPrimaryFirst(pool: MemberPool, routed: RoutedDataRequest, onMayHaveRun: (attempt: StatementAttempt) => void): Promise<PositionedRead> {
+		const {context} = this;
+		let isPrimaryMissing = false;
+		const positioned: ReadSource = {expectedReplyTime: 0};
+		const read = new HedgedRead<ReadSource>(context.dependencies.clock, [pool, positioned], async (source, isWanted) => {
+			if (source === positioned) {
+				const outcome = await this.#readAtPosition(routed, {isWanted, onMayHaveRun});
+				({isPrimaryMissing} = outcome);
+				return outcome.attempt;
+			}
+
+			const attempt = await this.#readFrom(pool, routed, {isPrimaryRead: true, isWanted});
+			context.log(routed.request.id, 'primary read', describeAttempt(attempt), {member: pool.server.id, elapsed: Math.round(context.now - routed.arrivedAt)});
+			if (attempt.kind === 'answered' || attempt.kind === 'unknown') {
+				onMayHaveRun(attempt);
+			} else if (attempt.kind === 'notRun' && (attempt.reason === 'readOnly' || attempt.reason === 'wrongServer')) {
+				routed.client.forgetPrimary(pool.server.id);
+			}
+
+			return attempt;
+		});
+		return {attempt: await read.run(), isPrimaryMissing};
+	}
+
+	/** Executes a read on the members that have reached a position which the primary has confirmed, and retries it until its deadline while no member serves it. */
+	async #readAtPosition(routed: RoutedDataRequest, {isWanted: isReadWanted, onMayHaveRun}: PositionedReadOptions): Promise<PositionedRead> {
+		const {context} = this;
+		const {request, route, client, arrivedAt, deadline} = routed;
+		let last: StatementAttempt = {kind: 'notRun', reason: 'busy', detail: 'no member was reached'};
+		while (context.now < deadline && isReadWanted()) {
+			const required = await this.requiredPosition(client, arrivedAt - route.maximumStaleness, deadline);
+			if (!required) {
+				return {attempt: last, isPrimaryMissing: true};
+			}
+
+			const pools = this.candidatePools(client, route, required);
+			if (!pools.some(pool => pool.isAnswerableBefore(deadline))) {
+				break;
+			}
+
+			const read = new HedgedRead(context.dependencies.clock, pools, async (pool, isWanted) => {
+				const attempt = await this.#readFrom(pool, routed, {after: required, isWanted: () => isWanted() && isReadWanted()});
+				if (attempt.kind === 'answered' || attempt.kind === 'unknown') {
+					onMayHaveRun(attempt);
+				}
+
+				return attempt;
+			});
+			last = await read.run();
+			context.log(request.id, 'read', describeAttempt(last), {
+				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
+			});
+			if (last.kind === 'answered' || last.kind === 'refused') {
+				break;
+			}
+
+			await this.waitBeforeRetry(client, last.kind === 'notRun' && last.reason === 'lagging', deadline);
+		}
+
+		return {attempt: last, isPrimaryMissing: false};
+	}
+
 	async #readFrom(pool: MemberPool, routed: RoutedDataRequest, options: AttemptOptions): Promise<StatementAttempt> {
 		const {context} = this;
 		const startedAt = context.now;
@@ -144,7 +202,7 @@
 		recordEnd({outcome: readOutcomeOf(attempt, options), sentAt: startedAt, latencyTarget: routed.route.latencyTarget});
 		if (attempt.kind === 'answered') {
 			pool.recordReplyTime(context.now - startedAt);
-		} else if (attempt.kind === 'notRun') {
+		} else if (attempt.kind === 'notRun' && attempt.isMemberConcerned !== false) {
 			pool.avoidUntil = context.now + avoidTimeAfterRefusal(attempt.reason, pool.server.id === routed.client.primaryId);
 		}
 
@@ -168,7 +226,7 @@
 		}
 
 		case 'notRun': {
-			return attempt.reason === 'busy' && isWanted() ? 'overloaded' : 'withdrawn';
+			return attempt.reason === 'busy' && attempt.isMemberConcerned !== false && isWanted() ? 'overloaded' : 'withdrawn';
 		}
 	}
 }
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -9,6 +9,7 @@
 import {type RoutedDataRequest} from './data-request.js';
 import {type MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
+import {attemptPrimaryRead} from './primary-read-attempt.js';
 import {describeReply} from './replies.js';
 import {type SessionContext} from './session-context.js';
 
@@ -18,7 +19,13 @@
 	/** The operation was refused without an attempt and must not be retried. */
 	| {readonly kind: 'refused'; readonly reply: StatementReply}
 	/** The statement has certainly not run. */
-	| {readonly kind: 'notRun'; readonly reason: RefusalReason; readonly detail: string}
+	| {
+		readonly kind: 'notRun';
+		readonly reason: RefusalReason;
+		readonly detail: string;
+		/** Whether the refusal shows anything about the member; true if absent. */
+		readonly isMemberConcerned?: boolean;
+	}
 	/** The statement may have run. */
 	| {readonly kind: 'unknown'; readonly detail: string};
 
@@ -28,6 +35,8 @@
 	readonly after?: LogPosition;
 	/** Returns whether the caller still waits for the reply. If not, the statement is not sent any more, since the caller may have changed its session variables in the meantime. */
 	readonly isWanted?: () => boolean;
+	/** Whether the statement is a read that runs in a write transaction of its own, which only the primary accepts. */
+	readonly isPrimaryRead?: boolean;
 };
 
 /** Requirements of a statement on its connection. */
@@ -73,7 +82,8 @@
 }
 
 /** Sends a statement outside a transaction to a member. */
-export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, {after, isWanted = () => true}: AttemptOptions = {}): Promise<StatementAttempt> {
+export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, options: AttemptOptions = {}): Promise<StatementAttempt> {
+	const {after, isWanted = () => true, isPrimaryRead = false} = options;
 	const {request, operation, route, deadline} = routed;
 	const refused = operation.isAdmitted ? undefined : await operation.admit();
 	if (refused) {
@@ -97,6 +107,12 @@
 		return {kind: 'notRun', reason: 'busy', detail: 'the key of the caller was revoked or moved'};
 	}
 
+	if (isPrimaryRead) {
+		return attemptPrimaryRead(context, {
+			pool, connection, routed, isWanted: () => isWanted() && context.isAuthorizedAs(customer),
+		});
+	}
+
 	try {
 		const reply = await connection.execute(request.createStatement(after), deadline - context.now);
 		pool.release(connection);
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -32,6 +32,13 @@
 	readonly isForTransaction: boolean;
 };
 
+/** How a gateway runs a relayed statement with regard to transactions. */
+export type StatementScope =
+	/** Inside the transaction that is open on the relay; never outside one. */
+	| 'transaction'
+	/** Inside a write transaction that the gateway opens for this read and rolls back afterwards. */
+	| 'primaryRead';
+
 /** An open connection to a member; statements are answered in the order in which they were sent. */
 export abstract class MemberConnection {
 	/** Whether the connection has ended. */
@@ -42,13 +49,23 @@
 		return false;
 	}
 
+	/** Whether another instance, the gateway, has confirmed that it runs statements with a scope as the scope demands. Until `waitUntilOpen` resolves, this may still change. */
+	get supportsScopes(): boolean {
+		return false;
+	}
+
+	/** Resolves when it is known whether scopes are supported. */
+	async waitUntilOpen(): Promise<void> {
+		// Only relayed connections accept statements before they are open.
+	}
+
 	/** Sets what the statements that follow are for. A direct connection has no use for it, since its statements do not wait for a connection again. */
 	setUse(_use: ConnectionUse): void {
 		// Only relayed connections pass the use on.
 	}
 
-	/** Sends a statement and resolves with its reply. The timeout, in milliseconds, limits the wait on a relayed connection; a direct one ignores it. Rejects with linkOutcomeUnknown when the connection ends before the reply, and with linkNotSent when it had ended before the statement was sent. */
-	abstract execute(statement: MemberStatement, timeout?: Milliseconds): Promise<StatementReply>;
+	/** Sends a statement and resolves with its reply. The timeout, in milliseconds, limits the wait on a relayed connection, and the scope tells the gateway how to run the statement; a direct connection ignores both. Rejects with linkOutcomeUnknown when the connection ends before the reply, and with linkNotSent when it had ended before the statement was sent. */
+	abstract execute(statement: MemberStatement, timeout?: Milliseconds, scope?: StatementScope): Promise<StatementReply>;
 
 	/** Closes the connection, which rolls back an open transaction. */
 	abstract close(): void;
