--- a/source/relay/primary-reads.spec.ts
+++ b/source/relay/primary-reads.spec.ts
@@ -109,7 +109,8 @@
 		const reply = await sessions.run(session, read);
 		assert.equal(signatureOrReason(reply), 'signed b');
 		assert.deepEqual(fixture.receivedReads.map(({member, statement}) => [member, 'after' in statement && statement.after?.term]), [['b', 2]]);
-		assert.equal(fixture.primary.received[0].statement.kind, 'begin');
+		// One BEGIN for the read and one in the search for the new primary; the old one is not asked to confirm its position.
+		assert.deepEqual(fixture.primary.receivedKinds.filter(kind => kind !== 'rollback'), ['begin', 'begin']);
 		assert.ok(sessions.log.decisions.some(({step, outcome}) => step === 'primary read' && outcome.startsWith('notRun readOnly')));
 	}
 });
@@ -166,6 +167,30 @@
 	}
 });
 
+test('a read that the primary did not answer has an unknown outcome also when no primary confirms a position afterwards', async () => {
+	for (const name of ['gateway-1', 'requester'] as const) {
+		const {fixture, sessions, session} = await warmFixture(name);
+		fixture.primary.holdsReplies = true;
+		const replies: StatementReply[] = [];
+		void session.execute(read).then(reply => replies.push(reply));
+		await sessions.advance(10);
+		fixture.primary.role = 'replica';
+		await sessions.advance(1200);
+		assert.deepEqual(replies.map(reply => signatureOrReason(reply)), ['outcomeUnknown']);
+	}
+});
+
+test('a read that the gateway did not answer has an unknown outcome also when no member can be reached afterwards', async () => {
+	const {fixture, sessions, session} = await warmFixture();
+	fixture.links.silentAddresses.add('gateway-1:1').add('gateway-2:1');
+	// The entry would connect directly as a reserve gateway.
+	for (const member of sessions.members) {
+		member.refusesConnections = true;
+	}
+
+	assert.equal(signatureOrReason(await sessions.run(session, read)), 'outcomeUnknown');
+});
+
 test('when the relay is lost after BEGIN, the read is never sent on its connection, and another gateway serves it', async () => {
 	const {fixture, sessions, session, since} = await warmFixture();
 	fixture.primary.heldKinds = new Set(['begin']);
