--- a/source/admission/waiting-queue.spec.ts
+++ b/source/admission/waiting-queue.spec.ts
@@ -225,7 +225,7 @@
 test('the expected wait is the time in which the requests ahead are served', () => {
 	const queue = new WaitingQueue<TestItem>({maximumLength: () => 100, expectedReplyTime: () => 0});
 	for (let count = 0; count < 50; count++) {
-		queue.recordServed(undefined, count * 10);
+		queue.recordServed({customer: undefined}, count * 10);
 	}
 
 	for (let count = 0; count < 9; count++) {
--- a/source/admission/waiting-queue.ts
+++ b/source/admission/waiting-queue.ts
@@ -1,23 +1,22 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {isAnswerableInTime} from './deadline-rules.js';
+import {RecentCounts} from './recent-counts.js';
+import {
+	canMeetTarget, compareByTime, WaitingLane, type LaneEntry, type LaneState, type WaitingItem,
+} from './waiting-lane.js';
+import {WaitingOrder, type WaitingSearch} from './waiting-order.js';
 
-/** A request that waits, for example for a connection to a member. */
-export type WaitingItem = {
-	/** Priority of the request; 0 is the highest. */
-	readonly priority: number;
-	readonly arrivedAt: Milliseconds;
-	readonly deadline: Milliseconds;
-	readonly latencyTarget: Milliseconds;
-	readonly customer: string | undefined;
-	/** Whether the request belongs to an open transaction, including its commit. Others wait for what the transaction holds. */
-	readonly isInTransaction: boolean;
-};
+export type {WaitingItem} from './waiting-lane.js';
 
 /** Limits of a waiting queue; functions return the current value. */
-export type WaitingQueueOptions = {
+export type WaitingQueueOptions<Item> = {
 	readonly maximumLength: () => number;
 	/** Expected time from the end of the wait to the reply. */
 	readonly expectedReplyTime: () => Milliseconds;
+	/** Expected time between two served requests while requests wait. By default, it is known only from the requests served in the last second, which were fewer than possible if none waited. */
+	readonly expectedInterval?: () => Milliseconds;
+	/** Returns the conditions under which a request can be served. Those with the same priority, customer and conditions are in the same lane. */
+	readonly conditionsOf?: (item: Item) => string;
 };
 
 /** Part of the latency target after which a waiting request counts as one priority higher. */
@@ -29,174 +28,271 @@
 /** One of so many served requests is chosen with ageing. If all were, a burst of the lowest priority of 1.45 times the capacity would make a tenth of the highest late. */
 const ageingPeriod = 4;
 
-/** Multiple of the expected reply time that must be left for a reply within the latency target; replies vary around the expected time. */
-const replyTimeMargin = 1.5;
-
 /** Time over which the served requests are counted. */
 const servedWindow: Milliseconds = 1000;
 
 /** Served requests below which the time between two of them is not known well enough to refuse others. */
 const minimumServedCount = 4;
 
-type ServedRequest = {
-	readonly at: Milliseconds;
-	readonly customer: string | undefined;
+/** Part of the queue's length that must have arrived or been served before all requests are checked again, so that the work of the checks grows in proportion to the requests. */
+const checkedShare = 1 / 16;
+
+/** Time after which all requests are checked again in any case. */
+const checkInterval: Milliseconds = 100;
+
+type QueueLane<Item extends WaitingItem> = {
+	readonly key: string;
+	/** Request for which the lane was created; all have the same priority and customer. */
+	readonly first: Item;
+	readonly requests: WaitingLane<Item>;
 };
 
-type Arrival = {
-	readonly at: Milliseconds;
-	readonly priority: number;
+type QueueEntry<Item extends WaitingItem> = LaneEntry<Item> & {
+	readonly lane: QueueLane<Item>;
 };
 
-type OrderState = {
-	readonly now: Milliseconds;
+type OrderState = LaneState & {
 	readonly isAgeing: boolean;
 	readonly servedCounts: ReadonlyMap<string | undefined, number>;
 };
 
+/** Position of a search in the requests of a lane. */
+type LaneCursor<Item extends WaitingItem> = {
+	readonly lane: QueueLane<Item>;
+	readonly rest: Iterator<Item>;
+	current: Item;
+};
+
 /**
 Bounded queue of requests in the order in which callers need them: open transactions first, then by priority, then the customer that was served least in the last second, then the earliest latency target that can be met, then the earliest deadline that can be met.
 
 Requests that have missed their latency target go behind those that can still meet it. Otherwise, an overload of 5% makes every request of a priority wait until it is late. Answers a burst of the lowest priority, which must not delay the highest, and a customer's flood, which must not delay other customers. Ageing answers a steady load of higher priorities, which must not starve the lowest.
+
+Requests are kept in lanes by priority and customer. The next one is found by comparing the first of each lane, so that the work for a request does not grow with the length of the queue.
 */
-export class WaitingQueue<Item extends WaitingItem> {
-	readonly #items = new Set<Item>();
-	#served: ServedRequest[] = [];
-	#arrivals: Arrival[] = [];
+export class WaitingQueue<Item extends WaitingItem> extends WaitingOrder<Item> {
+	readonly #entries = new Map<Item, QueueEntry<Item>>();
+	readonly #lanes = new Map<string, QueueLane<Item>>();
+	readonly #served = new RecentCounts<string | undefined>(servedWindow);
+	/** Requests that were added, by priority. */
+	readonly #arrivals = new RecentCounts<number>(servedWindow);
 	#takenCount = 0;
+	#nextSequence = 0;
+	#changesSinceCheck = 0;
+	#checkedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly options: WaitingQueueOptions) {}
+	constructor(private readonly options: WaitingQueueOptions<Item>) {
+		super();
+	}
+
+	override get length(): number {
+		return this.#entries.size;
+	}
 
-	/** Number of waiting requests. */
-	get length(): number {
-		return this.#items.size;
+	override get items(): Iterable<Item> {
+		return this.#entries.keys();
 	}
 
 	/** Adds a request. If the queue is full, returns the request to refuse: the last one in the order, which may be the added one. */
-	add(item: Item, now: Milliseconds): Item | undefined {
-		this.#items.add(item);
-		this.#arrivals.push({at: now, priority: item.priority});
-		this.#arrivals = withinWindow(this.#arrivals, now);
-		if (this.#items.size <= this.options.maximumLength()) {
+	override add(item: Item, now: Milliseconds): Item | undefined {
+		const lane = this.#laneOf(item);
+		const entry: QueueEntry<Item> = {item, lane, sequence: this.#nextSequence++};
+		lane.requests.add(entry);
+		this.#entries.set(item, entry);
+		this.#arrivals.add(item.priority, now);
+		this.#changesSinceCheck++;
+		if (this.length <= this.options.maximumLength()) {
 			return undefined;
 		}
 
-		const last = this.#inOrder(now).at(-1)!;
-		this.#items.delete(last);
+		const state = this.#state(now);
+		const [last] = [...this.#lanes.values()].map(({requests}) => requests.last(state)).toSorted((first, second) => compareItems(second, first, state));
+		this.remove(last);
 		return last;
 	}
 
-	/** Removes and returns the first request for which `canServe` returns true. */
+	/** Removes and returns the first request for which `canServe` returns true, and counts it as served. */
 	takeNext(canServe: (item: Item) => boolean, now: Milliseconds): Item | undefined {
-		const isAgeing = this.#takenCount % ageingPeriod === ageingPeriod - 1;
-		const next = this.#inOrder(now, isAgeing).find(item => canServe(item));
+		const next = this.find({canServe}, now);
 		if (next) {
-			this.#takenCount++;
-			this.#items.delete(next);
-			this.recordServed(next.customer, now);
+			this.take(next, now);
 		}
 
 		return next;
 	}
 
-	/** Counts a request that was served without waiting, for the order among customers. */
-	recordServed(customer: string | undefined, now: Milliseconds): void {
-		this.#served.push({at: now, customer});
-		this.#served = withinWindow(this.#served, now);
+	override take(item: Item, now: Milliseconds): void {
+		this.remove(item);
+		this.recordServed(item, now);
+		this.#takenCount++;
 	}
 
-	/** Removes a request that is not wanted any more. */
-	remove(item: Item): void {
-		this.#items.delete(item);
+	/** Returns the first request that meets the conditions. `canServe` must return the same for all requests of a lane. */
+	override find({canServe, isPassedOver = () => false}: WaitingSearch<Item>, now: Milliseconds): Item | undefined {
+		const state = this.#state(now, this.#takenCount % ageingPeriod === ageingPeriod - 1);
+		let cursors = [...this.#lanes.values()].flatMap(lane => cursorsOf(lane, state));
+		while (cursors.length > 0) {
+			const first = cursors.reduce((best, cursor) => compareItems(cursor.current, best.current, state) < 0 ? cursor : best);
+			if (isPassedOver(first.current)) {
+				if (!advance(first)) {
+					cursors = cursors.filter(cursor => cursor !== first);
+				}
+			} else if (canServe(first.current)) {
+				return first.current;
+			} else {
+				cursors = cursors.filter(({lane}) => lane !== first.lane);
+			}
+		}
+
+		return undefined;
+	}
+
+	override recordServed({customer}: Pick<WaitingItem, 'customer'>, now: Milliseconds): void {
+		this.#served.add(customer, now);
+		this.#changesSinceCheck++;
 	}
 
-	/** Removes and returns the requests that cannot be answered in time any more, given those that precede them. They should be refused at once. */
-	removeUnanswerable(now: Milliseconds): readonly Item[] {
+	override remove(item: Item): void {
+		const entry = this.#entries.get(item);
+		if (!entry) {
+			return;
+		}
+
+		const {lane} = entry;
+		this.#entries.delete(item);
+		lane.requests.remove(entry);
+		if (lane.requests.length === 0) {
+			this.#lanes.delete(lane.key);
+		}
+	}
+
+	/** Removes and returns the requests that cannot be answered in time any more, given those that precede them. They should be refused at once. In a long queue, a call after few changes has no effect. */
+	override removeUnanswerable(now: Milliseconds): readonly Item[] {
+		if (this.#changesSinceCheck < this.length * checkedShare && now - this.#checkedAt < checkInterval) {
+			return [];
+		}
+
+		this.#changesSinceCheck = 0;
+		this.#checkedAt = now;
 		const interval = this.#serviceInterval(now);
-		const replyTime = this.options.expectedReplyTime();
+		const state = this.#state(now);
 		const removed: Item[] = [];
+		const intervalsBehindArrivals = this.#intervalsBehindArrivals(interval, now);
 		let position = 0;
-		for (const item of this.#inOrder(now)) {
+		for (const item of this.#inOrder(state)) {
 			position++;
-			const wait = position * (this.#canMeetTarget(item, now) ? interval : this.#intervalBehindArrivals(item, interval, now));
-			if (!isAnswerableInTime(item.deadline - now, wait + replyTime)) {
+			const wait = position * (canMeetTarget(item, state) ? interval : intervalsBehindArrivals.get(item.priority)!);
+			if (!isAnswerableInTime(item.deadline - now, wait + state.replyTime)) {
 				position--;
 				removed.push(item);
-				this.#items.delete(item);
+				this.remove(item);
 			}
 		}
 
 		return removed;
 	}
 
-	/** Returns the expected wait of a request that is or would be in the queue: the time in which those that precede it and the request itself are served, at the rate of the last second. 0 if that rate is not known. */
-	expectedWait(item: Item, now: Milliseconds): Milliseconds {
-		const state = {now, isAgeing: false, servedCounts: this.#servedCounts(now)};
-		const preceding = [...this.#items].filter(other => other !== item && this.#compare(other, item, state) <= 0).length;
-		return (preceding + 1) * this.#serviceInterval(now);
+	/** Returns the expected wait of a request that is or would be in the queue: the time in which those that precede it and the request itself are served. 0 if the rate at which requests are served is not known. */
+	override expectedWait(item: Item, now: Milliseconds): Milliseconds {
+		const state = this.#state(now);
+		let preceding = this.#entries.has(item) ? 0 : 1;
+		for (const {first, requests} of this.#lanes.values()) {
+			const order = compareLanes(first, item, state);
+			if (order < 0) {
+				preceding += requests.length;
+			} else if (order === 0) {
+				preceding += requests.countPreceding(item, state);
+			}
+		}
+
+		return preceding * this.#serviceInterval(now);
+	}
+
+	#laneOf(item: Item): QueueLane<Item> {
+		const {isInTransaction, priority, customer} = item;
+		const key = [isInTransaction, priority, this.options.conditionsOf?.(item), customer === undefined, customer].join(' ');
+		let lane = this.#lanes.get(key);
+		if (!lane) {
+			lane = {key, first: item, requests: new WaitingLane()};
+			this.#lanes.set(key, lane);
+		}
+
+		return lane;
 	}
 
-	#inOrder(now: Milliseconds, isAgeing = false): readonly Item[] {
-		const state = {now, isAgeing, servedCounts: this.#servedCounts(now)};
-		return [...this.#items].toSorted((first, second) => this.#compare(first, second, state));
+	#state(now: Milliseconds, isAgeing = false): OrderState {
+		return {
+			now, replyTime: this.options.expectedReplyTime(), isAgeing, servedCounts: this.#served.counts(now),
+		};
 	}
 
-	#compare(first: Item, second: Item, {now, isAgeing, servedCounts}: OrderState): number {
-		const replyTime = this.options.expectedReplyTime();
-		const canMeetDeadline = (item: Item): boolean => isAnswerableInTime(item.deadline - now, replyTime);
-		const canMeetTarget = (item: Item): boolean => this.#canMeetTarget(item, now);
-		return Number(second.isInTransaction) - Number(first.isInTransaction)
-			|| (isAgeing ? agedPriority(first, now) - agedPriority(second, now) : first.priority - second.priority)
-			|| (servedCounts.get(first.customer) ?? 0) - (servedCounts.get(second.customer) ?? 0)
-			|| Number(canMeetTarget(second)) - Number(canMeetTarget(first))
-			|| (canMeetTarget(first) ? targetTime(first) - targetTime(second) : 0)
-			|| Number(canMeetDeadline(second)) - Number(canMeetDeadline(first))
-			|| first.deadline - second.deadline
-			|| first.arrivedAt - second.arrivedAt;
+	#inOrder(state: OrderState): readonly Item[] {
+		return [...this.#entries.keys()].toSorted((first, second) => compareItems(first, second, state));
 	}
 
-	/** Returns the average time between two served requests of the last second, or 0 if too few were served to know it. */
+	/** Returns the average time between two served requests, or 0 if it is not known. */
 	#serviceInterval(now: Milliseconds): Milliseconds {
-		this.#served = withinWindow(this.#served, now);
-		const oldest = this.#served.at(0);
-		return oldest && this.#served.length >= minimumServedCount ? (now - oldest.at) / this.#served.length : 0;
+		const count = this.#served.total(now);
+		const oldestAt = this.#served.oldestAt(now);
+		const served = oldestAt !== undefined && count >= minimumServedCount ? (now - oldestAt) / count : 0;
+		const expected = this.options.expectedInterval?.();
+		return expected === undefined ? served : Math.min(served, expected);
 	}
 
-	#servedCounts(now: Milliseconds): ReadonlyMap<string | undefined, number> {
-		this.#served = withinWindow(this.#served, now);
-		const counts = new Map<string | undefined, number>();
-		for (const {customer} of this.#served) {
-			counts.set(customer, (counts.get(customer) ?? 0) + 1);
-		}
+	/** Returns the average time between two served requests that is left for requests which new ones of their priority precede, by priority. Infinite if as many arrive as are served. */
+	#intervalsBehindArrivals(interval: Milliseconds, now: Milliseconds): ReadonlyMap<number, Milliseconds> {
+		const arrivals = this.#arrivals.counts(now);
+		const priorities = new Set([...this.#lanes.values()].map(({first: {priority}}) => priority));
+		return new Map([...priorities].map(priority => {
+			let preceding = 0;
+			for (const [other, count] of arrivals) {
+				preceding += other <= priority ? count : 0;
+			}
 
-		return counts;
+			const remainingShare = 1 - (preceding * interval / servedWindow);
+			return [priority, remainingShare <= 0 ? Number.POSITIVE_INFINITY : interval / remainingShare];
+		}));
 	}
+}
 
-	#canMeetTarget(item: Item, now: Milliseconds): boolean {
-		return targetTime(item) - now >= this.options.expectedReplyTime() * replyTimeMargin;
-	}
+/** Compares requests by everything except their times. Those for which it returns 0 are ordered by `compareByTime`. */
+function compareLanes(first: WaitingItem, second: WaitingItem, {now, isAgeing, servedCounts}: OrderState): number {
+	return Number(second.isInTransaction) - Number(first.isInTransaction)
+		|| (isAgeing ? agedPriority(first, now) - agedPriority(second, now) : first.priority - second.priority)
+		|| (servedCounts.get(first.customer) ?? 0) - (servedCounts.get(second.customer) ?? 0);
+}
 
-	/** Returns the average time between two served requests that is left for a request which new ones of its priority precede. Infinite if as many arrive as are served. */
-	#intervalBehindArrivals({priority}: Item, interval: Milliseconds, now: Milliseconds): Milliseconds {
-		const preceding = withinWindow(this.#arrivals, now).filter(arrival => arrival.priority <= priority).length;
-		const remainingShare = 1 - (preceding * interval / servedWindow);
-		return remainingShare <= 0 ? Number.POSITIVE_INFINITY : interval / remainingShare;
-	}
+function compareItems(first: WaitingItem, second: WaitingItem, state: OrderState): number {
+	return compareLanes(first, second, state) || compareByTime(first, second, state);
 }
 
-function withinWindow<Entry extends {readonly at: Milliseconds}>(entries: readonly Entry[], now: Milliseconds): Entry[] {
-	return entries.filter(({at}) => now - at < servedWindow);
+/** Returns the positions at which a search begins. With ageing, the requests of a lane that have missed their target compete with those of higher priorities, so that they have a position of their own. */
+function cursorsOf<Item extends WaitingItem>(lane: QueueLane<Item>, state: OrderState): ReadonlyArray<LaneCursor<Item>> {
+	const {requests} = lane;
+	const parts = state.isAgeing ? [requests.inTime(state), requests.late(state)] : [requests.inOrder(state)];
+	return parts.flatMap(part => {
+		const rest = part[Symbol.iterator]();
+		const {value, done} = rest.next();
+		return done ? [] : [{lane, rest, current: value}];
+	});
 }
 
-function targetTime({arrivedAt, latencyTarget}: WaitingItem): Milliseconds {
-	return arrivedAt + latencyTarget;
+/** Moves to the next request of the lane. Returns false if there is none. */
+function advance<Item extends WaitingItem>(cursor: LaneCursor<Item>): boolean {
+	const {value, done} = cursor.rest.next();
+	if (done) {
+		return false;
+	}
+
+	cursor.current = value;
+	return true;
 }
 
 function agedPriority({priority, arrivedAt, latencyTarget}: WaitingItem, now: Milliseconds): number {
-	const waitedShare = (now - arrivedAt) / latencyTarget;
-	if (waitedShare >= secondAgeingShare) {
+	const waited = now - arrivedAt;
+	if (waited >= latencyTarget * secondAgeingShare) {
 		return 0;
 	}
 
-	return waitedShare >= firstAgeingShare ? Math.max(0, priority - 1) : priority;
+	return waited >= latencyTarget * firstAgeingShare ? Math.max(0, priority - 1) : priority;
 }
--- a/source/relay/gateway-placement.ts
+++ b/source/relay/gateway-placement.ts
@@ -29,6 +29,10 @@
 		return this.#allocation.gatewaysNearMember !== undefined;
 	}
 
+	override get isGateway(): boolean {
+		return this.source.isGateway(this.member);
+	}
+
 	get #allocation(): ConnectionAllocation {
 		return this.source.allocationOf(this.member.service);
 	}
--- a/source/relay/messages.ts
+++ b/source/relay/messages.ts
@@ -21,6 +21,8 @@
 	readonly timeout: Milliseconds;
 	/** Priority of the statement, by which the gateway orders it among its own; only sent to gateways near the member. */
 	readonly priority?: number;
+	/** Part of the caller's latency target that is left, which is negative if the statement is late; only sent to gateways near the member, and absent for statements of the proxy itself. */
+	readonly latencyTarget?: Milliseconds;
 	/** Whether a caller's transaction is opened; absent for all other statements. */
 	readonly isForTransaction?: boolean;
 };
@@ -28,8 +30,8 @@
 /** Response to `relayStatement`. */
 export type RelayStatementResponse =
 	| {readonly kind: 'answered'; readonly reply: StatementReply}
-	/** The member did not receive the statement. If `isLost`, the relay cannot be used any more. */
-	| {readonly kind: 'notRun'; readonly reason: RefusalReason; readonly detail: string; readonly isLost: boolean}
+	/** The member did not receive the statement. If `isLost`, the relay cannot be used any more. The expected wait is stated if the gateway's queue refused the statement. */
+	| {readonly kind: 'notRun'; readonly reason: RefusalReason; readonly detail: string; readonly isLost: boolean; readonly expectedWait?: Milliseconds}
 	/** The member may have run the statement. */
 	| {readonly kind: 'unknown'; readonly detail: string};
 
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -1,6 +1,7 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {CallerSessionState, pooledStatementName} from '../session-proxy/caller-session-state.js';
+import {QueueRefusalError} from '../session-proxy/connection-requests.js';
 import {refusalReasonOf} from '../session-proxy/statement-attempt.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
 import {type PooledConnection} from '../session-proxy/pooled-connection.js';
@@ -12,6 +13,9 @@
 /** Priority of relayed statements that state none among those that wait for a connection; the requesting entry has already ordered its own by priority. */
 const defaultPriority = 1;
 
+/** Statements of callers that a gateway runs outside transactions. */
+const dataKinds: ReadonlySet<MemberStatement['kind']> = new Set(['read', 'write', 'execute']);
+
 type HeldConnection = {
 	readonly pool: MemberPool;
 	readonly connection: PooledConnection;
@@ -55,9 +59,10 @@
 
 		this.#nextSequence++;
 		this.#pendingCount++;
-		const deadline = this.clock.now() + request.timeout;
+		const now = this.clock.now();
+		const deadline = now + request.timeout;
 		const response = this.#lastResponse.then(async () => {
-			this.#use = {priority: request.priority ?? defaultPriority, isForTransaction: request.isForTransaction ?? false};
+			this.#use = useOf(request, now);
 			return this.#dispatch(request.statement, deadline);
 		}).finally(() => {
 			this.#pendingCount--;
@@ -135,9 +140,13 @@
 		try {
 			this.#held ??= await this.#acquire(deadline);
 		} catch (error) {
-			const isLost = toBuckthornhitchError(error).codeName === 'memberUnreachable';
+			const {codeName, message} = toBuckthornhitchError(error);
 			return {
-				kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, isLost,
+				kind: 'notRun',
+				reason: refusalReasonOf(error),
+				detail: message,
+				isLost: codeName === 'memberUnreachable' || codeName === 'notGateway',
+				...(error instanceof QueueRefusalError && {expectedWait: Math.ceil(error.expectedWait)}),
 			};
 		}
 
@@ -199,6 +208,16 @@
 	}
 }
 
+/** Returns what the statement is for. Only statements of the proxy itself begin a transaction that is not a caller's. */
+function useOf({statement, priority = defaultPriority, isForTransaction = false, latencyTarget}: RelayStatementRequest, now: Milliseconds): ConnectionUse {
+	return {
+		priority,
+		isForTransaction,
+		targetAt: latencyTarget === undefined ? undefined : now + latencyTarget,
+		isOfProxy: !isForTransaction && !dataKinds.has(statement.kind),
+	};
+}
+
 function relayLost(detail: string): RelayStatementResponse {
 	return {
 		kind: 'notRun', reason: 'busy', detail, isLost: true,
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -156,7 +156,7 @@
 	async #send(statement: MemberStatement, timeout: Milliseconds): Promise<RelayStatementResponse> {
 		const {linkClient, gateway, relay, sendsPriority, onFailure} = this.options;
 		const body: RelayStatementRequest = {
-			relay, sequence: this.#nextSequence++, statement, timeout, ...(sendsPriority && {priority: this.#use?.priority, ...(this.#use?.isForTransaction && {isForTransaction: true})}),
+			relay, sequence: this.#nextSequence++, statement, timeout, ...(sendsPriority && this.#useFields()),
 		};
 		try {
 			return await linkClient.request(gateway, 'relayStatement', body, timeout + gatewayAllowance) as RelayStatementResponse;
@@ -169,6 +169,16 @@
 		}
 	}
 
+	/** Returns the fields by which a gateway near the member orders the statement. */
+	#useFields(): Partial<RelayStatementRequest> {
+		const {priority, isForTransaction, targetAt} = this.#use ?? {};
+		return {
+			priority,
+			...(targetAt !== undefined && {latencyTarget: Math.round(targetAt - this.options.clock.now())}),
+			...(isForTransaction && {isForTransaction: true}),
+		};
+	}
+
 	#toReply(response: RelayStatementResponse): StatementReply {
 		switch (response.kind) {
 			case 'answered': {
@@ -182,7 +192,12 @@
 				}
 
 				return {
-					outcome: 'refused', reason: response.reason, detail: response.detail, transaction: this.#isInTransaction ? 'failed' : 'idle', point: undefined,
+					outcome: 'refused',
+					reason: response.reason,
+					detail: response.detail,
+					transaction: this.#isInTransaction ? 'failed' : 'idle',
+					point: undefined,
+					...(response.expectedWait !== undefined && {expectedWait: response.expectedWait}),
 				};
 			}
 
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -302,7 +302,7 @@
 		let connection: PooledConnection | undefined;
 		try {
 			connection = await acquireConnection(context, pool, {
-				route, preparedStatement, deadline, customer: this.customer, isForTransaction: true,
+				route, preparedStatement, deadline, arrivedAt: this.#beganAt, customer: this.customer, isForTransaction: true,
 			});
 			if (this.#hasLostCustomer) {
 				pool.release(connection);
--- a/source/session-proxy/connection-opener.ts
+++ b/source/session-proxy/connection-opener.ts
@@ -35,9 +35,13 @@
 	readonly isServable: (request: ConnectionRequest) => boolean;
 	/** Returns the number of open connections on a path. */
 	readonly countOn: (path: ConnectionPath | undefined) => number;
+	/** Returns whether there is an idle connection on the path. */
+	readonly hasIdle: (path: ConnectionPath | undefined) => boolean;
 	/** Closes an idle connection on the path, which no waiting request may use. Returns false if there is none. */
 	readonly makeRoom: (path: ConnectionPath | undefined) => boolean;
 	readonly onOpened: (opened: OpenedConnection) => void;
+	/** Called when a connection may be opened again, after a delay or after another one was opened. */
+	readonly onMayOpen: () => void;
 	/** Called when the member could not be reached by an attempt that began at `startedAt`. */
 	readonly onMemberFailure: (startedAt: Milliseconds) => void;
 };
@@ -67,24 +71,45 @@
 
 		const isOpening = this.createOpeningCheck();
 		const fullPaths = new Set<ConnectionPath | undefined>();
-		const next = this.options.waiting.findNext(request => {
-			if (isOpening(request) || fullPaths.has(request.path) || !this.options.isServable(request)) {
+		const next = this.options.waiting.find({
+			isPassedOver: isOpening,
+			canServe: request => {
+				if (fullPaths.has(request.path) || !this.options.isServable(request)) {
+					return false;
+				}
+
+				const isBelowLimit = this.#isBelowLimit(request);
+				if (this.mayOpen(request) && (isBelowLimit || this.#makeRoom(request))) {
+					return true;
+				}
+
+				fullPaths.add(request.path);
 				return false;
-			}
-
-			const isBelowLimit = this.#isBelowLimit(request);
-			if (this.mayOpen(request) && (isBelowLimit || this.#makeRoom(request))) {
-				return true;
-			}
-
-			fullPaths.add(request.path);
-			return false;
+			},
 		});
 		if (next) {
 			void this.#open(next);
 		}
 	}
 
+	/** Returns the number of connections on the path that are being opened. */
+	openingCountOn(path: ConnectionPath | undefined): number {
+		return this.#openings.filter(opening => opening.path === path).length;
+	}
+
+	/** Returns whether a connection for the request can be opened now, if need be in the place of an idle one. */
+	canOpen(request: ConnectionOwner): boolean {
+		const isBelowLimit = this.#isBelowLimit(request);
+		return !this.#isClosed && this.mayOpen(request) && (isBelowLimit || this.options.hasIdle(request.path));
+	}
+
+	/** Opens a connection for the waiting request. At the limit, the least recently used idle connection is closed first. */
+	openFor(request: ConnectionOwner): void {
+		if (this.#isBelowLimit(request) || this.#makeRoom(request)) {
+			void this.#open(request);
+		}
+	}
+
 	/** Opens a connection for the waiting request in the place of one that was closed for it. */
 	replaceFor(request: ConnectionOwner): void {
 		this.#limitOf(request.path).vacatePlace();
@@ -94,7 +119,7 @@
 	/** Returns whether a connection for the request may be opened now, apart from the limit on their number. If not, another attempt is scheduled where no released connection would serve the request. */
 	mayOpen(request: ConnectionOwner): boolean {
 		const {customer, path} = request;
-		if (customer !== undefined && this.#openingCountOn(path) >= maximumOpeningsOfCustomers) {
+		if (customer !== undefined && this.openingCountOn(path) >= maximumOpeningsOfCustomers) {
 			return false;
 		}
 
@@ -143,7 +168,7 @@
 			this.#limitOf(path).recordOpened();
 			onOpened({...owner, memberConnection});
 			if (this.#hasConnectionsOfItsOwn(owner)) {
-				this.openIfNeeded();
+				this.options.onMayOpen();
 			}
 		} catch (error) {
 			finish();
@@ -201,11 +226,7 @@
 	}
 
 	#connectionCountOn(path: ConnectionPath | undefined): number {
-		return this.options.countOn(path) + this.#openingCountOn(path);
-	}
-
-	#openingCountOn(path: ConnectionPath | undefined): number {
-		return this.#openings.filter(opening => opening.path === path).length;
+		return this.options.countOn(path) + this.openingCountOn(path);
 	}
 
 	#limitOf(path: ConnectionPath | undefined): ConnectionLimit {
@@ -222,7 +243,7 @@
 	#scheduleRetry(delay: Milliseconds): void {
 		this.#cancelRetry?.();
 		this.#cancelRetry = this.options.clock.schedule(delay, () => {
-			this.openIfNeeded();
+			this.options.onMayOpen();
 		});
 	}
 }
--- a/source/session-proxy/connection-placement.ts
+++ b/source/session-proxy/connection-placement.ts
@@ -12,6 +12,11 @@
 	/** Whether the shares of all instances fit into the member's connection limit, so that connections that are being rolled back must be counted as well. */
 	abstract readonly isExact: boolean;
 
+	/** Whether this instance opens direct connections for its own callers and for other instances. */
+	get isGateway(): boolean {
+		return true;
+	}
+
 	/** Returns the path for the requests of a customer's callers at this instance; undefined unless `isByCustomer`. */
 	abstract pathFor(customer: string | undefined): ConnectionPath | undefined;
 
--- a/source/session-proxy/customer-session.spec.ts
+++ b/source/session-proxy/customer-session.spec.ts
@@ -28,7 +28,7 @@
 /** Returns a function that lists the customers for whom connections were acquired for sessions. */
 function recordAcquired(context: TestContext): () => readonly unknown[] {
 	const acquired: unknown[] = [];
-	for (const name of ['acquire', 'acquireForTransaction'] as const) {
+	for (const name of ['acquire', 'acquireForCaller'] as const) {
 		const original = MemberPool.prototype[name] as (...values: readonly unknown[]) => Promise<PooledConnection>;
 		context.mock.method(MemberPool.prototype, name, async function (this: MemberPool, ...values: readonly unknown[]) {
 			if (values.length > 3) {
--- a/source/session-proxy/idle-connections.ts
+++ b/source/session-proxy/idle-connections.ts
@@ -30,6 +30,11 @@
 		}
 	}
 
+	/** Returns whether there is a connection that the request may use. */
+	has(request: ConnectionRequest): boolean {
+		return this.#connections.some(connection => !connection.memberConnection.isClosed && mayUse(request, connection));
+	}
+
 	/** Removes and returns a connection that the request may use, preferably one on which exactly the variables of its session are set. */
 	take(request: ConnectionRequest): PooledConnection | undefined {
 		for (const connection of this.#connections.filter(({memberConnection}) => memberConnection.isClosed)) {
--- a/source/session-proxy/member-health.ts
+++ b/source/session-proxy/member-health.ts
@@ -1,19 +1,13 @@
+import {AverageReplyTime} from '../admission/average-reply-time.js';
 import {isAnswerableInTime} from '../admission/deadline-rules.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type BackendReachability} from '../registry/messages.js';
 
-/** Weight of the latest sample in the moving average of reply times. */
-const replyTimeWeight = 0.2;
-
-/** Half-life of the average reply time, so that a member that was slow is tried again. */
-const replyTimeHalfLife: Milliseconds = 3000;
-
 /** Reachability and reply times of a member as seen from this instance. */
 export class MemberHealth {
 	#answeredAt: Milliseconds | undefined;
 	#failingSince: Milliseconds | undefined;
-	#averageReplyTime = 0;
-	#averageUpdatedAt = 0;
+	readonly #replyTime = new AverageReplyTime();
 
 	constructor(private readonly id: string, private readonly clock: Clock) {}
 
@@ -34,8 +28,7 @@
 
 	/** Expected reply time: the moving average, decayed by its age. */
 	get expectedReplyTime(): Milliseconds {
-		const age = this.clock.now() - this.#averageUpdatedAt;
-		return this.#averageReplyTime * (0.5 ** (age / replyTimeHalfLife));
+		return this.#replyTime.value(this.clock.now());
 	}
 
 	/** Records that the member did not answer a statement that was sent at `sentAt`. Returns false, and has no effect, if the member has answered since then. */
@@ -56,9 +49,7 @@
 
 	/** Adds a reply time, in milliseconds, to the moving average. */
 	recordReplyTime(time: Milliseconds): void {
-		const previous = this.expectedReplyTime;
-		this.#averageReplyTime = previous === 0 ? time : previous + (replyTimeWeight * (time - previous));
-		this.#averageUpdatedAt = this.clock.now();
+		this.#replyTime.record(time, this.clock.now());
 	}
 
 	/** Returns whether a request with the deadline may still be answered by the member in time. */
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -1,21 +1,25 @@
-import {maximumTransactions} from '../admission/transaction-share.js';
+import {isAnswerableInTime} from '../admission/deadline-rules.js';
+import {WaitingQueue} from '../admission/waiting-queue.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {type BackendReachability} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type ConnectionPath, type ConnectionUse, type MemberConnector} from '../statement/member-connection.js';
+import {type ConnectionUse, type MemberConnector} from '../statement/member-connection.js';
 import {type StatementReply} from '../statement/types.js';
 import {type CallerSessionState} from './caller-session-state.js';
 import {ConnectionOpener, type OpenedConnection} from './connection-opener.js';
 import {SharedPlacement, surplusIdleTimeout, type ConnectionPlacement} from './connection-placement.js';
 import {
-	ConnectionRequests, mayUse, type ConnectionRequest, type WaitingRequest,
+	ConnectionRequests, mayUse, servingConditions, type ConnectionRequest, type WaitingRequest,
 } from './connection-requests.js';
+import {ConnectionsInUse} from './connections-in-use.js';
 import {IdleConnections} from './idle-connections.js';
 import {MemberHealth} from './member-health.js';
 import {PooledConnection} from './pooled-connection.js';
+import {PriorityOrder} from './priority-order.js';
+import {StatementGate} from './statement-gate.js';
 
 /** Maximum number of waiting requests per connection; as many as the queue of a member holds. */
 const maximumWaitersPerConnection = 24;
@@ -45,11 +49,9 @@
 	readonly #placement: ConnectionPlacement;
 	readonly #health: MemberHealth;
 	readonly #idle = new IdleConnections();
-	readonly #inUse = new Set<PooledConnection>();
-	/** Connections on which callers' transactions are opened, until they are returned or closed. */
-	readonly #inTransaction = new Set<PooledConnection>();
-	/** Connections whose transaction is being rolled back. */
-	readonly #rollingBack = new Set<PooledConnection>();
+	readonly #inUse: ConnectionsInUse;
+	/** Limits the statements in flight where the shares of all instances are exact. */
+	readonly #gate: StatementGate;
 	readonly #waiting: ConnectionRequests;
 	readonly #opener: ConnectionOpener;
 	#isSurplusCloseScheduled = false;
@@ -59,7 +61,28 @@
 		const {clock, connector, logger, maximumConnections, placement = new SharedPlacement(maximumConnections)} = options;
 		this.#placement = placement;
 		this.#health = new MemberHealth(server.id, clock);
-		this.#waiting = new ConnectionRequests(customer => [...this.#inUse].filter(connection => connection.customer === customer).length);
+		this.#inUse = new ConnectionsInUse(placement);
+		this.#gate = new StatementGate({
+			clock,
+			maximumConnections: () => this.#maximumConnections,
+			logPosition: () => this.logPosition,
+			onFreed: () => {
+				this.#serveWaiting();
+			},
+		});
+		const maximumLength = (): number => maximumWaitersPerConnection * this.#maximumConnections;
+		this.#waiting = new ConnectionRequests({
+			clock,
+			member: server.id,
+			isExact: () => placement.isExact,
+			exactOrder: () => new WaitingQueue<WaitingRequest>({
+				maximumLength,
+				expectedReplyTime: () => this.#replyTimeOnConnection,
+				expectedInterval: () => this.#replyTimeOnConnection / (placement.isGateway ? this.#gate.limit : this.#maximumConnections),
+				conditionsOf: servingConditions,
+			}),
+			sharedOrder: () => new PriorityOrder(customer => this.#inUse.countOf(customer), maximumLength),
+		});
 		this.#opener = new ConnectionOpener({
 			server,
 			clock,
@@ -68,11 +91,15 @@
 			placement,
 			waiting: this.#waiting,
 			isServable: request => this.#isServable(request),
-			countOn: path => this.#countOn(path),
+			countOn: path => this.#idle.countOn(path) + this.#inUse.countOn(path),
+			hasIdle: path => this.#idle.countOn(path) > 0,
 			makeRoom: path => this.#idle.closeLeastRecent(path),
 			onOpened: opened => {
 				this.#addOpened(opened);
 			},
+			onMayOpen: () => {
+				this.#serveWaiting();
+			},
 			onMemberFailure: startedAt => {
 				this.reportFailure(startedAt);
 			},
@@ -91,7 +118,7 @@
 
 	/** Number of connections in use and of requests that wait for one. */
 	get load(): number {
-		return this.#inUse.size + this.#waiting.length;
+		return this.#inUse.count + this.#waiting.length;
 	}
 
 	/** Expected reply time: the moving average, decayed by its age. */
@@ -105,22 +132,22 @@
 	Rejects with queueFull, deadlinePassed, memberRefused or memberUnreachable.
 	*/
 	async acquire(timeout: Milliseconds, priority: number, session?: CallerSessionState, customer?: string): Promise<PooledConnection> {
-		return this.#acquire({
-			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.pathFor(customer), isForTransaction: false,
+		return this.#acquire(timeout, {priority, isForTransaction: false, isOfProxy: session === undefined}, {
+			session, customer, path: this.#placement.pathFor(customer), isFromRelay: false,
 		});
 	}
 
-	/** Resolves with a connection on which a caller's transaction is opened. Rejects like `acquire`. */
-	async acquireForTransaction(timeout: Milliseconds, priority: number, session: CallerSessionState, customer: string | undefined): Promise<PooledConnection> {
-		return this.#acquire({
-			priority, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.pathFor(customer), isForTransaction: true,
+	/** Resolves with a connection for a statement or a transaction of a caller at this instance. Rejects like `acquire`. */
+	async acquireForCaller(timeout: Milliseconds, use: ConnectionUse, session: CallerSessionState, customer: string | undefined): Promise<PooledConnection> {
+		return this.#acquire(timeout, use, {
+			session, customer, path: this.#placement.pathFor(customer), isFromRelay: false,
 		});
 	}
 
-	/** Resolves with a connection for statements that this instance relays for another one. Such a connection never leads through a gateway where each customer has one. */
+	/** Resolves with a connection for statements that this instance relays for another one. Such a connection never leads through a gateway where each customer has one. Rejects like `acquire`, and with notGateway if this instance is not or no longer a gateway to the member. */
 	async acquireForRelay(timeout: Milliseconds, use: ConnectionUse, session: CallerSessionState, customer: string | undefined): Promise<PooledConnection> {
-		return this.#acquire({
-			...use, deadline: this.options.clock.now() + timeout, session, customer, path: this.#placement.isByCustomer ? 'own' : undefined,
+		return this.#acquire(timeout, use, {
+			session, customer, path: this.#placement.isByCustomer ? 'own' : undefined, isFromRelay: true,
 		});
 	}
 
@@ -133,11 +160,18 @@
 			}
 
 			connection.memberConnection.close();
-			this.#opener.openIfNeeded();
+			this.#serveWaiting();
 			return;
 		}
 
 		connection.releasedAt = this.options.clock.now();
+		if (this.#placement.isExact) {
+			this.#idle.add(connection);
+			this.#serveWaiting();
+			this.#scheduleSurplusClose();
+			return;
+		}
+
 		const next = this.#nextRequestFor(connection);
 		if (next && mayUse(next, connection)) {
 			this.#assign(next, connection);
@@ -161,20 +195,20 @@
 	Until that answer, the connection is not closed and the rollback is not sent. The statement may still wait for a slot on the member, which would run it after the close or the rollback, outside its transaction.
 	*/
 	releaseAfterRollback(connection: PooledConnection): void {
-		this.#inUse.delete(connection);
-		this.#rollingBack.add(connection);
+		this.#inUse.beginRollback(connection);
+		this.#gate.vacateIfAnswered(connection);
 		const cancel = this.options.clock.schedule(rollbackTimeout, () => {
 			connection.memberConnection.close();
 		});
 		void this.#rollBack(connection).finally(cancel);
-		this.#opener.openIfNeeded();
+		this.#serveWaiting();
 	}
 
 	/** Closes a connection whose state is unknown. */
 	discard(connection: PooledConnection): void {
 		this.#removeFromUse(connection);
 		connection.memberConnection.close();
-		this.#opener.openIfNeeded();
+		this.#serveWaiting();
 	}
 
 	/** Records that the member did not answer a statement that was sent at `sentAt`. Has no effect if the member has answered since then. */
@@ -203,22 +237,38 @@
 		this.#waiting.rejectWhere(() => true, new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`));
 	}
 
-	async #acquire(request: ConnectionRequest): Promise<PooledConnection> {
+	/** Largest number of connections that this instance may have to the member. */
+	get #maximumConnections(): number {
+		return this.#placement.maximumConnections(this.#placement.isByCustomer && this.#placement.isGateway ? 'own' : this.#placement.isByCustomer ? 'gateway' : undefined);
+	}
+
+	/** Expected time from the assignment of a connection to the reply. */
+	get #replyTimeOnConnection(): Milliseconds {
+		return this.#placement.isGateway ? this.#gate.expectedReplyTime : this.#health.expectedReplyTime;
+	}
+
+	async #acquire(timeout: Milliseconds, use: ConnectionUse, owner: Pick<ConnectionRequest, 'session' | 'customer' | 'path' | 'isFromRelay'>): Promise<PooledConnection> {
+		const {priority, isForTransaction, isOfProxy = false, targetAt} = use;
+		const now = this.options.clock.now();
+		const request: ConnectionRequest = {
+			...owner, priority, isForTransaction, takesSlot: !isOfProxy, targetAt, arrivedAt: now, deadline: now + timeout, latencyTarget: targetAt === undefined ? timeout : targetAt - now, isInTransaction: false,
+		};
 		if (this.#isClosed) {
 			throw new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`);
 		}
 
 		this.#closeForbidden();
-		const idle = this.#isTransactionShareUsed(request) ? undefined : this.#idle.take(request);
+		if (request.isFromRelay && !this.#placement.isGateway) {
+			throw new BuckthornhitchError('notGateway', this.server.id);
+		}
+
+		const idle = this.#inUse.isTransactionShareUsed(request) || this.#isGateClosed(request) ? undefined : this.#idle.take(request);
 		if (idle) {
+			this.#waiting.recordServed(request);
 			this.#markInUse(idle, request);
 			return idle;
 		}
 
-		if (this.#waiting.length >= maximumWaitersPerConnection * this.#placement.maximumConnections(request.path)) {
-			throw new BuckthornhitchError('queueFull', `${this.#waiting.length} requests wait for ${this.server.id}`);
-		}
-
 		return this.#waitForConnection(request);
 	}
 
@@ -231,15 +281,48 @@
 				resolve,
 				reject,
 				cancel: clock.schedule(Math.max(0, timeout), () => {
-					this.#waiting.remove(waiting);
-					reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
+					this.#waiting.expire(waiting, new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
 				}),
 			};
 			this.#waiting.add(waiting);
-			this.#opener.openIfNeeded();
+			this.#serveWaiting();
 		});
 	}
 
+	/** Serves the waiting requests that can be served now, on idle connections or by opening connections. */
+	#serveWaiting(): void {
+		if (!this.#placement.isExact) {
+			this.#opener.openIfNeeded();
+			return;
+		}
+
+		if (!this.#placement.isGateway) {
+			this.#waiting.rejectWhere(({isFromRelay}) => isFromRelay, new BuckthornhitchError('notGateway', this.server.id));
+		}
+
+		this.#waiting.rejectUnanswerable();
+		for (;;) {
+			const isOpening = this.#opener.createOpeningCheck();
+			const next = this.#waiting.find({
+				isPassedOver: request => !this.#idle.has(request) && isOpening(request),
+				canServe: request => this.#isServable(request) && (this.#idle.has(request) || (!this.#isGateClosed(request, this.#opener.openingCountOn(request.path)) && this.#opener.canOpen(request))),
+			});
+			if (!next) {
+				return;
+			}
+
+			const connection = this.#idle.take(next);
+			if (!connection) {
+				this.#opener.openFor(next);
+			} else if (isAnswerableInTime(next.deadline - this.options.clock.now(), this.#replyTimeOnConnection)) {
+				this.#assign(next, connection);
+			} else {
+				this.#idle.add(connection);
+				this.#waiting.rejectLate(next);
+			}
+		}
+	}
+
 	#closeIdle(): void {
 		this.#idle.closeWhere(() => true);
 	}
@@ -247,7 +330,6 @@
 	async #rollBack(connection: PooledConnection): Promise<void> {
 		try {
 			const reply = await connection.rollBack(rollbackTimeout);
-			this.#rollingBack.delete(connection);
 			if (connection.isReusable) {
 				this.release(connection);
 				return;
@@ -258,11 +340,10 @@
 			this.options.logger.debug(`connection to ${this.server.id} closed: the rollback failed: ${toBuckthornhitchError(error).message}`);
 		}
 
-		this.#rollingBack.delete(connection);
-		this.#inTransaction.delete(connection);
+		this.#removeFromUse(connection);
 		connection.memberConnection.close();
 		if (this.#placement.isExact) {
-			this.#opener.openIfNeeded();
+			this.#serveWaiting();
 		}
 	}
 
@@ -276,68 +357,55 @@
 	/** Returns the first waiting request that can be served, after rejecting those before it that cannot be answered in time any more. */
 	#nextRequest(canServe: (request: WaitingRequest) => boolean): WaitingRequest | undefined {
 		const late: WaitingRequest[] = [];
-		const next = this.#waiting.findNext(request => {
-			const isServed = canServe(request);
-			if (isServed && !this.isAnswerableBefore(request.deadline)) {
-				late.push(request);
-				return false;
-			}
-
-			return isServed;
+		const next = this.#waiting.find({
+			canServe: request => {
+				const isServed = canServe(request);
+				if (isServed && !this.isAnswerableBefore(request.deadline)) {
+					late.push(request);
+					return false;
+				}
+
+				return isServed;
+			},
 		});
-		this.#waiting.rejectWhere(request => late.includes(request), new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} early enough for an answer in time`));
-		return next;
-	}
+		for (const request of late) {
+			this.#waiting.rejectLate(request);
+		}
 
-	/** Returns whether the customer of the request would hold all connections while another customer waits. */
-	#wouldHoldAll(request: ConnectionRequest): boolean {
-		const {customer, path, session} = request;
-		const maximum = this.#placement.maximumConnections(path);
-		return session !== undefined && maximum > 1 && this.#waiting.isOtherCustomerWaiting(request)
-			&& [...this.#inUse].filter(connection => connection.path === path && connection.customer === customer).length >= maximum - 1;
+		return next;
 	}
 
 	/** Returns whether a free connection may be given to the request now. */
 	#isServable(request: ConnectionRequest): boolean {
-		return !this.#wouldHoldAll(request) && !this.#isTransactionShareUsed(request);
+		return !this.#isGateClosed(request)
+			&& !this.#inUse.wouldHoldAll(request, () => this.#waiting.isOtherCustomerWaiting(request))
+			&& !this.#inUse.isTransactionShareUsed(request);
 	}
 
-	/** Returns whether the request is for a transaction and the connections that may be in transactions are. */
-	#isTransactionShareUsed({isForTransaction, path}: ConnectionRequest): boolean {
-		// Elsewhere the connections of an instance are few and its callers are its own.
-		if (!isForTransaction || !this.#placement.isExact || path === 'gateway') {
-			return false;
-		}
-
-		const count = [...this.#inTransaction].filter(connection => connection.path === path).length;
-		return count >= maximumTransactions(this.#placement.maximumConnections(path));
+	/** Returns whether the request has to wait because enough statements are in flight at the member. */
+	#isGateClosed({takesSlot, path}: ConnectionRequest, openingCount = 0): boolean {
+		return takesSlot && path !== 'gateway' && this.#placement.isExact && this.#placement.isGateway && !this.#gate.isOpen(openingCount);
 	}
 
 	#assign(request: WaitingRequest, connection: PooledConnection): void {
-		this.#waiting.remove(request);
-		request.cancel();
+		this.#waiting.take(request);
 		this.#markInUse(connection, request);
 		request.resolve(connection);
 	}
 
-	#markInUse(connection: PooledConnection, {priority, isForTransaction}: ConnectionRequest): void {
-		this.#inUse.add(connection);
-		if (isForTransaction) {
-			this.#inTransaction.add(connection);
+	#markInUse(connection: PooledConnection, request: ConnectionRequest): void {
+		const {priority, isForTransaction, takesSlot, targetAt} = request;
+		this.#inUse.add(connection, request);
+		if (takesSlot && this.#placement.isExact && !connection.memberConnection.isRelayed) {
+			this.#gate.occupy(connection, isForTransaction);
 		}
 
-		connection.memberConnection.setUse({priority, isForTransaction});
+		connection.memberConnection.setUse({priority, isForTransaction, targetAt});
 	}
 
 	#removeFromUse(connection: PooledConnection): void {
-		this.#inUse.delete(connection);
-		this.#inTransaction.delete(connection);
-	}
-
-	/** Returns the number of connections on the path that the member counts. */
-	#countOn(path: ConnectionPath | undefined): number {
-		const counted = this.#placement.isExact ? [...this.#inUse, ...this.#rollingBack] : [...this.#inUse];
-		return this.#idle.countOn(path) + counted.filter(connection => connection.path === path).length;
+		this.#inUse.remove(connection);
+		this.#gate.vacate(connection);
 	}
 
 	#addOpened({memberConnection, customer, path}: OpenedConnection): void {
@@ -345,17 +413,23 @@
 			this.#recordReachable();
 		}
 
-		const connection = new PooledConnection(memberConnection, {
+		const connection: PooledConnection = new PooledConnection(memberConnection, {
 			clock: this.options.clock,
 			customer,
 			path,
 			onReply: reply => {
 				this.#recordReachable(reply);
 			},
+			onSent: memberConnection.isRelayed ? undefined : statement => this.#gate.recordSent(connection, this.#inUse.isForTransaction(connection), statement),
 		});
 		memberConnection.onClosed(() => {
 			this.#idle.remove(connection);
 		});
+		if (this.#placement.isExact) {
+			this.release(connection);
+			return;
+		}
+
 		const own = connection.isReusable ? this.#nextRequest(request => mayUse(request, connection) && this.#isServable(request)) : undefined;
 		if (own) {
 			this.#assign(own, connection);
@@ -384,7 +458,7 @@
 		this.options.clock.schedule(surplusIdleTimeout, () => {
 			this.#isSurplusCloseScheduled = false;
 			this.#closeForbidden();
-			const surplus = this.#idle.length + this.#inUse.size - 1;
+			const surplus = this.#idle.length + this.#inUse.count - 1;
 			this.#idle.closeOlderThan(({memberConnection, customer}) => this.#placement.idleTimeout(memberConnection, customer), this.options.clock.now(), surplus);
 			if (this.#placement.isExact && this.#idle.length > 0) {
 				this.#scheduleSurplusClose();
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -14,6 +14,8 @@
 	readonly path: ConnectionPath | undefined;
 	/** Called with each reply of the member. */
 	readonly onReply: (reply: StatementReply) => void;
+	/** Called with each statement that is sent. The returned function is called with its reply, or with undefined if there is none. */
+	readonly onSent?: (statement: MemberStatement) => (reply: StatementReply | undefined) => void;
 };
 
 /** Pooled connection to a member, with the session variables and prepared statements set on it. */
@@ -99,6 +101,7 @@
 			const cancel = this.options.clock.schedule(Math.max(0, timeout), () => {
 				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer within ${Math.round(timeout)} ms`));
 			});
+			const recordEnd = this.options.onSent?.(statement);
 			this.#lastReply = this.memberConnection.execute(statement, timeout).then(reply => {
 				this.#pendingCount--;
 				this.#transaction = reply.transaction;
@@ -109,10 +112,12 @@
 					this.options.onReply(reply);
 				}
 
+				recordEnd?.(reply);
 				resolve(reply);
 			}, (error: unknown) => {
 				this.#pendingCount--;
 				cancel();
+				recordEnd?.(undefined);
 				reject(toBuckthornhitchError(error));
 			});
 		});
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -49,6 +49,8 @@
 	readonly pools: readonly MemberPool[];
 	/** Reason of the last refusal. */
 	readonly reason: RefusalReason;
+	/** Expected wait in the queue that refused the request, if one did. */
+	readonly expectedWait?: Milliseconds;
 	readonly needsPrimary: boolean;
 	/** Time for which the caller has a use for the reply. */
 	readonly usefulTime: Milliseconds;
@@ -137,10 +139,12 @@
 	}
 
 	/** Returns the time after which a caller should repeat a request that did not run. */
-	retryAfter({pools, reason, needsPrimary, usefulTime}: NotRunRequest): Milliseconds {
+	retryAfter({
+		pools, reason, expectedWait, needsPrimary, usefulTime,
+	}: NotRunRequest): Milliseconds {
 		const cause: RetryCause = needsPrimary && this.#primary === undefined
 			? {kind: 'promotion', missingFor: this.options.clock.now() - this.#primaryMissingSince}
-			: causeOfRefusal(pools, reason);
+			: (expectedWait === undefined ? causeOfRefusal(pools, reason) : {kind: 'queue', workAhead: expectedWait});
 		return retryAfter(cause, usefulTime, this.#random);
 	}
 
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -57,6 +57,10 @@
 				return {...last.reply, transaction: 'idle'};
 			}
 
+			if (last.kind === 'notRun' && last.expectedWait !== undefined) {
+				break;
+			}
+
 			await this.waitBeforeRetry(client, last.kind === 'notRun' && last.reason === 'lagging', deadline);
 		}
 
@@ -71,7 +75,7 @@
 
 			case 'notRun': {
 				return notRunRefusal(describeAttempt(last), 'idle', client.retryAfter({
-					pools: client.pools, reason: last.reason, needsPrimary: isPrimaryMissing, usefulTime: route.statementTimeout,
+					pools: client.pools, reason: last.reason, expectedWait: last.expectedWait, needsPrimary: isPrimaryMissing, usefulTime: route.statementTimeout,
 				}));
 			}
 
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -2,7 +2,7 @@
 import {type LogPosition} from '../database-group/types.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
-import {MemberRefusedError} from '../statement/member-connection.js';
+import {MemberRefusedError, type ConnectionUse} from '../statement/member-connection.js';
 import {
 	provesNotRun, type PreparedStatementDefinition, type RefusalReason, type StatementReply,
 } from '../statement/types.js';
@@ -12,13 +12,22 @@
 import {describeReply} from './replies.js';
 import {type SessionContext} from './session-context.js';
 
+/** Attempt whose statement has certainly not run. */
+export type NotRunAttempt = {
+	readonly kind: 'notRun';
+	readonly reason: RefusalReason;
+	readonly detail: string;
+	/** Expected wait in the queue for the member, if that queue refused the statement. */
+	readonly expectedWait?: Milliseconds;
+};
+
 /** Outcome of sending a statement to a member. */
 export type StatementAttempt =
 	| {readonly kind: 'answered'; readonly reply: StatementReply}
 	/** The operation was refused without an attempt and must not be retried. */
 	| {readonly kind: 'refused'; readonly reply: StatementReply}
 	/** The statement has certainly not run. */
-	| {readonly kind: 'notRun'; readonly reason: RefusalReason; readonly detail: string}
+	| NotRunAttempt
 	/** The statement may have run. */
 	| {readonly kind: 'unknown'; readonly detail: string};
 
@@ -35,6 +44,8 @@
 	readonly route: Route;
 	readonly preparedStatement: PreparedStatementDefinition | undefined;
 	readonly deadline: Milliseconds;
+	/** Time from which the latency target counts; now if absent. */
+	readonly arrivedAt?: Milliseconds;
 	/** Name of the customer for whom the statement is executed. */
 	readonly customer: string | undefined;
 	/** Whether a transaction is opened on the connection. */
@@ -44,12 +55,13 @@
 
 /** Resolves with a connection that has the session's variables and the prepared statement. Rejects before the statement itself is sent, also when the caller's key was revoked or moved during the wait. */
 export async function acquireConnection(context: SessionContext, pool: MemberPool, request: ConnectionRequest): Promise<PooledConnection> {
-	const {route, preparedStatement, deadline, customer, isForTransaction = false, isWanted: isAnswerWanted = () => true} = request;
+	const {
+		route, preparedStatement, deadline, arrivedAt = context.now, customer, isForTransaction = false, isWanted: isAnswerWanted = () => true,
+	} = request;
 	const isWanted = (): boolean => isAnswerWanted() && context.isAuthorizedAs(customer);
 	const timeout = deadline - context.now;
-	const connection = isForTransaction
-		? await pool.acquireForTransaction(timeout, route.priority, context.sessionState, customer)
-		: await pool.acquire(timeout, route.priority, context.sessionState, customer);
+	const use: ConnectionUse = {priority: route.priority, isForTransaction, targetAt: arrivedAt + route.latencyTarget};
+	const connection = await pool.acquireForCaller(timeout, use, context.sessionState, customer);
 	try {
 		if (isWanted()) {
 			await connection.applySession(context.sessionState, preparedStatement, deadline - context.now);
@@ -74,7 +86,9 @@
 
 /** Sends a statement outside a transaction to a member. */
 export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, {after, isWanted = () => true}: AttemptOptions = {}): Promise<StatementAttempt> {
-	const {request, operation, route, deadline} = routed;
+	const {
+		request, operation, route, arrivedAt, deadline,
+	} = routed;
 	const refused = operation.isAdmitted ? undefined : await operation.admit();
 	if (refused) {
 		return {kind: 'refused', reply: refused};
@@ -86,10 +100,12 @@
 	let connection: PooledConnection;
 	try {
 		connection = await acquireConnection(context, pool, {
-			route, preparedStatement: request.preparedStatement, deadline, customer, isWanted,
+			route, preparedStatement: request.preparedStatement, deadline, arrivedAt, customer, isWanted,
 		});
 	} catch (error) {
-		return {kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message};
+		return {
+			kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, ...expectedWaitOf(error),
+		};
 	}
 
 	if (!context.isAuthorizedAs(customer)) {
@@ -101,7 +117,9 @@
 		const reply = await connection.execute(request.createStatement(after), deadline - context.now);
 		pool.release(connection);
 		return reply.outcome === 'refused' && provesNotRun(reply.reason)
-			? {kind: 'notRun', reason: reply.reason, detail: reply.detail}
+			? {
+				kind: 'notRun', reason: reply.reason, detail: reply.detail, ...expectedWaitOf(reply),
+			}
 			: {kind: 'answered', reply};
 	} catch (error) {
 		reportUnansweredStatement(pool, error, startedAt);
@@ -111,6 +129,12 @@
 	}
 }
 
+/** Returns the expected wait that a refusal states, if a queue refused the statement. */
+export function expectedWaitOf(refused: unknown): {readonly expectedWait?: Milliseconds} {
+	const {expectedWait} = refused as {readonly expectedWait?: Milliseconds};
+	return expectedWait === undefined ? {} : {expectedWait};
+}
+
 /** Returns the reason with which a member refused a connection, or busy for any other error. */
 export function refusalReasonOf(error: unknown): RefusalReason {
 	return error instanceof MemberRefusedError ? error.reason : 'busy';
--- a/source/session-proxy/transaction-share.spec.ts
+++ b/source/session-proxy/transaction-share.spec.ts
@@ -49,7 +49,7 @@
 	beginIdleTransactions(count: number): readonly PooledConnection[] {
 		const begun: PooledConnection[] = [];
 		for (let index = 0; index < count; index++) {
-			void this.pool.acquireForTransaction(idleTransactionLimit * 3, 1, new CallerSessionState(), undefined).then(connection => {
+			void this.pool.acquireForCaller(idleTransactionLimit * 3, {priority: 1, isForTransaction: true}, new CallerSessionState(), undefined).then(connection => {
 				begun.push(connection);
 			});
 		}
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -24,6 +24,7 @@
 	const {request, route, client, deadline} = routed;
 	let detail = 'no primary was found';
 	let reason: RefusalReason = 'busy';
+	let expectedWait: Milliseconds | undefined;
 	let pools: readonly MemberPool[] = [];
 	while (context.now < deadline) {
 		let pool: MemberPool;
@@ -42,9 +43,9 @@
 			return finalReply(context, client, {attempt, pool, startedAt});
 		}
 
-		({detail, reason} = attempt);
+		({detail, reason, expectedWait} = attempt);
 		pools = [pool];
-		if (!pool.isAnswerableBefore(deadline)) {
+		if (expectedWait !== undefined || !pool.isAnswerableBefore(deadline)) {
 			break;
 		}
 
@@ -53,7 +54,7 @@
 
 	context.log(request.id, 'refusal', detail);
 	return notRunRefusal(detail, 'idle', client.retryAfter({
-		pools, reason, needsPrimary: true, usefulTime: route.statementTimeout,
+		pools, reason, expectedWait, needsPrimary: true, usefulTime: route.statementTimeout,
 	}));
 }
 
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -30,6 +30,10 @@
 	readonly priority: number;
 	/** Whether a caller's transaction is opened on the connection. */
 	readonly isForTransaction: boolean;
+	/** Time by which the caller should have its reply; absent for statements of the proxy itself. */
+	readonly targetAt?: Milliseconds;
+	/** Whether the statements are those of the proxy itself, which take no slot of the member; absent otherwise. */
+	readonly isOfProxy?: boolean;
 };
 
 /** An open connection to a member; statements are answered in the order in which they were sent. */
--- a/source/statement/types.ts
+++ b/source/statement/types.ts
@@ -1,3 +1,4 @@
+import {type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 
 /** A statement in a caller's session. The id and the text of reads, writes and commits are forwarded unchanged. */
@@ -53,6 +54,8 @@
 	readonly outcome: 'refused';
 	readonly reason: RefusalReason;
 	readonly detail: string;
+	/** Expected wait in the queue of the gateway that refused the statement; absent for all other refusals. */
+	readonly expectedWait?: Milliseconds;
 }) & {
 	readonly transaction: TransactionState;
 	/** Last log position of the member that answered, if it reported one. */
