--- a/source/admission/waiting-lane.ts
+++ b/source/admission/waiting-lane.ts
@@ -82,20 +82,20 @@
 	}
 
 	/** Yields the requests in order. */
-	* inOrder(state: LaneState): Iterable<Item> {
+	* inOrder(state: LaneState): Iterable<Item, undefined> {
 		yield * this.inTime(state);
 		yield * this.late(state);
 	}
 
 	/** Yields the requests that can meet their latency target, in order. */
-	* inTime(state: LaneState): Iterable<Item> {
+	* inTime(state: LaneState): Iterable<Item, undefined> {
 		for (let index = this.#lateCount(state); index < this.#byTarget.length; index++) {
 			yield this.#byTarget[index].item;
 		}
 	}
 
 	/** Yields the requests that cannot meet their latency target, in order. */
-	* late(state: LaneState): Iterable<Item> {
+	* late(state: LaneState): Iterable<Item, undefined> {
 		if (this.#lateCount(state) === 0) {
 			return;
 		}
--- a/source/admission/waiting-order.ts
+++ b/source/admission/waiting-order.ts
@@ -20,7 +20,7 @@
 	abstract add(item: Item, now: Milliseconds): Item | undefined;
 
 	/** Returns the first request that meets the conditions. */
-	abstract find(search: WaitingSearch<Item>, now: Milliseconds): Item | undefined;
+	abstract findFirst(search: WaitingSearch<Item>, now: Milliseconds): Item | undefined;
 
 	/** Removes a request that is not wanted any more; it has no effect if the request does not wait. */
 	abstract remove(item: Item): void;
--- a/source/admission/waiting-queue.ts
+++ b/source/admission/waiting-queue.ts
@@ -59,7 +59,7 @@
 /** Position of a search in the requests of a lane. */
 type LaneCursor<Item extends WaitingItem> = {
 	readonly lane: QueueLane<Item>;
-	readonly rest: Iterator<Item>;
+	readonly rest: Iterator<Item, undefined>;
 	current: Item;
 };
 
@@ -113,7 +113,7 @@
 
 	/** Removes and returns the first request for which `canServe` returns true, and counts it as served. */
 	takeNext(canServe: (item: Item) => boolean, now: Milliseconds): Item | undefined {
-		const next = this.find({canServe}, now);
+		const next = this.findFirst({canServe}, now);
 		if (next) {
 			this.take(next, now);
 		}
@@ -128,11 +128,11 @@
 	}
 
 	/** Returns the first request that meets the conditions. `canServe` must return the same for all requests of a lane. */
-	override find({canServe, isPassedOver = () => false}: WaitingSearch<Item>, now: Milliseconds): Item | undefined {
+	override findFirst({canServe, isPassedOver = () => false}: WaitingSearch<Item>, now: Milliseconds): Item | undefined {
 		const state = this.#state(now, this.#takenCount % ageingPeriod === ageingPeriod - 1);
 		let cursors = [...this.#lanes.values()].flatMap(lane => cursorsOf(lane, state));
 		while (cursors.length > 0) {
-			const first = cursors.reduce((best, cursor) => compareItems(cursor.current, best.current, state) < 0 ? cursor : best);
+			const first = firstOf(cursors, state);
 			if (isPassedOver(first.current)) {
 				if (!advance(first)) {
 					cursors = cursors.filter(cursor => cursor !== first);
@@ -272,19 +272,31 @@
 	const parts = state.isAgeing ? [requests.inTime(state), requests.late(state)] : [requests.inOrder(state)];
 	return parts.flatMap(part => {
 		const rest = part[Symbol.iterator]();
-		const {value, done} = rest.next();
-		return done ? [] : [{lane, rest, current: value}];
+		const next = rest.next();
+		return next.done ? [] : [{lane, rest, current: next.value}];
 	});
 }
 
+/** Returns the position whose request is first in the order. */
+function firstOf<Item extends WaitingItem>(cursors: ReadonlyArray<LaneCursor<Item>>, state: OrderState): LaneCursor<Item> {
+	let [first] = cursors;
+	for (const cursor of cursors) {
+		if (compareItems(cursor.current, first.current, state) < 0) {
+			first = cursor;
+		}
+	}
+
+	return first;
+}
+
 /** Moves to the next request of the lane. Returns false if there is none. */
 function advance<Item extends WaitingItem>(cursor: LaneCursor<Item>): boolean {
-	const {value, done} = cursor.rest.next();
-	if (done) {
+	const next = cursor.rest.next();
+	if (next.done) {
 		return false;
 	}
 
-	cursor.current = value;
+	cursor.current = next.value;
 	return true;
 }
 
--- a/source/session-proxy/connection-opener.ts
+++ b/source/session-proxy/connection-opener.ts
@@ -71,7 +71,7 @@
 
 		const isOpening = this.createOpeningCheck();
 		const fullPaths = new Set<ConnectionPath | undefined>();
-		const next = this.options.waiting.find({
+		const next = this.options.waiting.findFirst({
 			isPassedOver: isOpening,
 			canServe: request => {
 				if (fullPaths.has(request.path) || !this.options.isServable(request)) {
--- a/source/session-proxy/connection-placement.ts
+++ b/source/session-proxy/connection-placement.ts
@@ -17,6 +17,15 @@
 		return true;
 	}
 
+	/** Number of connections that this instance may have to the member on its main path: its own connections if it is a gateway, otherwise those through gateways. */
+	get maximumOfInstance(): number {
+		if (!this.isByCustomer) {
+			return this.maximumConnections(undefined);
+		}
+
+		return this.maximumConnections(this.isGateway ? 'own' : 'gateway');
+	}
+
 	/** Returns the path for the requests of a customer's callers at this instance; undefined unless `isByCustomer`. */
 	abstract pathFor(customer: string | undefined): ConnectionPath | undefined;
 
--- a/source/session-proxy/connection-requests.ts
+++ b/source/session-proxy/connection-requests.ts
@@ -1,11 +1,12 @@
 import {type WaitingOrder, type WaitingSearch} from '../admission/waiting-order.js';
-import {type WaitingItem} from '../admission/waiting-lane.js';
+import {WaitingQueue, type WaitingItem} from '../admission/waiting-queue.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type ResultCodeName} from '../result-codes/result-codes.js';
-import {type ConnectionPath} from '../statement/member-connection.js';
+import {type ConnectionPath, type ConnectionUse} from '../statement/member-connection.js';
 import {type CallerSessionState} from './caller-session-state.js';
 import {type PooledConnection} from './pooled-connection.js';
+import {PriorityOrder} from './priority-order.js';
 
 /** Request for a connection to a member. */
 export type ConnectionRequest = WaitingItem & {
@@ -26,7 +27,7 @@
 export type WaitingRequest = ConnectionRequest & {
 	readonly resolve: (connection: PooledConnection) => void;
 	readonly reject: (error: BuckthornhitchError) => void;
-	cancel: Cancel;
+	readonly cancel: Cancel;
 };
 
 /** A request was refused in a queue without having run. */
@@ -37,27 +38,54 @@
 	}
 }
 
+/** Whom a request is for, and how a connection for it is opened. */
+export type RequestOwner = Pick<ConnectionRequest, 'session' | 'customer' | 'path' | 'isFromRelay'>;
+
+/** Returns the request for a connection that is needed now for the use. Without a target, the timeout is the target. */
+export function createConnectionRequest(owner: RequestOwner, use: ConnectionUse, timeout: Milliseconds, now: Milliseconds): ConnectionRequest {
+	const {priority, isForTransaction, isOfProxy = false, targetAt} = use;
+	return {
+		...owner,
+		priority,
+		isForTransaction,
+		takesSlot: !isOfProxy,
+		targetAt,
+		arrivedAt: now,
+		deadline: now + timeout,
+		latencyTarget: targetAt === undefined ? timeout : targetAt - now,
+		// Statements of open transactions do not wait for a connection, since a transaction keeps its own.
+		isInTransaction: false,
+	};
+}
+
 /** Returns whether the request may use the connection. Statements of the proxy itself may use the connection of any customer. */
 export function mayUse({session, customer, path}: ConnectionRequest, connection: PooledConnection): boolean {
 	return session === undefined || (connection.customer === customer && connection.path === path);
 }
 
 /** Returns the conditions under which the request can be served, apart from its customer. */
-export function servingConditions({session, path, isForTransaction, takesSlot, isFromRelay}: ConnectionRequest): string {
+function servingConditions({session, path, isForTransaction, takesSlot, isFromRelay}: ConnectionRequest): string {
 	return [session === undefined, path, isForTransaction, takesSlot, isFromRelay].join(' ');
 }
 
-/** Dependencies of the waiting requests. */
+/** Maximum number of waiting requests per connection; as many as the queue of a member holds. */
+const maximumWaitersPerConnection = 24;
+
+/** Dependencies of the waiting requests; functions return the current value. */
 export type ConnectionRequestsOptions = {
 	readonly clock: Clock;
 	/** Name of the member, for refusals. */
 	readonly member: string;
-	/** Returns whether the instances' shares of the member's connections are exact, which decides the order. */
+	/** Whether the instances' shares of the member's connections are exact, which decides the order. */
 	readonly isExact: () => boolean;
-	/** Order where the shares are exact. */
-	readonly exactOrder: () => WaitingOrder<WaitingRequest>;
-	/** Order elsewhere. */
-	readonly sharedOrder: () => WaitingOrder<WaitingRequest>;
+	/** Number of connections that this instance may have to the member. */
+	readonly maximumConnections: () => number;
+	/** Number of connections that a customer holds. */
+	readonly heldBy: (customer: string | undefined) => number;
+	/** Expected time from the assignment of a connection to the reply. */
+	readonly expectedReplyTime: () => Milliseconds;
+	/** Number of statements that may be in flight at the same time. */
+	readonly concurrency: () => number;
 };
 
 /** Requests that wait for a connection to one member, in the order of the placement in force. */
@@ -67,6 +95,9 @@
 	/** Number of waiting requests of callers, by path and customer. */
 	readonly #counts = new Map<ConnectionPath | undefined, Map<string | undefined, number>>();
 
+	/** Number of waiting requests of other instances. */
+	#fromRelaysCount = 0;
+
 	constructor(private readonly options: ConnectionRequestsOptions) {
 		this.#isExact = options.isExact();
 		this.#order = this.#createOrder();
@@ -77,20 +108,50 @@
 		return this.#order.length;
 	}
 
-	/** Adds a request. If the queue is full, rejects the last request in the order, which may be the added one. */
-	add(request: WaitingRequest): void {
+	/** Adds a request. Resolves with its connection, or rejects when its deadline passes or it is refused. If the queue is full, the last request in the order is refused, which may be the added one. */
+	async add(request: ConnectionRequest): Promise<PooledConnection> {
 		this.#followPlacement();
-		this.#count(request, 1);
-		const refused = this.#order.add(request, this.#now);
-		if (refused) {
-			this.#refuse(refused, 'queueFull', `${this.length} requests wait for ${this.options.member}`);
-		}
+		const {clock, member} = this.options;
+		const timeout = request.deadline - this.#now;
+		return new Promise((resolve, reject) => {
+			const waiting: WaitingRequest = {
+				...request,
+				resolve,
+				reject,
+				cancel: clock.schedule(Math.max(0, timeout), () => {
+					this.#reject(waiting, new BuckthornhitchError('deadlinePassed', `no connection to ${member} within ${Math.round(timeout)} ms`));
+				}),
+			};
+			this.#count(waiting, 1);
+			this.#addToOrder(waiting);
+		});
 	}
 
 	/** Returns the first request that meets the conditions. */
-	find(search: WaitingSearch<WaitingRequest>): WaitingRequest | undefined {
+	findFirst(search: WaitingSearch<WaitingRequest>): WaitingRequest | undefined {
 		this.#followPlacement();
-		return this.#order.find(search, this.#now);
+		return this.#order.findFirst(search, this.#now);
+	}
+
+	/** Returns the first request that can be served, after rejecting those before it that cannot be answered before their deadline any more. */
+	findAnswerable(canServe: (request: WaitingRequest) => boolean, isAnswerableBefore: (deadline: Milliseconds) => boolean): WaitingRequest | undefined {
+		const late: WaitingRequest[] = [];
+		const next = this.findFirst({
+			canServe(request) {
+				const isServed = canServe(request);
+				if (isServed && !isAnswerableBefore(request.deadline)) {
+					late.push(request);
+					return false;
+				}
+
+				return isServed;
+			},
+		});
+		for (const request of late) {
+			this.rejectLate(request);
+		}
+
+		return next;
 	}
 
 	/** Returns whether a request of another customer waits for a connection on the path. */
@@ -111,12 +172,6 @@
 		this.#order.recordServed(request, this.#now);
 	}
 
-	/** Rejects a request whose deadline has passed. */
-	expire(request: WaitingRequest, error: BuckthornhitchError): void {
-		this.#remove(request);
-		request.reject(error);
-	}
-
 	/** Rejects the requests that cannot be answered in time any more, given those that precede them. */
 	rejectUnanswerable(): void {
 		for (const request of this.#order.removeUnanswerable(this.#now)) {
@@ -129,11 +184,17 @@
 		this.#refuse(request, 'deadlinePassed', `no connection to ${this.options.member} early enough for an answer in time`);
 	}
 
+	/** Rejects the requests of other instances. */
+	rejectFromRelays(error: BuckthornhitchError): void {
+		if (this.#fromRelaysCount > 0) {
+			this.rejectWhere(({isFromRelay}) => isFromRelay, error);
+		}
+	}
+
 	/** Rejects and removes the requests for which the function returns true. */
 	rejectWhere(predicate: (request: WaitingRequest) => boolean, error: BuckthornhitchError): void {
 		for (const request of [...this.#order.items].filter(other => predicate(other))) {
-			this.#remove(request);
-			request.reject(error);
+			this.#reject(request, error);
 		}
 	}
 
@@ -142,17 +203,20 @@
 	}
 
 	#refuse(request: WaitingRequest, codeName: ResultCodeName, detail: string): void {
-		this.#remove(request);
-		request.reject(this.#isExact ? new QueueRefusalError(codeName, detail, this.#order.expectedWait(request, this.#now)) : new BuckthornhitchError(codeName, detail));
+		this.#reject(request, this.#isExact ? new QueueRefusalError(codeName, detail, this.#order.expectedWait(request, this.#now)) : new BuckthornhitchError(codeName, detail));
 	}
 
-	#remove(request: WaitingRequest): void {
+	#reject(request: WaitingRequest, error: BuckthornhitchError): void {
 		this.#count(request, -1);
 		this.#order.remove(request);
 		request.cancel();
+		request.reject(error);
 	}
 
-	#count({session, path, customer}: ConnectionRequest, change: number): void {
+	#count({
+		session, path, customer, isFromRelay,
+	}: ConnectionRequest, change: number): void {
+		this.#fromRelaysCount += isFromRelay ? change : 0;
 		if (session === undefined) {
 			return;
 		}
@@ -177,15 +241,24 @@
 		this.#isExact = this.options.isExact();
 		this.#order = this.#createOrder();
 		for (const request of requests) {
-			const refused = this.#order.add(request, this.#now);
-			if (refused) {
-				this.#refuse(refused, 'queueFull', `${this.length} requests wait for ${this.options.member}`);
-			}
+			this.#addToOrder(request);
+		}
+	}
+
+	#addToOrder(request: WaitingRequest): void {
+		const refused = this.#order.add(request, this.#now);
+		if (refused) {
+			this.#refuse(refused, 'queueFull', `${this.length} requests wait for ${this.options.member}`);
 		}
 	}
 
 	#createOrder(): WaitingOrder<WaitingRequest> {
-		const {exactOrder, sharedOrder} = this.options;
-		return this.#isExact ? exactOrder() : sharedOrder();
+		const {maximumConnections, heldBy, expectedReplyTime, concurrency} = this.options;
+		const maximumLength = (): number => maximumWaitersPerConnection * maximumConnections();
+		return this.#isExact
+			? new WaitingQueue<WaitingRequest>({
+				maximumLength, expectedReplyTime, expectedInterval: () => expectedReplyTime() / concurrency(), conditionsOf: servingConditions,
+			})
+			: new PriorityOrder(heldBy, maximumLength);
 	}
 }
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -1,5 +1,4 @@
 import {isAnswerableInTime} from '../admission/deadline-rules.js';
-import {WaitingQueue} from '../admission/waiting-queue.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
@@ -10,19 +9,16 @@
 import {type StatementReply} from '../statement/types.js';
 import {type CallerSessionState} from './caller-session-state.js';
 import {ConnectionOpener, type OpenedConnection} from './connection-opener.js';
-import {SharedPlacement, surplusIdleTimeout, type ConnectionPlacement} from './connection-placement.js';
+import {SharedPlacement, type ConnectionPlacement} from './connection-placement.js';
 import {
-	ConnectionRequests, mayUse, servingConditions, type ConnectionRequest, type WaitingRequest,
+	ConnectionRequests, createConnectionRequest, mayUse, type ConnectionRequest, type RequestOwner, type WaitingRequest,
 } from './connection-requests.js';
 import {ConnectionsInUse} from './connections-in-use.js';
 import {IdleConnections} from './idle-connections.js';
 import {MemberHealth} from './member-health.js';
 import {PooledConnection} from './pooled-connection.js';
-import {PriorityOrder} from './priority-order.js';
 import {StatementGate} from './statement-gate.js';
-
-/** Maximum number of waiting requests per connection; as many as the queue of a member holds. */
-const maximumWaitersPerConnection = 24;
+import {SurplusConnections} from './surplus-connections.js';
 
 /** Time to wait for an overdue reply and a rollback before the connection is closed; longer than a request waits in the queue of a slow member. */
 const rollbackTimeout: Milliseconds = 6000;
@@ -54,7 +50,7 @@
 	readonly #gate: StatementGate;
 	readonly #waiting: ConnectionRequests;
 	readonly #opener: ConnectionOpener;
-	#isSurplusCloseScheduled = false;
+	readonly #surplus: SurplusConnections;
 	#isClosed = false;
 
 	constructor(readonly server: BackendServer, private readonly options: MemberPoolOptions) {
@@ -62,26 +58,23 @@
 		this.#placement = placement;
 		this.#health = new MemberHealth(server.id, clock);
 		this.#inUse = new ConnectionsInUse(placement);
+		this.#surplus = new SurplusConnections(clock, placement, this.#idle, this.#inUse);
 		this.#gate = new StatementGate({
 			clock,
-			maximumConnections: () => this.#maximumConnections,
+			placement,
 			logPosition: () => this.logPosition,
 			onFreed: () => {
 				this.#serveWaiting();
 			},
 		});
-		const maximumLength = (): number => maximumWaitersPerConnection * this.#maximumConnections;
 		this.#waiting = new ConnectionRequests({
 			clock,
 			member: server.id,
 			isExact: () => placement.isExact,
-			exactOrder: () => new WaitingQueue<WaitingRequest>({
-				maximumLength,
-				expectedReplyTime: () => this.#replyTimeOnConnection,
-				expectedInterval: () => this.#replyTimeOnConnection / (placement.isGateway ? this.#gate.limit : this.#maximumConnections),
-				conditionsOf: servingConditions,
-			}),
-			sharedOrder: () => new PriorityOrder(customer => this.#inUse.countOf(customer), maximumLength),
+			maximumConnections: () => placement.maximumOfInstance,
+			heldBy: customer => this.#inUse.countOf(customer),
+			expectedReplyTime: () => this.#replyTimeOnConnection,
+			concurrency: () => placement.isGateway ? this.#gate.limit : placement.maximumOfInstance,
 		});
 		this.#opener = new ConnectionOpener({
 			server,
@@ -168,7 +161,7 @@
 		if (this.#placement.isExact) {
 			this.#idle.add(connection);
 			this.#serveWaiting();
-			this.#scheduleSurplusClose();
+			this.#surplus.scheduleClose();
 			return;
 		}
 
@@ -186,7 +179,7 @@
 		}
 
 		this.#idle.add(connection);
-		this.#scheduleSurplusClose();
+		this.#surplus.scheduleClose();
 	}
 
 	/**
@@ -215,7 +208,7 @@
 	reportFailure(sentAt: Milliseconds): void {
 		if (this.#health.recordFailure(sentAt)) {
 			// Existing connections may never recover; new ones show whether the member is reachable.
-			this.#closeIdle();
+			this.#idle.closeWhere(() => true);
 		}
 	}
 
@@ -233,60 +226,36 @@
 	close(): void {
 		this.#isClosed = true;
 		this.#opener.close();
-		this.#closeIdle();
+		this.#idle.closeWhere(() => true);
 		this.#waiting.rejectWhere(() => true, new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`));
 	}
 
-	/** Largest number of connections that this instance may have to the member. */
-	get #maximumConnections(): number {
-		return this.#placement.maximumConnections(this.#placement.isByCustomer && this.#placement.isGateway ? 'own' : this.#placement.isByCustomer ? 'gateway' : undefined);
-	}
-
 	/** Expected time from the assignment of a connection to the reply. */
 	get #replyTimeOnConnection(): Milliseconds {
 		return this.#placement.isGateway ? this.#gate.expectedReplyTime : this.#health.expectedReplyTime;
 	}
 
-	async #acquire(timeout: Milliseconds, use: ConnectionUse, owner: Pick<ConnectionRequest, 'session' | 'customer' | 'path' | 'isFromRelay'>): Promise<PooledConnection> {
-		const {priority, isForTransaction, isOfProxy = false, targetAt} = use;
-		const now = this.options.clock.now();
-		const request: ConnectionRequest = {
-			...owner, priority, isForTransaction, takesSlot: !isOfProxy, targetAt, arrivedAt: now, deadline: now + timeout, latencyTarget: targetAt === undefined ? timeout : targetAt - now, isInTransaction: false,
-		};
+	async #acquire(timeout: Milliseconds, use: ConnectionUse, owner: RequestOwner): Promise<PooledConnection> {
+		const request = createConnectionRequest(owner, use, timeout, this.options.clock.now());
 		if (this.#isClosed) {
 			throw new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`);
 		}
 
-		this.#closeForbidden();
+		this.#surplus.closeForbidden();
 		if (request.isFromRelay && !this.#placement.isGateway) {
 			throw new BuckthornhitchError('notGateway', this.server.id);
 		}
 
-		const idle = this.#inUse.isTransactionShareUsed(request) || this.#isGateClosed(request) ? undefined : this.#idle.take(request);
+		const idle = this.#inUse.isTransactionShareUsed(request) || this.#gate.isClosedFor(request) ? undefined : this.#idle.take(request);
 		if (idle) {
 			this.#waiting.recordServed(request);
 			this.#markInUse(idle, request);
 			return idle;
 		}
 
-		return this.#waitForConnection(request);
-	}
-
-	async #waitForConnection(request: ConnectionRequest): Promise<PooledConnection> {
-		const {clock} = this.options;
-		const timeout = request.deadline - clock.now();
-		return new Promise((resolve, reject) => {
-			const waiting: WaitingRequest = {
-				...request,
-				resolve,
-				reject,
-				cancel: clock.schedule(Math.max(0, timeout), () => {
-					this.#waiting.expire(waiting, new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
-				}),
-			};
-			this.#waiting.add(waiting);
-			this.#serveWaiting();
-		});
+		const connection = this.#waiting.add(request);
+		this.#serveWaiting();
+		return connection;
 	}
 
 	/** Serves the waiting requests that can be served now, on idle connections or by opening connections. */
@@ -297,15 +266,15 @@
 		}
 
 		if (!this.#placement.isGateway) {
-			this.#waiting.rejectWhere(({isFromRelay}) => isFromRelay, new BuckthornhitchError('notGateway', this.server.id));
+			this.#waiting.rejectFromRelays(new BuckthornhitchError('notGateway', this.server.id));
 		}
 
 		this.#waiting.rejectUnanswerable();
 		for (;;) {
 			const isOpening = this.#opener.createOpeningCheck();
-			const next = this.#waiting.find({
+			const next = this.#waiting.findFirst({
 				isPassedOver: request => !this.#idle.has(request) && isOpening(request),
-				canServe: request => this.#isServable(request) && (this.#idle.has(request) || (!this.#isGateClosed(request, this.#opener.openingCountOn(request.path)) && this.#opener.canOpen(request))),
+				canServe: request => this.#isServable(request) && (this.#idle.has(request) || this.#mayOpenFor(request)),
 			});
 			if (!next) {
 				return;
@@ -323,10 +292,6 @@
 		}
 	}
 
-	#closeIdle(): void {
-		this.#idle.closeWhere(() => true);
-	}
-
 	async #rollBack(connection: PooledConnection): Promise<void> {
 		try {
 			const reply = await connection.rollBack(rollbackTimeout);
@@ -350,41 +315,24 @@
 	/** Returns the request that a released connection is for. If the request may not use the connection, the connection has to be replaced for it. */
 	#nextRequestFor(connection: PooledConnection): WaitingRequest | undefined {
 		const isOpening = this.#opener.createOpeningCheck();
-		return this.#nextRequest(request => this.#isServable(request)
+		return this.#findAnswerable(request => this.#isServable(request)
 			&& (mayUse(request, connection) || (request.path === connection.path && !isOpening(request) && this.#opener.mayOpen(request))));
 	}
 
-	/** Returns the first waiting request that can be served, after rejecting those before it that cannot be answered in time any more. */
-	#nextRequest(canServe: (request: WaitingRequest) => boolean): WaitingRequest | undefined {
-		const late: WaitingRequest[] = [];
-		const next = this.#waiting.find({
-			canServe: request => {
-				const isServed = canServe(request);
-				if (isServed && !this.isAnswerableBefore(request.deadline)) {
-					late.push(request);
-					return false;
-				}
-
-				return isServed;
-			},
-		});
-		for (const request of late) {
-			this.#waiting.rejectLate(request);
-		}
-
-		return next;
+	#findAnswerable(canServe: (request: WaitingRequest) => boolean): WaitingRequest | undefined {
+		return this.#waiting.findAnswerable(canServe, deadline => this.isAnswerableBefore(deadline));
 	}
 
 	/** Returns whether a free connection may be given to the request now. */
 	#isServable(request: ConnectionRequest): boolean {
-		return !this.#isGateClosed(request)
+		return !this.#gate.isClosedFor(request)
 			&& !this.#inUse.wouldHoldAll(request, () => this.#waiting.isOtherCustomerWaiting(request))
 			&& !this.#inUse.isTransactionShareUsed(request);
 	}
 
-	/** Returns whether the request has to wait because enough statements are in flight at the member. */
-	#isGateClosed({takesSlot, path}: ConnectionRequest, openingCount = 0): boolean {
-		return takesSlot && path !== 'gateway' && this.#placement.isExact && this.#placement.isGateway && !this.#gate.isOpen(openingCount);
+	/** Returns whether a connection may be opened for the request. Statements for which one is being opened count as in flight, so that no more connections are opened than can be used. */
+	#mayOpenFor(request: ConnectionRequest): boolean {
+		return !this.#gate.isClosedFor(request, this.#opener.openingCountOn(request.path)) && this.#opener.canOpen(request);
 	}
 
 	#assign(request: WaitingRequest, connection: PooledConnection): void {
@@ -394,12 +342,9 @@
 	}
 
 	#markInUse(connection: PooledConnection, request: ConnectionRequest): void {
-		const {priority, isForTransaction, takesSlot, targetAt} = request;
+		const {priority, isForTransaction, targetAt} = request;
 		this.#inUse.add(connection, request);
-		if (takesSlot && this.#placement.isExact && !connection.memberConnection.isRelayed) {
-			this.#gate.occupy(connection, isForTransaction);
-		}
-
+		this.#gate.occupy(connection, request);
 		connection.memberConnection.setUse({priority, isForTransaction, targetAt});
 	}
 
@@ -430,7 +375,7 @@
 			return;
 		}
 
-		const own = connection.isReusable ? this.#nextRequest(request => mayUse(request, connection) && this.#isServable(request)) : undefined;
+		const own = connection.isReusable ? this.#findAnswerable(request => mayUse(request, connection) && this.#isServable(request)) : undefined;
 		if (own) {
 			this.#assign(own, connection);
 		} else {
@@ -446,28 +391,4 @@
 			this.logPositionAt = this.options.clock.now();
 		}
 	}
-
-	/** Closes surplus connections once they have been idle for their time-out. */
-	#scheduleSurplusClose(): void {
-		if (this.#isSurplusCloseScheduled) {
-			return;
-		}
-
-		// Where time-outs differ, a single timer serves all connections.
-		this.#isSurplusCloseScheduled = this.#placement.isExact;
-		this.options.clock.schedule(surplusIdleTimeout, () => {
-			this.#isSurplusCloseScheduled = false;
-			this.#closeForbidden();
-			const surplus = this.#idle.length + this.#inUse.count - 1;
-			this.#idle.closeOlderThan(({memberConnection, customer}) => this.#placement.idleTimeout(memberConnection, customer), this.options.clock.now(), surplus);
-			if (this.#placement.isExact && this.#idle.length > 0) {
-				this.#scheduleSurplusClose();
-			}
-		});
-	}
-
-	/** Closes the idle connections that the placement does not allow any more. */
-	#closeForbidden(): void {
-		this.#idle.closeWhere(({memberConnection}) => !this.#placement.isAllowed(memberConnection));
-	}
 }
--- a/source/session-proxy/priority-order.ts
+++ b/source/session-proxy/priority-order.ts
@@ -29,7 +29,7 @@
 		return undefined;
 	}
 
-	override find({canServe, isPassedOver = () => false}: WaitingSearch<WaitingRequest>): WaitingRequest | undefined {
+	override findFirst({canServe, isPassedOver = () => false}: WaitingSearch<WaitingRequest>): WaitingRequest | undefined {
 		return this.#inOrder().find(request => !isPassedOver(request) && canServe(request));
 	}
 
--- a/source/session-proxy/statement-gate.ts
+++ b/source/session-proxy/statement-gate.ts
@@ -4,6 +4,8 @@
 import {compareLogPositions} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
+import {type ConnectionPlacement} from './connection-placement.js';
+import {type ConnectionRequest} from './connection-requests.js';
 import {type PooledConnection} from './pooled-connection.js';
 
 /** Time for which a connection counts that was handed out and on which no statement was sent yet. Longer than setting the session's variables takes; a holder that sends nothing must not keep others from the member. */
@@ -23,8 +25,7 @@
 /** Dependencies of a gate. */
 export type StatementGateOptions = {
 	readonly clock: Clock;
-	/** Returns the number of connections that this instance may have to the member. */
-	readonly maximumConnections: () => number;
+	readonly placement: ConnectionPlacement;
 	/** Returns the last log position that the member reported. */
 	readonly logPosition: () => LogPosition | undefined;
 	/** Called when fewer statements are in flight than before, without a connection being released. */
@@ -42,7 +43,7 @@
 	readonly #replyTime = new AverageReplyTime();
 
 	constructor(private readonly options: StatementGateOptions) {
-		this.#limit = new ConcurrencyLimit(options.maximumConnections);
+		this.#limit = new ConcurrencyLimit(() => options.placement.maximumOfInstance);
 	}
 
 	/** Number of statements in flight. */
@@ -68,14 +69,19 @@
 		return longest;
 	}
 
-	/** Returns whether another statement may be sent, given the number of those that will be sent on connections which are being opened. */
-	isOpen(openingCount = 0): boolean {
-		return this.inFlight + openingCount < this.limit;
+	/** Returns whether the request has to wait because enough statements are in flight, given the number of those that will be sent on connections which are being opened. */
+	isClosedFor(request: ConnectionRequest, openingCount = 0): boolean {
+		return this.#isGated(request) && this.inFlight + openingCount >= this.limit;
 	}
 
-	/** Counts a connection that is handed out for a statement or a transaction. */
-	occupy(connection: PooledConnection, isForTransaction: boolean): void {
+	/** Counts a connection that is handed out for a statement or a transaction, if it is a direct one. */
+	occupy(connection: PooledConnection, request: ConnectionRequest): void {
+		if (!this.#isGated(request) || connection.memberConnection.isRelayed) {
+			return;
+		}
+
 		const {clock, onFreed} = this.options;
+		const {isForTransaction} = request;
 		this.#occupations.set(connection, {
 			isForTransaction, sentAt: new Set(), cancelUnsent: clock.schedule(unsentTime, () => {
 				this.vacate(connection);
@@ -122,6 +128,12 @@
 		};
 	}
 
+	/** Returns whether the request is for statements that take slots of the member, of which other instances use exact shares. */
+	#isGated({takesSlot, path}: ConnectionRequest): boolean {
+		const {isExact, isGateway} = this.options.placement;
+		return takesSlot && path !== 'gateway' && isExact && isGateway;
+	}
+
 	/** Records a reply. The time of a statement that waited for the log of the member says nothing about its load. */
 	#recordReply(reply: StatementReply, sentAt: Milliseconds, waitsForLog: boolean): void {
 		const now = this.options.clock.now();
