--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -1,6 +1,7 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {CallerSessionState, pooledStatementName} from '../session-proxy/caller-session-state.js';
+import {QueueRefusalError} from '../session-proxy/connection-requests.js';
 import {refusalReasonOf} from '../session-proxy/statement-attempt.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
 import {type PooledConnection} from '../session-proxy/pooled-connection.js';
@@ -13,6 +14,9 @@
 /** Priority of relayed statements that state none among those that wait for a connection; the requesting entry has already ordered its own by priority. */
 const defaultPriority = 1;
 
+/** Statements of callers that a gateway runs outside transactions. */
+const dataKinds: ReadonlySet<MemberStatement['kind']> = new Set(['read', 'write', 'execute']);
+
 type HeldConnection = {
 	readonly pool: MemberPool;
 	readonly connection: PooledConnection;
@@ -56,9 +60,10 @@
 
 		this.#nextSequence++;
 		this.#pendingCount++;
-		const deadline = this.clock.now() + request.timeout;
+		const now = this.clock.now();
+		const deadline = now + request.timeout;
 		const response = this.#lastResponse.then(async () => {
-			this.#use = {priority: request.priority ?? defaultPriority, isForTransaction: request.isForTransaction ?? false};
+			this.#use = useOf(request, now);
 			return this.#refuseScope(request) ?? (request.isPrimaryRead ? this.#readFromPrimary(request.statement, deadline) : this.#dispatch(request.statement, deadline));
 		}).finally(() => {
 			this.#pendingCount--;
@@ -257,7 +262,21 @@
 function notAcquired(error: unknown): RelayStatementResponse {
 	const {codeName, message} = toBuckthornhitchError(error);
 	return {
-		kind: 'notRun', reason: refusalReasonOf(error), detail: message, isLost: codeName === 'memberUnreachable',
+		kind: 'notRun',
+		reason: refusalReasonOf(error),
+		detail: message,
+		isLost: codeName === 'memberUnreachable' || codeName === 'notGateway',
+		...(error instanceof QueueRefusalError && {expectedWait: Math.ceil(error.expectedWait)}),
+	};
+}
+
+/** Returns what the statement is for. Only statements of the proxy itself begin a transaction that is not a caller's. */
+function useOf({statement, priority = defaultPriority, isForTransaction = false, latencyTarget}: RelayStatementRequest, now: Milliseconds): ConnectionUse {
+	return {
+		priority,
+		isForTransaction,
+		targetAt: latencyTarget === undefined ? undefined : now + latencyTarget,
+		isOfProxy: !isForTransaction && !dataKinds.has(statement.kind),
 	};
 }
 
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -178,7 +178,7 @@
 			sequence: this.#nextSequence++,
 			statement,
 			timeout,
-			...(sendsPriority && {priority: this.#use?.priority, ...(this.#use?.isForTransaction && {isForTransaction: true})}),
+			...(sendsPriority && this.#useFields()),
 			...scopeFields(scope),
 		};
 		try {
@@ -192,6 +192,16 @@
 		}
 	}
 
+	/** Returns the fields by which a gateway near the member orders the statement. */
+	#useFields(): Partial<RelayStatementRequest> {
+		const {priority, isForTransaction, targetAt} = this.#use ?? {};
+		return {
+			priority,
+			...(targetAt !== undefined && {latencyTarget: Math.round(targetAt - this.options.clock.now())}),
+			...(isForTransaction && {isForTransaction: true}),
+		};
+	}
+
 	#toReply(response: RelayStatementResponse): StatementReply {
 		switch (response.kind) {
 			case 'answered': {
@@ -205,7 +215,12 @@
 				}
 
 				return {
-					outcome: 'refused', reason: response.reason, detail: response.detail, transaction: this.#isInTransaction ? 'failed' : 'idle', point: undefined,
+					outcome: 'refused',
+					reason: response.reason,
+					detail: response.detail,
+					transaction: this.#isInTransaction ? 'failed' : 'idle',
+					point: undefined,
+					...(response.expectedWait !== undefined && {expectedWait: response.expectedWait}),
 				};
 			}
 
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -66,7 +66,7 @@
 
 			case 'notRun': {
 				return notRunRefusal(describeAttempt(last), 'idle', client.retryAfter({
-					pools: client.pools, reason: last.reason, needsPrimary: isPrimaryMissing, usefulTime: route.statementTimeout,
+					pools: client.pools, reason: last.reason, expectedWait: last.expectedWait, needsPrimary: isPrimaryMissing, usefulTime: route.statementTimeout,
 				}));
 			}
 
@@ -184,7 +184,7 @@
 			context.log(request.id, 'read', describeAttempt(last), {
 				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
 			});
-			if (last.kind === 'answered' || last.kind === 'refused') {
+			if (last.kind === 'answered' || last.kind === 'refused' || (last.kind === 'notRun' && last.expectedWait !== undefined)) {
 				break;
 			}
 
