--- a/source/links/tcp-link-client.ts
+++ b/source/links/tcp-link-client.ts
@@ -1,5 +1,6 @@
 import {createConnection, type Socket} from 'node:net';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {describeTimeout} from '../clock/describe-timeout.js';
 import {BuckthornhitchError, errorFromCode, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type HybridClock} from '../timeline/hybrid-clock.js';
 import {parseAddress, type Address} from './address.js';
@@ -48,7 +49,7 @@
 		return new Promise((resolve, reject) => {
 			const cancelTimeout = this.clock.schedule(timeout, () => {
 				pending.delete(number);
-				reject(new BuckthornhitchError('linkOutcomeUnknown', `${address} did not answer ${name} within ${Math.round(timeout)} ms.`));
+				reject(new BuckthornhitchError('linkOutcomeUnknown', `${address} did not answer ${name} ${describeTimeout(timeout)}.`));
 			});
 			pending.set(number, {resolve, reject, cancelTimeout});
 			try {
--- a/source/promotion/backend-server-prober.ts
+++ b/source/promotion/backend-server-prober.ts
@@ -1,5 +1,6 @@
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
+import {describeTimeout} from '../clock/describe-timeout.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type BackendReachability} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -142,7 +143,7 @@
 	async #withTimeout(pendingReply: Promise<StatementReply>, timeout: Milliseconds): Promise<StatementReply> {
 		return new Promise((resolve, reject) => {
 			const cancel = this.clock.schedule(timeout, () => {
-				reject(new BuckthornhitchError('linkOutcomeUnknown', `${this.server.id} did not answer within ${timeout} ms.`));
+				reject(new BuckthornhitchError('linkOutcomeUnknown', `${this.server.id} did not answer ${describeTimeout(timeout)}.`));
 			});
 			pendingReply.then(reply => {
 				cancel();
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -24,6 +24,8 @@
 	readonly linkClient: LinkClient;
 	/** Link address of the entry that relays the statements. */
 	readonly gateway: Address;
+	/** Name of that entry, for logs; its address if absent. */
+	readonly gatewayName?: string;
 	/** Number that identifies the relay on the link to the gateway. */
 	readonly relay: number;
 	/** Whether the priority of the statements is sent. */
@@ -65,6 +67,10 @@
 		return true;
 	}
 
+	override get gateway(): string {
+		return this.options.gatewayName ?? this.options.gateway;
+	}
+
 	override setUse(use: ConnectionUse): void {
 		this.#use = use;
 	}
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -239,6 +239,7 @@
 			clock: this.options.clock,
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
+			gatewayName: gateway.name,
 			relay,
 			opening,
 			sendsPriority: gatewaysNearMember !== undefined,
--- a/source/session-proxy/caller-operation.ts
+++ b/source/session-proxy/caller-operation.ts
@@ -3,18 +3,37 @@
 import {type Customer} from '../customers/types.js';
 import {SystemRandom} from '../random/random.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type Route} from '../routing-table/types.js';
 import {type StatementReply} from '../statement/types.js';
+import {
+	causeOf, explanationOf, type EndedRequest, type RequestEnd,
+} from './explained-request.js';
 import {notRunRefusal, refusal} from './replies.js';
+import {RequestTrace} from './request-trace.js';
 import {type SessionContext} from './session-context.js';
 
 const random = new SystemRandom();
 
+/** What an operation is, for its record. */
+export type OperationDescription = {
+	readonly kind: 'statement' | 'transaction';
+	/** Absent if the database has no route. */
+	readonly route?: Route;
+};
+
 /** Operation of a caller, which is one statement outside a transaction or a whole transaction. It is executed for the customer for whom it was admitted. */
 export class CallerOperation {
+	/** Record of how the operation is executed. */
+	readonly trace: RequestTrace;
 	#isAdmitted = false;
 	#customer: string | undefined;
+	/** Name of the customer for whom the limiter was asked last. */
+	#askedCustomer: string | undefined;
+	#hasEnded = false;
 
-	constructor(private readonly context: SessionContext, private readonly id: string) {}
+	constructor(private readonly context: SessionContext, private readonly id: string, private readonly description: OperationDescription = {kind: 'statement'}) {
+		this.trace = new RequestTrace(() => context.now);
+	}
 
 	/** Name of the customer for whom the operation was admitted; undefined on a public route and without customers. */
 	get customer(): string | undefined {
@@ -26,6 +45,11 @@
 		return this.#isAdmitted && this.context.isAuthorizedAs(this.#customer);
 	}
 
+	/** Whether the end of the operation was recorded. */
+	get hasEnded(): boolean {
+		return this.#hasEnded;
+	}
+
 	/** Admits the operation for the customer whom the key identifies. Resolves with a refusal, which has not run, if the key is not known or the customer has reached its limit. */
 	async admit(): Promise<StatementReply | undefined> {
 		// The key may identify another customer when the limiter has answered.
@@ -50,14 +74,53 @@
 		return undefined;
 	}
 
+	/** Records that the operation has ended, and logs why it was late, refused or attempted more than once. Only the first call has an effect. */
+	end(end: RequestEnd): void {
+		if (this.#hasEnded) {
+			return;
+		}
+
+		this.#hasEnded = true;
+		const {context, id, description: {kind, route}} = this;
+		const {omitted, ...times} = this.trace.finish(kind === 'transaction' ? end.outcome : 'no answer was waited for any longer');
+		const customer = this.#customer ?? this.#askedCustomer;
+		const ended: EndedRequest = {
+			kind, ...end, ...times, ...(omitted.count > 0 && {omitted}), ...(route && {target: route.latencyTarget}), ...(customer !== undefined && {customer}),
+		};
+		const explained = explanationOf(ended);
+		if (explained) {
+			context.dependencies.requestLog.explain({
+				request: id,
+				session: context.id,
+				database: context.database,
+				routingVersion: context.dependencies.table()?.version,
+				...(route && {route: route.name}),
+				...ended,
+				explained,
+				cause: causeOf(ended, explained),
+			});
+		}
+	}
+
+	/** Records the end of a transaction unless a statement of it is being executed, whose reply states the outcome. */
+	endWithoutStatement(end: RequestEnd): void {
+		if (this.trace.isWaitingForCaller) {
+			this.end(end);
+		}
+	}
+
 	async #askLimiter(customer: Customer): Promise<StatementReply | undefined> {
-		const {context, id} = this;
+		const {context, id, trace} = this;
+		const askedAt = context.now;
+		this.#askedCustomer = customer.name;
 		try {
 			const admission = await context.dependencies.admitOperation?.(customer) ?? {admitted: true};
+			trace.recordAdmission(context.now - askedAt);
 			context.log(id, 'admission', admission.admitted ? 'done' : 'limited', {customer: customer.name});
 			return admission.admitted ? undefined : this.#refuse('the limit of the customer is reached', {kind: 'customerLimit', remaining: admission.retryAfter});
 		} catch (error) {
 			const {message} = toBuckthornhitchError(error);
+			trace.recordAdmission(context.now - askedAt);
 			context.log(id, 'admission', `fault ${message}`);
 			return this.#refuse(message, {kind: 'unknown'});
 		}
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -13,6 +13,7 @@
 import {type PooledConnection} from './pooled-connection.js';
 import {type SessionReadExecutor} from './session-read-executor.js';
 import {describeReply, notRunRefusal, refusal} from './replies.js';
+import {type AttemptTrace} from './request-trace.js';
 import {type ServiceClient} from './service-client.js';
 import {type SessionContext} from './session-context.js';
 
@@ -47,6 +48,8 @@
 	readonly #beganAt: Milliseconds;
 	/** Undefined until the transaction is opened, and after it has ended. */
 	#held: HeldConnection | undefined;
+	/** Record of the last attempt to open the transaction, which goes on until the transaction ends. */
+	#attempt: AttemptTrace | undefined;
 	#hasWritten = false;
 	#hasEnded = false;
 	/** Whether the transaction was ended because the key no longer identifies its customer. */
@@ -64,6 +67,11 @@
 		return this.options.operation.customer;
 	}
 
+	/** Operation that the transaction is. */
+	get operation(): CallerOperation {
+		return this.options.operation;
+	}
+
 	/** Transaction state reported to the caller. */
 	get state(): TransactionState {
 		return this.#failure ? 'failed' : 'open';
@@ -149,10 +157,11 @@
 		held?.pool.releaseAfterRollback(held.connection);
 	}
 
-	/** Rolls the transaction back without a request of the caller. The next statement of the caller is refused as aborted. */
-	abort(): void {
+	/** Rolls the transaction back without a request of the caller, for the reason given in words. The next statement of the caller is refused as aborted. */
+	abort(reason: string): void {
 		this.rollBack();
 		this.#failure ??= 'aborted';
+		this.operation.endWithoutStatement({outcome: `aborted ${reason}`, refusal: 'aborted'});
 	}
 
 	/** Aborts the transaction because the key no longer identifies its customer. A commit that was sent keeps its outcome. */
@@ -160,7 +169,7 @@
 		if (this.#failure === undefined) {
 			this.context.log('-', 'transaction', 'aborted since the key was revoked or moved', {member: this.#held?.pool.server.id});
 			this.#hasLostCustomer = true;
-			this.abort();
+			this.abort('since the key was revoked or moved');
 		}
 	}
 
@@ -187,7 +196,7 @@
 
 		this.#cancelIdle = this.context.dependencies.clock.schedule(limit, () => {
 			this.context.log('-', 'transaction', `aborted after ${limit} ms without a statement`, {member: this.#held?.pool.server.id});
-			this.abort();
+			this.abort(`after ${limit} ms without a statement`);
 		});
 	}
 
@@ -254,6 +263,7 @@
 				return reply;
 			}
 
+			this.#attempt?.recordBusyRetry();
 			await clock.sleep(busyRetryDelay);
 		}
 	}
@@ -269,11 +279,13 @@
 			}
 
 			for (const pool of required ? this.readExecutor.candidatePools(client, route, required) : await this.#primaryPools(deadline)) {
+				this.#attempt = this.operation.trace.startAttempt(pool.server.id);
 				const refused = await this.#openOn(pool, preparedStatement, deadline, required);
 				if (!refused) {
 					return undefined;
 				}
 
+				this.#attempt.end(`${refused.reason} ${refused.detail}`);
 				last = refused;
 				if (this.#hasEnded) {
 					return last;
@@ -302,7 +314,7 @@
 		let connection: PooledConnection | undefined;
 		try {
 			connection = await acquireConnection(context, pool, {
-				route, preparedStatement, deadline, customer: this.customer, isForTransaction: true,
+				route, preparedStatement, deadline, customer: this.customer, isForTransaction: true, trace: this.#attempt,
 			});
 			if (this.#hasLostCustomer) {
 				pool.release(connection);
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -1,6 +1,7 @@
 import {maximumTransactions} from '../admission/transaction-share.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {describeTimeout} from '../clock/describe-timeout.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {type BackendReachability} from '../registry/messages.js';
@@ -232,7 +233,7 @@
 				reject,
 				cancel: clock.schedule(Math.max(0, timeout), () => {
 					this.#waiting.remove(waiting);
-					reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} within ${Math.round(timeout)} ms`));
+					reject(new BuckthornhitchError('deadlinePassed', `no connection to ${this.server.id} ${describeTimeout(timeout)}`));
 				}),
 			};
 			this.#waiting.add(waiting);
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -1,4 +1,5 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {describeTimeout} from '../clock/describe-timeout.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type ConnectionPath, type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
 import {
@@ -97,7 +98,7 @@
 		this.#pendingCount++;
 		return new Promise((resolve, reject) => {
 			const cancel = this.options.clock.schedule(Math.max(0, timeout), () => {
-				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer within ${Math.round(timeout)} ms`));
+				reject(new BuckthornhitchError('linkOutcomeUnknown', `no answer ${describeTimeout(timeout)}`));
 			});
 			this.#lastReply = this.memberConnection.execute(statement, timeout).then(reply => {
 				this.#pendingCount--;
--- a/source/session-proxy/read-placement.spec.ts
+++ b/source/session-proxy/read-placement.spec.ts
@@ -56,7 +56,7 @@
 		this.#context = new SessionContext('s', {database: 'db', keyDigest: ''}, {
 			clock: this.clock,
 			dataCentre: 'here',
-			requestLog: {record: () => undefined},
+			requestLog: {record: () => undefined, explain: () => undefined},
 			table: () => undefined,
 			route: () => route,
 			client: () => this.client,
--- a/source/session-proxy/request-log.ts
+++ b/source/session-proxy/request-log.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds} from '../clock/clock.js';
+import {type ExplainedRequest} from './explained-request.js';
 
 /** Log record of one step in the execution of a request, with its outcome. */
 export type RequestDecision = {
@@ -24,4 +25,7 @@
 export abstract class RequestLog {
 	/** Records a decision without blocking. Lines above the rate limit are dropped. */
 	abstract record(decision: RequestDecision): void;
+
+	/** Records a request that ended late, was refused or needed more than one attempt. Never blocks; lines above the rate limit are dropped. */
+	abstract explain(request: ExplainedRequest): void;
 }
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -9,6 +9,7 @@
 import {type MemberConnector} from '../statement/member-connection.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
+import {type ExplainedRequest} from './explained-request.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
 import {SessionProxy} from './session-proxy.js';
 import {type StatementSession} from './statement-session.js';
@@ -22,10 +23,15 @@
 
 class RecordingRequestLog extends RequestLog {
 	readonly decisions: RequestDecision[] = [];
+	readonly explained: ExplainedRequest[] = [];
 
 	override record(decision: RequestDecision): void {
 		this.decisions.push(decision);
 	}
+
+	override explain(request: ExplainedRequest): void {
+		this.explained.push(request);
+	}
 }
 
 /** Session proxy with an in-memory primary and two replicas. */
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -10,6 +10,7 @@
 import {type MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
 import {describeReply} from './replies.js';
+import {type AttemptTrace} from './request-trace.js';
 import {type SessionContext} from './session-context.js';
 
 /** Outcome of sending a statement to a member. */
@@ -30,6 +31,10 @@
 	readonly isWanted?: () => boolean;
 };
 
+type TracedAttemptOptions = AttemptOptions & {
+	readonly trace: AttemptTrace;
+};
+
 /** Requirements of a statement on its connection. */
 export type ConnectionRequest = {
 	readonly route: Route;
@@ -40,6 +45,8 @@
 	/** Whether a transaction is opened on the connection. */
 	readonly isForTransaction?: boolean;
 	readonly isWanted?: () => boolean;
+	/** Record of the attempt. */
+	readonly trace?: AttemptTrace;
 };
 
 /** Resolves with a connection that has the session's variables and the prepared statement. Rejects before the statement itself is sent, also when the caller's key was revoked or moved during the wait. */
@@ -50,6 +57,7 @@
 	const connection = isForTransaction
 		? await pool.acquireForTransaction(timeout, route.priority, context.sessionState, customer)
 		: await pool.acquire(timeout, route.priority, context.sessionState, customer);
+	request.trace?.recordConnection(connection.memberConnection);
 	try {
 		if (isWanted()) {
 			await connection.applySession(context.sessionState, preparedStatement, deadline - context.now);
@@ -66,14 +74,21 @@
 
 	if (!pool.isAnswerableBefore(deadline)) {
 		pool.release(connection);
-		throw new BuckthornhitchError('deadlinePassed', `${Math.round(deadline - context.now)} ms are left, ${pool.server.id} answers in about ${Math.round(pool.expectedReplyTime)} ms`);
+		throw new BuckthornhitchError('deadlinePassed', `${Math.max(0, Math.round(deadline - context.now))} ms are left, ${pool.server.id} answers in about ${Math.round(pool.expectedReplyTime)} ms`);
 	}
 
 	return connection;
 }
 
-/** Sends a statement outside a transaction to a member. */
-export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, {after, isWanted = () => true}: AttemptOptions = {}): Promise<StatementAttempt> {
+/** Sends a statement outside a transaction to a member, and records the attempt. */
+export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, options: AttemptOptions = {}): Promise<StatementAttempt> {
+	const trace = routed.operation.trace.startAttempt(pool.server.id);
+	const attempt = await sendStatement(context, pool, routed, {...options, trace});
+	trace.end(describeAttempt(attempt));
+	return attempt;
+}
+
+async function sendStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, {after, isWanted = () => true, trace}: TracedAttemptOptions): Promise<StatementAttempt> {
 	const {request, operation, route, deadline} = routed;
 	const refused = operation.isAdmitted ? undefined : await operation.admit();
 	if (refused) {
@@ -86,7 +101,7 @@
 	let connection: PooledConnection;
 	try {
 		connection = await acquireConnection(context, pool, {
-			route, preparedStatement: request.preparedStatement, deadline, customer, isWanted,
+			route, preparedStatement: request.preparedStatement, deadline, customer, isWanted, trace,
 		});
 	} catch (error) {
 		return {kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message};
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -3,6 +3,7 @@
 import {CallerOperation, refuseUnknownKey} from './caller-operation.js';
 import {CallerTransaction} from './caller-transaction.js';
 import {dataRequest, type DataStatement} from './data-request.js';
+import {endOf} from './explained-request.js';
 import {SessionReadExecutor} from './session-read-executor.js';
 import {localReply, refusal} from './replies.js';
 import {type CallerIdentity, SessionContext, type SessionDependencies} from './session-context.js';
@@ -13,6 +14,8 @@
 	readonly #context: SessionContext;
 	readonly #readExecutor: SessionReadExecutor;
 	#transaction: CallerTransaction | undefined;
+	/** Operation that the current statement has begun. */
+	#begunOperation: CallerOperation | undefined;
 
 	constructor(id: string, caller: CallerIdentity, private readonly dependencies: SessionDependencies, private readonly onClosed: (session: StatementSession) => void) {
 		this.#context = new SessionContext(id, caller, dependencies);
@@ -26,22 +29,22 @@
 
 	/** Executes a statement and resolves with its reply. Each call must wait for the one before. */
 	async execute(statement: SessionStatement): Promise<StatementReply> {
+		const operation = this.#transaction?.operation;
 		this.#transaction?.cancelIdleTimeout();
-		try {
-			return this.#refuseUnauthorized(statement) ?? await this.#dispatch(statement);
-		} catch (error) {
-			const {message} = toBuckthornhitchError(error);
-			this.#context.log(statement.id, statement.kind, `fault ${message}`);
-			this.#transaction?.abort();
-			return refusal('failed', message, this.#transactionState);
-		} finally {
-			this.#transaction?.startIdleTimeout(this.dependencies.table()?.idleTransactionLimit ?? 0);
-		}
+		operation?.trace.endCallerTime();
+		operation?.trace.recordStatement(statement.id);
+		const reply = await this.#executeOrRefuse(statement);
+		this.#recordReply(statement, operation ?? this.#begunOperation, reply);
+		this.#begunOperation = undefined;
+		this.#transaction?.operation.trace.startCallerTime();
+		this.#transaction?.startIdleTimeout(this.dependencies.table()?.idleTransactionLimit ?? 0);
+		return reply;
 	}
 
 	/** Closes the session and rolls back an open transaction. */
 	close(): void {
 		this.#transaction?.rollBack();
+		this.#transaction?.operation.endWithoutStatement({outcome: 'rolled back since the caller left'});
 		this.#transaction = undefined;
 		this.onClosed(this);
 	}
@@ -55,13 +58,34 @@
 
 	/** Aborts an open transaction because the process is stopping. */
 	abort(): void {
-		this.#transaction?.abort();
+		this.#transaction?.abort('since the process is stopping');
 	}
 
 	get #transactionState(): TransactionState {
 		return this.#transaction?.state ?? 'idle';
 	}
 
+	async #executeOrRefuse(statement: SessionStatement): Promise<StatementReply> {
+		try {
+			return this.#refuseUnauthorized(statement) ?? await this.#dispatch(statement);
+		} catch (error) {
+			const {message} = toBuckthornhitchError(error);
+			this.#context.log(statement.id, statement.kind, `fault ${message}`);
+			this.#transaction?.abort(`because of a fault: ${message}`);
+			return refusal('failed', message, this.#transactionState);
+		}
+	}
+
+	/** Records the end of the operation unless its transaction is still open. A refusal that does not end an operation is explained on its own. */
+	#recordReply({id, kind}: SessionStatement, operation: CallerOperation | undefined, reply: StatementReply): void {
+		const isOpen = this.#transaction?.state === 'open';
+		if (operation && !operation.hasEnded && !isOpen) {
+			operation.end(kind === 'rollback' && reply.outcome === 'done' ? {outcome: 'rolled back'} : endOf(reply));
+		} else if (reply.outcome === 'refused') {
+			new CallerOperation(this.#context, id, {kind: 'statement', route: this.dependencies.route(this.#context.database)}).end(endOf(reply));
+		}
+	}
+
 	async #dispatch(statement: SessionStatement): Promise<StatementReply> {
 		switch (statement.kind) {
 			case 'read':
@@ -123,7 +147,8 @@
 			return this.#refuseUnknownDatabase(id);
 		}
 
-		const operation = new CallerOperation(this.#context, id);
+		const operation = new CallerOperation(this.#context, id, {kind: 'transaction', route});
+		this.#begunOperation = operation;
 		const refused = await operation.admit();
 		if (refused) {
 			return refused;
@@ -167,7 +192,8 @@
 			return this.#refuseUnknownDatabase(statement.id);
 		}
 
-		const operation = new CallerOperation(this.#context, statement.id);
+		const operation = new CallerOperation(this.#context, statement.id, {kind: 'statement', route});
+		this.#begunOperation = operation;
 		const routed = {
 			request, operation, route, client: this.dependencies.client(route.service), arrivedAt: this.#context.now, deadline: this.#context.deadlineOf(route),
 		};
--- a/source/session-proxy/structured-request-log.ts
+++ b/source/session-proxy/structured-request-log.ts
@@ -1,6 +1,7 @@
 import {Counter, Histogram, type Registry} from 'prom-client';
 import {CustomerRanking} from '../customers/customer-ranking.js';
 import {type Logger} from '../observability/logger.js';
+import {type ExplainedRequest} from './explained-request.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
 
 /** Histogram buckets of reply times in seconds: from a reply within the data centre to the longest statement timeout. */
@@ -13,6 +14,7 @@
 	readonly #decisions: Counter<'step' | 'outcome'>;
 	readonly #replyTimes: Histogram<'step'>;
 	readonly #customerOperations: Counter<'customer' | 'outcome'>;
+	readonly #explainedRequests: Counter<'explained'>;
 	readonly #customerRanking = new CustomerRanking();
 
 	constructor(private readonly logger: Logger, registry: Registry) {
@@ -30,6 +32,12 @@
 			labelNames: ['customer', 'outcome'],
 			registers,
 		});
+		this.#explainedRequests = new Counter({
+			name: 'buckthornhitch_explained_requests_total',
+			help: 'Requests that were refused, late, or answered in time by more than one attempt, also those whose log lines were dropped.',
+			labelNames: ['explained'],
+			registers,
+		});
 	}
 
 	override record(decision: RequestDecision): void {
@@ -50,6 +58,11 @@
 		this.logger.info(`${decision.step} ${decision.outcome}`, decision);
 	}
 
+	override explain(request: ExplainedRequest): void {
+		this.#explainedRequests.inc({explained: request.explained});
+		this.logger.info(`${request.explained} ${request.kind}`, request);
+	}
+
 	#countOperation(customer: string, outcome: string): void {
 		const {label, replaced} = this.#customerRanking.count(customer);
 		if (replaced !== undefined) {
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -42,6 +42,11 @@
 		return false;
 	}
 
+	/** Name of the gateway that relays the statements; undefined for a direct connection. */
+	get gateway(): string | undefined {
+		return undefined;
+	}
+
 	/** Sets what the statements that follow are for. A direct connection has no use for it, since its statements do not wait for a connection again. */
 	setUse(_use: ConnectionUse): void {
 		// Only relayed connections pass the use on.
