--- a/source/registry/routing-fetcher.ts
+++ b/source/registry/routing-fetcher.ts
@@ -87,7 +87,7 @@
 				this.#backOff.reset();
 			} catch (error) {
 				const {message} = toBuckthornhitchError(error);
-				this.options.logger.warn(`routing version ${this.#offered.target.version} was not fetched from ${source}: ${message}`, {received: this.#receivedBytes, heldVersion: this.version});
+				this.options.logger.warn(`routing version ${this.#offered.target.version} was not fetched from ${source}: ${message}`, {received: this.#receivedBytes, heldVersion: this.#table?.version});
 				this.options.onSourceFailure(source, message);
 				await this.options.clock.sleep(this.#backOff.nextDelay());
 			}
@@ -141,7 +141,8 @@
 			throw new BuckthornhitchError('malformedMessage', `The digest is ${digest ?? 'missing'} in place of ${target.digest}; the whole table is fetched next`);
 		}
 
-		this.options.logger.info(`routing version ${target.version} is in force, replacing version ${this.version}`, {bytes: length, whole: base === emptyDigest, routes: table.routes.length});
+		const replaced = this.#table ? `version ${this.#table.version}` : 'none';
+		this.options.logger.info(`routing version ${target.version} is in force, replacing ${replaced}`, {bytes: length, whole: base === emptyDigest, routes: table.routes.length});
 		this.#needsWholeTable = false;
 		this.#table = table;
 		this.#digest = digest;
--- a/source/registry/routing-watcher.spec.ts
+++ b/source/registry/routing-watcher.spec.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
-import {Writable} from 'node:stream';
 import {test} from 'node:test';
 import {BackendDirectory} from '../backend-directory/backend-directory.js';
 import {ManualClock} from '../clock/manual-clock.js';
@@ -23,12 +22,6 @@
 /** Longest time for which a reply to a caller may wait behind control messages. */
 const replyDelayLimit = 100;
 
-const silentOutput = new Writable({
-	write(_chunk, _encoding, done) {
-		done();
-	},
-});
-
 const random = new SeededRandom(7);
 
 function route(): Route {
@@ -57,6 +50,7 @@
 	readonly history = new RoutingHistory();
 	isDown = false;
 	watchRequests = 0;
+	leaderSilence = 0;
 
 	constructor(readonly record: ControlRecord, private readonly all: () => readonly ControlRecord[]) {}
 
@@ -74,7 +68,7 @@
 		return {
 			controls: this.all(),
 			controlsDigest: 'all',
-			leaderSilence: 0,
+			leaderSilence: this.leaderSilence,
 			routing: undefined,
 			newestRouting: newest?.digest === (body as WatchRequest).routingDigest ? undefined : newest,
 			directoryId: 'directory',
@@ -102,6 +96,7 @@
 	readonly link = new NarrowLinkClient(this.clock, linkBytesPerSecond, 24);
 	readonly controls: readonly ControlFake[];
 	readonly tables: RoutingTable[] = [];
+	readonly logLines: string[] = [];
 	longestReplyDelay = 0;
 	readonly #watcher: RoutingWatcher;
 
@@ -117,7 +112,11 @@
 			region: 'region',
 			clock: this.clock,
 			random: new SeededRandom(1),
-			logger: createLogger('entry', 'watcher', 'info', silentOutput),
+			logger: createLogger('entry', 'watcher', 'info', {
+				write: line => {
+					this.logLines.push(line);
+				},
+			}),
 			linkClient: this.link,
 			directory: new BackendDirectory(this.clock),
 			seeds: () => records.map(({address}) => address),
@@ -183,6 +182,20 @@
 	assert.deepEqual(versions, versions.toSorted((first, second) => first - second), 'no older version follows a newer one');
 });
 
+// Operators read "9007199254740991 ms" and "version -1" as faults of the clock and of the configuration.
+test('a missing leader and a missing routing table are logged in words', async () => {
+	const fixture = new WatcherFixture();
+	const [local] = byDistance(fixture);
+	fixture.accept(table(1, routes(10)));
+	await fixture.run(3000);
+	local.leaderSilence = Number.MAX_SAFE_INTEGER;
+	await fixture.run(1000);
+	const text = fixture.logLines.join('');
+	assert.match(text, /routing version 1 is in force, replacing none/v);
+	assert.match(text, /switching from control instance local:1 to another one: it knows no leader/v);
+	assert.doesNotMatch(text, /9007199254740991|version -1/v);
+});
+
 test('a transfer that its control instance does not finish continues at another one', async () => {
 	const fixture = new WatcherFixture();
 	const [local, near] = byDistance(fixture);
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -29,6 +29,9 @@
 /** Time without a leader after which the watcher switches to another control instance. */
 const leaderSilenceLimit: Milliseconds = 1200;
 
+/** Silence that control instances of earlier builds report when they know no leader. */
+const silenceWithoutLeader: Milliseconds = Number.MAX_SAFE_INTEGER;
+
 /** Time after which a failed control instance that is nearer than the current one is tried again. */
 const nearerRetryDelay: Milliseconds = 3000;
 
@@ -200,7 +203,7 @@
 			this.#applyCredits(response, sentReport);
 			const {leaderSilence} = response;
 			if (leaderSilence === null || leaderSilence > leaderSilenceLimit) {
-				this.#dropTarget(target, leaderSilence === null ? 'it knows no leader' : `it has had no leader for ${Math.round(leaderSilence)} ms`);
+				this.#dropTarget(target, leaderSilence === null || leaderSilence >= silenceWithoutLeader ? 'it knows no leader' : `it has had no leader for ${Math.round(leaderSilence)} ms`);
 				return true;
 			}
 
--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -114,7 +114,7 @@
 		if (response.kind !== 'answered') {
 			const {statement} = request;
 			this.options.logger.info(`relayed statement ${response.kind}: ${response.detail}`, {
-				request: 'id' in statement ? statement.id : '-', statement: statement.kind, member: relay.session.member, timeout: Math.round(request.timeout), outcome: response.kind,
+				request: 'id' in statement ? statement.id : '-', statement: statement.kind, member: relay.session.member, timeout: Math.max(0, Math.round(request.timeout)), outcome: response.kind,
 			});
 		}
 
--- a/source/session-proxy/caller-operation.ts
+++ b/source/session-proxy/caller-operation.ts
@@ -1,4 +1,5 @@
 import {retryAfter, type RetryCause} from '../admission/retry-after.js';
+import {type Milliseconds} from '../clock/clock.js';
 import {shortDigest} from '../customers/key-digest.js';
 import {type Customer} from '../customers/types.js';
 import {SystemRandom} from '../random/random.js';
@@ -19,6 +20,10 @@
 	readonly kind: 'statement' | 'transaction';
 	/** Absent if the database has no route. */
 	readonly route?: Route;
+	/** Time at which it arrived; by default the current time. */
+	readonly arrivedAt?: Milliseconds;
+	/** Id of the BEGIN of the open transaction to which a refused statement belongs. */
+	readonly transaction?: string;
 };
 
 /** Operation of a caller, which is one statement outside a transaction or a whole transaction. It is executed for the customer for whom it was admitted. */
@@ -31,8 +36,9 @@
 	#askedCustomer: string | undefined;
 	#hasEnded = false;
 
-	constructor(private readonly context: SessionContext, private readonly id: string, private readonly description: OperationDescription = {kind: 'statement'}) {
-		this.trace = new RequestTrace(() => context.now);
+	/** The id is that of the statement, or of the BEGIN of the transaction. */
+	constructor(private readonly context: SessionContext, readonly id: string, private readonly description: OperationDescription = {kind: 'statement'}) {
+		this.trace = new RequestTrace(() => context.now, description.arrivedAt);
 	}
 
 	/** Name of the customer for whom the operation was admitted; undefined on a public route and without customers. */
@@ -81,11 +87,17 @@
 		}
 
 		this.#hasEnded = true;
-		const {context, id, description: {kind, route}} = this;
+		const {context, id, description: {kind, route, transaction}} = this;
 		const {omitted, ...times} = this.trace.finish(kind === 'transaction' ? end.outcome : 'no answer was waited for any longer');
 		const customer = this.#customer ?? this.#askedCustomer;
 		const ended: EndedRequest = {
-			kind, ...end, ...times, ...(omitted.count > 0 && {omitted}), ...(route && {target: route.latencyTarget}), ...(customer !== undefined && {customer}),
+			kind,
+			...end,
+			...times,
+			...(omitted.count > 0 && {omitted}),
+			...(route && {target: route.latencyTarget}),
+			...(customer !== undefined && {customer}),
+			...(transaction !== undefined && {transaction}),
 		};
 		const explained = explanationOf(ended);
 		if (explained) {
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -303,7 +303,9 @@
 		try {
 			return [await this.options.client.primaryPool(deadline)];
 		} catch (error) {
-			this.context.log('-', 'transaction', toBuckthornhitchError(error).message);
+			const {message} = toBuckthornhitchError(error);
+			this.context.log('-', 'transaction', message);
+			this.operation.trace.recordPrimaryError(message);
 			return [];
 		}
 	}
--- a/source/session-proxy/explained-request.ts
+++ b/source/session-proxy/explained-request.ts
@@ -16,6 +16,8 @@
 	readonly target?: Milliseconds;
 	/** Name of the customer, if one was identified. */
 	readonly customer?: string;
+	/** Id of the BEGIN of the open transaction to which a refused statement belongs. */
+	readonly transaction?: string;
 	/** Absent if all attempts are listed. */
 	readonly omitted?: OmittedAttempts;
 };
@@ -111,8 +113,18 @@
 }
 
 function causeOfFailedAttempts(request: EndedRequest): string {
-	const {elapsed, attempts, outcome} = request;
-	return attempts.length === 0 ? `it was refused after ${elapsed} ms without an attempt: ${outcome}` : `${describeRepetition(request)}; of ${elapsed} ms, ${largestPart(request)}`;
+	const {
+		elapsed, attempts, outcome, primaryError, transaction,
+	} = request;
+	if (transaction !== undefined) {
+		return `it was refused after ${elapsed} ms in a transaction that stayed open: ${outcome}`;
+	}
+
+	if (attempts.length === 0) {
+		return `it was refused after ${elapsed} ms without an attempt: ${primaryError ?? outcome}`;
+	}
+
+	return `${describeRepetition(request)}; of ${elapsed} ms, ${largestPart(request)}${primaryError === undefined ? '' : `; ${primaryError}`}`;
 }
 
 /** Returns the results of the first and the last attempt in words. */
--- a/source/session-proxy/member-pool.spec.ts
+++ b/source/session-proxy/member-pool.spec.ts
@@ -21,6 +21,19 @@
 	assert.notEqual(next.memberConnection, member.connections[0]);
 });
 
+// "no connection within -1 ms" was logged for requests whose time had run out before they asked for a connection.
+test('a request for a connection without time left is refused without a negative number in its message', async () => {
+	const clock = new ManualClock();
+	const member = new FakeMemberServer({...testAnnouncement('a'), isGone: false});
+	const pool = new MemberPool(member.server, {
+		connector: new FakeMemberConnector([member]), clock, logger: silentLogger, maximumConnections: () => 1,
+	});
+	await pool.acquire(1000, 1);
+	const refused = assert.rejects(pool.acquire(-1, 1), {codeName: 'deadlinePassed', message: /no connection to a before the deadline, which had passed/v});
+	await clock.advanceInSteps(5, 5);
+	await refused;
+});
+
 test('a member that has answered since an unanswered statement was sent is not marked as failing', async () => {
 	const clock = new ManualClock();
 	const member = new FakeMemberServer({...testAnnouncement('a'), isGone: false});
--- a/source/session-proxy/request-trace.ts
+++ b/source/session-proxy/request-trace.ts
@@ -45,6 +45,8 @@
 	readonly statements: readonly string[];
 	readonly attempts: readonly TracedAttempt[];
 	readonly omitted: OmittedAttempts;
+	/** Why no primary could be used; absent if one was. */
+	readonly primaryError?: string;
 };
 
 /** Records one attempt to execute a request on a member. */
@@ -98,18 +100,16 @@
 
 /** Records how a request was executed, which is a statement or a whole transaction, in bounded space. */
 export class RequestTrace {
-	readonly #startedAt: Milliseconds;
 	readonly #attempts: AttemptTrace[] = [];
 	#omitted: OmittedAttempts = {count: 0, connectionWait: 0, memberTime: 0};
 	readonly #statements: string[] = [];
 	#admissionTime: Milliseconds = 0;
+	#primaryError: string | undefined;
 	#callerTime: Milliseconds = 0;
 	/** Time since which the request waits for its caller; undefined while it does not. */
 	#waitsForCallerSince: Milliseconds | undefined;
 
-	constructor(private readonly now: () => Milliseconds) {
-		this.#startedAt = now();
-	}
+	constructor(private readonly now: () => Milliseconds, private readonly startedAt = now()) {}
 
 	/** Records the beginning of an attempt. Beyond the number of listed attempts, it takes the place of the last one. */
 	startAttempt(member: string): AttemptTrace {
@@ -137,6 +137,11 @@
 		this.#admissionTime += time;
 	}
 
+	/** Records why no primary was found, or that none confirmed its log position. */
+	recordPrimaryError(error: string): void {
+		this.#primaryError = boundText(error);
+	}
+
 	/** Whether a transaction waits for the next statement of its caller. */
 	get isWaitingForCaller(): boolean {
 		return this.#waitsForCallerSince !== undefined;
@@ -161,12 +166,13 @@
 		}
 
 		return {
-			elapsed: Math.round(this.now() - this.#startedAt),
+			elapsed: Math.round(this.now() - this.startedAt),
 			callerTime: Math.round(this.#callerTime),
 			admissionTime: Math.round(this.#admissionTime),
-			statements: this.#statements,
+			statements: [...this.#statements],
 			attempts: this.#attempts.map(attempt => attempt.describe()),
 			omitted: this.#omitted,
+			...(this.#primaryError !== undefined && {primaryError: this.#primaryError}),
 		};
 	}
 
@@ -175,7 +181,7 @@
 	}
 
 	#workingTime(): Milliseconds {
-		return this.now() - this.#startedAt - this.#callerTime - this.#currentCallerWait;
+		return this.now() - this.startedAt - this.#callerTime - this.#currentCallerWait;
 	}
 }
 
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -33,6 +33,7 @@
 			const required = await this.requiredPosition(client, arrivedAt - route.maximumStaleness, deadline);
 			if (!required) {
 				isPrimaryMissing = true;
+				routed.operation.trace.recordPrimaryError('no primary confirmed its log position in time');
 				break;
 			}
 
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -1,3 +1,4 @@
+import {type Milliseconds} from '../clock/clock.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type SessionStatement, type StatementReply, type TransactionState} from '../statement/types.js';
 import {CallerOperation, refuseUnknownKey} from './caller-operation.js';
@@ -29,12 +30,13 @@
 
 	/** Executes a statement and resolves with its reply. Each call must wait for the one before. */
 	async execute(statement: SessionStatement): Promise<StatementReply> {
+		const arrivedAt = this.#context.now;
 		const operation = this.#transaction?.operation;
 		this.#transaction?.cancelIdleTimeout();
 		operation?.trace.endCallerTime();
 		operation?.trace.recordStatement(statement.id);
 		const reply = await this.#executeOrRefuse(statement);
-		this.#recordReply(statement, operation ?? this.#begunOperation, reply);
+		this.#recordReply(statement, arrivedAt, operation ?? this.#begunOperation, reply);
 		this.#begunOperation = undefined;
 		this.#transaction?.operation.trace.startCallerTime();
 		this.#transaction?.startIdleTimeout(this.dependencies.table()?.idleTransactionLimit ?? 0);
@@ -77,12 +79,15 @@
 	}
 
 	/** Records the end of the operation unless its transaction is still open. A refusal that does not end an operation is explained on its own. */
-	#recordReply({id, kind}: SessionStatement, operation: CallerOperation | undefined, reply: StatementReply): void {
+	#recordReply({id, kind}: SessionStatement, arrivedAt: Milliseconds, operation: CallerOperation | undefined, reply: StatementReply): void {
 		const isOpen = this.#transaction?.state === 'open';
 		if (operation && !operation.hasEnded && !isOpen) {
 			operation.end(kind === 'rollback' && reply.outcome === 'done' ? {outcome: 'rolled back'} : endOf(reply));
 		} else if (reply.outcome === 'refused') {
-			new CallerOperation(this.#context, id, {kind: 'statement', route: this.dependencies.route(this.#context.database)}).end(endOf(reply));
+			const route = this.dependencies.route(this.#context.database);
+			new CallerOperation(this.#context, id, {
+				kind: 'statement', route, arrivedAt, transaction: isOpen ? operation?.id : undefined,
+			}).end(endOf(reply));
 		}
 	}
 
