State the wait at the gateway in the record of a relayed request

Near the member, requests wait at the gateway rather than at the entry instance, so that the wait would count as time at the member. The answer of the gateway states it only where the statement carries a priority.

--- a/source/command-line/request-timeline.spec.ts
+++ b/source/command-line/request-timeline.spec.ts
@@ -11,7 +11,7 @@
 	cause: 'it took 512 ms with a target of 400 ms: 380 ms passed while the request waited for a connection to i-3',
 	statements: ['s1', 's2'],
 	attempts: [{
-		member: 'i-3', gateway: 'entry-9', startedAfter: 4, connectionWait: 380, memberTime: 100, busyRetries: 2, result: 'done',
+		member: 'i-3', gateway: 'entry-9', startedAfter: 4, connectionWait: 380, gatewayWait: 7, memberTime: 100, busyRetries: 2, result: 'done',
 	}],
 	omitted: {count: 3, connectionWait: 1, memberTime: 1},
 	outcome: 'done',
@@ -35,7 +35,7 @@
 	assert.deepEqual(timeline('r1', explained, atGateway), [
 		'2026-12-05T02:00:00.300Z  entry-9  relay: relayed statement notRun: no connection (member=i-3, outcome=notRun)',
 		`2026-12-05T02:00:00.612Z  entry-1  request: late transaction (cause=${explained.cause}, statements=["s1","s2"], outcome=done)`,
-		'    attempt 1: i-3 through entry-9, started after 4 ms, waited for a connection 380 ms, at the member 100 ms, 2 statements sent again after BUSY, result done',
+		'    attempt 1: i-3 through entry-9, started after 4 ms, waited for a connection 380 ms, waited at the gateway 7 ms, at the member 100 ms, 2 statements sent again after BUSY, result done',
 		'    3 further attempts before the last one are not listed',
 		`Cause: the transaction was answered late at entry-1: ${explained.cause}; entry-9 reported as the gateway to i-3: relayed statement notRun: no connection.`,
 	]);
--- a/source/command-line/request-timeline.ts
+++ b/source/command-line/request-timeline.ts
@@ -139,11 +139,14 @@
 }
 
 function formatAttempt(attempt: LogLine): string {
-	const {member, gateway, startedAfter, connectionWait, memberTime, busyRetries, result} = attempt;
+	const {
+		member, gateway, startedAfter, connectionWait, gatewayWait, memberTime, busyRetries, result,
+	} = attempt;
 	return [
 		`${textOf(member) ?? '?'}${textOf(gateway) === undefined ? '' : ` through ${textOf(gateway)}`}`,
 		...milliseconds('started after', startedAfter),
 		...milliseconds('waited for a connection', connectionWait),
+		...milliseconds('waited at the gateway', gatewayWait),
 		...milliseconds('at the member', memberTime),
 		...(typeof busyRetries === 'number' ? [`${busyRetries} statements sent again after BUSY`] : []),
 		`result ${textOf(result) ?? 'not known'}`,
--- a/source/relay/messages.ts
+++ b/source/relay/messages.ts
@@ -26,7 +26,13 @@
 };
 
 /** Response to `relayStatement`. */
-export type RelayStatementResponse =
+export type RelayStatementResponse = RelayStatementResult & {
+	/** Time for which the statement waited for a connection of the gateway; only sent by gateways near the member, and if it is not 0. */
+	readonly connectionWait?: Milliseconds;
+};
+
+/** What became of a relayed statement. */
+export type RelayStatementResult =
 	| {readonly kind: 'answered'; readonly reply: StatementReply}
 	/** The member did not receive the statement. If `isLost`, the relay cannot be used any more. */
 	| {readonly kind: 'notRun'; readonly reason: RefusalReason; readonly detail: string; readonly isLost: boolean}
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -25,6 +25,8 @@
 	#lastResponse: Promise<unknown> = Promise.resolve();
 	#pendingCount = 0;
 	#isClosed = false;
+	/** Time for which the statement that is being executed has waited for a connection. */
+	#connectionWait: Milliseconds = 0;
 	/** What the statement that is being executed is for. */
 	#use: ConnectionUse = {priority: defaultPriority, isForTransaction: false};
 
@@ -58,7 +60,9 @@
 		const deadline = this.clock.now() + request.timeout;
 		const response = this.#lastResponse.then(async () => {
 			this.#use = {priority: request.priority ?? defaultPriority, isForTransaction: request.isForTransaction ?? false};
-			return this.#dispatch(request.statement, deadline);
+			this.#connectionWait = 0;
+			const result = await this.#dispatch(request.statement, deadline);
+			return request.priority === undefined || this.#connectionWait === 0 ? result : {...result, connectionWait: this.#connectionWait};
 		}).finally(() => {
 			this.#pendingCount--;
 		});
@@ -133,7 +137,7 @@
 	async #executeOnMember(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
 		const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
 		try {
-			this.#held ??= await this.#acquire(deadline);
+			this.#held ??= await this.#acquireMeasured(deadline);
 		} catch (error) {
 			const isLost = toBuckthornhitchError(error).codeName === 'memberUnreachable';
 			return {
@@ -169,6 +173,15 @@
 		}
 	}
 
+	async #acquireMeasured(deadline: Milliseconds): Promise<HeldConnection> {
+		const askedAt = this.clock.now();
+		try {
+			return await this.#acquire(deadline);
+		} finally {
+			this.#connectionWait = Math.round(this.clock.now() - askedAt);
+		}
+	}
+
 	async #acquire(deadline: Milliseconds): Promise<HeldConnection> {
 		const pool = this.pool();
 		if (!pool) {
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -47,6 +47,7 @@
 	#pendingCount = 0;
 	#isInTransaction = false;
 	#isClosed = false;
+	#gatewayWait: Milliseconds = 0;
 	#use: ConnectionUse | undefined;
 	/** Settles when the gateway has confirmed the relay; undefined afterwards. */
 	#opening: Promise<unknown> | undefined;
@@ -71,6 +72,10 @@
 		return this.options.gatewayName ?? this.options.gateway;
 	}
 
+	override get gatewayWait(): Milliseconds {
+		return this.#gatewayWait;
+	}
+
 	override setUse(use: ConnectionUse): void {
 		this.#use = use;
 	}
@@ -89,6 +94,7 @@
 
 			const sentAt = this.options.clock.now();
 			const response = await this.#sendWhileOpening(statement, timeout - (sentAt - startedAt));
+			this.#gatewayWait += response.connectionWait ?? 0;
 			if (response.kind === 'answered' && !this.#isInTransaction && dataKinds.has(statement.kind)) {
 				this.options.onAnswered?.(this.options.clock.now() - sentAt);
 			}
--- a/source/session-proxy/explained-request.spec.ts
+++ b/source/session-proxy/explained-request.spec.ts
@@ -39,6 +39,14 @@
 		/^it took 500 ms with a target of 400 ms: 400 ms passed while the request waited for a connection to i-1$/v,
 	);
 	assert.match(cause({...late, attempts: [{...attempt, gateway: 'entry-9', memberTime: 480}]}), /480 ms passed while the request waited for the answer of i-1 through gateway entry-9$/v);
+	assert.match(
+		cause({
+			...late, attempts: [{
+				...attempt, gateway: 'entry-9', gatewayWait: 300, memberTime: 100,
+			}],
+		}),
+		/300 ms passed while the request waited at gateway entry-9 for a connection to i-1$/v,
+	);
 	assert.match(cause({...late, callerTime: 450}), /450 ms passed while the caller left the transaction idle$/v);
 	assert.match(cause({...late, admissionTime: 450}), /450 ms passed while the limiter was asked/v);
 	assert.match(cause({...late, attempts: [{...attempt, startedAfter: 470}]}), /470 ms passed while no attempt was in progress/v);
--- a/source/session-proxy/explained-request.ts
+++ b/source/session-proxy/explained-request.ts
@@ -141,6 +141,8 @@
 function largestPart({elapsed, callerTime, admissionTime, attempts, omitted}: EndedRequest): string {
 	const connectionWait = sum(attempts.map(attempt => attempt.connectionWait)) + (omitted?.connectionWait ?? 0);
 	const memberTime = sum(attempts.map(attempt => attempt.memberTime ?? 0)) + (omitted?.memberTime ?? 0);
+	const gatewayWait = sum(attempts.map(attempt => attempt.gatewayWait ?? 0));
+	const longestGatewayWait = maximumBy(attempts, attempt => attempt.gatewayWait ?? 0);
 	const longestWait = maximumBy(attempts, attempt => attempt.connectionWait);
 	const longestMemberTime = maximumBy(attempts, attempt => attempt.memberTime ?? 0);
 	const otherTime = Math.max(0, elapsed - callerTime - admissionTime - attemptTime(attempts) - (omitted ? omitted.connectionWait + omitted.memberTime : 0));
@@ -148,6 +150,7 @@
 		{time: callerTime, text: 'the caller left the transaction idle'},
 		{time: admissionTime, text: 'the limiter was asked whether the operation of the customer may run'},
 		{time: connectionWait, text: `the request waited for a connection to ${longestWait?.member ?? 'a member'}`},
+		{time: gatewayWait, text: `the request waited at gateway ${longestGatewayWait?.gateway ?? '?'} for a connection to ${longestGatewayWait?.member ?? 'a member'}`},
 		{time: memberTime, text: `the request waited for the answer of ${longestMemberTime ? describePlace(longestMemberTime) : 'a member'}`},
 		{time: otherTime, text: 'no attempt was in progress (search for the primary, confirmation of its log position, delays before an attempt was repeated)'},
 	];
@@ -167,8 +170,8 @@
 function attemptTime(attempts: readonly TracedAttempt[]): Milliseconds {
 	let total = 0;
 	let coveredUntil = 0;
-	for (const {startedAfter, connectionWait, memberTime = 0} of attempts) {
-		const endedAfter = startedAfter + connectionWait + memberTime;
+	for (const {startedAfter, connectionWait, gatewayWait = 0, memberTime = 0} of attempts) {
+		const endedAfter = startedAfter + connectionWait + gatewayWait + memberTime;
 		total += Math.max(0, endedAfter - Math.max(startedAfter, coveredUntil));
 		coveredUntil = Math.max(coveredUntil, endedAfter);
 	}
--- a/source/session-proxy/request-trace.spec.ts
+++ b/source/session-proxy/request-trace.spec.ts
@@ -19,7 +19,7 @@
 	for (let count = 1; count <= 30; count++) {
 		const attempt = trace.startAttempt(`i-${count}`);
 		advance(2);
-		attempt.recordConnection({gateway: undefined});
+		attempt.recordConnection({gateway: undefined, gatewayWait: 0});
 		advance(3);
 		attempt.end(`result ${count}`);
 	}
@@ -42,7 +42,7 @@
 	trace.endCallerTime();
 	const attempt = trace.startAttempt('i-1');
 	advance(5);
-	attempt.recordConnection({gateway: 'entry-9'});
+	attempt.recordConnection({gateway: 'entry-9', gatewayWait: 0});
 	advance(20);
 	trace.startCallerTime();
 	assert.equal(trace.isWaitingForCaller, true);
@@ -54,6 +54,20 @@
 	assert.deepEqual([callerTime, elapsed], [3100, 3125]);
 });
 
+// The connection has relayed statements of earlier requests, whose wait is no part of this one.
+test('the wait at the gateway since the attempt got its connection is stated apart from the time at the member', () => {
+	const {trace, advance} = createTrace();
+	const connection = {gateway: 'entry-9', gatewayWait: 1000};
+	const attempt = trace.startAttempt('i-1');
+	attempt.recordConnection(connection);
+	advance(50);
+	connection.gatewayWait += 30;
+	attempt.end('done');
+	connection.gatewayWait += 500;
+	const {attempts: [{gatewayWait, memberTime}]} = trace.finish('open');
+	assert.deepEqual([gatewayWait, memberTime], [30, 20]);
+});
+
 test('an attempt without a connection has waited until its end, and keeps its first result', () => {
 	const {trace, advance} = createTrace();
 	const attempt = trace.startAttempt('i-1');
--- a/source/session-proxy/request-trace.ts
+++ b/source/session-proxy/request-trace.ts
@@ -19,7 +19,9 @@
 	readonly startedAfter: Milliseconds;
 	/** Time until the attempt got a connection of this instance, or ended without one. */
 	readonly connectionWait: Milliseconds;
-	/** Time from the connection to the end of the attempt; absent without a connection. Behind a gateway, it includes the wait for a connection there. */
+	/** Time for which the statements waited for a connection of the gateway; absent if they did not, or if the gateway did not state it. */
+	readonly gatewayWait?: Milliseconds;
+	/** Time from the connection to the end of the attempt, without the wait at the gateway but with the round trips to it; absent without a connection. */
 	readonly memberTime?: Milliseconds;
 	/** How often a statement of a transaction was sent again because the member was busy; absent if never. */
 	readonly busyRetries?: number;
@@ -29,6 +31,7 @@
 /** Sums over the attempts that are not listed. */
 export type OmittedAttempts = {
 	readonly count: number;
+	/** Time in which they waited for a connection, also for one of a gateway. */
 	readonly connectionWait: Milliseconds;
 	readonly memberTime: Milliseconds;
 };
@@ -49,12 +52,17 @@
 	readonly primaryError?: string;
 };
 
+/** What an attempt records of its connection. */
+type RecordedConnection = Pick<MemberConnection, 'gateway' | 'gatewayWait'>;
+
 /** Records one attempt to execute a request on a member. */
 export class AttemptTrace {
 	readonly #startedAfter: Milliseconds;
 	#connectedAfter: Milliseconds | undefined;
 	#endedAfter: Milliseconds | undefined;
-	#gateway: string | undefined;
+	#connection: RecordedConnection | undefined;
+	#gatewayWaitBefore: Milliseconds = 0;
+	#gatewayWait: Milliseconds = 0;
 	#busyRetryCount = 0;
 	#result = '';
 
@@ -64,9 +72,10 @@
 	}
 
 	/** Records that the attempt got a connection. */
-	recordConnection({gateway}: Pick<MemberConnection, 'gateway'>): void {
+	recordConnection(connection: RecordedConnection): void {
 		this.#connectedAfter = this.workingTime();
-		this.#gateway = gateway;
+		this.#connection = connection;
+		this.#gatewayWaitBefore = connection.gatewayWait;
 	}
 
 	/** Records that a statement is sent again because the member was busy. */
@@ -78,6 +87,7 @@
 	end(result: string): void {
 		if (this.#endedAfter === undefined) {
 			this.#endedAfter = this.workingTime();
+			this.#gatewayWait = (this.#connection?.gatewayWait ?? 0) - this.#gatewayWaitBefore;
 			this.#result = boundText(result);
 		}
 	}
@@ -86,12 +96,14 @@
 	describe(): TracedAttempt {
 		const endedAfter = this.#endedAfter ?? this.workingTime();
 		const connectedAfter = this.#connectedAfter ?? endedAfter;
+		const gateway = this.#connection?.gateway;
 		return {
 			member: this.member,
-			...(this.#gateway !== undefined && {gateway: this.#gateway}),
+			...(gateway !== undefined && {gateway}),
 			startedAfter: Math.round(this.#startedAfter),
 			connectionWait: Math.round(connectedAfter - this.#startedAfter),
-			...(this.#connectedAfter !== undefined && {memberTime: Math.round(endedAfter - connectedAfter)}),
+			...(this.#gatewayWait > 0 && {gatewayWait: Math.round(this.#gatewayWait)}),
+			...(this.#connectedAfter !== undefined && {memberTime: Math.max(0, Math.round(endedAfter - connectedAfter - this.#gatewayWait))}),
 			...(this.#busyRetryCount > 0 && {busyRetries: this.#busyRetryCount}),
 			result: this.#result,
 		};
@@ -114,9 +126,9 @@
 	/** Records the beginning of an attempt. Beyond the number of listed attempts, it takes the place of the last one. */
 	startAttempt(member: string): AttemptTrace {
 		if (this.#attempts.length === maximumListedAttempts) {
-			const {connectionWait, memberTime = 0} = this.#attempts.pop()!.describe();
+			const {connectionWait, gatewayWait = 0, memberTime = 0} = this.#attempts.pop()!.describe();
 			const {count, ...sums} = this.#omitted;
-			this.#omitted = {count: count + 1, connectionWait: sums.connectionWait + connectionWait, memberTime: sums.memberTime + memberTime};
+			this.#omitted = {count: count + 1, connectionWait: sums.connectionWait + connectionWait + gatewayWait, memberTime: sums.memberTime + memberTime};
 		}
 
 		const attempt = new AttemptTrace(member, () => this.#workingTime());
--- a/source/session-proxy/structured-request-log.spec.ts
+++ b/source/session-proxy/structured-request-log.spec.ts
@@ -28,6 +28,42 @@
 	assert.match(text, /buckthornhitch_request_seconds_count\{step="read"\} 3/v);
 });
 
+// 81 late requests in one day of deployment B left no line that states why.
+test('a request that is explained is logged as one JSON object and counted', async () => {
+	const lines: string[] = [];
+	const registry = new Registry();
+	const log = new StructuredRequestLog(createLogger('one', 'request', 'info', {
+		write(line) {
+			lines.push(line);
+		},
+	}), registry);
+	const attempts = [{
+		member: 'i-1', gateway: 'entry-9', startedAfter: 0, connectionWait: 1, memberTime: 500, result: 'done',
+	}];
+	log.explain({
+		request: 'r1',
+		session: 's',
+		database: 'db',
+		route: 'ledger',
+		customer: 'shop',
+		kind: 'statement',
+		explained: 'late',
+		cause: 'it took 501 ms',
+		outcome: 'done',
+		elapsed: 501,
+		target: 400,
+		callerTime: 0,
+		admissionTime: 0,
+		statements: [],
+		attempts,
+	});
+	assert.equal(lines.length, 1);
+	const line = JSON.parse(lines[0]) as Readonly<Record<string, unknown>>;
+	assert.deepEqual([line.request, line.route, line.customer, line.outcome, line.elapsed, line.target, line.msg], ['r1', 'ledger', 'shop', 'done', 501, 400, 'request: late statement']);
+	assert.deepEqual([line.attempts, line.cause], [attempts, 'it took 501 ms']);
+	assert.match(await registry.metrics(), /buckthornhitch_explained_requests_total\{explained="late"\} 1/v);
+});
+
 // The number of customers is not bounded by the time series that a metrics server can hold.
 test('admitted and limited operations are counted by customer, for at most 10 customers and all others together', async () => {
 	const registry = new Registry();
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -47,6 +47,11 @@
 		return undefined;
 	}
 
+	/** Time for which the statements of this connection have waited for a connection of the gateway, in all. */
+	get gatewayWait(): Milliseconds {
+		return 0;
+	}
+
 	/** Sets what the statements that follow are for. A direct connection has no use for it, since its statements do not wait for a connection again. */
 	setUse(_use: ConnectionUse): void {
 		// Only relayed connections pass the use on.
