--- a/source/session-proxy/caller-operation.ts
+++ b/source/session-proxy/caller-operation.ts
@@ -10,7 +10,7 @@
 	causeOf, explanationOf, type EndedRequest, type RequestEnd,
 } from './explained-request.js';
 import {notRunRefusal, refusal} from './replies.js';
-import {RequestTrace} from './request-trace.js';
+import {boundText, RequestTrace} from './request-trace.js';
 import {type SessionContext} from './session-context.js';
 
 const random = new SystemRandom();
@@ -93,16 +93,17 @@
 		const ended: EndedRequest = {
 			kind,
 			...end,
+			outcome: boundText(end.outcome),
 			...times,
 			...(omitted.count > 0 && {omitted}),
 			...(route && {target: route.latencyTarget}),
 			...(customer !== undefined && {customer}),
-			...(transaction !== undefined && {transaction}),
+			...(transaction !== undefined && {transaction: boundText(transaction)}),
 		};
 		const explained = explanationOf(ended);
 		if (explained) {
 			context.dependencies.requestLog.explain({
-				request: id,
+				request: boundText(id),
 				session: context.id,
 				database: context.database,
 				routingVersion: context.dependencies.table()?.version,
--- a/source/session-proxy/request-explanation.spec.ts
+++ b/source/session-proxy/request-explanation.spec.ts
@@ -203,6 +203,28 @@
 	assert.doesNotMatch(JSON.stringify(fixture.log.explained), /secret-key|other-key/v);
 });
 
+// A line of the callers' protocol may have 1 MB, and 200 lines a second are logged.
+test('the line of a request is bounded where its caller sends long ids and names', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	const long = 'x'.repeat(100_000);
+	await fixture.run(session, {...begin, id: long});
+	for (let count = 0; count < 30; count++) {
+		await fixture.run(session, {...write, id: `${count}${long}`});
+	}
+
+	await fixture.run(session, {
+		kind: 'execute', id: long, name: long, parameters: '',
+	});
+	await fixture.advance(1000);
+	await fixture.run(session, {...commit, id: long});
+	fixture.primary.refusals.push(...Array.from({length: 100}, () => 'busy' as const));
+	await fixture.run(session, {...write, id: long});
+	const sizes = fixture.log.explained.map(line => JSON.stringify(line).length);
+	assert.equal(sizes.length, 3);
+	assert.ok(Math.max(...sizes) < 8000, `${sizes.join(', ')} characters`);
+});
+
 test('a refusal that leaves a transaction open is explained on its own', async () => {
 	const fixture = new SessionFixture();
 	const session = await fixture.open();
--- a/source/session-proxy/request-trace.ts
+++ b/source/session-proxy/request-trace.ts
@@ -7,7 +7,7 @@
 /** Maximum number of statements of a transaction whose ids are listed; the most recent ones are. Transactions usually have at most 12. */
 export const maximumListedStatements = 16;
 
-/** Maximum length of the texts of members and of ids of statements, which may be as long as a line of the protocol. */
+/** Maximum length of the texts of members and of the texts and ids of callers, which may be as long as a line of the protocol. */
 const maximumTextLength = 200;
 
 /** One attempt to execute a request on a member, as it is logged. Times do not include those in which the request waited for its caller. */
@@ -198,6 +198,6 @@
 }
 
 /** Returns the text, shortened to the length that a log line may contain. */
-function boundText(text: string): string {
+export function boundText(text: string): string {
 	return text.length > maximumTextLength ? `${text.slice(0, maximumTextLength)}...` : text;
 }
