--- a/source/session-proxy/caller-operation.ts
+++ b/source/session-proxy/caller-operation.ts
@@ -88,7 +88,7 @@
 
 		this.#hasEnded = true;
 		const {context, id, description: {kind, route, transaction}} = this;
-		const {omitted, ...times} = this.trace.finish(kind === 'transaction' ? end.outcome : 'no answer was waited for any longer');
+		const {omitted, ...times} = this.trace.finish(kind === 'transaction' ? end.outcome : 'given up when the request had ended');
 		const customer = this.#customer ?? this.#askedCustomer;
 		const ended: EndedRequest = {
 			kind,
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -232,7 +232,7 @@
 
 	#setPrimary(id: string, term: number): void {
 		if (this.#primary !== id) {
-			this.options.logger.info(`${this.options.service}: primary is ${id} in term ${term}, was ${this.#primary ?? 'unknown'}${this.#primaryTerm > 0 ? ` in term ${this.#primaryTerm}` : ''}`);
+			this.options.logger.info(`${this.options.service}: primary is ${id} in term ${term}, was ${this.#primary ?? 'unknown'}${this.#lastPrimary === undefined ? '' : ` in term ${this.#primaryTerm}`}`);
 		}
 
 		if (this.#lastPrimary !== undefined && this.#lastPrimary !== id) {
