--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -30,6 +30,8 @@
 	#lastResponse: Promise<unknown> = Promise.resolve();
 	#pendingCount = 0;
 	#isClosed = false;
+	/** Time for which the statement that is being executed has waited for a connection. */
+	#connectionWait: Milliseconds = 0;
 	/** What the statement that is being executed is for. */
 	#use: ConnectionUse = {priority: defaultPriority, isForTransaction: false};
 
@@ -64,7 +66,9 @@
 		const deadline = now + request.timeout;
 		const response = this.#lastResponse.then(async () => {
 			this.#use = useOf(request, now);
-			return this.#refuseScope(request) ?? (request.isPrimaryRead ? this.#readFromPrimary(request.statement, deadline) : this.#dispatch(request.statement, deadline));
+			this.#connectionWait = 0;
+			const result = this.#refuseScope(request) ?? (request.isPrimaryRead ? await this.#readFromPrimary(request.statement, deadline) : await this.#dispatch(request.statement, deadline));
+			return request.priority === undefined || this.#connectionWait === 0 ? result : {...result, connectionWait: this.#connectionWait};
 		}).finally(() => {
 			this.#pendingCount--;
 		});
@@ -195,7 +199,7 @@
 	async #executeOnMember(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
 		const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
 		try {
-			this.#held ??= await this.#acquire(deadline);
+			this.#held ??= await this.#acquireMeasured(deadline);
 		} catch (error) {
 			return notAcquired(error);
 		}
@@ -228,6 +232,15 @@
 		}
 	}
 
+	async #acquireMeasured(deadline: Milliseconds): Promise<HeldConnection> {
+		const askedAt = this.clock.now();
+		try {
+			return await this.#acquire(deadline);
+		} finally {
+			this.#connectionWait = Math.round(this.clock.now() - askedAt);
+		}
+	}
+
 	async #acquire(deadline: Milliseconds): Promise<HeldConnection> {
 		const pool = this.pool();
 		if (!pool) {
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -26,6 +26,8 @@
 	readonly linkClient: LinkClient;
 	/** Link address of the entry that relays the statements. */
 	readonly gateway: Address;
+	/** Name of that entry, for logs; its address if absent. */
+	readonly gatewayName?: string;
 	/** Number that identifies the relay on the link to the gateway. */
 	readonly relay: number;
 	/** Whether the priority of the statements is sent. */
@@ -49,6 +51,7 @@
 	#pendingCount = 0;
 	#isInTransaction = false;
 	#isClosed = false;
+	#gatewayWait: Milliseconds = 0;
 	#use: ConnectionUse | undefined;
 	#supportsScopes: boolean;
 	/** Settles when the gateway has confirmed the relay; undefined afterwards. */
@@ -82,6 +85,14 @@
 		return this.#opened;
 	}
 
+	override get gateway(): string {
+		return this.options.gatewayName ?? this.options.gateway;
+	}
+
+	override get gatewayWait(): Milliseconds {
+		return this.#gatewayWait;
+	}
+
 	override setUse(use: ConnectionUse): void {
 		this.#use = use;
 	}
@@ -100,6 +111,7 @@
 
 			const sentAt = this.options.clock.now();
 			const response = await this.#sendWhileOpening(statement, timeout - (sentAt - startedAt), scope);
+			this.#gatewayWait += response.connectionWait ?? 0;
 			if (response.kind === 'answered' && !this.#isInTransaction && dataKinds.has(statement.kind)) {
 				this.options.onAnswered?.(this.options.clock.now() - sentAt);
 			}
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -255,6 +255,7 @@
 			clock: this.options.clock,
 			linkClient: this.options.linkClient,
 			gateway: gateway.address,
+			gatewayName: gateway.name,
 			relay,
 			...answer,
 			sendsPriority: gatewaysNearMember !== undefined,
--- a/source/session-proxy/connection-requests.ts
+++ b/source/session-proxy/connection-requests.ts
@@ -1,3 +1,4 @@
+import {describeTimeout} from '../clock/describe-timeout.js';
 import {type WaitingOrder, type WaitingSearch} from '../admission/waiting-order.js';
 import {WaitingQueue, type WaitingItem} from '../admission/waiting-queue.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
@@ -119,7 +120,7 @@
 				resolve,
 				reject,
 				cancel: clock.schedule(Math.max(0, timeout), () => {
-					this.#reject(waiting, new BuckthornhitchError('deadlinePassed', `no connection to ${member} within ${Math.round(timeout)} ms`));
+					this.#reject(waiting, new BuckthornhitchError('deadlinePassed', `no connection to ${member} ${describeTimeout(timeout)}`));
 				}),
 			};
 			this.#count(waiting, 1);
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -164,6 +164,7 @@
 		while (context.now < deadline && isReadWanted()) {
 			const required = await this.requiredPosition(client, arrivedAt - route.maximumStaleness, deadline);
 			if (!required) {
+				routed.operation.trace.recordPrimaryError('no primary confirmed its log position in time');
 				return {attempt: last, isPrimaryMissing: true};
 			}
 
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -11,6 +11,7 @@
 import {type PooledConnection} from './pooled-connection.js';
 import {attemptPrimaryRead} from './primary-read-attempt.js';
 import {describeReply} from './replies.js';
+import {type AttemptTrace} from './request-trace.js';
 import {type SessionContext} from './session-context.js';
 
 /** Attempt whose statement has certainly not run. */
@@ -44,6 +45,10 @@
 	readonly isPrimaryRead?: boolean;
 };
 
+type TracedAttemptOptions = AttemptOptions & {
+	readonly trace: AttemptTrace;
+};
+
 /** Requirements of a statement on its connection. */
 export type ConnectionRequest = {
 	readonly route: Route;
@@ -56,6 +61,8 @@
 	/** Whether a transaction is opened on the connection. */
 	readonly isForTransaction?: boolean;
 	readonly isWanted?: () => boolean;
+	/** Record of the attempt. */
+	readonly trace?: AttemptTrace;
 };
 
 /** Resolves with a connection that has the session's variables and the prepared statement. Rejects before the statement itself is sent, also when the caller's key was revoked or moved during the wait. */
@@ -67,6 +74,7 @@
 	const timeout = deadline - context.now;
 	const use: ConnectionUse = {priority: route.priority, isForTransaction, targetAt: arrivedAt + route.latencyTarget};
 	const connection = await pool.acquireForCaller(timeout, use, context.sessionState, customer);
+	request.trace?.recordConnection(connection.memberConnection);
 	try {
 		if (isWanted()) {
 			await connection.applySession(context.sessionState, preparedStatement, deadline - context.now);
@@ -83,15 +91,22 @@
 
 	if (!pool.isAnswerableBefore(deadline)) {
 		pool.release(connection);
-		throw new BuckthornhitchError('deadlinePassed', `${Math.round(deadline - context.now)} ms are left, ${pool.server.id} answers in about ${Math.round(pool.expectedReplyTime)} ms`);
+		throw new BuckthornhitchError('deadlinePassed', `${Math.max(0, Math.round(deadline - context.now))} ms are left, ${pool.server.id} answers in about ${Math.round(pool.expectedReplyTime)} ms`);
 	}
 
 	return connection;
 }
 
-/** Sends a statement outside a transaction to a member. */
+/** Sends a statement outside a transaction to a member, and records the attempt. */
 export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, options: AttemptOptions = {}): Promise<StatementAttempt> {
-	const {after, isWanted = () => true, isPrimaryRead = false} = options;
+	const trace = routed.operation.trace.startAttempt(pool.server.id);
+	const attempt = await sendStatement(context, pool, routed, {...options, trace});
+	trace.end(describeAttempt(attempt));
+	return attempt;
+}
+
+async function sendStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, options: TracedAttemptOptions): Promise<StatementAttempt> {
+	const {after, isWanted = () => true, isPrimaryRead = false, trace} = options;
 	const {
 		request, operation, route, arrivedAt, deadline,
 	} = routed;
@@ -106,7 +121,7 @@
 	let connection: PooledConnection;
 	try {
 		connection = await acquireConnection(context, pool, {
-			route, preparedStatement: request.preparedStatement, deadline, arrivedAt, customer, isWanted,
+			route, preparedStatement: request.preparedStatement, deadline, arrivedAt, customer, isWanted, trace,
 		});
 	} catch (error) {
 		return {
