--- a/source/links/link-socket.ts
+++ b/source/links/link-socket.ts
@@ -13,8 +13,8 @@
 
 type MessageWithoutTime = LinkMessage extends infer Message ? Message extends LinkMessage ? Omit<Message, 'time'> : never : never;
 
-/** Time without packets after which the operating system checks a link that may be silent, so that links to lost instances are closed at last. */
-const keepAliveDelay: Milliseconds = 30_000;
+/** A silent link that received nothing for this long is closed, since its peer closes links that it has not used for 30 s and may be lost. */
+const silenceLimit: Milliseconds = 60_000;
 
 /** Socket, clocks and callbacks of a {@link LinkSocket}. */
 export type LinkSocketOptions = {
@@ -40,6 +40,7 @@
 	readonly #writer = new FrameWriter();
 	/** Cancels the pings; undefined while the link is silent. */
 	#cancelPing: Cancel | undefined;
+	#cancelSilenceLimit: Cancel | undefined;
 	#allowsSilence: boolean;
 	/** Whether the peer was told that the link may be silent. */
 	#isSilenceTold = false;
@@ -62,6 +63,7 @@
 		socket.on('close', () => {
 			this.#isClosed = true;
 			this.#cancelPing?.();
+			this.#cancelSilenceLimit?.();
 			options.onClose();
 		});
 	}
@@ -74,6 +76,7 @@
 	/** Sends pings again while `isPeerNeeded` returns true. Must be called when it begins to. */
 	watchPeer(): void {
 		if (this.#cancelPing === undefined && !this.#isClosed) {
+			this.#cancelSilenceLimit?.();
 			// The silence before was allowed.
 			this.#lastReceivedAt = this.options.clock.now();
 			this.#startPings();
@@ -112,7 +115,6 @@
 		if (body?.mayBeSilent && !this.#doesPeerAllowSilence) {
 			this.#doesPeerAllowSilence = true;
 			this.#allowsSilence = true;
-			this.options.socket.setKeepAlive(true, keepAliveDelay);
 		}
 
 		if (body?.needsReply) {
@@ -125,6 +127,7 @@
 		if (maySilence && !this.options.isPeerNeeded()) {
 			this.#cancelPing?.();
 			this.#cancelPing = undefined;
+			this.#limitSilence();
 			return;
 		}
 
@@ -136,6 +139,19 @@
 		this.#ping(maySilence);
 	}
 
+	#limitSilence(): void {
+		const {clock} = this.options;
+		const remaining = this.#lastReceivedAt + silenceLimit - clock.now();
+		if (remaining <= 0) {
+			this.destroy();
+			return;
+		}
+
+		this.#cancelSilenceLimit = clock.schedule(remaining, () => {
+			this.#limitSilence();
+		});
+	}
+
 	#ping(needsReply = false): void {
 		const body: PingBody = {readsCompressed: true, ...(this.#allowsSilence && {mayBeSilent: true}), ...(needsReply && {needsReply: true})};
 		this.#isSilenceTold ||= this.#allowsSilence;
--- a/source/links/silent-link.spec.ts
+++ b/source/links/silent-link.spec.ts
@@ -127,6 +127,27 @@
 	await Promise.all([client.close(), server.close()]);
 });
 
+// Links of lost instances would add up on a gateway for its lifetime.
+test('a silent link on which nothing arrives is closed after a minute', async () => {
+	const {clock, server, client, address} = await createLink({isSilent: true});
+	const closed: number[] = [];
+	server.onLinkClosed(({linkId}) => {
+		closed.push(linkId);
+	});
+	const peer = createConnection({host: '127.0.0.1', port: Number(address.split(':')[1])});
+	peer.on('error', () => undefined);
+	peer.resume();
+	peer.write(encodeFrame({
+		kind: 'notice', name: pingName, body: {readsCompressed: true, mayBeSilent: true}, time: {milliseconds: 0, counter: 0},
+	}));
+	await pass(clock, 50_000);
+	assert.deepEqual(closed, []);
+	await pass(clock, 15_000);
+	assert.deepEqual(closed, [1]);
+	peer.destroy();
+	await Promise.all([client.close(), server.close()]);
+});
+
 test('a server that needs the peer of a silent link keeps the link while the peer replies', async () => {
 	const {clock, server, client, address, links} = await createLink({isSilent: true});
 	assert.equal(await client.request(address, 'echo', 1, 10_000), 1);
