Send begin to a gateway together with the first statement of a transaction

A transaction took a round trip for BEGIN before its first statement was sent. A gateway near the member now gets both at once and sends the statement to the member only after BEGIN was accepted. Statements of a transaction are marked, and the gateway runs none of them outside an open transaction of their relay. A first write whose BEGIN was not answered is not sent again.

--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -104,7 +104,9 @@
 
 	async #execute(request: RelayStatementRequest, peer: LinkPeer): Promise<RelayStatementResponse> {
 		const relay = this.#relays.get(relayKey(request.relay, peer));
-		if (!relay || (this.#isDraining && !relay.session.isInTransaction)) {
+		// The begin of the transaction may not be answered yet.
+		const isContinued = request.isInTransaction ? relay?.session.isActive : relay?.session.isInTransaction;
+		if (!relay || (this.#isDraining && !isContinued)) {
 			return {
 				kind: 'notRun', reason: 'busy', detail: relay ? 'the gateway is stopping' : 'the relay is not known', isLost: true,
 			};
--- /dev/null
+++ b/source/relay/relay-session.spec.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../clock/manual-clock.js';
+import {silentLogger} from '../observability/logger.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {MemberPool} from '../session-proxy/member-pool.js';
+import {refusal} from '../session-proxy/replies.js';
+import {ScriptedConnection, ScriptedConnector} from '../session-proxy/scripted-connection-fake.js';
+import {testAnnouncement} from '../session-proxy/session-fixture.js';
+import {type MemberStatement, type StatementReply} from '../statement/types.js';
+import {RelaySession} from './relay-session.js';
+
+const begin: MemberStatement = {kind: 'begin', isReadOnly: false};
+const write: MemberStatement = {kind: 'write', id: 'w', text: 'WRITE 1 x'};
+
+// Without a begin that was accepted, the statement would run outside a transaction, or in the remains of an earlier one.
+test('a statement of a transaction is not sent to the member unless its begin was accepted', async () => {
+	const unanswered = new BuckthornhitchError('linkOutcomeUnknown', 'the connection ended');
+	const idle: StatementReply = {
+		outcome: 'done', rows: [], signature: '', transaction: 'idle', point: undefined,
+	};
+	for (const reply of [refusal('readOnly', '', 'idle'), refusal('failed', '', 'failed'), refusal('failed', '', 'open'), idle, unanswered]) {
+		const clock = new ManualClock();
+		const memberConnection = new ScriptedConnection([reply]);
+		const pool = new MemberPool({...testAnnouncement('a'), isGone: false}, {
+			connector: new ScriptedConnector(memberConnection), clock, logger: silentLogger, maximumConnections: () => 1,
+		});
+		const session = new RelaySession('a', clock, () => pool, undefined);
+		const begun = session.execute({
+			relay: 1, sequence: 0, statement: begin, timeout: 500,
+		});
+		const written = await session.execute({
+			relay: 1, sequence: 1, statement: write, timeout: 500, isInTransaction: true,
+		});
+		await begun;
+		assert.equal(written.kind, 'notRun');
+		assert.equal(memberConnection.kinds.includes('write'), false);
+	}
+});
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -22,6 +22,8 @@
 export class RelaySession {
 	readonly #session = new CallerSessionState();
 	#held: HeldConnection | undefined;
+	/** Whether a transaction was begun on the held connection. */
+	#hasBegun = false;
 	#nextSequence = 0;
 	#lastResponse: Promise<unknown> = Promise.resolve();
 	#pendingCount = 0;
@@ -133,7 +135,7 @@
 
 	/** Refuses a statement that would not run in the transaction that it is meant for: one of a transaction that is not open, or a primary read that is no read or would run inside a transaction. A commit without a transaction is answered as aborted instead. */
 	#refuseScope({isInTransaction, isPrimaryRead, statement}: RelayStatementRequest): RelayStatementResponse | undefined {
-		if (isInTransaction && statement.kind !== 'commit' && !this.#held?.connection.isInTransaction) {
+		if (isInTransaction && statement.kind !== 'commit' && !(this.#held && this.#hasBegun)) {
 			return {
 				kind: 'notRun', reason: 'busy', detail: 'the transaction is not open', isLost: false,
 			};
@@ -190,7 +192,10 @@
 	async #executeOnMember(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
 		const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
 		try {
-			this.#held ??= await this.#acquire(deadline);
+			if (!this.#held) {
+				this.#held = await this.#acquire(deadline);
+				this.#hasBegun = false;
+			}
 		} catch (error) {
 			return notAcquired(error);
 		}
@@ -206,6 +211,10 @@
 
 			isSent = true;
 			const reply = await connection.execute(statement, deadline - this.clock.now());
+			if (statement.kind === 'begin') {
+				this.#hasBegun = reply.outcome === 'done' && reply.transaction === 'open';
+			}
+
 			this.#releaseIfIdle(reply);
 			return {kind: 'answered', reply};
 		} catch (error) {
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -179,7 +179,7 @@
 			statement,
 			timeout,
 			...(sendsPriority && {priority: this.#use?.priority, ...(this.#use?.isForTransaction && {isForTransaction: true})}),
-			...scopeFields(scope),
+			...(this.#supportsScopes && scopeFields(scope)),
 		};
 		try {
 			return await linkClient.request(gateway, 'relayStatement', body, timeout + gatewayAllowance) as RelayStatementResponse;
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -1,15 +1,15 @@
 import {type Cancel, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type ResultCodeName} from '../result-codes/result-codes.js';
 import {type Route} from '../routing-table/types.js';
 import {
-	type MemberStatement, type PreparedStatementDefinition, type RefusalReason, type StatementReply, type TransactionState,
+	type MemberStatement, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {type DataRequest} from './data-request.js';
 import {type CallerOperation} from './caller-operation.js';
 import {acquireConnection, reportUnansweredStatement, refusalReasonOf} from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
+import {hasNotRun, isDone, isUnsent} from './pending-reply.js';
 import {type PooledConnection} from './pooled-connection.js';
 import {type SessionReadExecutor} from './session-read-executor.js';
 import {describeReply, notRunRefusal, refusal} from './replies.js';
@@ -36,6 +36,19 @@
 	readonly detail: string;
 };
 
+/** Outcome of an attempt to open the transaction. */
+type OpenAttempt =
+	/** The reply to the first statement is pending if it was sent together with the begin. */
+	| {readonly kind: 'opened'; readonly firstReply?: Promise<StatementReply>}
+	| {
+		readonly kind: 'refused';
+		readonly refused: TransactionRefusal;
+		/** Whether the first statement may have run, inside a transaction that will never be committed. It may only if it was sent together with a begin that was not answered. */
+		readonly mayHaveRun?: boolean;
+		/** Whether the first statement must not be sent again. */
+		readonly isFinal?: boolean;
+	};
+
 /** Connection on which the transaction is open, and the pool that it belongs to. */
 type HeldConnection = {
 	readonly pool: MemberPool;
@@ -79,17 +92,20 @@
 		const startedAt = context.now;
 		const deadline = context.deadlineOf(this.options.route);
 		try {
+			let firstReply: Promise<StatementReply> | undefined;
 			if (this.#held) {
 				await this.#held.connection.applySession(context.sessionState, request.preparedStatement, deadline - context.now);
 			} else {
-				const refused = await this.#open(request.preparedStatement, deadline);
-				if (refused) {
-					return this.#fail(request.id, this.#customerRefusal() ?? refused);
+				const opened = await this.#open(request, deadline);
+				if (opened.kind === 'refused') {
+					return this.#fail(request.id, this.#customerRefusal() ?? opened.refused);
 				}
+
+				({firstReply} = opened);
 			}
 
 			this.#hasWritten ||= request.access === 'write';
-			const reply = await this.#executeWithBusyRetry(request.createStatement(), deadline);
+			const reply = await this.#executeWithBusyRetry(request.createStatement(), deadline, firstReply);
 			context.log(request.id, `${request.access} in transaction`, describeReply(reply), {member: this.#held?.pool.server.id});
 			if (reply.transaction === 'open') {
 				return reply;
@@ -112,10 +128,10 @@
 		}
 
 		const deadline = context.deadlineOf(options.route);
-		const refused = this.#held ? undefined : await this.#open(undefined, deadline);
+		const opened = this.#held ? undefined : await this.#open(undefined, deadline);
 		const held = this.#held;
-		if (refused !== undefined || !held) {
-			const {reason, detail} = this.#customerRefusal() ?? {reason: 'aborted', detail: refused?.detail ?? 'the transaction was rolled back'};
+		if (opened?.kind === 'refused' || !held) {
+			const {reason, detail} = this.#customerRefusal() ?? {reason: 'aborted', detail: opened?.kind === 'refused' ? opened.refused.detail : 'the transaction was rolled back'};
 			return refusal(reason, detail, 'idle');
 		}
 
@@ -240,15 +256,15 @@
 		held.pool.release(held.connection);
 	}
 
-	/** Executes a statement and retries it until the deadline while the member refuses it as busy and keeps the transaction open. */
-	async #executeWithBusyRetry(statement: MemberStatement, deadline: Milliseconds): Promise<StatementReply> {
+	/** Executes a statement, unless it was sent together with the begin, and retries it until the deadline while the member refuses it as busy and keeps the transaction open. */
+	async #executeWithBusyRetry(statement: MemberStatement, deadline: Milliseconds, firstReply?: Promise<StatementReply>): Promise<StatementReply> {
 		const {clock} = this.context.dependencies;
-		for (;;) {
+		for (let pendingReply = firstReply; ; pendingReply = undefined) {
 			if (!this.#held) {
 				throw new BuckthornhitchError('transactionLost', 'The caller left, or the transaction was idle for too long.');
 			}
 
-			const reply = await this.#held.connection.execute(statement, deadline - clock.now());
+			const reply = await (pendingReply ?? this.#held.connection.execute(statement, deadline - clock.now(), 'transaction'));
 			const mayRetry = reply.outcome === 'refused' && reply.reason === 'busy' && reply.transaction === 'open';
 			if (!mayRetry || clock.now() + busyRetryDelay >= deadline) {
 				return reply;
@@ -259,9 +275,12 @@
 	}
 
 	/** Opens the transaction on a member. Resolves with the last refusal when no member opened it before the deadline. */
-	async #open(preparedStatement: PreparedStatementDefinition | undefined, deadline: Milliseconds): Promise<TransactionRefusal | undefined> {
+	async #open(first: DataRequest | undefined, deadline: Milliseconds): Promise<OpenAttempt> {
 		const {context, options: {client, route, isReadOnly}} = this;
 		let last: TransactionRefusal = {reason: 'busy', detail: 'no member was reached'};
+		let mayHaveRun = false;
+		// A refusal as busy says that the statement has not run.
+		const refused = (): OpenAttempt => ({kind: 'refused', refused: mayHaveRun ? {...last, reason: 'aborted'} : last});
 		while (context.now < deadline && !this.#hasEnded) {
 			const required = isReadOnly ? await this.readExecutor.requiredPosition(client, this.#beganAt - route.maximumStaleness, deadline) : undefined;
 			if (isReadOnly && !required) {
@@ -269,21 +288,22 @@
 			}
 
 			for (const pool of required ? this.readExecutor.candidatePools(client, route, required) : await this.#primaryPools(deadline)) {
-				const refused = await this.#openOn(pool, preparedStatement, deadline, required);
-				if (!refused) {
-					return undefined;
+				const attempt = await this.#openOn(pool, first, deadline, required);
+				if (attempt.kind === 'opened') {
+					return attempt;
 				}
 
-				last = refused;
-				if (this.#hasEnded) {
-					return last;
+				last = attempt.refused;
+				mayHaveRun ||= attempt.mayHaveRun ?? false;
+				if (this.#hasEnded || attempt.isFinal) {
+					return attempt.isFinal ? attempt : refused();
 				}
 			}
 
 			await this.readExecutor.waitBeforeRetry(client, isReadOnly && last.reason === 'lagging', deadline);
 		}
 
-		return last;
+		return refused();
 	}
 
 	/** Resolves with the pool of the primary as the only element, or with an empty list if no primary is found before the deadline. */
@@ -296,23 +316,36 @@
 		}
 	}
 
-	async #openOn(pool: MemberPool, preparedStatement: PreparedStatementDefinition | undefined, deadline: Milliseconds, after: LogPosition | undefined): Promise<TransactionRefusal | undefined> {
+	/** Opens the transaction on the member of a pool. A gateway that supports it gets the first statement together with the begin, and runs it only once the transaction is open. */
+	async #openOn(pool: MemberPool, first: DataRequest | undefined, deadline: Milliseconds, after: LogPosition | undefined): Promise<OpenAttempt> {
 		const {context, options: {route, client, isReadOnly}} = this;
 		const startedAt = context.now;
 		let connection: PooledConnection | undefined;
+		let firstReply: Promise<StatementReply> | undefined;
 		try {
 			connection = await acquireConnection(context, pool, {
-				route, preparedStatement, deadline, customer: this.customer, isForTransaction: true,
+				route, preparedStatement: first?.preparedStatement, deadline, customer: this.customer, isForTransaction: true,
 			});
 			if (this.#hasLostCustomer) {
 				pool.release(connection);
-				return {reason: 'busy', detail: 'the key of the caller was revoked or moved'};
+				return {kind: 'refused', refused: {reason: 'busy', detail: 'the key of the caller was revoked or moved'}};
+			}
+
+			const beginReply = connection.execute({kind: 'begin', isReadOnly, after}, deadline - context.now);
+			if (first && connection.memberConnection.supportsScopes && !this.#hasEnded) {
+				firstReply = connection.execute(first.createStatement(), deadline - context.now, 'transaction');
+				firstReply.catch(() => {
+					// The rejection is handled where the reply is awaited, which may be later or, if the transaction has ended, not at all.
+				});
 			}
 
-			const reply = await connection.execute({kind: 'begin', isReadOnly, after}, deadline - context.now);
+			const reply = await beginReply;
 			if (reply.outcome === 'refused') {
+				// The gateway does not run the first statement; the connection is free once it has said so.
+				const hasRun = firstReply && await isDone(firstReply);
 				pool.release(connection);
-				return this.#handleOpenRefusal(pool, reply);
+				const refused = this.#handleOpenRefusal(pool, reply);
+				return hasRun ? {kind: 'refused', refused: {reason: 'outcomeUnknown', detail: 'the statement ran outside its transaction'}, isFinal: true} : {kind: 'refused', refused};
 			}
 
 			if (!isReadOnly) {
@@ -324,14 +357,20 @@
 				this.rollBack();
 			}
 
-			return undefined;
+			return {kind: 'opened', firstReply};
 		} catch (error) {
 			if (connection) {
 				reportUnansweredStatement(pool, error, startedAt);
 				pool.discard(connection);
 			}
 
-			return this.#handleOpenRefusal(pool, {reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message});
+			const mayHaveRun = firstReply && !await hasNotRun(firstReply);
+			// A write is never sent twice, even though the transaction without an answer will not be committed.
+			const isFinal = mayHaveRun && first?.access === 'write';
+			const refused = this.#handleOpenRefusal(pool, {reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message});
+			return {
+				kind: 'refused', refused: isFinal ? {...refused, reason: 'aborted'} : refused, mayHaveRun, isFinal,
+			};
 		}
 	}
 
@@ -344,8 +383,3 @@
 		return {reason, detail};
 	}
 }
-
-/** Returns whether an error proves that the statement was not sent. */
-function isUnsent(codeName: ResultCodeName): boolean {
-	return codeName === 'linkNotSent' || codeName === 'transactionLost';
-}
--- a/source/session-proxy/primary-read.spec.ts
+++ b/source/session-proxy/primary-read.spec.ts
@@ -3,11 +3,11 @@
 import {ManualClock} from '../clock/manual-clock.js';
 import {silentLogger} from '../observability/logger.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {MemberConnection, MemberConnector} from '../statement/member-connection.js';
 import {type MemberStatement, type StatementReply, type TransactionState} from '../statement/types.js';
 import {MemberPool} from './member-pool.js';
 import {readInWriteTransaction, relayedReplyOf, type PrimaryReadOutcome} from './primary-read.js';
 import {refusal} from './replies.js';
+import {ScriptedConnection, ScriptedConnector} from './scripted-connection-fake.js';
 import {testAnnouncement} from './session-fixture.js';
 
 const read: MemberStatement = {kind: 'read', id: 'r', text: 'READ 1'};
@@ -15,44 +15,6 @@
 	outcome: 'done', rows: [], signature: 'signed', transaction, point: {term: 1, position: 4},
 });
 
-/** Connection that answers with scripted replies, in order; it rejects where the script has an error. */
-class ScriptedConnection extends MemberConnection {
-	override readonly isClosed = false;
-	readonly kinds: string[] = [];
-
-	constructor(private readonly script: Array<StatementReply | BuckthornhitchError>) {
-		super();
-	}
-
-	override async execute({kind}: MemberStatement): Promise<StatementReply> {
-		this.kinds.push(kind);
-		const next = this.script.shift()!;
-		if (next instanceof BuckthornhitchError) {
-			throw next;
-		}
-
-		return next;
-	}
-
-	override close(): void {
-		// The script decides what is answered.
-	}
-
-	override onClosed(): void {
-		// The connection never closes.
-	}
-}
-
-class ScriptedConnector extends MemberConnector {
-	constructor(private readonly connection: MemberConnection) {
-		super();
-	}
-
-	override async connect(): Promise<MemberConnection> {
-		return this.connection;
-	}
-}
-
 async function outcomeOf(...script: Array<StatementReply | BuckthornhitchError>): Promise<{readonly outcome: PrimaryReadOutcome; readonly kinds: readonly string[]}> {
 	const clock = new ManualClock();
 	const memberConnection = new ScriptedConnection(script);
