Read from a replica that is fresh enough when the primary is slow or busy

A read that the primary did not serve was sent to it a second time after its position was confirmed. Replicas known to be fresh enough now precede a primary that refused, and a primary that still has the read comes last.

--- a/source/relay/primary-reads.spec.ts
+++ b/source/relay/primary-reads.spec.ts
@@ -143,8 +143,9 @@
 		}
 
 		fixture.primary.holdsReplies = true;
-		const reply = await sessions.run(session, read);
+		const reply = await sessions.run(session, read, 250);
 		assert.match(signatureOrReason(reply), /^signed [bc]$/v);
+		assert.deepEqual(fixture.receivedReads.map(({member}) => member === 'a'), [true, false], 'the primary does not get the read twice');
 		const [{connectionNumber}] = fixture.receivedReads;
 		const kindsOnConnection = (): readonly string[] => fixture.primary.received.filter(received => received.connectionNumber === connectionNumber).map(({statement}) => statement.kind);
 		await sessions.advance(1500);
@@ -240,6 +241,19 @@
 	}
 });
 
+// A primary that is overloaded recovers only when reads that replicas can serve stay away.
+test('a replica known to be fresh enough serves a read that the primary refused as busy, before the primary is asked again', async () => {
+	const {fixture, sessions, session} = await warmFixture();
+	const [, replica] = sessions.members;
+	replica.point = fixture.primary.point;
+	const pool = sessions.proxy.poolOf('ledger', 'b')!;
+	pool.logPosition = replica.point;
+	pool.logPositionAt = fixture.clock.now();
+	fixture.primary.refusals.push('busy');
+	assert.equal(signatureOrReason(await sessions.run(session, read)), 'signed b');
+	assert.deepEqual(fixture.receivedReads.map(({member}) => member), ['a', 'b']);
+});
+
 test('a read whose connection cannot be opened is executed at a position that the primary confirms', async () => {
 	const {fixture, sessions, session} = await warmFixture('gateway-1');
 	for (const connection of fixture.primary.connections) {
--- a/source/session-proxy/read-policy.spec.ts
+++ b/source/session-proxy/read-policy.spec.ts
@@ -52,6 +52,13 @@
 	assert.equal(order([candidate('b'), primary], {consistency: 'primary', draw: 0.9}), 'ab');
 });
 
+// A primary that refused the read as busy recovers only when reads that replicas can serve stay away.
+test('replicas that are known to be fresh enough precede a primary at which the read was tried', () => {
+	const primary = candidate('a', {isPrimary: true});
+	const fresh = candidate('c', {logPosition: required});
+	assert.equal(order([candidate('b'), primary, fresh], {consistency: 'primary', wasTriedAtPrimary: true}), 'cab');
+});
+
 // Guards the order of deployments in which no member recovers.
 test('without a recovering member the draw has no effect', () => {
 	const candidates = [candidate('a', {isPrimary: true}), candidate('b', {load: 2}), candidate('c', {logPosition: required})];
--- a/source/session-proxy/read-policy.ts
+++ b/source/session-proxy/read-policy.ts
@@ -31,6 +31,8 @@
 	readonly consistency: Consistency;
 	/** Random number from 0 up to but not including 1. A recovering member is held back unless the number is below its share. */
 	readonly draw?: number;
+	/** Whether the primary did not serve the read when it was sent there first, so that replicas precede it that are known to be fresh enough. */
+	readonly wasTriedAtPrimary?: boolean;
 };
 
 /** Time for which a replica that refused a read because it lags behind is avoided. */
@@ -66,10 +68,10 @@
 /** Cost of a member that refused a request recently or is known to lag behind the required position. */
 const unavailableCost: Milliseconds = 5000;
 
-/** Returns the members by increasing cost of a read. On routes with primary consistency the primary comes first, since replicas lag behind it. Only when it is held back do replicas precede it that are known to be fresh enough. */
+/** Returns the members by increasing cost of a read. On routes with primary consistency the primary comes first, since replicas lag behind it. Only when it is held back, or was tried already, do replicas precede it that are known to be fresh enough. */
 export function orderMembersForRead(candidates: readonly MemberCandidate[], requirement: ReadRequirement): readonly MemberCandidate[] {
-	const {required, consistency, draw = 0} = requirement;
-	const isPrimaryHeldBack = candidates.some(candidate => candidate.isPrimary && isHeldBack(candidate, draw));
+	const {required, consistency, draw = 0, wasTriedAtPrimary = false} = requirement;
+	const isPrimaryHeldBack = wasTriedAtPrimary || candidates.some(candidate => candidate.isPrimary && isHeldBack(candidate, draw));
 	const tierOf = (candidate: MemberCandidate): number => {
 		if (consistency !== 'primary' || (isPrimaryHeldBack && isUsableReplica(candidate, required))) {
 			return 0;
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -19,12 +19,21 @@
 /** Delay before a read that no member could serve is retried. */
 const retryDelay: Milliseconds = 15;
 
+/** Member to which a read was sent first, as the primary. */
+type TriedPrimary = {
+	readonly member: string;
+	/** Whether it has not answered yet. */
+	isPending: boolean;
+};
+
 /** Options of a read at a position that the primary has confirmed. */
 type PositionedReadOptions = {
 	/** Returns whether the caller still waits for the reply. */
 	readonly isWanted: () => boolean;
 	/** Called with each attempt that may have run. */
 	readonly onMayHaveRun: (attempt: StatementAttempt) => void;
+	/** Undefined unless the read was sent to the primary first. */
+	readonly tried?: TriedPrimary;
 };
 
 /** Outcome of a read at a position that the primary has confirmed. */
@@ -96,7 +105,7 @@
 	}
 
 	/** Returns the pools of the members to try for a read, best first. */
-	candidatePools(client: ServiceClient, route: Route, required: LogPosition): readonly MemberPool[] {
+	candidatePools(client: ServiceClient, route: Route, required: LogPosition, wasTriedAtPrimary = false): readonly MemberPool[] {
 		const {now, dependencies} = this.context;
 		client.observePlacement();
 		const candidates = client.pools.map((pool): MemberCandidate => ({
@@ -112,7 +121,9 @@
 			recoveryShare: client.placement.recoveryShareOf(pool.server.id),
 			isEjected: client.placement.isEjected(pool.server.id),
 		}));
-		const order = orderMembersForRead(candidates, {required, consistency: route.consistency, draw: client.placement.drawRead()});
+		const order = orderMembersForRead(candidates, {
+			required, consistency: route.consistency, draw: client.placement.drawRead(), wasTriedAtPrimary,
+		});
 		return order.map(candidate => client.poolOf(candidate.id)).filter(pool => pool !== undefined);
 	}
 
@@ -135,20 +146,26 @@
 	async #readFromPrimaryFirst(pool: MemberPool, routed: RoutedDataRequest, onMayHaveRun: (attempt: StatementAttempt) => void): Promise<PositionedRead> {
 		const {context} = this;
 		let isPrimaryMissing = false;
+		const tried: TriedPrimary = {member: pool.server.id, isPending: true};
+		let isMemberConcerned = true;
 		const positioned: ReadSource = {expectedReplyTime: 0};
 		const read = new HedgedRead<ReadSource>(context.dependencies.clock, [pool, positioned], async (source, isWanted) => {
 			if (source === positioned) {
-				const outcome = await this.#readAtPosition(routed, {isWanted, onMayHaveRun});
+				const outcome = await this.#readAtPosition(routed, {isWanted, onMayHaveRun, ...(isMemberConcerned && {tried})});
 				({isPrimaryMissing} = outcome);
 				return outcome.attempt;
 			}
 
 			const attempt = await this.#readFrom(pool, routed, {isPrimaryRead: true, isWanted});
+			tried.isPending = false;
 			context.log(routed.request.id, 'primary read', describeAttempt(attempt), {member: pool.server.id, elapsed: Math.round(context.now - routed.arrivedAt)});
 			if (attempt.kind === 'answered' || attempt.kind === 'unknown') {
 				onMayHaveRun(attempt);
-			} else if (attempt.kind === 'notRun' && (attempt.reason === 'readOnly' || attempt.reason === 'wrongServer')) {
-				routed.client.forgetPrimary(pool.server.id);
+			} else if (attempt.kind === 'notRun') {
+				isMemberConcerned = attempt.isMemberConcerned ?? true;
+				if (attempt.reason === 'readOnly' || attempt.reason === 'wrongServer') {
+					routed.client.forgetPrimary(pool.server.id);
+				}
 			}
 
 			return attempt;
@@ -157,7 +174,7 @@
 	}
 
 	/** Executes a read on the members that have reached a position which the primary has confirmed, and retries it until its deadline while no member serves it. */
-	async #readAtPosition(routed: RoutedDataRequest, {isWanted: isReadWanted, onMayHaveRun}: PositionedReadOptions): Promise<PositionedRead> {
+	async #readAtPosition(routed: RoutedDataRequest, {isWanted: isReadWanted, onMayHaveRun, tried}: PositionedReadOptions): Promise<PositionedRead> {
 		const {context} = this;
 		const {request, route, client, arrivedAt, deadline} = routed;
 		let last: StatementAttempt = {kind: 'notRun', reason: 'busy', detail: 'no member was reached'};
@@ -167,7 +184,9 @@
 				return {attempt: last, isPrimaryMissing: true};
 			}
 
-			const pools = this.candidatePools(client, route, required);
+			const candidates = this.candidatePools(client, route, required, tried !== undefined && tried.member === client.primaryId);
+			// A member that has the read already is tried again only after all others.
+			const pools = tried?.isPending ? candidates.toSorted((first, second) => Number(first.server.id === tried.member) - Number(second.server.id === tried.member)) : candidates;
 			if (!pools.some(pool => pool.isAnswerableBefore(deadline))) {
 				break;
 			}
