--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -163,6 +163,7 @@
 
 		this.#held = held;
 		const {pool, connection} = held;
+		const startedAt = this.clock.now();
 		const isHeld = (): boolean => this.#held?.connection === connection;
 		try {
 			const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
@@ -177,8 +178,14 @@
 			const reply = relayedReplyOf(outcome);
 			return reply ? {kind: 'answered', reply} : {kind: 'unknown', detail: 'the read was not answered inside its transaction'};
 		} catch (error) {
+			// The variables of the session could not be set; the read was not sent.
+			const {codeName, message} = toBuckthornhitchError(error);
+			if (codeName === 'linkOutcomeUnknown') {
+				pool.reportFailure(startedAt);
+			}
+
 			return {
-				kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, isLost: false,
+				kind: 'notRun', reason: refusalReasonOf(error), detail: message, isLost: false,
 			};
 		} finally {
 			// A relay that was closed meanwhile has returned the connection already.
