--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -26,6 +26,8 @@
 export class RelaySession {
 	readonly #session = new CallerSessionState();
 	#held: HeldConnection | undefined;
+	/** Whether a transaction was begun on the held connection. */
+	#hasBegun = false;
 	#nextSequence = 0;
 	#lastResponse: Promise<unknown> = Promise.resolve();
 	#pendingCount = 0;
@@ -142,7 +144,7 @@
 
 	/** Refuses a statement that would not run in the transaction that it is meant for: one of a transaction that is not open, or a primary read that is no read or would run inside a transaction. A commit without a transaction is answered as aborted instead. */
 	#refuseScope({isInTransaction, isPrimaryRead, statement}: RelayStatementRequest): RelayStatementResponse | undefined {
-		if (isInTransaction && statement.kind !== 'commit' && !this.#held?.connection.isInTransaction) {
+		if (isInTransaction && statement.kind !== 'commit' && !(this.#held && this.#hasBegun)) {
 			return {
 				kind: 'notRun', reason: 'busy', detail: 'the transaction is not open', isLost: false,
 			};
@@ -170,6 +172,7 @@
 
 		this.#held = held;
 		const {pool, connection} = held;
+		const startedAt = this.clock.now();
 		const isHeld = (): boolean => this.#held?.connection === connection;
 		try {
 			const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
@@ -184,8 +187,14 @@
 			const reply = relayedReplyOf(outcome);
 			return reply ? {kind: 'answered', reply} : {kind: 'unknown', detail: 'the read was not answered inside its transaction'};
 		} catch (error) {
+			// The variables of the session could not be set; the read was not sent.
+			const {codeName, message} = toBuckthornhitchError(error);
+			if (codeName === 'linkOutcomeUnknown') {
+				pool.reportFailure(startedAt);
+			}
+
 			return {
-				kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, isLost: false,
+				kind: 'notRun', reason: refusalReasonOf(error), detail: message, isLost: false,
 			};
 		} finally {
 			// A relay that was closed meanwhile has returned the connection already.
@@ -199,7 +208,10 @@
 	async #executeOnMember(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
 		const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
 		try {
-			this.#held ??= await this.#acquireMeasured(deadline);
+			if (!this.#held) {
+				this.#held = await this.#acquireMeasured(deadline);
+				this.#hasBegun = false;
+			}
 		} catch (error) {
 			return notAcquired(error);
 		}
@@ -215,6 +227,10 @@
 
 			isSent = true;
 			const reply = await connection.execute(statement, deadline - this.clock.now());
+			if (statement.kind === 'begin') {
+				this.#hasBegun = reply.outcome === 'done' && reply.transaction === 'open';
+			}
+
 			this.#releaseIfIdle(reply);
 			return {kind: 'answered', reply};
 		} catch (error) {
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -191,7 +191,7 @@
 			statement,
 			timeout,
 			...(sendsPriority && this.#useFields()),
-			...scopeFields(scope),
+			...(this.#supportsScopes && scopeFields(scope)),
 		};
 		try {
 			return await linkClient.request(gateway, 'relayStatement', body, timeout + gatewayAllowance) as RelayStatementResponse;
