--- a/source/admission/concurrency-limit.ts
+++ b/source/admission/concurrency-limit.ts
@@ -38,8 +38,8 @@
 	#changedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	#minima: RoundMinimum[] = [];
 
-	/** The maximum is the number of connections that the instance may have to the member. */
-	constructor(private readonly maximum: () => number) {}
+	/** The maximum is the number of connections that the instance may have to the member. Long reply times lower the limit to the floor at most; only refusals lower it further. */
+	constructor(private readonly maximum: () => number, private readonly floor: () => number = () => 1) {}
 
 	/** Number of statements that may be in flight; between 1 and the maximum. */
 	get limit(): number {
@@ -72,8 +72,9 @@
 		const lowest = Math.min(...this.#minima.map(({replyTime}) => replyTime));
 		const gradient = Math.max(smallestGradient, Math.min(1, tolerance * lowest / Math.max(1, median(this.#round)!)));
 		const isUsed = this.#largestInFlight >= this.limit * usedShare;
-		const headroom = gradient === 1 && isUsed ? Math.sqrt(this.#limit) : 0;
-		this.#changeLimit((this.#limit * gradient) + headroom, now);
+		const headroom = isUsed ? Math.sqrt(this.#limit) : 0;
+		const smallest = Math.min(this.#limit + headroom, this.floor());
+		this.#changeLimit(Math.max(smallest, gradient === 1 ? this.#limit + headroom : this.#limit * gradient), now);
 	}
 
 	#changeLimit(limit: number, now: Milliseconds): void {
--- a/source/session-proxy/loaded-member-fake.ts
+++ b/source/session-proxy/loaded-member-fake.ts
@@ -13,7 +13,9 @@
 	readonly slots: number;
 	/** Requests that wait for a slot before the member refuses more as busy. */
 	readonly queueLimit: number;
-	readonly serviceTime: Milliseconds;
+	readonly serviceTime: Milliseconds | (() => Milliseconds);
+	/** Time for which opening a connection takes a slot; by default, it takes none. */
+	readonly connectTime?: Milliseconds;
 };
 
 /** Member whose reads and writes take slots for a time, to play loads on the manual clock. */
@@ -35,11 +37,26 @@
 			return 'busy';
 		}
 
+		const {serviceTime} = this.capacity;
+		await this.#occupySlot(typeof serviceTime === 'number' ? serviceTime : serviceTime());
+		return undefined;
+	}
+
+	/** Accepts a connection. */
+	async accept(): Promise<void> {
+		const {connectTime} = this.capacity;
+		if (connectTime !== undefined) {
+			await this.#occupySlot(connectTime);
+		}
+	}
+
+	/** Takes a slot for the duration, as soon as one is free. */
+	async #occupySlot(duration: Milliseconds): Promise<void> {
 		return new Promise(resolve => {
 			this.#queue.push(() => {
-				this.clock.schedule(this.capacity.serviceTime, () => {
+				this.clock.schedule(duration, () => {
 					this.#busySlots--;
-					resolve(undefined);
+					resolve();
 					this.#startNext();
 				});
 			});
@@ -89,7 +106,7 @@
 	}
 
 	async #refusalOf(statement: MemberStatement): Promise<RefusalReason | undefined> {
-		if (statement.kind === 'read' || statement.kind === 'write') {
+		if (statement.kind === 'read' || statement.kind === 'write' || statement.kind === 'execute') {
 			return this.member.run(statement.id);
 		}
 
@@ -109,6 +126,8 @@
 	}
 
 	override async connect({id}: MemberTarget): Promise<MemberConnection> {
-		return new LoadedMemberConnection(this.members.get(id)!);
+		const member = this.members.get(id)!;
+		await member.accept();
+		return new LoadedMemberConnection(member);
 	}
 }
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -62,6 +62,7 @@
 		this.#gate = new StatementGate({
 			clock,
 			placement,
+			slots: server.slots,
 			logPosition: () => this.logPosition,
 			onFreed: () => {
 				this.#serveWaiting();
--- a/source/session-proxy/statement-gate.ts
+++ b/source/session-proxy/statement-gate.ts
@@ -26,6 +26,8 @@
 export type StatementGateOptions = {
 	readonly clock: Clock;
 	readonly placement: ConnectionPlacement;
+	/** Number of slots of the member. */
+	readonly slots: number;
 	/** Returns the last log position that the member reported. */
 	readonly logPosition: () => LogPosition | undefined;
 	/** Called when fewer statements are in flight than before, without a connection being released. */
@@ -43,7 +45,7 @@
 	readonly #replyTime = new AverageReplyTime();
 
 	constructor(private readonly options: StatementGateOptions) {
-		this.#limit = new ConcurrencyLimit(() => options.placement.maximumOfInstance);
+		this.#limit = new ConcurrencyLimit(() => options.placement.maximumOfInstance, () => options.slots);
 	}
 
 	/** Number of statements in flight. */
