--- a/source/relay/gateway-queue.spec.ts
+++ b/source/relay/gateway-queue.spec.ts
@@ -113,8 +113,8 @@
 	assert.equal(fixture.member.received.length, 2);
 	fixture.knowsAllEntries = false;
 	fixture.member.releaseReplies();
-	const outcomes = (await fixture.settle(Promise.all(replies))).map(reply => reply.outcome === 'refused' ? reply.reason : reply.outcome);
-	assert.deepEqual(outcomes, ['done', 'done', 'busy']);
+	const answered = await fixture.settle(Promise.all(replies));
+	assert.deepEqual(answered.map(reply => reply.outcome === 'refused' ? reply.reason : reply.outcome), ['done', 'done', 'busy']);
 	assert.equal(connections[2].memberConnection.isClosed, true);
 	assert.equal(fixture.member.received.length, 2);
 });
--- a/source/session-proxy/gateway-queue.spec.ts
+++ b/source/session-proxy/gateway-queue.spec.ts
@@ -4,14 +4,14 @@
 import {ManualClock} from '../clock/manual-clock.js';
 import {silentLogger} from '../observability/logger.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type MemberStatement} from '../statement/types.js';
+import {type MemberStatement, type StatementReply} from '../statement/types.js';
 import {CallerSessionState} from './caller-session-state.js';
 import {ConnectionPlacement} from './connection-placement.js';
 import {QueueRefusalError} from './connection-requests.js';
 import {MemberPool} from './member-pool.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
 import {type PooledConnection} from './pooled-connection.js';
-import {testAnnouncement} from './session-fixture.js';
+import {SessionFixture, testAnnouncement} from './session-fixture.js';
 
 const connectionLimit = 10;
 
@@ -264,3 +264,29 @@
 	assert.deepEqual(await Promise.all(busy), ['done', 'done'], 'statements in flight keep their outcome');
 	await assert.rejects(fixture.pool.acquireForRelay(800, {priority: 1, isForTransaction: false}, new CallerSessionState(), undefined), {codeName: 'notGateway'});
 });
+
+// A request that the queue has refused would wait in it again until its deadline, and cost a round trip between regions each time.
+test('a request that a queue refused is not sent to the same member again, and its caller is told the expected wait', async context => {
+	const expectedWait = 400;
+	const attempts = context.mock.method(MemberPool.prototype, 'acquireForCaller', async () => {
+		throw new QueueRefusalError('deadlinePassed', 'refused', expectedWait);
+	});
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	for (const [statement, memberCount] of [[{kind: 'write', id: 'w', text: 'WRITE 1 x'}, 1], [{kind: 'read', id: 'r', text: 'READ 1'}, fixture.members.length]] as const) {
+		attempts.mock.resetCalls();
+		const reply = await fixture.run(session, statement);
+		assert.equal(attempts.mock.callCount(), memberCount, statement.kind);
+		assertRetryAfter(reply, expectedWait);
+	}
+
+	attempts.mock.resetCalls();
+	await fixture.run(session, {kind: 'begin', id: 'b', isReadOnly: false});
+	assertRetryAfter(await fixture.run(session, {kind: 'write', id: 'w', text: 'WRITE 1 x'}), expectedWait);
+	assert.equal(attempts.mock.callCount(), 1, 'a transaction');
+});
+
+function assertRetryAfter(reply: StatementReply, expected: Milliseconds): void {
+	const time = Number(/come back in (\d+) ms/v.exec(reply.outcome === 'refused' ? reply.detail : '')?.[1]);
+	assert.ok(time >= expected * 0.75 && time <= expected * 1.25, JSON.stringify(reply));
+}
