--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -62,6 +62,7 @@
 		this.#gate = new StatementGate({
 			clock,
 			placement,
+			slots: server.slots,
 			logPosition: () => this.logPosition,
 			onFreed: () => {
 				this.#serveWaiting();
@@ -196,7 +197,7 @@
 		this.#inUse.beginRollback(connection);
 		this.#gate.vacateIfAnswered(connection);
 		const cancel = this.options.clock.schedule(rollbackTimeout, () => {
-			connection.memberConnection.close();
+			this.discard(connection);
 		});
 		void this.#rollBack(connection).finally(cancel);
 		this.#serveWaiting();
