--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -317,7 +317,7 @@
 			}
 
 			if (last.expectedWait !== undefined) {
-				return last;
+				return refused();
 			}
 
 			await this.readExecutor.waitBeforeRetry(client, isReadOnly && last.reason === 'lagging', deadline);
--- a/source/session-proxy/gateway-queue.spec.ts
+++ b/source/session-proxy/gateway-queue.spec.ts
@@ -38,6 +38,10 @@
 		return connectionLimit;
 	}
 
+	override keptConnections(): number {
+		return connectionLimit;
+	}
+
 	override isAllowed(): boolean {
 		return this.hasRole;
 	}
