--- a/source/admission/sliding-window-retry-budget.ts
+++ b/source/admission/sliding-window-retry-budget.ts
@@ -1,10 +1,14 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 
-/** Maximum ratio of retries to requests within the window. */
-const maximumRetryShare = 0.1;
+/** How many retries a budget allows. */
+export type RetryAllowance = {
+	/** Maximum ratio of retries to requests within the window. */
+	readonly share: number;
+	/** Retries that are allowed within the window however few requests there are. */
+	readonly minimum: number;
+};
 
-/** Retries that are allowed within the window however few requests there are. */
-const minimumRetriesPerWindow = 10;
+const defaultAllowance: RetryAllowance = {share: 0.1, minimum: 10};
 
 const windowLength: Milliseconds = 1000;
 const bucketLength: Milliseconds = 100;
@@ -18,7 +22,7 @@
 export class SlidingWindowRetryBudget {
 	readonly #buckets = new Map<number, Bucket>();
 
-	constructor(private readonly clock: Clock) {}
+	constructor(private readonly clock: Clock, private readonly allowance: RetryAllowance = defaultAllowance) {}
 
 	/** Counts a request. */
 	countRequest(): void {
@@ -35,7 +39,7 @@
 			retries += bucket.retries;
 		}
 
-		if (retries >= Math.max(minimumRetriesPerWindow, requests * maximumRetryShare)) {
+		if (retries >= Math.max(this.allowance.minimum, requests * this.allowance.share)) {
 			return false;
 		}
 
