--- a/source/admission/concurrency-limit.spec.ts
+++ b/source/admission/concurrency-limit.spec.ts
@@ -17,9 +17,9 @@
 	readonly #random = new SeededRandom(17);
 	readonly #instances: ReadonlyArray<{readonly limit: ConcurrencyLimit; inFlight: number; waiting: number}>;
 
-	constructor(instanceCount: number, serviceTime: (now: Milliseconds) => Milliseconds) {
+	constructor(instanceCount: number, serviceTime: (now: Milliseconds) => Milliseconds, floor = 1) {
 		this.member = new ModelServer(this.clock, this.#random, {slots: 4, queueLimit: 32, serviceTime});
-		this.#instances = Array.from({length: instanceCount}, () => ({limit: new ConcurrencyLimit(() => connectionsPerInstance), inFlight: 0, waiting: 0}));
+		this.#instances = Array.from({length: instanceCount}, () => ({limit: new ConcurrencyLimit(() => connectionsPerInstance, () => floor), inFlight: 0, waiting: 0}));
 	}
 
 	/** Sends statements at random times at a rate. */
@@ -101,3 +101,32 @@
 
 	assert.ok(limit.limit <= 6, String(limit.limit));
 });
+
+// One of several gateways may have all the load; with a limit of 1 it would keep one slot of four busy. Statements differ in their work, so that the shortest reply makes the others look as if they had waited.
+test('an instance that alone has load keeps all slots of the member busy, although replies take different times', () => {
+	const random = new SeededRandom(3);
+	const load = new MemberLoad(1, () => -Math.log(1 - random.fraction()) * 20, 4);
+	load.run(300, 10_000);
+	assert.equal(load.member.refusals, 0);
+	assert.ok(load.replyTimes.length > 0.85 * 200 * 10, `${load.replyTimes.length} of 2,000 were answered`);
+});
+
+// A floor must not keep up the statements that the member refuses.
+test('long reply times lower the limit to the floor, and refusals below it', () => {
+	const limit = new ConcurrencyLimit(() => 12, () => 4);
+	for (let time = 0; time < 3000; time += 10) {
+		limit.recordReply(time, 12, time + 5);
+	}
+
+	assert.equal(limit.limit, 12);
+	for (let time = 3000; time < 6000; time += 10) {
+		limit.recordReply(time, 12, time + 100);
+	}
+
+	assert.equal(limit.limit, 4);
+	for (let time = 6200; time < 7200; time += 100) {
+		limit.recordRefusal(time, time);
+	}
+
+	assert.equal(limit.limit, 1);
+});
--- a/source/relay/gateway-load-fixture.ts
+++ b/source/relay/gateway-load-fixture.ts
@@ -18,7 +18,7 @@
 import {RelayServer} from './relay-server.js';
 import {RelayingConnector} from './relaying-connector.js';
 
-/** Class of requests of deployment A at one of its six services. */
+/** Class of requests of a deployment at one of its six services. */
 export type RequestClass = {
 	readonly priority: number;
 	readonly perSecond: number;
@@ -30,18 +30,55 @@
 	readonly transactionShare: number;
 };
 
-/** Request classes of deployment A at one of its six services, in the order of their priorities. */
-export const requestClasses: readonly RequestClass[] = [
-	{
-		priority: 0, perSecond: 11, latencyTarget: 400, statementTimeout: 800, deadline: 2500, transactionShare: 0.25,
-	},
-	{
-		priority: 1, perSecond: 19, latencyTarget: 600, statementTimeout: 1500, deadline: 4000, transactionShare: 0,
-	},
-	{
-		priority: 2, perSecond: 52, latencyTarget: 1500, statementTimeout: 800, deadline: 2500, transactionShare: 0,
-	},
-];
+/** Load of a deployment at one of its six services, played at one member. */
+export type Deployment = {
+	readonly hasCustomers: boolean;
+	readonly entryCount: number;
+	/** Number of connections that the member accepts. */
+	readonly connectionLimit: number;
+	/** Mean time for which a read or a write takes a slot. A burst of the lowest priority of 2.6 times its usual rate takes 103% of the four slots. */
+	readonly meanServiceTime: Milliseconds;
+	/** Request classes in the order of their priorities. */
+	readonly requestClasses: readonly RequestClass[];
+};
+
+/** Deployment with customers. */
+export const deploymentA: Deployment = {
+	hasCustomers: true,
+	entryCount: 142,
+	connectionLimit: 112,
+	meanServiceTime: 25,
+	requestClasses: [
+		{
+			priority: 0, perSecond: 11, latencyTarget: 400, statementTimeout: 800, deadline: 2500, transactionShare: 0.25,
+		},
+		{
+			priority: 1, perSecond: 19, latencyTarget: 600, statementTimeout: 1500, deadline: 4000, transactionShare: 0,
+		},
+		{
+			priority: 2, perSecond: 52, latencyTarget: 1500, statementTimeout: 800, deadline: 2500, transactionShare: 0,
+		},
+	],
+};
+
+/** Deployment without customers. No priorities are stated for its reads; they follow that of the primary requests in order. */
+export const deploymentB: Deployment = {
+	hasCustomers: false,
+	entryCount: 83,
+	connectionLimit: 46,
+	meanServiceTime: 13,
+	requestClasses: [
+		{
+			priority: 1, perSecond: 22.5, latencyTarget: 400, statementTimeout: 4000, deadline: 4000, transactionShare: 0,
+		},
+		{
+			priority: 2, perSecond: 22.5, latencyTarget: 800, statementTimeout: 8000, deadline: 8000, transactionShare: 0,
+		},
+		{
+			priority: 3, perSecond: 105, latencyTarget: 800, statementTimeout: 4000, deadline: 4000, transactionShare: 0,
+		},
+	],
+};
 
 /** A request of a client, with its end. */
 export type LoadResult = {
@@ -58,7 +95,6 @@
 	readonly rateFactor?: (priority: number, now: Milliseconds) => number;
 	/** Factor on the rate of the customer with the most requests. */
 	readonly customerFactor?: (now: Milliseconds) => number;
-	readonly hasCustomers?: boolean;
 	readonly seed?: number;
 };
 
@@ -66,9 +102,6 @@
 const zipfExponent = 1.2;
 const entryCount = 24;
 
-/** Mean time for which a read or a write takes a slot. The usual load takes 55% of the four slots, and a burst of the lowest priority of 2.6 times its usual rate 107%. */
-const meanServiceTime: Milliseconds = 25;
-
 /** Time for which opening a connection takes a slot. */
 const connectTime: Milliseconds = 12;
 
@@ -102,7 +135,7 @@
 	}
 }
 
-/** Clients that send the load of one service of deployment A to one member through entry instances, four of which are gateways. */
+/** Clients that send the load of one service to one member through entry instances, four of which are gateways. */
 export class GatewayLoad {
 	readonly clock = new ManualClock();
 	readonly member: LoadedMember;
@@ -112,9 +145,10 @@
 	readonly #customerWeights: readonly number[];
 	#nextId = 0;
 
-	constructor(private readonly options: LoadOptions = {}) {
+	constructor(private readonly deployment: Deployment, private readonly options: LoadOptions = {}) {
 		const {clock} = this;
-		const {hasCustomers = true, seed = 1} = options;
+		const {hasCustomers, connectionLimit, meanServiceTime} = deployment;
+		const {seed = 1} = options;
 		this.#random = new SeededRandom(seed);
 		this.#customerWeights = Array.from({length: hasCustomers ? customerCount : 1}, (_, index) => 1 / ((index + 1) ** zipfExponent));
 		this.member = new LoadedMember(clock, true, {
@@ -128,7 +162,7 @@
 			};
 		});
 		const allocation = allocateConnections({
-			connectionLimit: hasCustomers ? 112 : 46, entryCount: 142, dataCentreCount: sites.length, hasCustomers,
+			connectionLimit, entryCount: deployment.entryCount, dataCentreCount: sites.length, hasCustomers,
 		});
 		const links = new InMemoryLinks();
 		const regionOf = (address: string): string | undefined => records.find(record => record.address === address)?.region;
@@ -159,14 +193,14 @@
 	/** Sends requests at random times for a duration, and then waits until all have ended. */
 	async run(duration: Milliseconds): Promise<void> {
 		while (this.clock.now() < duration) {
-			for (const requestClass of requestClasses) {
+			for (const requestClass of this.deployment.requestClasses) {
 				this.#arrive(requestClass);
 			}
 
 			await this.clock.advanceInSteps(1, 1);
 		}
 
-		await this.clock.advanceInSteps(Math.max(...requestClasses.map(({deadline}) => deadline)), 5);
+		await this.clock.advanceInSteps(Math.max(...this.deployment.requestClasses.map(({deadline}) => deadline)), 5);
 	}
 
 	/** Returns the results of the requests that were sent in a period and meet the condition. */
@@ -215,7 +249,7 @@
 		const targetAt = this.clock.now() + latencyTarget;
 		let connection: PooledConnection | undefined;
 		try {
-			connection = await pool.acquireForCaller(statementTimeout, {priority, isForTransaction, targetAt}, new CallerSessionState(), this.options.hasCustomers === false ? undefined : customer);
+			connection = await pool.acquireForCaller(statementTimeout, {priority, isForTransaction, targetAt}, new CallerSessionState(), this.deployment.hasCustomers ? customer : undefined);
 			const kinds = isForTransaction ? ['begin', 'read', 'read', 'commit'] as const : ['read'] as const;
 			for (const kind of kinds) {
 				const id = String(this.#nextId++);
