--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -192,7 +192,8 @@
 		this.#inUse.beginRollback(connection);
 		this.#gate.vacateIfAnswered(connection);
 		const cancel = this.options.clock.schedule(rollbackTimeout, () => {
-			this.discard(connection);
+			this.#gate.vacate(connection);
+			connection.memberConnection.close();
 		});
 		void this.#rollBack(connection).finally(cancel);
 		this.#serveWaiting();
--- a/source/session-proxy/statement-gate.ts
+++ b/source/session-proxy/statement-gate.ts
@@ -106,9 +106,9 @@
 		}
 	}
 
-	/** Counts a statement that is sent on a connection. Returns a function that must be called with its reply, or with undefined if there is none. */
+	/** Counts a statement that is sent on a direct connection, where the shares of all instances are exact. Returns a function that must be called with its reply, or with undefined if there is none. */
 	recordSent(connection: PooledConnection, isForTransaction: boolean, statement: MemberStatement): (reply: StatementReply | undefined) => void {
-		if (!slotKinds.has(statement.kind)) {
+		if (!slotKinds.has(statement.kind) || !this.options.placement.isExact) {
 			return () => undefined;
 		}
 
