--- a/source/session-proxy/hedged-read.spec.ts
+++ b/source/session-proxy/hedged-read.spec.ts
@@ -38,6 +38,7 @@
 		attempted.push(id);
 		return {kind: 'notRun', reason: 'busy', detail: 'overloaded'} satisfies StatementAttempt;
 	}, () => false);
-	assert.equal((await read.run()).kind, 'notRun');
+	const attempt = await read.run();
+	assert.equal(attempt.kind, 'notRun');
 	assert.deepEqual(attempted, ['a', 'b', 'c']);
 });
