--- a/source/links/silent-link.spec.ts
+++ b/source/links/silent-link.spec.ts
@@ -45,6 +45,21 @@
 	};
 }
 
+/** Opens a link whose peer allows silence and never sends anything again. Returns the ids of closed links as well. */
+function connectSilentPeer(server: LinkServer, address: string): {readonly closed: readonly number[]; readonly peer: Socket} {
+	const closed: number[] = [];
+	server.onLinkClosed(({linkId}) => {
+		closed.push(linkId);
+	});
+	const peer = createConnection({host: '127.0.0.1', port: Number(address.split(':')[1])});
+	peer.on('error', () => undefined);
+	peer.resume();
+	peer.write(encodeFrame({
+		kind: 'notice', name: pingName, body: {readsCompressed: true, mayBeSilent: true}, time: {milliseconds: 0, counter: 0},
+	}));
+	return {closed, peer};
+}
+
 // Pings of idle links between hundreds of entries and their gateways were most of what the processes did.
 test('a link that may be silent carries no pings while no request is open, and serves later requests', async () => {
 	const {clock, server, client, address, pings} = await createLink({isSilent: true});
@@ -108,16 +123,7 @@
 // An entry that loses power inside a transaction would keep a connection of its gateway until the relay is closed as unused.
 test('a server that needs the peer of a silent link closes the link when the peer is gone', async () => {
 	const {clock, server, client, address} = await createLink({isSilent: true});
-	const closed: number[] = [];
-	server.onLinkClosed(({linkId}) => {
-		closed.push(linkId);
-	});
-	const peer = createConnection({host: '127.0.0.1', port: Number(address.split(':')[1])});
-	peer.on('error', () => undefined);
-	peer.resume();
-	peer.write(encodeFrame({
-		kind: 'notice', name: pingName, body: {readsCompressed: true, mayBeSilent: true}, time: {milliseconds: 0, counter: 0},
-	}));
+	const {closed, peer} = connectSilentPeer(server, address);
 	await pass(clock, 10_000);
 	assert.deepEqual(closed, []);
 	server.watchPeer(1, true);
@@ -130,16 +136,7 @@
 // Links of lost instances would add up on a gateway for its lifetime.
 test('a silent link on which nothing arrives is closed after a minute', async () => {
 	const {clock, server, client, address} = await createLink({isSilent: true});
-	const closed: number[] = [];
-	server.onLinkClosed(({linkId}) => {
-		closed.push(linkId);
-	});
-	const peer = createConnection({host: '127.0.0.1', port: Number(address.split(':')[1])});
-	peer.on('error', () => undefined);
-	peer.resume();
-	peer.write(encodeFrame({
-		kind: 'notice', name: pingName, body: {readsCompressed: true, mayBeSilent: true}, time: {milliseconds: 0, counter: 0},
-	}));
+	const {closed, peer} = connectSilentPeer(server, address);
 	await pass(clock, 50_000);
 	assert.deepEqual(closed, []);
 	await pass(clock, 15_000);
