--- a/source/session-proxy/surplus-connections.ts
+++ b/source/session-proxy/surplus-connections.ts
@@ -34,6 +34,11 @@
 		});
 	}
 
+	/** Closes the idle connections that the placement does not allow any more. */
+	closeForbidden(): void {
+		this.idle.closeWhere(({memberConnection}) => !this.placement.isAllowed(memberConnection));
+	}
+
 	/** Closes idle connections beyond those that are kept, the least recently used first, once they have been idle for a moment. */
 	#closeBeyondKept(): void {
 		for (const path of ['own', 'gateway', undefined] as const) {
@@ -41,9 +46,4 @@
 			this.idle.closeOlderThan(connection => connection.path === path ? surplusIdleTimeout : Number.POSITIVE_INFINITY, this.clock.now(), excess);
 		}
 	}
-
-	/** Closes the idle connections that the placement does not allow any more. */
-	closeForbidden(): void {
-		this.idle.closeWhere(({memberConnection}) => !this.placement.isAllowed(memberConnection));
-	}
 }
