--- a/source/relay/gateway-availability.spec.ts
+++ b/source/relay/gateway-availability.spec.ts
@@ -30,8 +30,8 @@
 			throw new BuckthornhitchError('linkOutcomeUnknown', 'no answer');
 		}
 	});
-	availability.markUnavailable(gateway, 'no answer');
-	availability.markUnavailable(gateway, 'no answer');
+	void availability.suspect(gateway, 'no answer');
+	void availability.suspect(gateway, 'no answer');
 	await clock.advanceInSteps(10_000, 10);
 	assert.equal(availability.isAvoided({gateway, member: 'a'}) && availability.isAvoided({gateway, member: 'b'}), true);
 	assert.ok(probeCount >= 10 && probeCount <= 30, `${probeCount} probes in 10 s`);
@@ -48,11 +48,24 @@
 	const {clock, availability} = createAvailability(async () => {
 		throw new BuckthornhitchError('unknownRequest', 'probeGateway');
 	});
-	availability.markUnavailable(gateway, 'no answer');
+	void availability.suspect(gateway, 'no answer');
 	await clock.advanceInSteps(200, 10);
 	assert.equal(availability.isUnavailable(gateway), false);
 });
 
+// After a loss of power of all instances, gateways that had just started answered slowly; each time one counted as lost, all relays through it were opened at another one, and again when it answered.
+test('a gateway that is only slow stays available for the other members', async () => {
+	const {clock, availability} = createAvailability(async () => {
+		await clock.sleep(400);
+	});
+	availability.avoid({gateway, member: 'a'}, 'no answer');
+	void availability.suspect(gateway, 'no answer');
+	for (let passed = 0; passed < 1000; passed += 50) {
+		assert.equal(availability.isAvoided({gateway, member: 'b'}), false);
+		await clock.advanceInSteps(50, 10);
+	}
+});
+
 // Gateways that were replaced have new names; their probes would go on for the lifetime of the process.
 test('a gateway that is no longer an entry is not probed any more', async () => {
 	let isKnown = true;
@@ -61,7 +74,7 @@
 		probeCount++;
 		throw new BuckthornhitchError('linkNotSent', 'refused');
 	}, () => isKnown);
-	availability.markUnavailable(gateway, 'refused');
+	void availability.suspect(gateway, 'refused');
 	await clock.advanceInSteps(500, 10);
 	isKnown = false;
 	await clock.advanceInSteps(1000, 10);
@@ -91,6 +104,7 @@
 		await fixture.attempt(requester.pool, {kind: 'write', id: 'w', text: 'WRITE 1 x'});
 	}
 
+	await fixture.clock.advanceInSteps(600, 10);
 	const startedAt = fixture.clock.now();
 	await assert.rejects(fixture.settle(requester.pool.acquire(2000, 1)), {codeName: 'memberRefused'});
 	assert.ok(fixture.clock.now() - startedAt <= 20);
--- a/source/relay/gateway-availability.ts
+++ b/source/relay/gateway-availability.ts
@@ -11,6 +11,12 @@
 /** Delays between the probes of a gateway that does not answer. */
 const probeDelays = {shortest: 100, longest: 800} as const;
 
+/** Timeout of the probe that confirms that a gateway does not answer. A gateway that is only slow, such as one that has just started, answers in this time. */
+const confirmTimeout: Milliseconds = 500;
+
+/** Timeout of later probes: a round trip between regions and a short stall of the gateway. */
+const probeTimeout: Milliseconds = 300;
+
 /** Gateway and member of a relay. */
 export type GatewayUse = {
 	readonly gateway: EntryRecord;
@@ -23,8 +29,8 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
-	/** Resolves when the gateway answers. Rejects with linkNotSent or linkOutcomeUnknown when it does not. */
-	readonly probe: (gateway: EntryRecord) => Promise<void>;
+	/** Resolves when the gateway answers. Rejects with linkNotSent or linkOutcomeUnknown when it does not within the timeout in milliseconds. */
+	readonly probe: (gateway: EntryRecord, timeout: Milliseconds) => Promise<void>;
 	/** Returns whether the gateway is still one of the known entries. */
 	readonly isKnown: (gateway: EntryRecord) => boolean;
 };
@@ -32,12 +38,14 @@
 /**
 Which gateways may relay to which members.
 
-A gateway that does not answer is unavailable for all members until it answers a probe. Answers half of the entries being lost at once: without a state for the whole gateway, an entry loses one request for each member and lost gateway, and again each time the avoidance ends.
+A gateway that does not answer a request is avoided for its member, and probed; if it does not answer the probe either, it is unavailable for all members until it answers one. Answers half of the entries being lost at once: without a state for the whole gateway, an entry loses one request for each member and lost gateway, and again each time the avoidance ends.
 */
 export class GatewayAvailability {
 	/** Time until which gateways that refused are avoided, by gateway and member. */
 	readonly #avoidedUntil = new Map<string, Milliseconds>();
-	/** Names of the gateways that have not answered since a request to them failed. */
+	/** Names of the gateways that are probed after a request to them was not answered. */
+	readonly #suspected = new Set<string>();
+	/** Names of the gateways that did not answer a probe either, and have not answered since. */
 	readonly #unavailable = new Set<string>();
 
 	constructor(private readonly options: GatewayAvailabilityOptions) {}
@@ -69,41 +77,46 @@
 		}
 	}
 
-	/** Uses the gateway for no member until it answers a probe. */
-	markUnavailable(gateway: EntryRecord, reason: string): void {
-		if (this.#unavailable.has(gateway.name)) {
+	/** Probes a gateway that did not answer a request. Unless it answers, it is used for no member until it does. */
+	async suspect(gateway: EntryRecord, reason: string): Promise<void> {
+		if (this.#suspected.has(gateway.name)) {
 			return;
 		}
 
-		this.options.logger.info(`${gateway.name} is not used as a gateway until it answers: ${reason}`);
-		this.#unavailable.add(gateway.name);
-		void this.#probeUntilAnswered(gateway);
+		this.#suspected.add(gateway.name);
+		if (!await this.#answers(gateway, confirmTimeout)) {
+			this.options.logger.info(`${gateway.name} is not used as a gateway until it answers: ${reason}`);
+			this.#unavailable.add(gateway.name);
+			await this.#probeUntilAnswered(gateway);
+			this.#unavailable.delete(gateway.name);
+		}
+
+		this.#suspected.delete(gateway.name);
 	}
 
 	async #probeUntilAnswered(gateway: EntryRecord): Promise<void> {
-		const {clock, random, logger, probe, isKnown} = this.options;
+		const {clock, random, logger, isKnown} = this.options;
 		const since = clock.now();
 		const backOff = new BackOff(random, probeDelays);
-		let failure: BuckthornhitchError | undefined;
 		while (isKnown(gateway)) {
 			await clock.sleep(backOff.nextDelay());
-			try {
-				await probe(gateway);
-				failure = undefined;
-				break;
-			} catch (error) {
-				failure = toBuckthornhitchError(error);
-				if (!isSilence(failure)) {
-					// An answer of any kind; earlier builds do not know the probe.
-					failure = undefined;
-					break;
-				}
+			if (await this.#answers(gateway, probeTimeout)) {
+				logger.info(`${gateway.name} answers and is used as a gateway again`, {duration: Math.round(clock.now() - since)});
+				return;
 			}
 		}
 
-		this.#unavailable.delete(gateway.name);
-		const duration = Math.round(clock.now() - since);
-		logger.info(`${gateway.name} ${failure ? 'is no longer an entry' : 'answers and is used as a gateway again'}`, {duration, ...(failure && {reason: failure.message})});
+		logger.info(`${gateway.name} is no longer an entry`);
+	}
+
+	/** Resolves with whether the gateway answers a probe. An error is an answer as well, since earlier builds do not know the probe. */
+	async #answers(gateway: EntryRecord, timeout: Milliseconds): Promise<boolean> {
+		try {
+			await this.options.probe(gateway, timeout);
+			return true;
+		} catch (error) {
+			return !isSilence(toBuckthornhitchError(error));
+		}
 	}
 }
 
--- a/source/relay/relaying-connector.ts
+++ b/source/relay/relaying-connector.ts
@@ -20,9 +20,6 @@
 /** Timeout of the request to open a relay: a round trip within a data centre, the time to open a new link and a short stall of the gateway. */
 const openRelayTimeout: Milliseconds = 300;
 
-/** Timeout of a probe of a gateway: a round trip between regions and a short stall of the gateway. */
-const probeTimeout: Milliseconds = 300;
-
 /** Maximum number of gateways that are tried for one connection. */
 const maximumGatewayAttempts = 3;
 
@@ -64,8 +61,8 @@
 			clock,
 			random,
 			logger,
-			async probe({address}) {
-				await linkClient.request(address, gatewayProbeName, null, probeTimeout);
+			async probe({address}, timeout) {
+				await linkClient.request(address, gatewayProbeName, null, timeout);
 			},
 			isKnown: ({name}) => (options.allEntries?.() ?? options.entries()).some(entry => entry.name === name),
 		});
@@ -323,12 +320,11 @@
 		return this.#availability.isAvoided({gateway, member});
 	}
 
-	/** Avoids a gateway after a failed request. Where gateways are near the members, one that does not answer is not used for any member. */
+	/** Avoids a gateway after a failed request. Where gateways are near the members, one that does not answer at all is not used for any member. */
 	#handleGatewayFailure(gateway: EntryRecord, {id, service}: Pick<MemberTarget, 'id' | 'service'>, failure: BuckthornhitchError): void {
+		this.#availability.avoid({gateway, member: id}, failure.message);
 		if (isSilence(failure) && this.allocationOf(service).gatewaysNearMember !== undefined) {
-			this.#availability.markUnavailable(gateway, failure.message);
-		} else {
-			this.#availability.avoid({gateway, member: id}, failure.message);
+			void this.#availability.suspect(gateway, failure.message);
 		}
 	}
 
