--- a/source/admission/sliding-window-retry-budget.ts
+++ b/source/admission/sliding-window-retry-budget.ts
@@ -1,14 +1,10 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 
-/** How many retries a budget allows. */
-export type RetryAllowance = {
-	/** Maximum ratio of retries to requests within the window. */
-	readonly share: number;
-	/** Retries that are allowed within the window however few requests there are. */
-	readonly minimum: number;
-};
+/** Maximum ratio of retries to requests within the window. */
+const maximumRetryShare = 0.1;
 
-const defaultAllowance: RetryAllowance = {share: 0.1, minimum: 10};
+/** Retries that are allowed within the window however few requests there are. */
+const minimumRetriesPerWindow = 10;
 
 const windowLength: Milliseconds = 1000;
 const bucketLength: Milliseconds = 100;
@@ -22,7 +18,7 @@
 export class SlidingWindowRetryBudget {
 	readonly #buckets = new Map<number, Bucket>();
 
-	constructor(private readonly clock: Clock, private readonly allowance: RetryAllowance = defaultAllowance) {}
+	constructor(private readonly clock: Clock) {}
 
 	/** Counts a request. */
 	countRequest(): void {
@@ -39,7 +35,7 @@
 			retries += bucket.retries;
 		}
 
-		if (retries >= Math.max(this.allowance.minimum, requests * this.allowance.share)) {
+		if (retries >= Math.max(minimumRetriesPerWindow, requests * maximumRetryShare)) {
 			return false;
 		}
 
--- a/source/session-proxy/hedged-read.ts
+++ b/source/session-proxy/hedged-read.ts
@@ -24,8 +24,6 @@
 		private readonly sources: readonly Source[],
 		/** Attempts the read on a source. An attempt that has not sent the read yet stops once `isWanted` returns false. */
 		private readonly readFrom: (source: Source, isWanted: () => boolean) => Promise<StatementAttempt>,
-		/** Returns whether the read may be sent to a further source although the last one may still answer. */
-		private readonly mayHedge: () => boolean = () => true,
 	) {}
 
 	/** Resolves with the first successful attempt, or with the last one if all failed. */
@@ -47,9 +45,7 @@
 			this.#runningCount++;
 			const delay = Math.max(minimumHedgeDelay, hedgeDelayFactor * source.expectedReplyTime);
 			const cancelHedge = this.clock.schedule(delay, () => {
-				if (this.#nextIndex < this.sources.length && this.mayHedge()) {
-					this.#startNext();
-				}
+				this.#startNext();
 			});
 			void this.#runAttempt(source, cancelHedge);
 		} else if (this.#runningCount === 0) {
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -1,5 +1,4 @@
 import {retryAfter, type RetryCause} from '../admission/retry-after.js';
-import {SlidingWindowRetryBudget} from '../admission/sliding-window-retry-budget.js';
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
@@ -29,9 +28,6 @@
 /** Age up to which a member has just started although it was known from the beginning. */
 const recentStartAge: Milliseconds = 5000;
 
-/** Hedged reads per service: enough for the reads at a member that fails silently, and few enough that slow replies of all members do not multiply the load. */
-const hedgeAllowance = {share: 0.3, minimum: 3} as const;
-
 /** Dependencies and limits of a client of one service. */
 export type ServiceClientOptions = {
 	readonly service: string;
@@ -65,8 +61,6 @@
 	readonly freshness: FreshnessTracker;
 	/** Placement of reads on recovering and ejected members. */
 	readonly placement: ReadPlacement;
-	/** Budget for reads that are sent to a further member while one may still answer. */
-	readonly hedgeBudget: SlidingWindowRetryBudget;
 	readonly #createdAt: Milliseconds;
 	readonly #pools = new Map<string, MemberPool>();
 	readonly #poolsBeingProbed = new Set<MemberPool>();
@@ -81,7 +75,6 @@
 	#primarySearch: Promise<string | undefined> | undefined;
 
 	constructor(private readonly options: ServiceClientOptions) {
-		this.hedgeBudget = new SlidingWindowRetryBudget(options.clock, hedgeAllowance);
 		this.freshness = new FreshnessTracker(options.clock);
 		this.#random = options.random ?? new SystemRandom();
 		this.placement = new ReadPlacement({...options, random: this.#random});
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -56,7 +56,6 @@
 			attemptsThatMayHaveRun.push(attempt);
 		};
 
-		client.hedgeBudget.countRequest();
 		const pool = primaryReadPool(routed);
 		const {attempt, isPrimaryMissing} = pool
 			? await this.#readFromPrimaryFirst(pool, routed, onMayHaveRun)
@@ -170,7 +169,7 @@
 			}
 
 			return attempt;
-		}, () => mayHedge(routed.client));
+		});
 		return {attempt: await read.run(), isPrimaryMissing};
 	}
 
@@ -200,7 +199,7 @@
 				}
 
 				return attempt;
-			}, () => mayHedge(client));
+			});
 			last = await read.run();
 			context.log(request.id, 'read', describeAttempt(last), {
 				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
@@ -231,11 +230,6 @@
 	}
 }
 
-/** Returns whether a read may be sent to a further member while one may still answer. Only gateways near the members carry the reads of all entries, so that hedges of all of them add up there. */
-function mayHedge(client: ServiceClient): boolean {
-	return !client.pools.some(pool => pool.hasGatewaysNearMember) || client.hedgeBudget.tryRetry();
-}
-
 /** Returns what an attempt shows about the member. An attempt that was given up because another member has answered shows nothing. */
 function readOutcomeOf(attempt: StatementAttempt, {isWanted = () => true}: AttemptOptions): ReadOutcome {
 	switch (attempt.kind) {
