Close a silent link whose requests are given up without an answer

A request on a dead link was given up after 300 ms; the link then counted as silent again, and the next request began the time for an answer anew.

--- a/source/links/link-socket.ts
+++ b/source/links/link-socket.ts
@@ -41,6 +41,8 @@
 	/** Cancels the pings; undefined while the link is silent. */
 	#cancelPing: Cancel | undefined;
 	#cancelSilenceLimit: Cancel | undefined;
+	/** Time of the first message that needed an answer since something was received; undefined if there is none. */
+	#unansweredSince: Milliseconds | undefined;
 	#allowsSilence: boolean;
 	/** Whether the peer was told that the link may be silent. */
 	#isSilenceTold = false;
@@ -73,12 +75,11 @@
 		this.options.socket.write(this.#writer.encode({...message, time: this.options.hybridClock.tick()}));
 	}
 
-	/** Sends pings again while `isPeerNeeded` returns true. Must be called when it begins to. */
+	/** Sends pings again while `isPeerNeeded` returns true, and until the peer has answered. Must be called when a message needs an answer. A request that is given up does not end this; otherwise a dead link on which every request is given up early would stay open. */
 	watchPeer(): void {
+		this.#unansweredSince ??= this.options.clock.now();
 		if (this.#cancelPing === undefined && !this.#isClosed) {
 			this.#cancelSilenceLimit?.();
-			// The silence before was allowed.
-			this.#lastReceivedAt = this.options.clock.now();
 			this.#startPings();
 		}
 	}
@@ -96,6 +97,7 @@
 
 	#receive(chunk: Buffer): void {
 		this.#lastReceivedAt = this.options.clock.now();
+		this.#unansweredSince = undefined;
 		try {
 			for (const message of this.#reader.read(chunk)) {
 				this.options.hybridClock.observe(message.time);
@@ -124,18 +126,23 @@
 
 	#checkTimeoutAndPing(): void {
 		const maySilence = this.#doesPeerAllowSilence && this.#isSilenceTold;
-		if (maySilence && !this.options.isPeerNeeded()) {
+		if (maySilence && !this.options.isPeerNeeded() && this.#unansweredSince === undefined) {
 			this.#cancelPing?.();
 			this.#cancelPing = undefined;
 			this.#limitSilence();
 			return;
 		}
 
-		if (this.options.clock.now() - this.#lastReceivedAt > receiveTimeout) {
+		const silentSince = maySilence ? this.#unansweredSince : this.#lastReceivedAt;
+		if (silentSince !== undefined && this.options.clock.now() - silentSince > receiveTimeout) {
 			this.destroy();
 			return;
 		}
 
+		if (maySilence) {
+			this.#unansweredSince ??= this.options.clock.now();
+		}
+
 		this.#ping(maySilence);
 	}
 
--- a/source/links/silent-link.spec.ts
+++ b/source/links/silent-link.spec.ts
@@ -6,11 +6,18 @@
 import {ManualClock} from '../clock/manual-clock.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {HybridClock} from '../timeline/hybrid-clock.js';
-import {encodeFrame} from './framing.js';
+import {encodeFrame, FrameReader} from './framing.js';
 import {LinkServer} from './link-server.js';
 import {pingName} from './messages.js';
 import {TcpLinkClient} from './tcp-link-client.js';
 
+const time = {milliseconds: 0, counter: 0};
+
+/** Ping of a peer that allows silence. */
+const silentPing = encodeFrame({
+	kind: 'notice', name: pingName, body: {readsCompressed: true, mayBeSilent: true}, time,
+});
+
 /** Advances the clock by the duration in milliseconds; the sockets deliver what was sent in each step of 100 ms. */
 async function pass(clock: ManualClock, duration: number): Promise<void> {
 	for (let passed = 0; passed < duration; passed += 100) {
@@ -45,6 +52,46 @@
 	};
 }
 
+/** Starts a peer that allows silence and answers nothing but the first ping, and opens a link to it that is silent by now. */
+async function createMutePeer() {
+	const clock = new ManualClock();
+	const sockets: Socket[] = [];
+	const server = createServer(socket => {
+		const isFirst = sockets.push(socket) === 1;
+		const reader = new FrameReader();
+		socket.on('error', () => undefined);
+		socket.write(silentPing);
+		socket.on('data', chunk => {
+			// The request that opens the link is answered.
+			for (const message of reader.read(chunk)) {
+				if (isFirst && message.kind === 'request' && message.body === 'open') {
+					socket.write(encodeFrame({
+						kind: 'response', number: message.number, code: 0, body: null, time,
+					}));
+				}
+			}
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const client = new TcpLinkClient(clock, new HybridClock(clock), 60_000);
+	client.allowSilence(address);
+	await client.request(address, 'echo', 'open', 1000);
+	await pass(clock, 10_000);
+	return {
+		clock, client, address, async close() {
+			await client.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			server.close();
+		},
+	};
+}
+
 /** Opens a link whose peer allows silence and never sends anything again. Returns the ids of closed links as well. */
 function connectSilentPeer(server: LinkServer, address: string): {readonly closed: readonly number[]; readonly peer: Socket} {
 	const closed: number[] = [];
@@ -54,9 +101,7 @@
 	const peer = createConnection({host: '127.0.0.1', port: Number(address.split(':')[1])});
 	peer.on('error', () => undefined);
 	peer.resume();
-	peer.write(encodeFrame({
-		kind: 'notice', name: pingName, body: {readsCompressed: true, mayBeSilent: true}, time: {milliseconds: 0, counter: 0},
-	}));
+	peer.write(silentPing);
 	return {closed, peer};
 }
 
@@ -86,24 +131,7 @@
 
 // A request on a link that went dead while it was silent would otherwise wait for its whole timeout.
 test('a silent link whose peer does not answer is closed while a request is open', async () => {
-	const clock = new ManualClock();
-	const sockets: Socket[] = [];
-	const server = createServer(socket => {
-		sockets.push(socket);
-		socket.on('error', () => undefined);
-		socket.resume();
-		socket.write(encodeFrame({
-			kind: 'notice', name: pingName, body: {readsCompressed: true, mayBeSilent: true}, time: {milliseconds: 0, counter: 0},
-		}));
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-	const client = new TcpLinkClient(clock, new HybridClock(clock), 60_000);
-	client.allowSilence(address);
-	await assert.rejects(Promise.all([client.request(address, 'echo', 1, 100), pass(clock, 300)]), {codeName: 'linkOutcomeUnknown'});
-	await pass(clock, 10_000);
+	const {clock, client, address, close} = await createMutePeer();
 	const startedAt = clock.now();
 	const failures: Array<{readonly message: string; readonly after: number}> = [];
 	client.request(address, 'echo', 2, 60_000).catch((error: unknown) => {
@@ -112,12 +140,22 @@
 	await pass(clock, 6000);
 	assert.match(failures[0].message, /was lost/v);
 	assert.ok(failures[0].after >= 2500 && failures[0].after <= 4500);
-	await client.close();
-	for (const socket of sockets) {
-		socket.destroy();
+	await close();
+});
+
+// Each request on a dead link was given up after 300 ms, and the link counted as silent again before the next one, so that it stayed open for as long as the operating system kept it.
+test('a silent link whose peer does not answer is closed although every request on it is given up early', async () => {
+	const {clock, client, address, close} = await createMutePeer();
+	const failures: string[] = [];
+	for (let round = 0; round < 10; round++) {
+		client.request(address, 'echo', round, 300).catch((error: unknown) => {
+			failures.push(toBuckthornhitchError(error).message);
+		});
+		await pass(clock, 500);
 	}
 
-	server.close();
+	assert.ok(failures.some(message => message.includes('was lost')), failures.join('\n'));
+	await close();
 });
 
 // An entry that loses power inside a transaction would keep a connection of its gateway until the relay is closed as unused.
