Omit lines about requests beyond 40 a second

Formatting a line for each failed or late request takes processor time from the requests of an instance that has just started; beyond 200 lines a second the output dropped them after they had been formatted.

--- a/source/session-proxy/structured-request-log.spec.ts
+++ b/source/session-proxy/structured-request-log.spec.ts
@@ -13,7 +13,7 @@
 		write(line) {
 			lines.push(line);
 		},
-	}), registry);
+	}), registry, new ManualClock());
 	const decision = {
 		request: 'r1', session: 's', database: 'db', step: 'read', routingVersion: 7, member: 'i-1', point: '2.5', elapsed: 12,
 	};
@@ -36,7 +36,7 @@
 		write(line) {
 			lines.push(line);
 		},
-	}), registry);
+	}), registry, new ManualClock());
 	const attempts = [{
 		member: 'i-1', gateway: 'entry-9', startedAfter: 0, connectionWait: 1, memberTime: 500, result: 'done',
 	}];
@@ -67,7 +67,7 @@
 // The number of customers is not bounded by the time series that a metrics server can hold.
 test('admitted and limited operations are counted by customer, for at most 10 customers and all others together', async () => {
 	const registry = new Registry();
-	const log = new StructuredRequestLog(silentLogger, registry);
+	const log = new StructuredRequestLog(silentLogger, registry, new ManualClock());
 	for (let index = 0; index < 40; index++) {
 		for (let count = 0; count <= index; count++) {
 			log.record({
@@ -106,3 +106,27 @@
 	bounded.write('lost\n');
 	assert.ok(!output.lines.includes('lost\n'));
 });
+
+// In the seconds after a loss of power of all instances, each failed request left several lines of up to 8,000 characters.
+test('lines about requests beyond 40 a second are omitted, and their number is reported', () => {
+	const lines: string[] = [];
+	const clock = new ManualClock();
+	const log = new StructuredRequestLog(createLogger('one', 'request', 'info', {
+		write(line) {
+			lines.push(line);
+		},
+	}), new Registry(), clock);
+	const decision = {
+		request: 'r1', session: 's', database: 'db', step: 'read', outcome: 'notRun i-1',
+	};
+	for (let index = 0; index < 100; index++) {
+		log.record(decision);
+	}
+
+	assert.equal(lines.length, 40);
+	clock.advance(1000);
+	log.record(decision);
+	assert.equal(lines.length, 42);
+	const report = JSON.parse(lines[40]) as Readonly<Record<string, unknown>>;
+	assert.equal(report.omitted, 60);
+});
--- a/source/session-proxy/structured-request-log.ts
+++ b/source/session-proxy/structured-request-log.ts
@@ -1,4 +1,5 @@
 import {Counter, Histogram, type Registry} from 'prom-client';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {CustomerRanking} from '../customers/customer-ranking.js';
 import {type Logger} from '../observability/logger.js';
 import {type ExplainedRequest} from './explained-request.js';
@@ -9,6 +10,11 @@
 
 const millisecondsPerSecond = 1000;
 
+/** Lines about requests beyond this rate are counted but not written. While an instance with a quarter of a core is overloaded, formatting a line for each failed request would take time from the requests. */
+const maximumLinesPerSecond = 40;
+
+const rateWindow: Milliseconds = 1000;
+
 /** Request log that counts decisions in metrics and writes those other than plain successes as structured log lines. */
 export class StructuredRequestLog extends RequestLog {
 	readonly #decisions: Counter<'step' | 'outcome'>;
@@ -17,7 +23,11 @@
 	readonly #explainedRequests: Counter<'explained'>;
 	readonly #customerRanking = new CustomerRanking();
 
-	constructor(private readonly logger: Logger, registry: Registry) {
+	#windowStart: Milliseconds = Number.NEGATIVE_INFINITY;
+	#writtenInWindow = 0;
+	#omittedCount = 0;
+
+	constructor(private readonly logger: Logger, registry: Registry, private readonly clock: Clock) {
 		super();
 		const registers = [registry];
 		this.#decisions = new Counter({
@@ -55,12 +65,37 @@
 			return;
 		}
 
-		this.logger.info(`${decision.step} ${decision.outcome}`, decision);
+		if (this.#mayWrite()) {
+			this.logger.info(`${decision.step} ${decision.outcome}`, decision);
+		}
 	}
 
 	override explain(request: ExplainedRequest): void {
 		this.#explainedRequests.inc({explained: request.explained});
-		this.logger.info(`${request.explained} ${request.kind}`, request);
+		if (this.#mayWrite()) {
+			this.logger.info(`${request.explained} ${request.kind}`, request);
+		}
+	}
+
+	/** Returns whether a line may be written now, and counts it. Reports the lines that were omitted in the second before. */
+	#mayWrite(): boolean {
+		const now = this.clock.now();
+		if (now - this.#windowStart >= rateWindow) {
+			this.#windowStart = now;
+			this.#writtenInWindow = 0;
+			if (this.#omittedCount > 0) {
+				this.logger.info('lines about requests were omitted', {omitted: this.#omittedCount});
+				this.#omittedCount = 0;
+			}
+		}
+
+		if (this.#writtenInWindow >= maximumLinesPerSecond) {
+			this.#omittedCount++;
+			return false;
+		}
+
+		this.#writtenInWindow++;
+		return true;
 	}
 
 	#countOperation(customer: string, outcome: string): void {
