--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -110,11 +110,15 @@
 		child.kill(name);
 	}
 
-	/** Kills a process and starts it again after the time in milliseconds. */
-	async restart(item, downTime) {
+	/** Kills a process and starts it again after the time in milliseconds, with an empty disk if it has lost that. */
+	async restart(item, downTime, hasLostDisk = false) {
 		const ended = once(item.child, 'exit');
 		item.child.kill('SIGKILL');
 		await ended;
+		if (hasLostDisk) {
+			rmSync(path.join(this.folder, `${item.name}-data`), {recursive: true});
+		}
+
 		await sleep(downTime);
 		this.#spawn(item, false);
 	}
--- a/review/stand-ins/service.mjs
+++ b/review/stand-ins/service.mjs
@@ -50,6 +50,33 @@
 		this.isRunning = true;
 	}
 
+	/** Starts the member again at its address, with the log that it had up to where it matches the present primary's. */
+	async restart() {
+		const {primary} = this.service;
+		if (primary !== this) {
+			this.#followLogOf(primary);
+		}
+
+		const [host, port] = this.address.split(':');
+		this.#server = createServer(socket => {
+			this.#accept(socket);
+		});
+		await new Promise(resolve => {
+			this.#server.listen(Number(port), host, resolve);
+		});
+		Object.assign(this, {
+			born: Date.now(), sequence: 0, heldTerm: 0, isDeaf: false, isRunning: true,
+		});
+	}
+
+	/** Removes the entries that the primary's log does not have. */
+	#followLogOf(primary) {
+		const end = this.log.findIndex((entry, index) => primary.log[index] !== entry);
+		if (end !== -1) {
+			this.log.length = end;
+		}
+	}
+
 	/** Ends the member at once; its connections break. */
 	crash() {
 		this.isRunning = false;
