Review: a lost answer makes a replica pass for the primary

An entry sends BEGIN and ROLLBACK together to ask whether a member leads. Answers are matched by their order, and the state in the answer is not checked, so that the answer to the ROLLBACK of a replica stands for a lost one to its BEGIN, and reads run on the replica's log.

--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -97,7 +97,7 @@
 
 	/** Logs of all processes. */
 	logs() {
-		return this.#processes.map(({name}) => readFileSync(path.join(this.folder, `${name}.log`), 'utf8')).path.join('');
+		return this.#processes.map(({name}) => readFileSync(path.join(this.folder, `${name}.log`), 'utf8')).join('');
 	}
 
 	/** Processes of a role. */
--- a/review/stand-ins/service.mjs
+++ b/review/stand-ins/service.mjs
@@ -18,6 +18,8 @@
 	/** Whether the replica receives nothing for a while. */
 	isDeaf = false;
 	isDraining = false;
+	/** Share of the answers that are lost on their way; the connection stays open. */
+	lostShare = 0;
 	isRunning = false;
 	sequence = 0;
 	address;
@@ -133,6 +135,11 @@
 			return;
 		}
 
+		if (Math.random() < this.member.lostShare) {
+			this.member.service.record(`member ${this.member.id} loses its answer to ${id} ${text}: ${lines.at(-1)}`);
+			return;
+		}
+
 		const state = this.#hasFailed ? 'E' : (this.#transaction ? 'T' : 'I');
 		for (const line of [...lines, `READY ${state} ${this.member.position}`]) {
 			writeLine(this.socket, line);
@@ -183,6 +190,7 @@
 			case 'READ': {
 				await sleep(workTime);
 				member.service.record(`member ${member.id} ran ${id} ${text} at ${member.position}`);
+				member.service.onRead(member, id);
 				return [...member.service.rowsOf(member, fields[0]), done];
 			}
 
@@ -263,7 +271,11 @@
 	/** Promotions that took effect. */
 	promotions = [];
 	onPromoted = () => undefined;
+	/** Called when a member runs a read, with the member and the id. */
+	onRead = () => undefined;
 	#nextNumber = 1;
+	/** Member from which the replicas receive commits. */
+	#source;
 	#highestToken = 0;
 	#timers = [];
 	#httpServer;
@@ -362,7 +374,9 @@
 	}
 
 	#replicate() {
-		const source = this.primary;
+		// A primary that was demoted hands on what it has until another one leads.
+		this.#source = this.primary ?? this.#source;
+		const source = this.#source;
 		if (!source?.isRunning) {
 			return;
 		}
