--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,16 +1,17 @@
-/* eslint no-await-in-loop: off -- The statements of a session run one after the other. */
-import {Buffer} from 'node:buffer';
+/* eslint no-await-in-loop: off -- A client sends one request after the other. */
 import {fileURLToPath} from 'node:url';
 import {hasTrouble, runCase} from '../stand-ins/case.mjs';
 import {Client, statementId} from '../stand-ins/client.mjs';
-import {Deployment, waitUntil} from '../stand-ins/deployment.mjs';
+import {Deployment, sleep, waitUntil} from '../stand-ins/deployment.mjs';
 import {Service} from '../stand-ins/service.mjs';
 
 const database = 'register';
-
-/** Names of vessels as a client would send them, in UTF-8. The last letter of the others has the last byte A0. */
-const plainNames = ['Turkmenets', 'Merkuriy', 'Barsa-Kelmes'];
-const troublingNames = ['ДНЕПР', 'Città', 'ПИОНЕР'];
+// Times in milliseconds.
+const requestInterval = 40;
+const clientDeadline = 2500;
+const recoveryTime = 12_000;
+const measuredTime = 6000;
+const memberDownTime = 7000;
 
 const configuration = {
 	Version: 1,
@@ -34,10 +35,11 @@
 		record,
 		members: [
 			{id: 'i-1', zone: 'atyrau', replicationDelay: 20},
-			{id: 'i-2', zone: 'esil', replicationDelay: 32},
-			{id: 'i-3', zone: 'aralsk', replicationDelay: 32},
+			{id: 'i-2', zone: 'esil', replicationDelay: 20},
+			{id: 'i-3', zone: 'aralsk', replicationDelay: 20},
 		],
 	});
+	const [first, second, third] = service.members;
 	onEnd(() => {
 		service.stop();
 	});
@@ -49,45 +51,88 @@
 	}
 
 	service.startHeartbeats(() => deployment.controlAddresses);
-	const client = await waitUntil(15_000, async () => {
-		const candidate = new Client(deployment.entryAddresses[0]);
-		const isOpen = await candidate.open(database);
-		const {outcome} = await candidate.query(statementId(), 'READ 1a0', 2500);
-		const isServed = isOpen && outcome === 'done';
-		if (!isServed) {
-			candidate.close();
+
+	const phase = {count: {sent: 0, served: 0}, isEnding: false};
+	const countFrom = () => {
+		phase.count = {sent: 0, served: 0};
+		return phase.count;
+	};
+
+	const requestAt = async (entry, index) => {
+		let client;
+		for (let turn = 0; !phase.isEnding; turn++) {
+			const {count} = phase;
+			const id = statementId();
+			const text = turn % 2 === 0 ? `WRITE 1a${index} ${id}` : `READ 1a${index}`;
+			count.sent++;
+			if (!client || client.isClosed) {
+				client = new Client(entry);
+				await client.open(database);
+			}
+
+			record(`client ${index} sends ${id} ${text}`);
+			const answer = await client.query(id, text, clientDeadline);
+			record(`client ${index} gets ${id} ${answer.outcome} ${answer.code ?? answer.signature ?? ''} ${answer.detail ?? ''}`);
+			count.served += Number(answer.outcome === 'done');
+			await sleep(requestInterval);
 		}
 
-		return isServed && candidate;
-	});
-	if (!client) {
-		throw new Error('no read was served');
+		client?.close();
+	};
+
+	const before = countFrom();
+	const clients = deployment.entryAddresses.flatMap((entry, index) => [index, index + 3].map(async number => requestAt(entry, number)));
+	if (!await waitUntil(15_000, () => before.served >= 300)) {
+		throw new Error('no requests were served before the disruption');
 	}
 
-	const send = async text => {
-		const id = statementId();
-		record(`client sends ${id} ${text}`);
-		const answer = await client.query(id, text, 2500);
-		record(`client gets ${id} ${answer.outcome} ${answer.code ?? answer.signature ?? ''} ${(answer.rows ?? []).join(' | ')}`);
-		return answer;
-	};
+	if (hasTrouble) {
+		const crash = member => {
+			record(`${member.id} crashes for ${memberDownTime} ms`);
+			member.crash();
+			setTimeout(async () => {
+				await member.restart();
+				record(`${member.id} is back as a replica`);
+			}, memberDownTime);
+		};
 
-	await send('PREPARE s1 WRITE q2c');
-	for (const [index, name] of (hasTrouble ? troublingNames : plainNames).entries()) {
-		const data = Buffer.from(name, 'utf8').toString('latin1');
-		const written = await send(`EXEC s1 1a${index} ${data}`);
-		const read = await send(`READ 1a${index}`);
-		if (written.outcome !== 'done' || read.outcome !== 'done') {
-			throw new Error(`${name} was not written and read`);
+		record('i-3 receives nothing from now on');
+		third.isDeaf = true;
+		await sleep(500);
+		crash(first);
+		const term = service.term + 1;
+		if (!await waitUntil(4000, () => service.primary === second && second.log.filter(entry => entry.term === term).length >= 10)) {
+			throw new Error('i-2 was not promoted in time');
 		}
 
-		const stored = read.rows.join('');
-		if (stored !== data) {
-			const [storedBytes, sentBytes] = [stored, data].map(text => Buffer.from(text, 'latin1').toString('hex'));
-			faults.push(`UNASKED: a member ran an EXEC with the bytes ${storedBytes} in place of ${sentBytes} (${name})`);
+		crash(second);
+		if (!await waitUntil(6000, () => service.primary === third)) {
+			throw new Error('i-3 was not promoted in time');
 		}
+
+		third.isDeaf = false;
+		record('i-3 receives again');
+		await sleep(memberDownTime);
+	}
+
+	const [control] = deployment.ofRole('registry');
+	record(`final fault: ${control.name} loses its disk`);
+	const shareBefore = before.served / before.sent;
+	await deployment.restart(control, 1000, true);
+	record(`${control.name} is back; ${before.served} of ${before.sent} requests were served before`);
+	await sleep(recoveryTime);
+	const after = countFrom();
+	await sleep(measuredTime);
+	phase.isEnding = true;
+	await Promise.all(clients);
+	record(`from ${recoveryTime} ms after that, ${after.served} of ${after.sent} requests were served`);
+	if (shareBefore < 0.25) {
+		throw new Error('less than a quarter was served before the final fault');
+	}
+
+	if (after.served < after.sent / 4) {
+		faults.push(`RECOVER: ${after.served} of ${after.sent} requests were served, though ${before.served} of ${before.sent} were before the final fault`);
 	}
 
-	client.close();
 	return faults;
 });
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,4 +1,4 @@
-/* eslint no-await-in-loop: off -- A client sends one request after the other. */
+/* eslint no-await-in-loop: off -- The statements of a session run one after the other. */
 import {fileURLToPath} from 'node:url';
 import {hasTrouble, runCase} from '../stand-ins/case.mjs';
 import {Client, statementId} from '../stand-ins/client.mjs';
@@ -6,12 +6,13 @@
 import {Service} from '../stand-ins/service.mjs';
 
 const database = 'register';
-// Times in milliseconds.
-const requestInterval = 40;
-const clientDeadline = 2500;
-const recoveryTime = 12_000;
-const measuredTime = 6000;
-const memberDownTime = 7000;
+
+/** Remark of a client in two lines. The page ends a message with CR LF, so that a line feed alone is part of the last field. */
+const smuggledId = 'feedc0ffee000001';
+const remark = hasTrouble
+	? `seen at anchor
+QUERY ${smuggledId} WRITE 1a7 lifted`
+	: 'seen at anchor';
 
 const configuration = {
 	Version: 1,
@@ -35,11 +36,10 @@
 		record,
 		members: [
 			{id: 'i-1', zone: 'atyrau', replicationDelay: 20},
-			{id: 'i-2', zone: 'esil', replicationDelay: 20},
-			{id: 'i-3', zone: 'aralsk', replicationDelay: 20},
+			{id: 'i-2', zone: 'esil', replicationDelay: 32},
+			{id: 'i-3', zone: 'aralsk', replicationDelay: 32},
 		],
 	});
-	const [first, second, third] = service.members;
 	onEnd(() => {
 		service.stop();
 	});
@@ -51,87 +51,40 @@
 	}
 
 	service.startHeartbeats(() => deployment.controlAddresses);
-
-	const phase = {count: {sent: 0, served: 0}, isEnding: false};
-	const countFrom = () => {
-		phase.count = {sent: 0, served: 0};
-		return phase.count;
-	};
-
-	const requestAt = async (entry, index) => {
-		let client;
-		for (let turn = 0; !phase.isEnding; turn++) {
-			const {count} = phase;
-			const id = statementId();
-			const text = turn % 2 === 0 ? `WRITE 1a${index} ${id}` : `READ 1a${index}`;
-			count.sent++;
-			if (!client || client.isClosed) {
-				client = new Client(entry);
-				await client.open(database);
-			}
-
-			record(`client ${index} sends ${id} ${text}`);
-			const answer = await client.query(id, text, clientDeadline);
-			record(`client ${index} gets ${id} ${answer.outcome} ${answer.code ?? answer.signature ?? ''} ${answer.detail ?? ''}`);
-			count.served += Number(answer.outcome === 'done');
-			await sleep(requestInterval);
+	const client = await waitUntil(15_000, async () => {
+		const candidate = new Client(deployment.entryAddresses[0]);
+		const isOpen = await candidate.open(database);
+		const {outcome} = await candidate.query(statementId(), 'READ 1a0', 2500);
+		const isServed = isOpen && outcome === 'done';
+		if (!isServed) {
+			candidate.close();
 		}
 
-		client?.close();
-	};
-
-	const before = countFrom();
-	const clients = deployment.entryAddresses.flatMap((entry, index) => [index, index + 3].map(async number => requestAt(entry, number)));
-	if (!await waitUntil(15_000, () => before.served >= 300)) {
-		throw new Error('no requests were served before the disruption');
+		return isServed && candidate;
+	});
+	if (!client) {
+		throw new Error('no read was served');
 	}
 
-	if (hasTrouble) {
-		const crash = member => {
-			record(`${member.id} crashes for ${memberDownTime} ms`);
-			member.crash();
-			setTimeout(async () => {
-				await member.restart();
-				record(`${member.id} is back as a replica`);
-			}, memberDownTime);
-		};
-
-		record('i-3 receives nothing from now on');
-		third.isDeaf = true;
-		await sleep(500);
-		crash(first);
-		const term = service.term + 1;
-		if (!await waitUntil(4000, () => service.primary === second && second.log.filter(entry => entry.term === term).length >= 10)) {
-			throw new Error('i-2 was not promoted in time');
-		}
-
-		crash(second);
-		if (!await waitUntil(6000, () => service.primary === third)) {
-			throw new Error('i-3 was not promoted in time');
-		}
-
-		third.isDeaf = false;
-		record('i-3 receives again');
-		await sleep(memberDownTime);
+	const id = statementId();
+	const text = `WRITE 1a1 ${remark}`;
+	record(`client sends ${id} ${JSON.stringify(text)}`);
+	const answer = await client.query(id, text, 2500);
+	record(`client gets ${id} ${answer.outcome} ${answer.code ?? answer.signature ?? ''}`);
+	await sleep(500);
+	client.close();
+	if (!hasTrouble && answer.outcome !== 'done') {
+		throw new Error('the plain write was not served');
 	}
 
-	const [control] = deployment.ofRole('registry');
-	record(`final fault: ${control.name} loses its disk`);
-	const shareBefore = before.served / before.sent;
-	await deployment.restart(control, 1000, true);
-	record(`${control.name} is back; ${before.served} of ${before.sent} requests were served before`);
-	await sleep(recoveryTime);
-	const after = countFrom();
-	await sleep(measuredTime);
-	phase.isEnding = true;
-	await Promise.all(clients);
-	record(`from ${recoveryTime} ms after that, ${after.served} of ${after.sent} requests were served`);
-	if (shareBefore < 0.25) {
-		throw new Error('less than a quarter was served before the final fault');
+	const writes = service.primary.log.flatMap(entry => entry.writes);
+	const changed = writes.find(write => write.id === id && write.data !== remark);
+	if (changed) {
+		faults.push(`UNASKED: a member ran ${id} with the data ${JSON.stringify(changed.data)} in place of ${JSON.stringify(remark)}`);
 	}
 
-	if (after.served < after.sent / 4) {
-		faults.push(`RECOVER: ${after.served} of ${after.sent} requests were served, though ${before.served} of ${before.sent} were before the final fault`);
+	if (writes.some(write => write.id === smuggledId)) {
+		faults.push(`UNASKED: a member ran ${smuggledId}, which was part of the data of ${id}`);
 	}
 
 	return faults;
