--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -2,35 +2,21 @@
 import {fileURLToPath} from 'node:url';
 import {hasTrouble, runCase} from '../stand-ins/case.mjs';
 import {Client, statementId} from '../stand-ins/client.mjs';
-import {Deployment, sleep, waitUntil} from '../stand-ins/deployment.mjs';
-import {Service} from '../stand-ins/service.mjs';
+import {sleep, waitUntil} from '../stand-ins/deployment.mjs';
+import {routeTo, startSystem} from '../stand-ins/system.mjs';
 
 const database = 'register';
-const statementTimeout = 800;
 /** Time in milliseconds between the writes of a client. */
 const writeInterval = 40;
 
-const configuration = {
-	Version: 1,
-	Routes: [{
-		Name: 'r1', Database: database, PathPrefix: '/', RouteType: 'primary', TimeoutMs: statementTimeout, TargetLatencyMs: 400, Priority: 1, Backend: 'ledger', Attempts: 2,
-	}],
-	Services: [{
-		Name: 'ledger', HealthCheck: '/health', MaxConnections: 102, Protocol: 'h1', Tls: false, SyncReplicas: 1,
-	}],
-	Limits: {
-		MaxHeaderBytes: 16_384, MaxBodyBytes: 262_144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000, IdleTxMs: 3000,
-	},
-};
-
 await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async (record, onEnd) => {
 	const acknowledged = [];
 	const faults = [];
-	const service = new Service({
-		name: 'ledger',
-		syncReplicas: 1,
-		promoteTime: 600,
+	const {service, deployment} = await startSystem({
 		record,
+		onEnd,
+		routes: [routeTo(database)],
+		syncReplicas: 1,
 		members: [
 			{id: 'i-primary', zone: 'atyrau', replicationDelay: 20},
 			{id: 'i-near', zone: 'atyrau', replicationDelay: 20},
@@ -38,6 +24,7 @@
 		],
 	});
 	const [primary, near, far] = service.members;
+
 	service.onPromoted = member => {
 		const ids = new Set(member.log.flatMap(({writes}) => writes).map(({id}) => id));
 		const lost = acknowledged.filter(id => !ids.has(id));
@@ -46,19 +33,6 @@
 		}
 	};
 
-	onEnd(() => {
-		service.stop();
-	});
-	const deployment = new Deployment({controls: 3, entries: 3, tolerated: 1});
-	onEnd(async () => deployment.stop());
-	const promotionAddress = await service.start(deployment.serviceHost);
-	await deployment.start(promotionAddress);
-	if (!await deployment.putConfiguration(configuration, 20_000)) {
-		throw new Error('the configuration was not acknowledged');
-	}
-
-	service.startHeartbeats(() => deployment.controlAddresses);
-
 	const run = {isEnding: false};
 	const writeAt = async (entry, index) => {
 		let client;
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -2,8 +2,8 @@
 import {fileURLToPath} from 'node:url';
 import {hasTrouble, runCase} from '../stand-ins/case.mjs';
 import {Client, statementId} from '../stand-ins/client.mjs';
-import {Deployment, sleep, waitUntil} from '../stand-ins/deployment.mjs';
-import {Service} from '../stand-ins/service.mjs';
+import {sleep, waitUntil} from '../stand-ins/deployment.mjs';
+import {routeTo, startSystem} from '../stand-ins/system.mjs';
 
 const database = 'register';
 // Times in milliseconds.
@@ -13,26 +13,12 @@
 const measuredTime = 6000;
 const memberDownTime = 7000;
 
-const configuration = {
-	Version: 1,
-	Routes: [{
-		Name: 'r1', Database: database, PathPrefix: '/', RouteType: 'primary', TimeoutMs: 800, TargetLatencyMs: 400, Priority: 1, Backend: 'ledger', Attempts: 2,
-	}],
-	Services: [{
-		Name: 'ledger', HealthCheck: '/health', MaxConnections: 102, Protocol: 'h1', Tls: false, SyncReplicas: 0,
-	}],
-	Limits: {
-		MaxHeaderBytes: 16_384, MaxBodyBytes: 262_144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000, IdleTxMs: 3000,
-	},
-};
-
 await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async (record, onEnd) => {
 	const faults = [];
-	const service = new Service({
-		name: 'ledger',
-		syncReplicas: 0,
-		promoteTime: 600,
+	const {service, deployment} = await startSystem({
 		record,
+		onEnd,
+		routes: [routeTo(database)],
 		members: [
 			{id: 'i-1', zone: 'atyrau', replicationDelay: 20},
 			{id: 'i-2', zone: 'esil', replicationDelay: 20},
@@ -40,17 +26,6 @@
 		],
 	});
 	const [first, second, third] = service.members;
-	onEnd(() => {
-		service.stop();
-	});
-	const deployment = new Deployment({controls: 3, entries: 3, tolerated: 1});
-	onEnd(async () => deployment.stop());
-	await deployment.start(await service.start(deployment.serviceHost));
-	if (!await deployment.putConfiguration(configuration, 20_000)) {
-		throw new Error('the configuration was not acknowledged');
-	}
-
-	service.startHeartbeats(() => deployment.controlAddresses);
 
 	const phase = {count: {sent: 0, served: 0}, isEnding: false};
 	const countFrom = () => {
