Accept a primary whose log ends in an earlier term

The entries took the term of the last log entry for the term in which a primary leads. A promoted member leads a new term with the log that it had; with a later term known, its positions were dropped, and no write was sent to it that would have raised its term. The searches for the primary checked their deadlines only where they found no member.

A member that accepts a write transaction with the log of an earlier term is now asked for its status, which names the term in which it leads. Positions are ordered by that term and the time of the question, so that a lower one of a later question replaces those that a promotion rolled back. Only the reply that shows the open transaction proves a primary: the term had also held back replicas that passed for one when the reply to a BEGIN was lost.

The fake of a member under load took the transaction state for a reply after statements that were sent behind it; it now takes it as a member does, when the statement has run.

--- a/source/database-group/log-position-rules.ts
+++ b/source/database-group/log-position-rules.ts
@@ -21,6 +21,11 @@
 	return compareLogPositions(first, second) >= 0 ? first : second;
 }
 
+/** Returns the earlier of two log positions. */
+export function earlierLogPosition(first: LogPosition, second: LogPosition): LogPosition {
+	return compareLogPositions(first, second) <= 0 ? first : second;
+}
+
 /**
 Returns whether a log that ends at the held position contains every acknowledged write at or below the needed position.
 
--- a/source/promotion/backend-server-prober.ts
+++ b/source/promotion/backend-server-prober.ts
@@ -5,6 +5,7 @@
 import {type BackendReachability} from '../registry/messages.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnector, type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
+import {provesPrimary} from '../statement/primary-proof.js';
 import {type StatementReply} from '../statement/types.js';
 
 /** Timeout for the reply to a statement that needs no execution slot; allows for two round trips between regions and a short pause of the member's instance. */
@@ -110,8 +111,7 @@
 		this.#answeredAt = this.clock.now();
 		this.#failingSince = undefined;
 		this.logPosition = reply.point ?? this.logPosition;
-		const isPrimary = reply.outcome === 'done' && reply.point !== undefined;
-		if (isPrimary) {
+		if (provesPrimary(reply) && reply.point) {
 			this.primaryConfirmation = {logPosition: reply.point, sentAt};
 		} else if (reply.outcome === 'refused' && reply.reason === 'readOnly') {
 			this.primaryConfirmation = undefined;
--- a/source/promotion/service-promotion-controller.spec.ts
+++ b/source/promotion/service-promotion-controller.spec.ts
@@ -6,7 +6,7 @@
 import {encodeReachability, ReachabilityReports} from '../registry/reachability-reports.js';
 import {FakeMemberConnector, FakeMemberServer} from '../session-proxy/member-server-fake.js';
 import {testAnnouncement} from '../session-proxy/session-fixture.js';
-import {ReplicationStatusParser, type ReplicationStatus} from './replication-status.js';
+import {ReplicationStatusParser, type ReplicationStatus} from '../statement/replication-status.js';
 import {BackendServerMonitor} from './backend-server-monitor.js';
 import {PromotionAuthority, type PromotionRequest, type PromotionOutcome} from './promotion-authority.js';
 import {ServicePromotionController} from './service-promotion-controller.js';
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -9,7 +9,7 @@
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type RoutingTable} from '../routing-table/types.js';
 import {type MemberStatement} from '../statement/types.js';
-import {type ReplicationStatus, type ReplicationStatusParser} from './replication-status.js';
+import {type ReplicationStatus, type ReplicationStatusParser} from '../statement/replication-status.js';
 import {type BackendServerMonitor} from './backend-server-monitor.js';
 import {type PromotionAuthority} from './promotion-authority.js';
 import {
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -370,6 +370,10 @@
 				return hasRun ? {kind: 'refused', refused: {reason: 'outcomeUnknown', detail: 'the statement ran outside its transaction'}, isFinal: true} : {kind: 'refused', refused};
 			}
 
+			if (reply.transaction !== 'open') {
+				throw new BuckthornhitchError('linkOutcomeUnknown', `the transaction is ${reply.transaction} after its begin`);
+			}
+
 			if (!isReadOnly) {
 				client.recordPrimaryPosition(pool.server.id, reply.point, startedAt);
 			}
--- a/source/session-proxy/freshness-tracker.spec.ts
+++ b/source/session-proxy/freshness-tracker.spec.ts
@@ -72,6 +72,29 @@
 	assert.deepEqual(freshness.requiredPosition(0, undefined), {term: 1, position: 40}, 'a late reply of the old primary is ignored');
 });
 
+// After two failovers, the successor may lack the log entries of a whole term. Reads would require a position of that term, which no member reaches before the next commit.
+test('a floor of a later term replaces the earlier ones although its log ends in an earlier term', () => {
+	const freshness = new FreshnessTracker(new ManualClock());
+	freshness.add({member: 'b', logPosition: {term: 2, position: 50}, startedAt: 100});
+	freshness.add({
+		member: 'c', logPosition: {term: 1, position: 40}, startedAt: 200, primaryTerm: 3,
+	});
+	assert.deepEqual(freshness.requiredPosition(0, undefined), {term: 1, position: 40});
+	assert.deepEqual(freshness.requiredPosition(0, {member: 'b', logPosition: {term: 2, position: 50}, acknowledgedAt: 150}), {term: 1, position: 40});
+	freshness.add({member: 'b', logPosition: {term: 2, position: 51}, startedAt: 300});
+	assert.deepEqual(freshness.requiredPosition(0, undefined), {term: 1, position: 40}, 'a primary of an earlier term is superseded');
+});
+
+// The positions that a promotion rolled back are reached by no member until the primary has committed as much again.
+test('a lower position of the same primary replaces higher ones, also that of the last commit of the session', () => {
+	const freshness = new FreshnessTracker(new ManualClock());
+	freshness.add({member: 'a', logPosition: {term: 2, position: 50}, startedAt: 100});
+	freshness.add({member: 'a', logPosition: {term: 2, position: 40}, startedAt: 300});
+	assert.deepEqual(freshness.requiredPosition(0, undefined), {term: 2, position: 40});
+	assert.deepEqual(freshness.requiredPosition(0, {member: 'a', logPosition: {term: 2, position: 51}, acknowledgedAt: 150}), {term: 2, position: 40});
+	assert.deepEqual(freshness.requiredPosition(0, {member: 'a', logPosition: {term: 2, position: 45}, acknowledgedAt: 310}), {term: 2, position: 45});
+});
+
 // The clock stands still during a suspension, so the ages of older floors are not known.
 test('floors from before a suspension of the instance are not used', () => {
 	const clock = new SuspendedClock();
--- a/source/session-proxy/freshness-tracker.ts
+++ b/source/session-proxy/freshness-tracker.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
-import {compareLogPositions, laterLogPosition} from '../database-group/log-position-rules.js';
+import {compareLogPositions, earlierLogPosition, laterLogPosition} from '../database-group/log-position-rules.js';
 import {type FreshnessFloor, type LogPosition} from '../database-group/types.js';
 
 /** Minimum time between two freshness floors (see PrimaryFloor) that are kept; a fraction of the smallest staleness that routes allow. */
@@ -15,6 +15,8 @@
 export type PrimaryFloor = FreshnessFloor & {
 	/** Id of the member that confirmed the floor. */
 	readonly member: string;
+	/** Term in which the member is known to lead, if that is later than the term of its last log entry. */
+	readonly primaryTerm?: number;
 };
 
 /** Last commit of a session that was acknowledged. */
@@ -38,20 +40,19 @@
 	}
 
 	/**
-	Adds a floor that a primary confirmed.
+	Adds a floor that a primary confirmed, unless a later request was answered or a primary of a later term is known.
 
-	A floor with a later term, or a later floor from another member, invalidates all earlier ones, since a promotion may have discarded the log entries up to them. The term alone is not enough: the log of a new primary ends in an earlier term until its first commit.
+	A floor of a later term or of another member discards all earlier ones, since a promotion may have rolled back the log entries up to them. So does a lower position those above it: it holds for the earlier times as well, and where a primary was promoted again without having committed anything, no member reaches the higher ones any more.
 	*/
 	add(floor: PrimaryFloor): void {
 		const last = this.#floors.at(-1);
-		if (last && (floor.startedAt < last.startedAt || floor.logPosition.term < last.logPosition.term)) {
+		if (last && (floor.startedAt < last.startedAt || primaryTermOf(floor) < primaryTermOf(last))) {
 			return;
 		}
 
-		if (last && (floor.logPosition.term > last.logPosition.term || floor.member !== last.member)) {
-			this.#floors = [];
-		}
-
+		this.#floors = last && (primaryTermOf(floor) > primaryTermOf(last) || floor.member !== last.member)
+			? []
+			: this.#floors.filter(({logPosition}) => compareLogPositions(logPosition, floor.logPosition) <= 0);
 		this.#insert(floor);
 		if (this.#floors.length > maximumFloorCount) {
 			this.#floors.shift();
@@ -65,17 +66,24 @@
 	*/
 	requiredPosition(time: Milliseconds, lastCommit: SessionCommit | undefined): LogPosition | undefined {
 		this.#discardFloorsBeforeSuspension();
-		const floor = this.#floors.find(({startedAt}) => startedAt >= time + clockDriftAllowance) ?? this.#latestFloorSince(time);
-		if (!floor || !lastCommit) {
+		const floor = this.#floorSince(time);
+		if (!floor || !lastCommit || lastCommit.acknowledgedAt <= time) {
 			return floor?.logPosition;
 		}
 
-		if (lastCommit.logPosition.term >= floor.logPosition.term && lastCommit.member === floor.member) {
-			return laterLogPosition(floor.logPosition, lastCommit.logPosition);
+		// A floor requested after the commit includes it unless a promotion has rolled it back. Until there is one, only the member that acknowledged the commit is known to hold it.
+		const floorAfterCommit = this.#floorSince(lastCommit.acknowledgedAt)?.logPosition;
+		if (lastCommit.member !== floor.member || lastCommit.logPosition.term < floor.logPosition.term) {
+			return floorAfterCommit;
 		}
 
-		// The primary changed after the commit, so only a floor requested since then shows whether the commit survived.
-		return lastCommit.acknowledgedAt <= time ? floor.logPosition : this.requiredPosition(lastCommit.acknowledgedAt, undefined);
+		const positionOfCommit = laterLogPosition(floor.logPosition, lastCommit.logPosition);
+		return floorAfterCommit ? earlierLogPosition(floorAfterCommit, positionOfCommit) : positionOfCommit;
+	}
+
+	/** Returns the oldest floor that holds for `time`, or undefined if none does. */
+	#floorSince(time: Milliseconds): PrimaryFloor | undefined {
+		return this.#floors.find(({startedAt}) => startedAt >= time + clockDriftAllowance) ?? this.#latestFloorSince(time);
 	}
 
 	/** Returns the latest floor if it was requested at `time` or later. Adds no allowance for clock drift, which a floor that this instance requested itself does not need. */
@@ -84,17 +92,16 @@
 		return last && last.startedAt >= time ? last : undefined;
 	}
 
-	/** Appends a floor, with a log position no lower than that of the last one. Replaces the last floor if it is closer than the minimum spacing to the one before it. */
+	/** Appends a floor. Replaces the last one if that is closer than the minimum spacing to the one before it. */
 	#insert(floor: PrimaryFloor): void {
 		const floors = this.#floors;
 		const last = floors.at(-1);
 		const beforeLast = floors.at(-2);
-		const highest = last && compareLogPositions(last.logPosition, floor.logPosition) > 0 ? last.logPosition : floor.logPosition;
 		if (last && beforeLast && last.startedAt - beforeLast.startedAt < minimumFloorSpacing) {
 			floors.pop();
 		}
 
-		floors.push({...floor, logPosition: highest});
+		floors.push(floor);
 	}
 
 	/** Discards floors from before a suspension of this instance. The clock stood still during the suspension, so the ages of these floors are too low. */
@@ -105,3 +112,7 @@
 		}
 	}
 }
+
+function primaryTermOf({primaryTerm = 0, logPosition}: PrimaryFloor): number {
+	return Math.max(primaryTerm, logPosition.term);
+}
--- a/source/session-proxy/loaded-member-fake.ts
+++ b/source/session-proxy/loaded-member-fake.ts
@@ -85,15 +85,18 @@
 	}
 
 	override async execute(statement: MemberStatement): Promise<StatementReply> {
-		const reason = await this.#refusalOf(statement);
+		const refused = this.#refusalOf(statement);
+		// A statement that is sent before the reply does not change the state in it.
+		const state = {transaction: this.#transaction, point: logPosition};
+		const reason = await refused;
 		if (reason) {
 			return {
-				outcome: 'refused', reason, detail: '', transaction: this.#transaction, point: logPosition,
+				outcome: 'refused', reason, detail: '', ...state,
 			};
 		}
 
 		return {
-			outcome: 'done', rows: [], signature: 'signed', transaction: this.#transaction, point: logPosition,
+			outcome: 'done', rows: [], signature: 'signed', ...state,
 		};
 	}
 
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -4,10 +4,14 @@
 import {
 	MemberConnector, MemberConnection, MemberRefusedError, type MemberTarget,
 } from '../statement/member-connection.js';
+import {ReplicationStatusParser, type ReplicationStatus} from '../statement/replication-status.js';
 import {
 	type MemberStatement, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 
+/** Statements that a member answers with its replication status. */
+const statusKinds: ReadonlySet<MemberStatement['kind']> = new Set(['status', 'pause', 'resume', 'demote']);
+
 const dataKinds: ReadonlySet<MemberStatement['kind']> = new Set(['read', 'write', 'execute', 'commit']);
 
 /** Statement that a fake member received. */
@@ -24,10 +28,16 @@
 	readonly received: ReceivedStatement[] = [];
 	role: 'primary' | 'replica' = 'replica';
 	point: LogPosition = {term: 1, position: 1};
+	/** Highest term that the member knows, if it is later than the term of its last log entry. */
+	knownTerm = 0;
+	/** Lowest term from which the member accepts log entries. */
+	minimumAcceptedTerm = 0;
 	/** Reasons with which the next data statements are refused, in order. */
 	readonly refusals: RefusalReason[] = [];
 	/** Kinds of statements that are refused as failed. */
 	readonly refusedKinds = new Set<MemberStatement['kind']>();
+	/** Kinds of statements whose replies are lost. The next reply on the connection is then taken for the missing one, since replies are matched by their order. */
+	readonly lostReplies = new Set<MemberStatement['kind']>();
 	/** Whether new connections are refused because of the connection limit. */
 	refusesConnections = false;
 	/** Whether the member sends no replies and accepts no connections. */
@@ -48,6 +58,13 @@
 		return this.received.map(({statement}) => statement.kind);
 	}
 
+	/** Status that the member reports. */
+	get status(): ReplicationStatus {
+		return {
+			role: this.role, term: Math.max(this.knownTerm, this.point.term), received: this.point, minimumAcceptedTerm: this.minimumAcceptedTerm,
+		};
+	}
+
 	/** Sends the held replies. */
 	releaseReplies(): void {
 		this.holdsReplies = false;
@@ -73,6 +90,8 @@
 	/** Whether the open transaction, if there is one, was begun as a write transaction. */
 	#isWriteTransaction = false;
 	readonly #listeners: Array<() => void> = [];
+	/** Statements without a reply, oldest first. */
+	readonly #pendingReplies: Array<(reply: StatementReply) => void> = [];
 
 	constructor(private readonly member: FakeMemberServer, private readonly connectionNumber: number, readonly customer?: string) {
 		super();
@@ -96,8 +115,12 @@
 
 		const isDataStatement = dataKinds.has(statement.kind);
 		return new Promise(resolve => {
+			this.#pendingReplies.push(resolve);
 			const sendReply = (): void => {
-				resolve(this.#createReply(statement, isDataStatement));
+				const reply = this.#createReply(statement, isDataStatement);
+				if (!this.member.lostReplies.has(statement.kind)) {
+					this.#pendingReplies.shift()!(reply);
+				}
 			};
 
 			if (this.member.heldKinds.has(statement.kind)) {
@@ -128,8 +151,9 @@
 		}
 
 		this.#applyStatement(statement);
+		const rows = statusKinds.has(statement.kind) ? [JSON.stringify(this.member.status)] : [];
 		return {
-			outcome: 'done', rows: [], signature: `signed ${this.member.server.id}`, transaction: this.#transaction, point: this.member.point,
+			outcome: 'done', rows, signature: `signed ${this.member.server.id}`, transaction: this.#transaction, point: this.member.point,
 		};
 	}
 
@@ -162,6 +186,12 @@
 			this.#transaction = 'idle';
 		}
 
+		if (statement.kind === 'pause' && this.member.role === 'replica' && statement.term > this.member.status.term) {
+			this.member.minimumAcceptedTerm = statement.term;
+		} else if (statement.kind === 'demote' && statement.term > this.member.status.term) {
+			this.member.role = 'replica';
+		}
+
 		if (statement.kind === 'write') {
 			this.member.point = {...this.member.point, position: this.member.point.position + 1};
 		}
@@ -194,3 +224,10 @@
 		return memberConnection;
 	}
 }
+
+/** Parses the status of a fake member. */
+export class FakeReplicationStatusParser extends ReplicationStatusParser {
+	override parse(rows: readonly string[]): ReplicationStatus | undefined {
+		return rows.length === 0 ? undefined : JSON.parse(rows[0]) as ReplicationStatus;
+	}
+}
--- a/source/session-proxy/primary-read-attempt.ts
+++ b/source/session-proxy/primary-read-attempt.ts
@@ -1,11 +1,10 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {provesNotRun, type StatementReply} from '../statement/types.js';
+import {provesNotRun} from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
 import {type MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
 import {readInWriteTransaction, returnAfterPrimaryRead, type PrimaryReadOutcome} from './primary-read.js';
-import {type ServiceClient} from './service-client.js';
 import {type SessionContext} from './session-context.js';
 import {type StatementAttempt} from './statement-attempt.js';
 
@@ -51,12 +50,13 @@
 		return outcome;
 	}
 
-	if (isBehindConfirmedTerm(client, outcome.reply)) {
-		return {kind: 'unknown', detail: `${pool.server.id} answered from the log of an earlier term`};
+	const {point} = outcome.reply;
+	if (point && client.isSuperseded(pool.server.id, point)) {
+		return {kind: 'unknown', detail: `${pool.server.id} answered as the primary of an earlier term`};
 	}
 
 	if (outcome.reply.outcome === 'done') {
-		client.recordPrimaryPosition(pool.server.id, outcome.reply.point, sentAt);
+		client.recordPrimaryPosition(pool.server.id, point, sentAt);
 	}
 
 	return outcome;
@@ -78,9 +78,3 @@
 		return codeName === 'linkNotSent' ? {kind: 'notRun', reason: 'busy', detail: message} : {kind: 'unknown', detail: message};
 	}
 }
-
-/** Returns whether the log of the member that answered ends in an earlier term than a position that a primary has confirmed, so that the member cannot be the current primary. */
-function isBehindConfirmedTerm(client: ServiceClient, {point}: StatementReply): boolean {
-	const confirmed = client.freshness.newest?.logPosition;
-	return point !== undefined && confirmed !== undefined && point.term < confirmed.term;
-}
--- a/source/session-proxy/primary-read.ts
+++ b/source/session-proxy/primary-read.ts
@@ -1,6 +1,7 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {provesPrimary} from '../statement/primary-proof.js';
 import {
 	provesNotRun, type MemberStatement, type RefusalReason, type StatementReply,
 } from '../statement/types.js';
@@ -44,7 +45,7 @@
 			};
 		}
 
-		if (begun.transaction !== 'open') {
+		if (!provesPrimary(begun)) {
 			return {kind: 'notRun', reason: 'busy', detail: `the transaction is ${begun.transaction} after its begin`};
 		}
 
--- a/source/session-proxy/read-placement.spec.ts
+++ b/source/session-proxy/read-placement.spec.ts
@@ -10,7 +10,7 @@
 import {type Route} from '../routing-table/types.js';
 import {type StatementReply} from '../statement/types.js';
 import {CallerOperation} from './caller-operation.js';
-import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
+import {FakeMemberConnector, FakeMemberServer, FakeReplicationStatusParser} from './member-server-fake.js';
 import {ServiceClient} from './service-client.js';
 import {SessionContext} from './session-context.js';
 import {testAnnouncement} from './session-fixture.js';
@@ -49,6 +49,7 @@
 			logger: {...silentLogger, info: record, warn: record},
 			directory: this.#directory,
 			connector: new FakeMemberConnector([...this.members.values()]),
+			statusParser: new FakeReplicationStatusParser(),
 			dataCentre: 'here',
 			maximumConnections: () => 20,
 			random: new SeededRandom(3),
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -2,13 +2,14 @@
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
-import {compareLogPositions} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {SystemRandom, type Random} from '../random/random.js';
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnector} from '../statement/member-connection.js';
+import {provesPrimary} from '../statement/primary-proof.js';
+import {type ReplicationStatusParser} from '../statement/replication-status.js';
 import {type RefusalReason} from '../statement/types.js';
 import {type ConnectionPlacement} from './connection-placement.js';
 import {FreshnessTracker} from './freshness-tracker.js';
@@ -35,6 +36,7 @@
 	readonly logger: Logger;
 	readonly directory: BackendDirectory;
 	readonly connector: MemberConnector;
+	readonly statusParser: ReplicationStatusParser;
 	readonly dataCentre: string;
 	/** Returns the maximum number of connections from this instance to a member. */
 	readonly maximumConnections: (server: BackendServer) => number;
@@ -67,12 +69,12 @@
 	#primary: string | undefined;
 	/** Last known primary, also after it was forgotten. */
 	#lastPrimary: string | undefined;
-	/** Term in which the primary last confirmed its role. */
+	/** Term in which the last known primary leads, or the term of its last log entry while it has not reported the one in which it leads. */
 	#primaryTerm = 0;
 	/** Time since which no primary is known. */
 	#primaryMissingSince: Milliseconds;
 	readonly #random: Random;
-	#primarySearch: Promise<string | undefined> | undefined;
+	#primarySearch: Promise<void> | undefined;
 
 	constructor(private readonly options: ServiceClientOptions) {
 		this.freshness = new FreshnessTracker(options.clock);
@@ -123,13 +125,21 @@
 	}
 
 	/** Applies a report about the primary that a control instance sent. `askedAt` is the time at which this instance requested it. */
-	applyPrimaryReport(report: PrimaryReport, askedAt: Milliseconds): void {
-		this.freshness.add({member: report.primary, logPosition: report.point, startedAt: askedAt - report.age});
-		if (report.point.term > this.#primaryTerm) {
-			this.#setPrimary(report.primary, report.point.term);
+	applyPrimaryReport({primary, point, age}: PrimaryReport, askedAt: Milliseconds): void {
+		const primaryTerm = this.#termOf(primary, point);
+		this.freshness.add({
+			member: primary, logPosition: point, startedAt: askedAt - age, primaryTerm,
+		});
+		if (primaryTerm > this.#primaryTerm) {
+			this.#setPrimary(primary, primaryTerm);
 		}
 	}
 
+	/** Returns whether a member that answered as the primary, with its log position, leads an earlier term than another member that is known to lead. */
+	isSuperseded(id: string, logPosition: LogPosition): boolean {
+		return this.#termOf(id, logPosition) < this.#primaryTerm;
+	}
+
 	/** Forgets the primary if it is the given member, which refused as a replica or could not be reached. */
 	forgetPrimary(id: string): void {
 		if (this.#primary === id) {
@@ -148,13 +158,18 @@
 		return retryAfter(cause, usefulTime, this.#random);
 	}
 
-	/** Records the log position in a reply of the primary to a statement that was sent at `askedAt`. */
-	recordPrimaryPosition(id: string, logPosition: LogPosition | undefined, askedAt: Milliseconds): void {
-		if (logPosition) {
-			this.freshness.add({member: id, logPosition, startedAt: askedAt});
-			if (logPosition.term >= this.#primaryTerm) {
-				this.#setPrimary(id, logPosition.term);
-			}
+	/** Records the log position in a reply of the primary to a statement sent at `askedAt`, unless the primary is superseded. `reportedTerm` is the term in which the member says that it leads. */
+	recordPrimaryPosition(id: string, logPosition: LogPosition | undefined, askedAt: Milliseconds, reportedTerm = 0): void {
+		if (!logPosition) {
+			return;
+		}
+
+		const primaryTerm = Math.max(reportedTerm, this.#termOf(id, logPosition));
+		if (primaryTerm >= this.#primaryTerm) {
+			this.freshness.add({
+				member: id, logPosition, startedAt: askedAt, primaryTerm,
+			});
+			this.#setPrimary(id, primaryTerm);
 		}
 	}
 
@@ -185,16 +200,16 @@
 	async primaryPool(deadline: Milliseconds): Promise<MemberPool> {
 		const {clock, service} = this.options;
 		for (;;) {
-			const pool = this.#primary === undefined ? undefined : this.#pools.get(this.#primary);
-			if (pool && !pool.server.isGone) {
+			const pool = this.#poolOfPrimary;
+			if (pool) {
 				return pool;
 			}
 
 			this.#primarySearch ??= this.#findPrimary().finally(() => {
 				this.#primarySearch = undefined;
 			});
-			const found = await Promise.race([this.#primarySearch, clock.sleep(Math.max(0, deadline - clock.now()))]);
-			if (found === undefined) {
+			await Promise.race([this.#primarySearch, clock.sleep(Math.max(0, deadline - clock.now()))]);
+			if (!this.#poolOfPrimary) {
 				if (clock.now() + primarySearchInterval >= deadline) {
 					throw new BuckthornhitchError('noPrimary', service);
 				}
@@ -206,32 +221,27 @@
 
 	/** Resolves once the primary has confirmed its log position in reply to a request sent at `time` or later. Rejects with noPrimary if it does not do so before the deadline. */
 	async confirmPrimarySince(time: Milliseconds, deadline: Milliseconds): Promise<void> {
-		const {clock} = this.options;
+		const {clock, service} = this.options;
 		while ((this.freshness.newest?.startedAt ?? Number.NEGATIVE_INFINITY) < time) {
+			if (clock.now() >= deadline) {
+				throw new BuckthornhitchError('noPrimary', service);
+			}
+
 			const pool = await this.primaryPool(deadline);
 			if (!await this.#checkPrimaryRole(pool, deadline)) {
 				this.forgetPrimary(pool.server.id);
-				if (clock.now() >= deadline) {
-					throw new BuckthornhitchError('noPrimary', this.options.service);
-				}
 			}
 		}
 	}
 
-	/** Begins and rolls back a write transaction on the connection; only the primary accepts it. Resolves with whether the member is the primary, and records its log position if so. */
-	async checkPrimaryRoleOn(pool: MemberPool, connection: PooledConnection): Promise<boolean> {
-		const askedAt = this.options.clock.now();
-		const beginReply = connection.execute({kind: 'begin', isReadOnly: false}, confirmTimeout);
-		const rollbackReply = connection.execute({kind: 'rollback'}, confirmTimeout).catch(() => undefined);
-		const reply = await beginReply;
-		if (reply.outcome === 'refused') {
-			await rollbackReply;
-			return false;
-		}
+	get #poolOfPrimary(): MemberPool | undefined {
+		const pool = this.#primary === undefined ? undefined : this.#pools.get(this.#primary);
+		return pool?.server.isGone ? undefined : pool;
+	}
 
-		this.recordPrimaryPosition(pool.server.id, reply.point, askedAt);
-		await rollbackReply;
-		return true;
+	/** Returns the term in which a member that answers as the primary leads, as far as it is known. The log of a new primary ends in an earlier term until its first commit. */
+	#termOf(id: string, {term}: LogPosition): number {
+		return id === this.#primary ? Math.max(term, this.#primaryTerm) : term;
 	}
 
 	#setPrimary(id: string, term: number): void {
@@ -254,23 +264,19 @@
 		return clock.now() - this.#createdAt >= discoveryTime || (age >= 0 && age < recentStartAge);
 	}
 
-	/** Asks every member whether it is the primary. Resolves with the id of the member that confirms it. If several do, resolves with the one that has the latest log position. */
-	async #findPrimary(): Promise<string | undefined> {
+	/** Asks every member whether it is the primary, and records the one that confirms it. */
+	async #findPrimary(): Promise<void> {
 		const deadline = this.options.clock.now() + confirmTimeout;
-		const pools = [...this.#pools.values()];
-		const confirmedPools = await Promise.all(pools.map(async pool => await this.#checkPrimaryRole(pool, deadline) ? pool : undefined));
-		const primaries = confirmedPools.filter(pool => pool !== undefined);
-		const [latest] = primaries.toSorted((first, second) => compareLogPositions(second.logPosition ?? {term: 0, position: 0}, first.logPosition ?? {term: 0, position: 0}));
-		return latest?.server.id;
+		await Promise.all([...this.#pools.values()].map(async pool => this.#checkPrimaryRole(pool, deadline)));
 	}
 
-	/** Resolves with whether the member confirms that it is the primary. Resolves with false also if the member cannot be reached or does not answer. */
+	/** Resolves with whether the member confirms that it is the primary of the latest known term, and records its log position if so. Resolves with false also if it does not answer. */
 	async #checkPrimaryRole(pool: MemberPool, deadline: Milliseconds): Promise<boolean> {
 		const startedAt = this.options.clock.now();
 		let connection: PooledConnection | undefined;
 		try {
 			connection = await pool.acquire(Math.min(confirmTimeout, deadline - startedAt), 0);
-			const isPrimary = await this.checkPrimaryRoleOn(pool, connection);
+			const isPrimary = await this.#checkPrimaryRoleOn(pool, connection);
 			pool.release(connection);
 			return isPrimary;
 		} catch {
@@ -283,6 +289,33 @@
 		}
 	}
 
+	/** Begins and rolls back a write transaction on the connection; only the primary accepts it. */
+	async #checkPrimaryRoleOn({server: {id}}: MemberPool, connection: PooledConnection): Promise<boolean> {
+		const askedAt = this.options.clock.now();
+		const [begun, rolledBack] = await Promise.all([
+			connection.execute({kind: 'begin', isReadOnly: false}, confirmTimeout),
+			connection.execute({kind: 'rollback'}, confirmTimeout),
+		]);
+		if (begun.outcome === 'refused') {
+			return false;
+		}
+
+		if (!provesPrimary(begun) || rolledBack.transaction !== 'idle' || !begun.point) {
+			throw new BuckthornhitchError('linkOutcomeUnknown', `A reply of ${id} is missing.`);
+		}
+
+		const reportedTerm = this.isSuperseded(id, begun.point) ? await this.#queryPrimaryTerm(connection) : 0;
+		this.recordPrimaryPosition(id, begun.point, askedAt, reportedTerm);
+		return this.#primary === id;
+	}
+
+	/** Resolves with the term in which the member says that it leads, or 0 if it does not say so. */
+	async #queryPrimaryTerm(connection: PooledConnection): Promise<number> {
+		const reply = await connection.execute({kind: 'status'}, confirmTimeout);
+		const status = reply.outcome === 'done' ? this.options.statusParser.parse(reply.rows) : undefined;
+		return status?.role === 'primary' ? status.term : 0;
+	}
+
 	#openPool(server: BackendServer): MemberPool {
 		const {connector, clock, logger, maximumConnections, connectionPlacement} = this.options;
 		return new MemberPool(server, {
--- a/source/session-proxy/session-fixture.ts
+++ b/source/session-proxy/session-fixture.ts
@@ -9,7 +9,7 @@
 import {type MemberConnector} from '../statement/member-connection.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {type ConnectionPlacement} from './connection-placement.js';
-import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
+import {FakeMemberConnector, FakeMemberServer, FakeReplicationStatusParser} from './member-server-fake.js';
 import {type ExplainedRequest} from './explained-request.js';
 import {RequestLog, type RequestDecision} from './request-log.js';
 import {SessionProxy} from './session-proxy.js';
@@ -67,6 +67,7 @@
 			requestLog: this.log,
 			directory: this.directory,
 			connector: connector ?? new FakeMemberConnector(this.members),
+			statusParser: new FakeReplicationStatusParser(),
 			dataCentre: 'here',
 			maximumConnections: () => this.maximumConnections,
 			connectionPlacement,
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -8,6 +8,7 @@
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {type Route, type RoutingTable} from '../routing-table/types.js';
 import {type MemberConnector} from '../statement/member-connection.js';
+import {type ReplicationStatusParser} from '../statement/replication-status.js';
 import {type ConnectionPlacement} from './connection-placement.js';
 import {type RequestLog} from './request-log.js';
 import {type MemberPool} from './member-pool.js';
@@ -23,6 +24,7 @@
 	readonly requestLog: RequestLog;
 	readonly directory: BackendDirectory;
 	readonly connector: MemberConnector;
+	readonly statusParser: ReplicationStatusParser;
 	readonly dataCentre: string;
 	/** Returns the maximum number of connections from this instance to a member. */
 	readonly maximumConnections: (server: BackendServer) => number;
@@ -187,13 +189,14 @@
 	#getOrCreateClient(service: string): ServiceClient {
 		let client = this.#clients.get(service);
 		if (!client) {
-			const {clock, logger, directory, connector, dataCentre, maximumConnections, connectionPlacement} = this.options;
+			const {clock, logger, directory, connector, statusParser, dataCentre, maximumConnections, connectionPlacement} = this.options;
 			client = new ServiceClient({
 				service,
 				clock,
 				logger,
 				directory,
 				connector,
+				statusParser,
 				dataCentre,
 				maximumConnections,
 				connectionPlacement,
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -94,6 +94,10 @@
 				return known;
 			}
 
+			if (context.now >= deadline) {
+				return undefined;
+			}
+
 			try {
 				const suspendedUntil = context.dependencies.clock.lastSuspectedSuspension();
 				await client.confirmPrimarySince(Math.max(since, context.lastCommit?.acknowledgedAt ?? since, suspendedUntil + 1), deadline);
