Promote only a replica that holds what was acknowledged

The choice left out replicas that are leaving or poorly reachable before it compared the logs. One rule now says which log holds what was acknowledged: the highest one, if fewer replicas are missing than a commit needs. Reachability and a planned stop decide only between such logs. Replicas that left or fell silent count as missing until another member starts at their address; replicas that were paused in vain are resumed; a planned change goes by the same rule when the old primary does not answer, or no replica catches up with it.

The former test of chooseCandidate passes its candidates in the new form, with the same expectations.

--- a/source/backend-directory/backend-directory.ts
+++ b/source/backend-directory/backend-directory.ts
@@ -45,6 +45,12 @@
 		return this.servers.filter(server => server.service === service);
 	}
 
+	/** Returns the servers of a service that have left or no longer announce themselves, unless another one of the service has started at the address, which has taken over the data. */
+	formerServersOf(service: string): readonly BackendServer[] {
+		const present = this.serversOf(service);
+		return this.known.filter(server => server.service === service && !present.some(({id, address}) => id === server.id || address === server.address));
+	}
+
 	/** Returns a server by its id, also after it left. */
 	serverById(id: string): BackendServer | undefined {
 		return this.#entries.get(id)?.server;
--- a/source/promotion/promotion-decision.ts
+++ b/source/promotion/promotion-decision.ts
@@ -6,7 +6,7 @@
 /** How long probes must have failed before a member counts as unreachable. This leaves time to detect one lost answer and to reconnect. */
 export const failureDetectionThreshold: Milliseconds = 600;
 
-/** A replica is not promoted if at least this share of the reporting instances cannot reach it. */
+/** A replica that at least this share of the reporting instances cannot reach is not promoted while another one may be. */
 const unreachableShare = 0.25;
 
 /** Returns whether the primary must be replaced: instances report failures and none reaches it. While any instance reaches it, it may still acknowledge writes, which its successor would lack. */
@@ -28,9 +28,30 @@
 	readonly contact: ReachabilityCount;
 };
 
-/** Returns the candidate to promote: the one with the highest received log position among those that are reachable and not leaving. */
-export function chooseCandidate(candidates: readonly PromotionCandidate[]): PromotionCandidate | undefined {
-	const reachable = candidates.filter(candidate => !isPoorlyReachable(candidate.contact));
-	const staying = reachable.filter(candidate => !candidate.isLeaving);
-	return staying.toSorted((first, second) => compareLogPositions(second.received, first.received)).at(0);
+/** What is known of the logs of a service's replicas. */
+export type ReplicaSurvey = {
+	readonly candidates: readonly PromotionCandidate[];
+	/** Ids of the replicas that may hold commits and whose logs are not known. */
+	readonly missing: readonly string[];
+};
+
+/**
+Returns the candidate to promote, if one may be.
+
+Without synchronous replicas, it is the one with the highest received log position among those that are reachable and not leaving.
+
+With synchronous replicas, a commit is acknowledged once that many replicas have received it. The highest log of all but fewer than that many replicas therefore holds every acknowledged commit, and no other log is known to. Reachability and a planned stop only decide between logs that hold them: a member that is leaving still receives and serves, and can be replaced once another one has caught up.
+*/
+export function chooseCandidate({candidates, missing}: ReplicaSurvey, synchronousReplicas: number): PromotionCandidate | undefined {
+	const byLog = candidates.toSorted((first, second) => compareLogPositions(second.received, first.received));
+	if (synchronousReplicas === 0) {
+		return byLog.find(candidate => !candidate.isLeaving && !isPoorlyReachable(candidate.contact));
+	}
+
+	if (missing.length >= synchronousReplicas) {
+		return undefined;
+	}
+
+	const holders = byLog.filter(({received}) => compareLogPositions(received, byLog[0].received) === 0);
+	return holders.toSorted((first, second) => Number(isPoorlyReachable(first.contact)) - Number(isPoorlyReachable(second.contact)) || Number(first.isLeaving) - Number(second.isLeaving)).at(0);
 }
--- a/source/promotion/service-promotion-controller.spec.ts
+++ b/source/promotion/service-promotion-controller.spec.ts
@@ -4,7 +4,7 @@
 import {ManualClock} from '../clock/manual-clock.js';
 import {silentLogger} from '../observability/logger.js';
 import {encodeReachability, ReachabilityReports} from '../registry/reachability-reports.js';
-import {FakeMemberConnector, FakeMemberServer} from '../session-proxy/member-server-fake.js';
+import {FakeMemberConnector, FakeMemberServer, FakeReplicationStatusParser} from '../session-proxy/member-server-fake.js';
 import {testAnnouncement} from '../session-proxy/session-fixture.js';
 import {ReplicationStatusParser, type ReplicationStatus} from '../statement/replication-status.js';
 import {BackendServerMonitor} from './backend-server-monitor.js';
@@ -17,6 +17,12 @@
 	}
 }
 
+type FixtureOptions = {
+	readonly outcomes?: PromotionOutcome[];
+	/** Number of synchronous replicas; the members report their statuses if there are any. */
+	readonly synchronousReplicas?: number;
+};
+
 class FakeAuthority extends PromotionAuthority {
 	readonly requests: PromotionRequest[] = [];
 
@@ -45,7 +51,7 @@
 	readonly #controller: ServicePromotionController;
 	#token = 0;
 
-	constructor(outcomes: PromotionOutcome[] = []) {
+	constructor({outcomes = [], synchronousReplicas = 0}: FixtureOptions = {}) {
 		this.members[0].role = 'primary';
 		this.members[0].point = {term: 1, position: 9};
 		this.members[1].point = {term: 1, position: 7};
@@ -63,9 +69,9 @@
 			monitor: this.#monitor,
 			reports: this.reports,
 			authority: this.authority,
-			statusParser: new UnparsableStatusParser(),
+			statusParser: synchronousReplicas > 0 ? new FakeReplicationStatusParser() : new UnparsableStatusParser(),
 			table: () => ({
-				version: 1, routes: [], services: [{name: 'ledger', connectionLimit: 9, synchronousReplicas: 0}], idleTransactionLimit: 0,
+				version: 1, routes: [], services: [{name: 'ledger', connectionLimit: 9, synchronousReplicas}], idleTransactionLimit: 0,
 			}),
 			isLeader: () => true,
 			issueToken: async () => ++this.#token,
@@ -75,12 +81,18 @@
 		this.#controller.start();
 	}
 
-	announce(isLeaving = false, sequence = 1): void {
+	/** Announces the members, the given one as leaving. */
+	announce(leaving?: string, sequence = 1): void {
 		for (const {server} of this.members) {
-			this.#directory.applyAnnouncement({...server, sequence, isLeaving: isLeaving && server.id === 'a'});
+			this.#directory.applyAnnouncement({...server, sequence, isLeaving: server.id === leaving});
 		}
 	}
 
+	/** Marks a member as gone. */
+	markGone(id: string): void {
+		this.#directory.markGone(id);
+	}
+
 	/** Advances the clock while ten entry processes report whether they reach the primary; the given number of them fail to. */
 	async advance(duration: number, failing: number): Promise<void> {
 		for (let passed = 0; passed < duration; passed += 100) {
@@ -120,7 +132,7 @@
 
 // An unanswered request may be carried out late; a higher token in the repeated request invalidates it.
 test('a promotion request without an answer is repeated soon with a higher fencing token', async () => {
-	const fixture = new Fixture(['unknown', 'unknown']);
+	const fixture = new Fixture({outcomes: ['unknown', 'unknown']});
 	await fixture.advance(1000, 0);
 	fixture.members[0].isUnresponsive = true;
 	await fixture.advance(3000, 10);
@@ -132,9 +144,46 @@
 test('a leaving primary is demoted before another member is promoted', async () => {
 	const fixture = new Fixture();
 	await fixture.advance(1000, 0);
-	fixture.announce(true, 2);
+	fixture.announce('a', 2);
 	await fixture.advance(4000, 0);
 	fixture.stop();
 	assert.deepEqual(fixture.authority.requests.map(request => request.member), ['c']);
 	assert.ok(fixture.members[0].receivedKinds.includes('demote'));
 });
+
+// A replica that was leaving was passed over, and the one that lacked the acknowledged commits was promoted.
+test('with synchronous replicas, a lost primary is replaced by the replica that holds all commits, although it is leaving', async () => {
+	const fixture = new Fixture({synchronousReplicas: 1});
+	fixture.members[2].point = {term: 1, position: 9};
+	await fixture.advance(1000, 0);
+	fixture.announce('c', 2);
+	fixture.members[0].isUnresponsive = true;
+	await fixture.advance(2500, 10);
+	fixture.stop();
+	assert.equal(fixture.authority.requests.at(0)?.member, 'c');
+});
+
+// The replica that left may alone hold an acknowledged commit, until a successor at its address has its log.
+test('with synchronous replicas, no replica is promoted while the log of another one is not known', async () => {
+	const fixture = new Fixture({synchronousReplicas: 1});
+	await fixture.advance(1000, 0);
+	fixture.markGone('c');
+	fixture.members[0].isUnresponsive = true;
+	await fixture.advance(2500, 10);
+	fixture.stop();
+	assert.deepEqual(fixture.authority.requests, []);
+	assert.equal(fixture.members[1].receivedKinds.at(-1), 'resume', 'the replica receives again if the primary is back');
+});
+
+// A primary that did not answer the demotion was replaced by the highest log that happened to answer.
+test('with synchronous replicas, a leaving primary that no replica has caught up with stays the primary', async () => {
+	const fixture = new Fixture({synchronousReplicas: 1});
+	await fixture.advance(1000, 0);
+	fixture.announce('a', 2);
+	await fixture.advance(3000, 0);
+	assert.deepEqual([...new Set(fixture.authority.requests.map(({member}) => member))], ['a']);
+	fixture.members[1].point = {term: 1, position: 9};
+	await fixture.advance(3000, 0);
+	fixture.stop();
+	assert.equal(fixture.authority.requests.at(-1)?.member, 'b');
+});
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -13,7 +13,7 @@
 import {type BackendServerMonitor} from './backend-server-monitor.js';
 import {type PromotionAuthority} from './promotion-authority.js';
 import {
-	chooseCandidate, isPrimaryLost, failureDetectionThreshold, type PromotionCandidate,
+	chooseCandidate, isPrimaryLost, failureDetectionThreshold, type PromotionCandidate, type ReplicaSurvey,
 } from './promotion-decision.js';
 
 /** Period of the checks for primaries to replace. */
@@ -179,39 +179,65 @@
 		}
 	}
 
-	/** Returns the replica with the highest received log position. With synchronous replicas, an acknowledged commit may be on only one replica, so every replica must first stop receiving log entries and report its position. */
-	async #prepareFailover({service, members, primary, synchronousReplicas}: ReplacementPlan): Promise<string | undefined> {
+	/** Returns the replica to promote in the place of a lost primary. With synchronous replicas, all replicas first stop receiving log entries, so that none can acknowledge a commit of the old primary any more. */
+	async #prepareFailover(plan: ReplacementPlan): Promise<string | undefined> {
+		const {service, members, primary, synchronousReplicas} = plan;
 		const replicas = members.filter(member => member.id !== primary?.id);
+		if (synchronousReplicas === 0) {
+			const statuses = await this.#queryStatuses(replicas, {kind: 'status'});
+			return this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, statuses), missing: []}, synchronousReplicas);
+		}
+
 		const term = this.#highestKnownTerm(members) + 1;
-		const statement: MemberStatement = synchronousReplicas > 0 ? {kind: 'pause', term} : {kind: 'status'};
-		const candidates = await this.#queryCandidates(replicas, statement);
-		if (synchronousReplicas > 0 && candidates.length < replicas.length) {
-			this.options.logger.warn(`${service}: ${candidates.length} of ${replicas.length} replicas answered; an acknowledged commit may be on the others`);
-			return undefined;
+		const answers = await this.#queryStatuses(replicas, {kind: 'pause', term});
+		const hasStopped = ({id}: BackendServer): boolean => answers.get(id)?.role === 'replica' && answers.get(id)!.minimumAcceptedTerm >= term;
+		// A former primary needs no answer: its acknowledged commits are on replicas.
+		const formerReplicas = this.options.directory.formerServersOf(service).filter(({role}) => role === 'replica');
+		const missing = [...replicas, ...formerReplicas].filter(replica => !hasStopped(replica)).map(({id}) => id);
+		const candidates = this.#candidatesOf(replicas.filter(replica => hasStopped(replica)), answers);
+		const chosen = this.#chooseCandidate(service, {candidates, missing}, synchronousReplicas);
+		if (chosen === undefined && missing.length > 0) {
+			this.options.logger.warn(`${service}: no member is promoted: the replicas ${missing.join(', ')} did not stop receiving at term ${term} and may alone hold an acknowledged commit`);
+			await this.#resumeReplicas(plan);
 		}
 
-		return this.#chooseCandidate(service, candidates);
+		return chosen;
 	}
 
-	/** Demotes the leaving primary, which stops its writes, and returns a replica that has received all of them. */
-	async #prepareSwitchover({service, members, primary}: ReplacementPlan): Promise<string | undefined> {
-		const {monitor, logger} = this.options;
-		const replicas = members.filter(member => member.id !== primary!.id);
-		const preliminary = this.#chooseCandidate(service, await this.#queryCandidates(replicas, {kind: 'status'}));
+	/** Demotes the leaving primary, which stops its writes, and returns a replica that has received all of them. With synchronous replicas, returns the old primary itself if there is none. */
+	async #prepareSwitchover(plan: ReplacementPlan): Promise<string | undefined> {
+		const {service, members, synchronousReplicas} = plan;
+		const primary = plan.primary!;
+		const replicas = members.filter(member => member.id !== primary.id);
+		const statuses = await this.#queryStatuses(replicas, {kind: 'status'});
 		// The primary is not demoted when no replica can replace it.
-		if (preliminary === undefined) {
+		if (this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, statuses), missing: []}, 0) === undefined) {
 			return undefined;
 		}
 
-		const reply = await monitor.proberOf(primary!.id)?.execute({kind: 'demote', term: this.#highestKnownTerm(members) + 1});
-		const finalPosition = reply?.outcome === 'done' ? this.options.statusParser.parse(reply.rows)?.received ?? reply.point : undefined;
+		const finalPosition = await this.#demote(primary, this.#highestKnownTerm(members) + 1);
 		const caughtUp = finalPosition ? await this.#awaitCaughtUpReplicas(replicas, finalPosition) : [];
 		if (caughtUp.length > 0) {
-			return this.#chooseCandidate(service, caughtUp);
+			return this.#chooseCandidate(service, {candidates: caughtUp, missing: []}, synchronousReplicas);
+		}
+
+		if (synchronousReplicas > 0) {
+			this.options.logger.warn(`${service}: no replica received everything that ${primary.id} holds`);
+			return finalPosition ? primary.id : this.#prepareFailover(plan);
+		}
+
+		this.options.logger.warn(`${service}: no replica received everything that ${primary.id} holds; promoting the one with the highest log position`);
+		return this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, await this.#queryStatuses(replicas, {kind: 'status'})), missing: []}, 0);
+	}
+
+	/** Demotes the primary and resolves with the end of its log, or with undefined if it did not answer. */
+	async #demote({id}: BackendServer, term: number): Promise<LogPosition | undefined> {
+		const reply = await this.options.monitor.proberOf(id)?.execute({kind: 'demote', term});
+		if (reply?.outcome !== 'done') {
+			return undefined;
 		}
 
-		logger.warn(`${service}: no replica received everything that ${primary!.id} holds; promoting the one with the highest log position`);
-		return this.#chooseCandidate(service, await this.#queryCandidates(replicas, {kind: 'status'}));
+		return this.options.statusParser.parse(reply.rows)?.received ?? reply.point;
 	}
 
 	/** Resolves with the replicas that have received everything up to a log position, or with none after the timeout. */
@@ -219,7 +245,7 @@
 		const {clock} = this.options;
 		const deadline = clock.now() + catchUpTimeout;
 		while (clock.now() < deadline) {
-			const candidates = await this.#queryCandidates(replicas, {kind: 'status'});
+			const candidates = this.#candidatesOf(replicas, await this.#queryStatuses(replicas, {kind: 'status'}));
 			const caughtUp = candidates.filter(candidate => compareLogPositions(candidate.received, position) >= 0);
 			if (caughtUp.length > 0) {
 				return caughtUp;
@@ -231,33 +257,41 @@
 		return [];
 	}
 
-	/** Sends a statement to the replicas and resolves with those whose received log position is known. */
-	async #queryCandidates(replicas: readonly BackendServer[], statement: MemberStatement): Promise<readonly PromotionCandidate[]> {
-		const {monitor, reports} = this.options;
-		const answers = await Promise.all(replicas.map(async ({id, isLeaving}): Promise<PromotionCandidate | undefined> => {
-			const received = await this.#queryReceivedPosition(id, statement) ?? (statement.kind === 'status' ? monitor.proberOf(id)?.logPosition : undefined);
-			return received && {
-				id, isLeaving, received, contact: reports.count(id, failureDetectionThreshold),
-			};
+	/** Sends a statement to the members and resolves with the statuses of those that answered with one, by the id of the member. */
+	async #queryStatuses(members: readonly BackendServer[], statement: MemberStatement): Promise<ReadonlyMap<string, ReplicationStatus>> {
+		const {monitor, statusParser, logger} = this.options;
+		const statuses = new Map<string, ReplicationStatus>();
+		await Promise.all(members.map(async ({id}) => {
+			try {
+				const reply = await monitor.proberOf(id)?.execute(statement);
+				const status = reply?.outcome === 'done' ? statusParser.parse(reply.rows) : undefined;
+				if (status) {
+					statuses.set(id, status);
+				}
+			} catch (error) {
+				logger.warn(`member ${id} did not report its status: ${toBuckthornhitchError(error).message}`);
+			}
 		}));
-		return answers.filter(answer => answer !== undefined);
+		return statuses;
 	}
 
-	async #queryReceivedPosition(id: string, statement: MemberStatement): Promise<LogPosition | undefined> {
-		const {monitor, statusParser, logger} = this.options;
-		try {
-			const reply = await monitor.proberOf(id)?.execute(statement);
-			const status: ReplicationStatus | undefined = reply?.outcome === 'done' ? statusParser.parse(reply.rows) : undefined;
-			return status?.received;
-		} catch (error) {
-			logger.warn(`member ${id} did not report its status: ${toBuckthornhitchError(error).message}`);
-			return undefined;
-		}
+	/** Returns the replicas whose received log position is known. Without synchronous replicas, the last position that a replica reported stands for that of a status which is missing. */
+	#candidatesOf(replicas: readonly BackendServer[], statuses: ReadonlyMap<string, ReplicationStatus>): readonly PromotionCandidate[] {
+		const {monitor, reports} = this.options;
+		return replicas.flatMap(({id, isLeaving}) => {
+			const received = statuses.get(id)?.received ?? monitor.proberOf(id)?.logPosition;
+			const contact = reports.count(id, failureDetectionThreshold);
+			return received
+				? [{
+					id, isLeaving, received, contact,
+				}]
+				: [];
+		});
 	}
 
-	#chooseCandidate(service: string, candidates: readonly PromotionCandidate[]): string | undefined {
-		const chosen = chooseCandidate(candidates);
-		this.options.logger.info(`${service}: candidates ${JSON.stringify(candidates)}; chosen ${chosen?.id ?? 'none'}`);
+	#chooseCandidate(service: string, survey: ReplicaSurvey, synchronousReplicas: number): string | undefined {
+		const chosen = chooseCandidate(survey, synchronousReplicas);
+		this.options.logger.info(`${service}: candidates ${JSON.stringify(survey.candidates)}; chosen ${chosen?.id ?? 'none'}`, {missing: survey.missing});
 		return chosen?.id;
 	}
 
@@ -295,9 +329,9 @@
 	}
 
 	/** Lets paused replicas receive log entries again after a promotion that did not take place. */
-	async #resumeReplicas({members, synchronousReplicas, isSwitchover}: ReplacementPlan): Promise<void> {
-		if (synchronousReplicas > 0 && !isSwitchover) {
-			await Promise.all(members.map(async ({id}) => this.#queryReceivedPosition(id, {kind: 'resume'})));
+	async #resumeReplicas({members, primary, synchronousReplicas}: ReplacementPlan): Promise<void> {
+		if (synchronousReplicas > 0) {
+			await this.#queryStatuses(members.filter(({id}) => id !== primary?.id), {kind: 'resume'});
 		}
 	}
 }
--- a/source/registry/registry-rules.spec.ts
+++ b/source/registry/registry-rules.spec.ts
@@ -80,6 +80,30 @@
 			id: 'd', received: {term: 2, position: 6}, isLeaving: false, contact: {reached: 0, failed: 5},
 		},
 	];
-	assert.equal(chooseCandidate(candidates)?.id, 'b');
-	assert.equal(chooseCandidate([]), undefined);
+	assert.equal(chooseCandidate({candidates, missing: ['e']}, 0)?.id, 'b');
+	assert.equal(chooseCandidate({candidates: [], missing: []}, 0), undefined);
+});
+
+// A replica that is leaving was left out before the logs were compared, and another one that lacked acknowledged commits was promoted.
+test('with synchronous replicas, only the highest log of all replicas but one less than their number is promoted', () => {
+	const contact = {reached: 5, failed: 0};
+	const behind = {
+		id: 'a', received: {term: 1, position: 9}, isLeaving: false, contact,
+	};
+	const leaving = {
+		id: 'b', received: {term: 2, position: 5}, isLeaving: true, contact,
+	};
+	const unreached = {
+		id: 'c', received: {term: 2, position: 5}, isLeaving: false, contact: {reached: 0, failed: 5},
+	};
+	const staying = {
+		id: 'd', received: {term: 2, position: 5}, isLeaving: false, contact,
+	};
+	assert.equal(chooseCandidate({candidates: [behind, leaving], missing: []}, 1)?.id, 'b');
+	assert.equal(chooseCandidate({candidates: [behind, unreached], missing: []}, 1)?.id, 'c');
+	assert.equal(chooseCandidate({candidates: [behind, unreached, leaving, staying], missing: []}, 1)?.id, 'd');
+	assert.equal(chooseCandidate({candidates: [behind, staying], missing: ['e']}, 1), undefined, 'the missing replica may hold more');
+	assert.equal(chooseCandidate({candidates: [behind, staying], missing: ['e']}, 2)?.id, 'd', 'each commit is on two replicas');
+	assert.equal(chooseCandidate({candidates: [behind, staying], missing: ['e', 'f']}, 2), undefined);
+	assert.equal(chooseCandidate({candidates: [], missing: []}, 1), undefined);
 });
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -188,6 +188,8 @@
 
 		if (statement.kind === 'pause' && this.member.role === 'replica' && statement.term > this.member.status.term) {
 			this.member.minimumAcceptedTerm = statement.term;
+		} else if (statement.kind === 'resume') {
+			this.member.minimumAcceptedTerm = 0;
 		} else if (statement.kind === 'demote' && statement.term > this.member.status.term) {
 			this.member.role = 'replica';
 		}
