Pause and demote members in a term above the one that they know

The leader took the highest term of the last log entries for the newest one. A primary that has not committed since its promotion leads a later term: its replicas ignored PAUSE and went on receiving, and it ignored DEMOTE and went on writing.

The members now say in their statuses which term they know, and count as paused or demoted only if their answers say so. The new test sees term 2 in place of 8 on the code before.

--- a/source/promotion/service-promotion-controller.spec.ts
+++ b/source/promotion/service-promotion-controller.spec.ts
@@ -187,3 +187,27 @@
 	fixture.stop();
 	assert.equal(fixture.authority.requests.at(-1)?.member, 'b');
 });
+
+// The term of the last log entry was taken for that of the primary. A promoted member leads a later one, so that its replicas ignored PAUSE and went on receiving, and it ignored DEMOTE and went on writing.
+test('replicas are paused and a leaving primary is demoted in a term above the one that the primary leads', async () => {
+	for (const isLeaving of [false, true]) {
+		const fixture = new Fixture({synchronousReplicas: 1});
+		for (const member of fixture.members) {
+			member.point = {term: 1, position: 9};
+			member.knownTerm = 7;
+		}
+
+		await fixture.advance(1000, 0);
+		if (isLeaving) {
+			fixture.announce('a', 2);
+		} else {
+			fixture.members[0].isUnresponsive = true;
+		}
+
+		await fixture.advance(2500, isLeaving ? 0 : 10);
+		fixture.stop();
+		const statements = fixture.members.flatMap(({received}) => received).flatMap(({statement}) => statement.kind === 'pause' || statement.kind === 'demote' ? [statement] : []);
+		assert.deepEqual(statements[0], {kind: isLeaving ? 'demote' : 'pause', term: 8});
+		assert.equal(fixture.authority.requests.length, 1);
+	}
+});
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -183,12 +183,12 @@
 	async #prepareFailover(plan: ReplacementPlan): Promise<string | undefined> {
 		const {service, members, primary, synchronousReplicas} = plan;
 		const replicas = members.filter(member => member.id !== primary?.id);
+		const statuses = await this.#queryStatuses(replicas, {kind: 'status'});
 		if (synchronousReplicas === 0) {
-			const statuses = await this.#queryStatuses(replicas, {kind: 'status'});
 			return this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, statuses), missing: []}, synchronousReplicas);
 		}
 
-		const term = this.#highestKnownTerm(members) + 1;
+		const term = this.#highestKnownTerm(members, statuses) + 1;
 		const answers = await this.#queryStatuses(replicas, {kind: 'pause', term});
 		const hasStopped = ({id}: BackendServer): boolean => answers.get(id)?.role === 'replica' && answers.get(id)!.minimumAcceptedTerm >= term;
 		// A former primary needs no answer: its acknowledged commits are on replicas.
@@ -209,13 +209,13 @@
 		const {service, members, synchronousReplicas} = plan;
 		const primary = plan.primary!;
 		const replicas = members.filter(member => member.id !== primary.id);
-		const statuses = await this.#queryStatuses(replicas, {kind: 'status'});
+		const statuses = await this.#queryStatuses(members, {kind: 'status'});
 		// The primary is not demoted when no replica can replace it.
 		if (this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, statuses), missing: []}, 0) === undefined) {
 			return undefined;
 		}
 
-		const finalPosition = await this.#demote(primary, this.#highestKnownTerm(members) + 1);
+		const finalPosition = await this.#demote(primary, this.#highestKnownTerm(members, statuses) + 1);
 		const caughtUp = finalPosition ? await this.#awaitCaughtUpReplicas(replicas, finalPosition) : [];
 		if (caughtUp.length > 0) {
 			return this.#chooseCandidate(service, {candidates: caughtUp, missing: []}, synchronousReplicas);
@@ -230,14 +230,20 @@
 		return this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, await this.#queryStatuses(replicas, {kind: 'status'})), missing: []}, 0);
 	}
 
-	/** Demotes the primary and resolves with the end of its log, or with undefined if it did not answer. */
+	/** Demotes the primary and resolves with the end of its log, or with undefined if it did not confirm that it is a replica now. */
 	async #demote({id}: BackendServer, term: number): Promise<LogPosition | undefined> {
 		const reply = await this.options.monitor.proberOf(id)?.execute({kind: 'demote', term});
 		if (reply?.outcome !== 'done') {
 			return undefined;
 		}
 
-		return this.options.statusParser.parse(reply.rows)?.received ?? reply.point;
+		const status = this.options.statusParser.parse(reply.rows);
+		if (status?.role === 'primary') {
+			this.options.logger.warn(`member ${id} stays the primary of term ${status.term} after a demotion with term ${term}`);
+			return undefined;
+		}
+
+		return status?.received ?? reply.point;
 	}
 
 	/** Resolves with the replicas that have received everything up to a log position, or with none after the timeout. */
@@ -295,8 +301,9 @@
 		return chosen?.id;
 	}
 
-	#highestKnownTerm(members: readonly BackendServer[]): number {
-		const terms = members.map(member => this.options.monitor.proberOf(member.id)?.logPosition?.term ?? 0);
+	/** Returns the highest term that a member knows or that a log entry has. A primary leads a later term than that of its last log entry until its first commit. */
+	#highestKnownTerm(members: readonly BackendServer[], statuses: ReadonlyMap<string, ReplicationStatus>): number {
+		const terms = members.flatMap(({id}) => [statuses.get(id)?.term ?? 0, this.options.monitor.proberOf(id)?.logPosition?.term ?? 0]);
 		return Math.max(0, ...terms);
 	}
 
