Let a server that announces itself keep its record and its address

One odd heartbeat of another writer took a backend server out of use: with a later start or a high number, the heartbeats of the real server counted as old for good, and with its address under another id the server counted as gone until it restarted.

The directory relied on the highest numbers being those of the real server. A start that lies in the future by more than clocks may differ is now refused, and what contradicts a server that announces itself is applied only after that has been silent for 4 s. A server that was replaced all the same, and goes on announcing itself, is reinstated with a generation that counts before the start time.

--- a/source/backend-directory/backend-directory.ts
+++ b/source/backend-directory/backend-directory.ts
@@ -72,16 +72,16 @@
 		return this.clock.now() - (this.#entries.get(id)?.lastAnnouncedAt ?? Number.NEGATIVE_INFINITY);
 	}
 
-	/** Applies an announcement unless it is older than the known one; returns whether it was applied. */
-	applyAnnouncement(announcement: BackendAnnouncement): boolean {
+	/** Applies an announcement unless it is older than the known one; returns whether it was applied. See `BackendServer.generation`. */
+	applyAnnouncement(announcement: BackendAnnouncement, generation = 0): boolean {
 		const entry = this.#entries.get(announcement.id);
-		if (entry && !isNewer(announcement, entry.server)) {
+		const announced: BackendServer = {...announcement, isGone: false, ...(generation > 0 && {generation})};
+		if (entry && !isNewer(announced, entry.server)) {
 			return false;
 		}
 
-		const changed = !entry || hasChanged(entry.server, announcement);
-		const isSameRun = entry?.server.startedAt === announcement.startedAt;
-		const server: BackendServer = {...announcement, isGone: isSameRun && (entry?.server.isGone ?? false)};
+		const changed = !entry || hasChanged(entry.server, announced);
+		const server: BackendServer = {...announced, isGone: entry !== undefined && compareStarts(announced, entry.server) === 0 && entry.server.isGone};
 		this.#entries.set(announcement.id, {server, lastAnnouncedAt: this.clock.now(), version: changed ? ++this.#version : entry.version});
 		this.#markPredecessorsGone(server);
 		if (changed) {
@@ -110,8 +110,9 @@
 	/** Merges servers from another process's directory. */
 	merge(servers: readonly BackendServer[]): void {
 		for (const server of servers) {
-			this.applyAnnouncement(server);
-			if (server.isGone && this.#entries.get(server.id)?.server.startedAt === server.startedAt) {
+			this.applyAnnouncement(server, server.generation);
+			const known = this.#entries.get(server.id)?.server;
+			if (server.isGone && known && compareStarts(known, server) === 0) {
 				this.markGone(server.id);
 			}
 		}
@@ -141,9 +142,8 @@
 	/** Marks earlier servers at the same address as gone: an address belongs to the server that started there last. */
 	#markPredecessorsGone({address}: BackendServer): void {
 		const present = [...this.#entries.values()].filter(({server}) => server.address === address && !server.isGone);
-		const latest = Math.max(...present.map(({server}) => server.startedAt));
 		for (const entry of present) {
-			if (entry.server.startedAt < latest) {
+			if (present.some(({server}) => compareStarts(server, entry.server) > 0)) {
 				this.#setGone(entry);
 			}
 		}
@@ -156,15 +156,19 @@
 	}
 }
 
-function isNewer(announcement: BackendAnnouncement, known: BackendAnnouncement): boolean {
-	return announcement.startedAt === known.startedAt
-		? announcement.sequence > known.sequence
-		: announcement.startedAt > known.startedAt;
+/** Compares when two servers, or the same one twice, started. */
+function compareStarts(first: BackendServer, second: BackendServer): number {
+	return (first.generation ?? 0) - (second.generation ?? 0) || first.startedAt - second.startedAt;
+}
+
+function isNewer(announced: BackendServer, known: BackendServer): boolean {
+	const order = compareStarts(announced, known);
+	return order === 0 ? announced.sequence > known.sequence : order > 0;
 }
 
 /** Returns whether an announcement changes a server. The sequence number, which increases with each announcement, and the data centre are not compared. */
-function hasChanged(known: BackendAnnouncement, announcement: BackendAnnouncement): boolean {
-	return known.startedAt !== announcement.startedAt || known.address !== announcement.address
+function hasChanged(known: BackendServer, announcement: BackendServer): boolean {
+	return compareStarts(known, announcement) !== 0 || known.address !== announcement.address
 		|| known.isLeaving !== announcement.isLeaving || known.role !== announcement.role
 		|| known.service !== announcement.service || known.slots !== announcement.slots;
 }
--- a/source/backend-directory/types.ts
+++ b/source/backend-directory/types.ts
@@ -24,4 +24,6 @@
 export type BackendServer = BackendAnnouncement & {
 	/** Whether the server has left. The record is kept as a tombstone, so that a late announcement does not bring the server back. */
 	readonly isGone: boolean;
+	/** Increased each time a control instance reinstates a server whose record another one with higher numbers had replaced; absent before. It decides before the start time which of two records is the later one. */
+	readonly generation?: number;
 };
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -1,3 +1,4 @@
+import {AnnouncementReceiver, type AnnouncementOutcome} from '../backend-directory/announcement-receiver.js';
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendAnnouncement} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
@@ -12,7 +13,7 @@
 import {type Logger} from '../observability/logger.js';
 import {type Random, uniqueId} from '../random/random.js';
 import {type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
-import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {validateRoutingTable} from '../routing-table/routing-table-validation.js';
 import {RoutingStateMachine, type AcceptedRouting, type SubmitResult} from '../routing-table/routing-state-machine.js';
 import {type RoutingDocumentParser, type RoutingTable} from '../routing-table/types.js';
@@ -40,6 +41,9 @@
 /** Time after its start from which an instance knows the entries that watch any control instance. It covers two introduction periods and the time in which the entries begin to send `watch` requests. */
 const entryLearningTime: Milliseconds = 2500;
 
+/** See `RegistryOptions.maximumClockDifference`. */
+const defaultMaximumClockDifference: Milliseconds = 20_000;
+
 /** Timing of the voters. Promotions wait for a leader, so the election timeouts are shorter than the defaults, which allow for long process pauses. Compaction starts early, since the log holds whole documents. */
 const registryTiming: VoterTiming = {
 	...defaultVoterTiming,
@@ -74,6 +78,8 @@
 	readonly monitor: BackendServerMonitor;
 	readonly timing?: VoterTiming;
 	readonly rateLimitSettings?: RateLimitSettings;
+	/** Time by which the clock of a backend server may be ahead of that of this instance; 20 s if absent. */
+	readonly maximumClockDifference?: Milliseconds;
 };
 
 /** Control process of a deployment with a routing table: holds the routing document, the directory of backend servers and the fencing tokens. */
@@ -88,6 +94,7 @@
 	readonly #directoryId = uniqueId();
 	readonly #entries: EntryDirectory;
 	readonly #usage: UsageExchange;
+	readonly #announcements: AnnouncementReceiver;
 	readonly #createdAt: Milliseconds;
 	#table: RoutingTable | undefined;
 	#cancel: Cancel | undefined;
@@ -100,6 +107,7 @@
 		const {clock, linkClient, controls, logger} = options;
 		this.reports = new ReachabilityReports(clock);
 		this.#entries = new EntryDirectory(clock);
+		this.#announcements = new AnnouncementReceiver({...options, maximumClockDifference: options.maximumClockDifference ?? defaultMaximumClockDifference});
 		this.#createdAt = clock.now();
 		this.voter = new Voter({
 			name: options.name,
@@ -178,6 +186,9 @@
 		linkServer.handle('shareAnnouncements', async body => {
 			directory.merge((body as AnnouncementNotice).servers);
 		});
+		linkServer.handle('weighAnnouncement', async body => {
+			this.#receiveAnnouncement(body as BackendAnnouncement);
+		});
 		this.#introductions.start();
 		this.#usage.start();
 		this.#cancel = clock.repeat(housekeepingPeriod, () => {
@@ -207,21 +218,23 @@
 		return answer as AcceptedRouting | null ?? undefined;
 	}
 
-	/** Applies an announcement of a backend server and passes a change on to the other control instances. */
+	/** Applies an announcement of a backend server and passes a change on to the other control instances. Throws malformedMessage if the announcement cannot be true, and serverContested if another server, or another start of the same one, still announces itself and the announcement says that the server is leaving. */
 	handleAnnouncement(announcement: BackendAnnouncement): void {
-		const {directory, logger} = this.options;
-		const before = directory.version;
-		if (!directory.applyAnnouncement(announcement)) {
-			logger.debug(`ignored announcement ${announcement.sequence} of ${announcement.id}: a later one is known`);
+		const outcome = this.#receiveAnnouncement(announcement);
+		if (outcome === 'applied') {
 			return;
 		}
 
-		if (directory.version !== before) {
-			logger.info(`backend server ${announcement.id} is ${announcement.isLeaving ? 'leaving' : 'ready'} as ${announcement.role}`, {announcement});
-			this.#broadcastServer(announcement.id);
+		// The server may send its next announcement to another instance, and each has to see that it goes on.
+		for (const {name, address} of this.options.controls.records) {
+			if (name !== this.options.name) {
+				this.options.linkClient.notify(address, 'weighAnnouncement', announcement);
+			}
 		}
 
-		this.#announcedServers.add(announcement.id);
+		if (outcome === 'contested' && announcement.isLeaving) {
+			throw new BuckthornhitchError('serverContested', announcement.id);
+		}
 	}
 
 	/** Marks a backend server as gone and passes this on to the other control instances. */
@@ -238,6 +251,24 @@
 		return await this.voter.propose({kind: 'issueToken', subject}, confirmationTimeout) as number;
 	}
 
+	#receiveAnnouncement(announcement: BackendAnnouncement): AnnouncementOutcome {
+		const {directory, logger} = this.options;
+		const before = directory.version;
+		const outcome = this.#announcements.receive(announcement);
+		if (outcome !== 'applied') {
+			logger.debug(`ignored announcement ${announcement.sequence} of ${announcement.id}: ${outcome}`);
+			return outcome;
+		}
+
+		if (directory.version !== before) {
+			logger.info(`backend server ${announcement.id} is ${announcement.isLeaving ? 'leaving' : 'ready'} as ${announcement.role}`, {announcement});
+			this.#broadcastServer(announcement.id);
+		}
+
+		this.#announcedServers.add(announcement.id);
+		return outcome;
+	}
+
 	#handleIntroduce(request: IntroduceRequest): IntroduceResponse {
 		this.options.directory.recordAnnouncementAges(request.heard);
 		if (request.contacts) {
--- a/source/result-codes/result-codes.ts
+++ b/source/result-codes/result-codes.ts
@@ -103,6 +103,9 @@
 	alreadyBootstrapped: {
 		code: 5007, execution: 'notRun', sqlState: '55000', text: 'The control instances have a voter list already.', action: 'Nothing.',
 	},
+	serverContested: {
+		code: 5008, execution: 'notRun', sqlState: '55000', text: 'The announcement contradicts a backend server that announces itself.', action: 'Look for a second server with the id or address; the log names both.',
+	},
 	linkNotSent: {
 		code: 6001, execution: 'notRun', sqlState: '08001', text: 'Not run: no link to the peer could be opened.', action: 'Check the peer and the network.',
 	},
