Close the connection of a prober after a missing reply

Replies are matched by their order. The prober sent probes while another statement had no reply and went on with the connection, so that the reply to a probe could pass for that to a DEMOTE. It now sends one after the other, closes the connection when a reply is missing, and counts a demotion only with the status that it is answered with.

--- a/source/promotion/backend-server-prober.spec.ts
+++ b/source/promotion/backend-server-prober.spec.ts
@@ -46,3 +46,19 @@
 	assert.equal(prober.reachability.failingFor, 0);
 	prober.stop();
 });
+
+// The reply to the next statement was taken for the missing one, for instance that to a probe for the confirmation of a demotion.
+test('after a statement without a reply, nothing more is sent on its connection', async () => {
+	const {clock, member, prober} = createProber();
+	await clock.advanceInSteps(50, 10);
+	member.lostReplies.add('status');
+	const failure = assert.rejects(prober.execute({kind: 'status'}), {codeName: 'linkOutcomeUnknown'});
+	await clock.advanceInSteps(600, 10);
+	await failure;
+	assert.equal(member.connections[0].isClosed, true);
+	member.lostReplies.clear();
+	const reply = await prober.execute({kind: 'status'});
+	assert.ok(reply.outcome === 'done');
+	assert.equal(reply.rows.length, 1);
+	prober.stop();
+});
--- a/source/promotion/backend-server-prober.ts
+++ b/source/promotion/backend-server-prober.ts
@@ -30,6 +30,7 @@
 	#connection: MemberConnection | undefined;
 	#answeredAt: Milliseconds | undefined;
 	#failingSince: Milliseconds | undefined;
+	#pendingStatements: Promise<unknown> = Promise.resolve();
 	#isStopped = false;
 	#cancelNextProbe: Cancel | undefined;
 
@@ -60,10 +61,22 @@
 		this.#connection?.close();
 	}
 
-	/** Sends a statement on the prober's connection. Rejects when no connection can be opened or no reply arrives within the timeout. */
+	/** Sends a statement on the prober's connection. No probe is sent until it is answered. Rejects when no connection can be opened or no reply arrives within the timeout. */
 	async execute(statement: Parameters<MemberConnection['execute']>[0]): Promise<StatementReply> {
+		const reply = this.#executeStatement(statement);
+		this.#pendingStatements = Promise.allSettled([this.#pendingStatements, reply]);
+		return reply;
+	}
+
+	async #executeStatement(statement: Parameters<MemberConnection['execute']>[0]): Promise<StatementReply> {
 		const connection = await this.#connect();
-		return this.#withTimeout(connection.execute(statement), replyTimeout);
+		try {
+			return await this.#withTimeout(connection.execute(statement), replyTimeout);
+		} catch (error) {
+			// Replies are matched by their order, so that none that follows a missing one can be trusted.
+			this.#disconnect(connection);
+			throw error;
+		}
 	}
 
 	async #probeAndReschedule(): Promise<void> {
@@ -81,6 +94,7 @@
 	async #probe(): Promise<void> {
 		const startedAt = this.clock.now();
 		try {
+			await this.#pendingStatements;
 			const connection = await this.#connect();
 			const sentAt = this.clock.now();
 			const reply = await this.#withTimeout(this.#sendProbe(connection), replyTimeout);
@@ -120,8 +134,16 @@
 
 	#recordFailure(startedAt: Milliseconds): void {
 		this.#failingSince ??= startedAt;
-		this.#connection?.close();
-		this.#connection = undefined;
+		if (this.#connection) {
+			this.#disconnect(this.#connection);
+		}
+	}
+
+	#disconnect(connection: MemberConnection): void {
+		connection.close();
+		if (this.#connection === connection) {
+			this.#connection = undefined;
+		}
 	}
 
 	async #connect(): Promise<MemberConnection> {
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -233,17 +233,12 @@
 	/** Demotes the primary and resolves with the end of its log, or with undefined if it did not confirm that it is a replica now. */
 	async #demote({id}: BackendServer, term: number): Promise<LogPosition | undefined> {
 		const reply = await this.options.monitor.proberOf(id)?.execute({kind: 'demote', term});
-		if (reply?.outcome !== 'done') {
-			return undefined;
-		}
-
-		const status = this.options.statusParser.parse(reply.rows);
+		const status = reply?.outcome === 'done' ? this.options.statusParser.parse(reply.rows) : undefined;
 		if (status?.role === 'primary') {
 			this.options.logger.warn(`member ${id} stays the primary of term ${status.term} after a demotion with term ${term}`);
-			return undefined;
 		}
 
-		return status?.received ?? reply.point;
+		return status?.role === 'replica' ? status.received : undefined;
 	}
 
 	/** Resolves with the replicas that have received everything up to a log position, or with none after the timeout. */
