Handle announcements of backend servers apart from the registry process

The registry process had grown to 437 lines; what receives and exchanges announcements is a class of its own, unchanged.

--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -1,4 +1,3 @@
-import {AnnouncementReceiver, type AnnouncementOutcome} from '../backend-directory/announcement-receiver.js';
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendAnnouncement} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
@@ -13,12 +12,13 @@
 import {type Logger} from '../observability/logger.js';
 import {type Random, uniqueId} from '../random/random.js';
 import {type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
-import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {validateRoutingTable} from '../routing-table/routing-table-validation.js';
 import {RoutingStateMachine, type AcceptedRouting, type SubmitResult} from '../routing-table/routing-state-machine.js';
 import {type RoutingDocumentParser, type RoutingTable} from '../routing-table/types.js';
 import {failureDetectionThreshold} from '../promotion/promotion-decision.js';
 import {type BackendServerMonitor} from '../promotion/backend-server-monitor.js';
+import {AnnouncementExchange} from './announcement-exchange.js';
 import {selectInitialVoters} from './bootstrap-rules.js';
 import {encodeReachability, ReachabilityReports} from './reachability-reports.js';
 import {type ControlDirectory} from './control-directory.js';
@@ -26,7 +26,7 @@
 import {IntroductionController} from './introduction-controller.js';
 import {
 	announcementFreshness, type ControlReachability, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
-	type AnnouncementNotice, type ReachabilityNotice, type SubmitRoutingRequest, type WatchRequest, type WatchResponse,
+	type ReachabilityNotice, type SubmitRoutingRequest, type WatchRequest, type WatchResponse,
 } from './messages.js';
 import {RoutingHistory} from './routing-history.js';
 import {type RoutingPieceRequest} from './routing-transfer.js';
@@ -94,20 +94,18 @@
 	readonly #directoryId = uniqueId();
 	readonly #entries: EntryDirectory;
 	readonly #usage: UsageExchange;
-	readonly #announcements: AnnouncementReceiver;
+	readonly #announcements: AnnouncementExchange;
 	readonly #createdAt: Milliseconds;
 	#table: RoutingTable | undefined;
 	#cancel: Cancel | undefined;
 	#bootstrapping = false;
-	/** Backend servers that announced themselves to this instance since the last introduction. */
-	readonly #announcedServers = new Set<string>();
 
 	constructor(private readonly options: RegistryOptions) {
 		super();
 		const {clock, linkClient, controls, logger} = options;
 		this.reports = new ReachabilityReports(clock);
 		this.#entries = new EntryDirectory(clock);
-		this.#announcements = new AnnouncementReceiver({...options, maximumClockDifference: options.maximumClockDifference ?? defaultMaximumClockDifference});
+		this.#announcements = new AnnouncementExchange({...options, maximumClockDifference: options.maximumClockDifference ?? defaultMaximumClockDifference});
 		this.#createdAt = clock.now();
 		this.voter = new Voter({
 			name: options.name,
@@ -149,7 +147,7 @@
 			seeds: () => [...options.seeds(), ...this.voter.voterList.voters.map(voter => voter.address)],
 			leaderAddress: () => this.#leaderAddress(),
 			reachability: () => this.#reachability(),
-			takeAnnouncedServers: () => this.#takeAnnouncedServers(),
+			takeAnnouncedServers: () => this.#announcements.takeAnnouncedServers(),
 		});
 		this.#usage = new UsageExchange({...options, runId: this.#directoryId, entryCount: () => this.#entries.all.length});
 	}
@@ -183,12 +181,7 @@
 			const {name, contacts} = body as ReachabilityNotice;
 			this.reports.receiveFromControl(name, contacts);
 		});
-		linkServer.handle('shareAnnouncements', async body => {
-			directory.merge((body as AnnouncementNotice).servers);
-		});
-		linkServer.handle('weighAnnouncement', async body => {
-			this.#receiveAnnouncement(body as BackendAnnouncement);
-		});
+		this.#announcements.start();
 		this.#introductions.start();
 		this.#usage.start();
 		this.#cancel = clock.repeat(housekeepingPeriod, () => {
@@ -218,32 +211,14 @@
 		return answer as AcceptedRouting | null ?? undefined;
 	}
 
-	/** Applies an announcement of a backend server and passes a change on to the other control instances. Throws malformedMessage if the announcement cannot be true, and serverContested if another server, or another start of the same one, still announces itself and the announcement says that the server is leaving. */
+	/** See `AnnouncementExchange.handleAnnouncement`. */
 	handleAnnouncement(announcement: BackendAnnouncement): void {
-		const outcome = this.#receiveAnnouncement(announcement);
-		if (outcome === 'applied') {
-			return;
-		}
-
-		// The server may send its next announcement to another instance, and each has to see that it goes on.
-		for (const {name, address} of this.options.controls.records) {
-			if (name !== this.options.name) {
-				this.options.linkClient.notify(address, 'weighAnnouncement', announcement);
-			}
-		}
-
-		if (outcome === 'contested' && announcement.isLeaving) {
-			throw new BuckthornhitchError('serverContested', announcement.id);
-		}
+		this.#announcements.handleAnnouncement(announcement);
 	}
 
-	/** Marks a backend server as gone and passes this on to the other control instances. */
+	/** See `AnnouncementExchange.handleLeave`. */
 	handleLeave(id: string): void {
-		if (this.options.directory.markGone(id)) {
-			this.options.logger.info(`backend server ${id} left`);
-		}
-
-		this.#broadcastServer(id);
+		this.#announcements.handleLeave(id);
 	}
 
 	/** Resolves with a fencing token that is higher than all earlier ones. Rejects with notLeader or notConfirmed. */
@@ -251,24 +226,6 @@
 		return await this.voter.propose({kind: 'issueToken', subject}, confirmationTimeout) as number;
 	}
 
-	#receiveAnnouncement(announcement: BackendAnnouncement): AnnouncementOutcome {
-		const {directory, logger} = this.options;
-		const before = directory.version;
-		const outcome = this.#announcements.receive(announcement);
-		if (outcome !== 'applied') {
-			logger.debug(`ignored announcement ${announcement.sequence} of ${announcement.id}: ${outcome}`);
-			return outcome;
-		}
-
-		if (directory.version !== before) {
-			logger.info(`backend server ${announcement.id} is ${announcement.isLeaving ? 'leaving' : 'ready'} as ${announcement.role}`, {announcement});
-			this.#broadcastServer(announcement.id);
-		}
-
-		this.#announcedServers.add(announcement.id);
-		return outcome;
-	}
-
 	#handleIntroduce(request: IntroduceRequest): IntroduceResponse {
 		this.options.directory.recordAnnouncementAges(request.heard);
 		if (request.contacts) {
@@ -292,30 +249,11 @@
 		}
 	}
 
-	#takeAnnouncedServers(): ReadonlyArray<readonly [id: string, age: Milliseconds]> {
-		const announcedServers = [...this.#announcedServers].map(id => [id, Math.round(this.options.directory.timeSinceLastAnnouncement(id))] as const);
-		this.#announcedServers.clear();
-		return announcedServers;
-	}
-
 	#leaderAddress(): Address | undefined {
 		const {leader} = this.voter;
 		return leader && (this.options.controls.addressOf(leader.name) ?? leader.address);
 	}
 
-	#broadcastServer(id: string): void {
-		const server = this.options.directory.serverById(id);
-		if (!server) {
-			return;
-		}
-
-		for (const record of this.options.controls.records) {
-			if (record.name !== this.options.name) {
-				this.options.linkClient.notify(record.address, 'shareAnnouncements', {servers: [server]} satisfies AnnouncementNotice);
-			}
-		}
-	}
-
 	/** Handles the request locally when this instance leads or knows no leader, otherwise forwards it to the leader. */
 	async #runOnLeader<Request>(name: string, request: Request, handleLocally: (request: Request) => Promise<unknown>): Promise<unknown> {
 		const {leader, self} = this.voter;
