Believe a server that has announced itself to another instance for a while

The bound on the number of an announcement counted from the last one of any kind, so that after some minutes a server that turned to another control instance was held to be another writer for up to 4 s. The bound counts from when the number became known now; the new test fails before.

--- a/source/backend-directory/announcement-receiver.spec.ts
+++ b/source/backend-directory/announcement-receiver.spec.ts
@@ -111,6 +111,19 @@
 	assert.deepEqual(fixture.used, [['a', startedAt, false]]);
 });
 
+// Control instances tell each other how long ago a server announced itself, but not with which number.
+test('a server that has announced itself to another instance for a while is heard at once', () => {
+	const fixture = new Fixture();
+	fixture.announce(3);
+	for (let elapsed = 0; elapsed < 600_000; elapsed += 1000) {
+		fixture.clock.advance(1000);
+		fixture.directory.recordAnnouncementAges([['a', 500]]);
+	}
+
+	assert.equal(fixture.receive({sequence: 503, isLeaving: true}), 'applied');
+	assert.deepEqual(fixture.used, [['a', realStart, true]]);
+});
+
 test('a server that restarts, or starts at the address of one that is gone, is used at once', () => {
 	const fixture = new Fixture();
 	fixture.announce(3);
--- a/source/backend-directory/announcement-receiver.ts
+++ b/source/backend-directory/announcement-receiver.ts
@@ -136,7 +136,7 @@
 			return startedAt <= this.options.clock.wallTime();
 		}
 
-		const elapsedSeconds = this.options.directory.timeSinceLastAnnouncement(id) / 1000;
+		const elapsedSeconds = this.options.directory.timeSinceSequenceKnown(id) / 1000;
 		return sequence - known.sequence <= announcementBurst + (maximumAnnouncementsPerSecond * elapsedSeconds);
 	}
 }
--- a/source/backend-directory/backend-directory.ts
+++ b/source/backend-directory/backend-directory.ts
@@ -12,6 +12,8 @@
 type DirectoryEntry = {
 	server: BackendServer;
 	lastAnnouncedAt: Milliseconds;
+	/** Time at which the number of the last announcement became known here. Another instance may have received later ones. */
+	sequenceKnownAt: Milliseconds;
 	/** Version of the directory when the server last changed (see `hasChanged`) or left. */
 	version: number;
 };
@@ -72,6 +74,11 @@
 		return this.clock.now() - (this.#entries.get(id)?.lastAnnouncedAt ?? Number.NEGATIVE_INFINITY);
 	}
 
+	/** Returns the time since the number of the last announcement of a server became known here; infinite for an unknown one. */
+	timeSinceSequenceKnown(id: string): Milliseconds {
+		return this.clock.now() - (this.#entries.get(id)?.sequenceKnownAt ?? Number.NEGATIVE_INFINITY);
+	}
+
 	/** Applies an announcement unless it is older than the known one; returns whether it was applied. See `BackendServer.generation`. */
 	applyAnnouncement(announcement: BackendAnnouncement, generation = 0): boolean {
 		const entry = this.#entries.get(announcement.id);
@@ -82,7 +89,10 @@
 
 		const changed = !entry || hasChanged(entry.server, announced);
 		const server: BackendServer = {...announced, isGone: entry !== undefined && compareStarts(announced, entry.server) === 0 && entry.server.isGone};
-		this.#entries.set(announcement.id, {server, lastAnnouncedAt: this.clock.now(), version: changed ? ++this.#version : entry.version});
+		const now = this.clock.now();
+		this.#entries.set(announcement.id, {
+			server, lastAnnouncedAt: now, sequenceKnownAt: now, version: changed ? ++this.#version : entry.version,
+		});
 		this.#markPredecessorsGone(server);
 		if (changed) {
 			this.#listeners.notify(server);
