Log the names of statements prepared on connections to members

The logs could not tell apart the hypotheses on the reported line EXEC r_q# READ muthfnwx #: a prepared statement left no trace in them.

--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -17,6 +17,7 @@
 import {IdleConnections} from './idle-connections.js';
 import {MemberHealth} from './member-health.js';
 import {PooledConnection} from './pooled-connection.js';
+import {type PreparationLog} from './preparation-log.js';
 import {StatementGate} from './statement-gate.js';
 import {SurplusConnections} from './surplus-connections.js';
 
@@ -28,6 +29,8 @@
 	readonly connector: MemberConnector;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	/** Records the statements that are prepared on the connections. */
+	readonly preparationLog?: PreparationLog;
 	/** Returns the maximum number of connections from this instance to the member. Not used if there is a placement. */
 	readonly maximumConnections: () => number;
 	/** Placement of the connections; by default, the connector opens all of them alike. */
@@ -52,6 +55,7 @@
 	readonly #opener: ConnectionOpener;
 	readonly #surplus: SurplusConnections;
 	#isClosed = false;
+	#openedCount = 0;
 
 	constructor(readonly server: BackendServer, private readonly options: MemberPoolOptions) {
 		const {clock, connector, logger, maximumConnections, placement = new SharedPlacement(maximumConnections)} = options;
@@ -365,6 +369,7 @@
 			this.#recordReachable();
 		}
 
+		const connectionNumber = ++this.#openedCount;
 		const connection: PooledConnection = new PooledConnection(memberConnection, {
 			clock: this.options.clock,
 			customer,
@@ -373,6 +378,12 @@
 				this.#recordReachable(reply);
 			},
 			onSent: memberConnection.isRelayed ? undefined : statement => this.#gate.recordSent(connection, this.#inUse.isForTransaction(connection), statement),
+			onPrepared: (name, definition) => {
+				const {gateway} = memberConnection;
+				this.options.preparationLog?.record({
+					member: this.server.id, connection: connectionNumber, gateway, name, definition,
+				});
+			},
 		});
 		memberConnection.onClosed(() => {
 			this.#idle.remove(connection);
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -19,6 +19,8 @@
 	readonly onReply: (reply: StatementReply) => void;
 	/** Called with each statement that is sent. The returned function is called with its reply, or with undefined if there is none. */
 	readonly onSent?: (statement: MemberStatement) => (reply: StatementReply | undefined) => void;
+	/** Called when the member has prepared a statement. */
+	readonly onPrepared?: (name: string, definition: PreparedStatementDefinition) => void;
 };
 
 /** Pooled connection to a member, with the session variables and prepared statements set on it. */
@@ -152,6 +154,7 @@
 
 			case 'prepare': {
 				this.#preparedNames.add(statement.name);
+				this.options.onPrepared?.(statement.name, statement.shape);
 				break;
 			}
 
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -15,6 +15,7 @@
 import {FreshnessTracker} from './freshness-tracker.js';
 import {MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
+import {PreparationLog} from './preparation-log.js';
 import {ReadPlacement} from './read-placement.js';
 
 /** Timeout for a member to confirm that it is the primary. The confirmation needs no execution slot on the member. */
@@ -63,6 +64,8 @@
 	readonly freshness: FreshnessTracker;
 	/** Placement of reads on recovering and ejected members. */
 	readonly placement: ReadPlacement;
+	/** Statements that were prepared on the connections to all members. */
+	readonly preparationLog: PreparationLog;
 	readonly #createdAt: Milliseconds;
 	readonly #pools = new Map<string, MemberPool>();
 	readonly #poolsBeingProbed = new Set<MemberPool>();
@@ -78,6 +81,7 @@
 
 	constructor(private readonly options: ServiceClientOptions) {
 		this.freshness = new FreshnessTracker(options.clock);
+		this.preparationLog = new PreparationLog(options.clock, options.logger);
 		this.#random = options.random ?? new SystemRandom();
 		this.placement = new ReadPlacement({...options, random: this.#random});
 		this.#primaryMissingSince = options.clock.now();
@@ -322,6 +326,7 @@
 			connector,
 			clock,
 			logger,
+			preparationLog: this.preparationLog,
 			maximumConnections: () => maximumConnections(server),
 			placement: connectionPlacement?.(server),
 		});
--- a/source/session-proxy/session-proxy.ts
+++ b/source/session-proxy/session-proxy.ts
@@ -131,6 +131,11 @@
 		return [...this.#clients.values()].map(({placement}) => placement);
 	}
 
+	/** Number of statements that were prepared on connections to members since the start of the process. */
+	get preparedCount(): number {
+		return [...this.#clients.values()].reduce((sum, {preparationLog}) => sum + preparationLog.preparedCount, 0);
+	}
+
 	/** Returns the reachability of each member of all services from this instance. */
 	memberReachability(): readonly BackendReachability[] {
 		return [...this.#clients.values()].flatMap(client => client.memberReachability());
