Name prepared statements by a number on each connection

Cause: the name of a prepared statement on pooled connections was made from the text of the caller's definition, which may hold blanks. The member reads a blank as the end of the name: of the definition q# READ muthfnwx, r_q# was the name, READ the item, and muthfnwx and the caller's item the data. Only definitions whose second word is READ or WRITE got that far, since PREPARE r_q# READ muthfnwx READ q# READ muthfnwx is itself a valid PREPARE of another definition; others were refused by the member, and the caller got BUSY. Gateways worked out the same name.

Change: each connection to a member names the statements on it by a letter and a number that it counts, and compares definitions exactly. Statements of a session carry the definition; the connection puts its name in. A gateway keeps what an entry prepared under the name that it sent, and no longer works a name out. openRelay says so; to a gateway of an earlier build the entry sends the name that this gateway works out, if it is one word, and refuses the statement as not run otherwise. What a connection and a session keep is bounded. A PREPARE waits until a relay is confirmed.

--- a/source/entry/extended-batch.ts
+++ b/source/entry/extended-batch.ts
@@ -6,9 +6,7 @@
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {classifyStatements, type ClassifiedStatement} from '../routing/statement-classification.js';
 import {leadingComment} from '../session/session-settings.js';
-
-/** Maximum number of prepared statements of a session, because idle sessions keep them in memory. */
-export const maximumPreparedStatements = 1000;
+import {maximumPreparedStatements} from '../statement/statement-limits.js';
 
 /** Prepared statement of a caller. It can be prepared again on any connection. */
 export type PreparedStatement = {
--- a/source/relay/messages.ts
+++ b/source/relay/messages.ts
@@ -14,10 +14,12 @@
 	readonly customer?: string;
 };
 
-/** Response to `openRelay`; null unless the gateways are near the member. */
+/** Response to `openRelay`. A gateway of an earlier build leaves out what it does not support, and answers null if it supports nothing of it. */
 export type OpenRelayResponse = {
-	/** Whether the gateway runs primary reads and checks `isInTransaction`. A gateway of an earlier build ignores both fields and would run such a statement outside a transaction. */
-	readonly supportsPrimaryReads: true;
+	/** Whether the gateway runs primary reads and checks `isInTransaction`; only where the gateways are near the member. A gateway of an earlier build ignores both fields and would run such a statement outside a transaction. */
+	readonly supportsPrimaryReads?: true;
+	/** Whether the gateway finds a prepared statement by the name that the entry sent. One of an earlier build works out a name from the definition instead. */
+	readonly usesSentNames?: true;
 } | null;
 
 /** Request `relayStatement`: executes a statement on the member. */
--- a/source/relay/placement-fixture.ts
+++ b/source/relay/placement-fixture.ts
@@ -8,7 +8,7 @@
 import {MemberPool} from '../session-proxy/member-pool.js';
 import {CallerSessionState} from '../session-proxy/caller-session-state.js';
 import {type PooledConnection} from '../session-proxy/pooled-connection.js';
-import {type MemberStatement} from '../statement/types.js';
+import {type ConnectionStatement} from '../statement/types.js';
 import {FakeMemberConnector, FakeMemberServer} from '../session-proxy/member-server-fake.js';
 import {testAnnouncement} from '../session-proxy/session-fixture.js';
 import {allocateConnections, orderByDistance, orderGateways} from './connection-allocation.js';
@@ -97,7 +97,7 @@
 	}
 
 	/** Executes a statement as the sessions do. Resolves with 'done', the reason of a refusal or the name of a result code. */
-	async attempt(pool: MemberPool, statement: MemberStatement, customer?: string): Promise<string> {
+	async attempt(pool: MemberPool, statement: ConnectionStatement, customer?: string): Promise<string> {
 		let connection: PooledConnection | undefined;
 		try {
 			connection = await this.settle(pool.acquire(2000, 1, new CallerSessionState(), customer));
--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -103,7 +103,7 @@
 		this.#relays.set(relayKey(relay, peer), {
 			linkId: peer.linkId, session: new RelaySession(member, this.options.clock, usablePool, customer), usedAt: this.options.clock.now(),
 		});
-		return pool.hasGatewaysNearMember ? {supportsPrimaryReads: true} : null;
+		return {...(pool.hasGatewaysNearMember && {supportsPrimaryReads: true}), usesSentNames: true};
 	}
 
 	async #execute(request: RelayStatementRequest, peer: LinkPeer): Promise<RelayStatementResponse> {
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -1,6 +1,6 @@
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {CallerSessionState, pooledStatementName} from '../session-proxy/caller-session-state.js';
+import {CallerSessionState} from '../session-proxy/caller-session-state.js';
 import {QueueRefusalError} from '../session-proxy/connection-requests.js';
 import {refusalReasonOf} from '../session-proxy/statement-attempt.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
@@ -8,7 +8,9 @@
 import {readInWriteTransaction, relayedReplyOf, returnAfterPrimaryRead} from '../session-proxy/primary-read.js';
 import {localReply, refusal} from '../session-proxy/replies.js';
 import {type ConnectionUse} from '../statement/member-connection.js';
-import {type MemberStatement, type StatementReply} from '../statement/types.js';
+import {
+	type ConnectionStatement, type MemberStatement, type PreparedStatementDefinition, type StatementReply,
+} from '../statement/types.js';
 import {type RelayStatementResponse, type RelayStatementRequest} from './messages.js';
 
 /** Priority of relayed statements that state none among those that wait for a connection; the requesting entry has already ordered its own by priority. */
@@ -91,8 +93,7 @@
 
 		switch (statement.kind) {
 			case 'reset': {
-				this.#session.variables.clear();
-				this.#session.preparedStatements.clear();
+				this.#session.clear();
 				return this.#applySessionChange(deadline);
 			}
 
@@ -102,8 +103,9 @@
 			}
 
 			case 'prepare': {
-				this.#session.preparedStatements.set(pooledStatementName(statement.shape), statement.shape);
-				return this.#applySessionChange(deadline);
+				return this.#session.prepare(statement.name, statement.shape)
+					? this.#applySessionChange(deadline)
+					: relayLost('the relay has too many prepared statements, or their definitions are too long');
 			}
 
 			case 'rollback': {
@@ -154,15 +156,31 @@
 	}
 
 	#isRead(statement: MemberStatement): boolean {
-		return statement.kind === 'read' || (statement.kind === 'execute' && this.#session.preparedStatements.get(statement.name)?.access === 'read');
+		return statement.kind === 'read' || (statement.kind === 'execute' && this.#session.definitionOf(statement.name)?.access === 'read');
+	}
+
+	/** Puts the definition of a prepared statement in place of its name on the relay; returns undefined if there is none. The connection to the member has names of its own. */
+	#toConnectionStatement(statement: MemberStatement): ConnectionStatement | undefined {
+		if (statement.kind !== 'execute') {
+			return statement;
+		}
+
+		const {name, ...execution} = statement;
+		const definition = this.#session.definitionOf(name);
+		return definition && {...execution, definition};
 	}
 
 	/** Executes a read in a write transaction of its own, so that only the primary answers it. The response does not wait for the rollback. */
-	async #readFromPrimary(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
+	async #readFromPrimary(relayed: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
 		if (this.#isClosed) {
 			return relayLost('the relay was closed');
 		}
 
+		const statement = this.#toConnectionStatement(relayed);
+		if (!statement) {
+			return relayLost('the statement is not prepared on the relay');
+		}
+
 		let held: HeldConnection;
 		try {
 			held = await this.#acquire(deadline);
@@ -175,8 +193,7 @@
 		const startedAt = this.clock.now();
 		const isHeld = (): boolean => this.#held?.connection === connection;
 		try {
-			const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
-			await connection.applySession(this.#session, preparedStatement, deadline - this.clock.now());
+			await connection.applySession(this.#session, definitionIn(statement), deadline - this.clock.now());
 			if (!isHeld()) {
 				return relayLost('the relay was closed before the statement was sent');
 			}
@@ -205,8 +222,12 @@
 		}
 	}
 
-	async #executeOnMember(statement: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
-		const preparedStatement = statement.kind === 'execute' ? this.#session.preparedStatements.get(statement.name) : undefined;
+	async #executeOnMember(relayed: MemberStatement, deadline: Milliseconds): Promise<RelayStatementResponse> {
+		const statement = this.#toConnectionStatement(relayed);
+		if (!statement) {
+			return relayLost('the statement is not prepared on the relay');
+		}
+
 		try {
 			if (!this.#held) {
 				this.#held = await this.#acquireMeasured(deadline);
@@ -220,7 +241,7 @@
 		const startedAt = this.clock.now();
 		let isSent = false;
 		try {
-			await connection.applySession(this.#session, preparedStatement, deadline - this.clock.now());
+			await connection.applySession(this.#session, definitionIn(statement), deadline - this.clock.now());
 			if (this.#held?.connection !== connection) {
 				return relayLost('the relay was closed before the statement was sent');
 			}
@@ -287,6 +308,11 @@
 	}
 }
 
+/** Returns the definition that must be prepared before the statement is executed. */
+function definitionIn(statement: ConnectionStatement): PreparedStatementDefinition | undefined {
+	return statement.kind === 'execute' ? statement.definition : undefined;
+}
+
 /** Returns the response to a statement for which no connection to the member was acquired. */
 function notAcquired(error: unknown): RelayStatementResponse {
 	const {codeName, message} = toBuckthornhitchError(error);
--- a/source/relay/relayed-connection.ts
+++ b/source/relay/relayed-connection.ts
@@ -4,6 +4,7 @@
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {MemberConnection, type ConnectionUse, type StatementScope} from '../statement/member-connection.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
+import {earlierStatementName} from './earlier-statement-names.js';
 import {
 	type CloseRelayNotice, type OpenRelayResponse, type RelayStatementResponse, type RelayStatementRequest,
 } from './messages.js';
@@ -14,8 +15,8 @@
 /** Timeout of statements that have none of their own, such as the rollback before a connection is reused. */
 const defaultTimeout: Milliseconds = 6000;
 
-/** Statements that are sent before the gateway has confirmed the relay. Without an answer it is not known whether they ran, but that has no effect: a transaction is rolled back with its relay. */
-const pipelinedKinds: ReadonlySet<MemberStatement['kind']> = new Set(['begin', 'rollback', 'read', 'set', 'reset', 'prepare']);
+/** Statements that are sent before the gateway has confirmed the relay. Without an answer it is not known whether they ran, but that has no effect: a transaction is rolled back with its relay. A PREPARE waits, since the confirmation says which name the gateway expects. */
+const pipelinedKinds: ReadonlySet<MemberStatement['kind']> = new Set(['begin', 'rollback', 'read', 'set', 'reset']);
 
 /** Statements that the gateway does not answer itself. */
 const dataKinds: ReadonlySet<MemberStatement['kind']> = new Set(['read', 'write', 'execute']);
@@ -54,6 +55,9 @@
 	#gatewayWait: Milliseconds = 0;
 	#use: ConnectionUse | undefined;
 	#supportsScopes: boolean;
+	#usesSentNames: boolean;
+	/** Names of prepared statements at a gateway of an earlier build, by their names on this connection. */
+	readonly #earlierNames = new Map<string, string>();
 	/** Settles when the gateway has confirmed the relay; undefined afterwards. */
 	#opening: Promise<unknown> | undefined;
 	/** Resolves when the gateway has answered the request to open the relay, also if it refused. */
@@ -65,6 +69,7 @@
 		super();
 		const {opening, openResponse} = options;
 		this.#supportsScopes = openResponse?.supportsPrimaryReads === true;
+		this.#usesSentNames = openResponse?.usesSentNames === true;
 		this.#opening = opening;
 		this.#opened = opening ? this.#awaitOpening(opening) : Promise.resolve();
 	}
@@ -109,8 +114,15 @@
 				await this.#confirmOpening(this.#opening);
 			}
 
+			const known = this.#usesSentNames ? statement : this.#toEarlierNames(statement);
+			if (!known) {
+				return this.#toReply({
+					kind: 'notRun', reason: 'busy', detail: `${this.gateway} runs an earlier build, which would change the statement`, isLost: false,
+				});
+			}
+
 			const sentAt = this.options.clock.now();
-			const response = await this.#sendWhileOpening(statement, timeout - (sentAt - startedAt), scope);
+			const response = await this.#sendWhileOpening(known, timeout - (sentAt - startedAt), scope);
 			this.#gatewayWait += response.connectionWait ?? 0;
 			if (response.kind === 'answered' && !this.#isInTransaction && dataKinds.has(statement.kind)) {
 				this.options.onAnswered?.(this.options.clock.now() - sentAt);
@@ -143,6 +155,7 @@
 		try {
 			const response = await opening as OpenRelayResponse | undefined;
 			this.#supportsScopes = response?.supportsPrimaryReads === true;
+			this.#usesSentNames = response?.usesSentNames === true;
 		} catch (error) {
 			this.options.onFailure(toBuckthornhitchError(error));
 			this.close();
@@ -161,6 +174,25 @@
 		}
 	}
 
+	/** Replaces the name of a prepared statement by the one that a gateway of an earlier build works out. Returns undefined if a member would not read that name as one word. */
+	#toEarlierNames(statement: MemberStatement): MemberStatement | undefined {
+		if (statement.kind === 'prepare') {
+			const name = earlierStatementName(statement.shape);
+			if (name === undefined) {
+				return undefined;
+			}
+
+			this.#earlierNames.set(statement.name, name);
+			return {...statement, name};
+		}
+
+		if (statement.kind === 'reset') {
+			this.#earlierNames.clear();
+		}
+
+		return statement.kind === 'execute' ? {...statement, name: this.#earlierNames.get(statement.name) ?? statement.name} : statement;
+	}
+
 	/** Sends a statement. While the gateway has not confirmed the relay, rejects as soon as the request to open it was not answered in time, without blaming the member. */
 	async #sendWhileOpening(statement: MemberStatement, timeout: Milliseconds, scope: StatementScope | undefined): Promise<RelayStatementResponse> {
 		const response = this.#send(statement, timeout, scope);
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -3,7 +3,7 @@
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
 import {
-	type MemberStatement, type RefusalReason, type StatementReply, type TransactionState,
+	type ConnectionStatement, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {type DataRequest} from './data-request.js';
 import {type CallerOperation} from './caller-operation.js';
@@ -270,7 +270,7 @@
 	}
 
 	/** Executes a statement, unless it was sent together with the begin, and retries it until the deadline while the member refuses it as busy and keeps the transaction open. */
-	async #executeWithBusyRetry(statement: MemberStatement, deadline: Milliseconds, firstReply?: Promise<StatementReply>): Promise<StatementReply> {
+	async #executeWithBusyRetry(statement: ConnectionStatement, deadline: Milliseconds, firstReply?: Promise<StatementReply>): Promise<StatementReply> {
 		const {clock} = this.context.dependencies;
 		for (let pendingReply = firstReply; ; pendingReply = undefined) {
 			if (!this.#held) {
--- a/source/session-proxy/data-request.ts
+++ b/source/session-proxy/data-request.ts
@@ -1,8 +1,8 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Route} from '../routing-table/types.js';
-import {type MemberStatement, type PreparedStatementDefinition, type SessionStatement} from '../statement/types.js';
-import {pooledStatementName, type CallerSessionState} from './caller-session-state.js';
+import {type ConnectionStatement, type PreparedStatementDefinition, type SessionStatement} from '../statement/types.js';
+import {type CallerSessionState} from './caller-session-state.js';
 import {type CallerOperation} from './caller-operation.js';
 import {type ServiceClient} from './service-client.js';
 
@@ -16,7 +16,7 @@
 	/** Prepared statement to execute, if it is one. */
 	readonly preparedStatement: PreparedStatementDefinition | undefined;
 	/** Returns the statement to send; the member must have applied its log up to `after`. */
-	readonly createStatement: (after?: LogPosition) => MemberStatement;
+	readonly createStatement: (after?: LogPosition) => ConnectionStatement;
 };
 
 /** Data request with its route and deadline. */
@@ -30,7 +30,7 @@
 };
 
 /** Returns the data request for a statement, or undefined if it names an unknown prepared statement. */
-export function dataRequest(statement: DataStatement, {preparedStatements}: CallerSessionState): DataRequest | undefined {
+export function dataRequest(statement: DataStatement, sessionState: CallerSessionState): DataRequest | undefined {
 	const {id} = statement;
 	switch (statement.kind) {
 		case 'read': {
@@ -48,13 +48,13 @@
 		}
 
 		case 'execute': {
-			const preparedStatement = preparedStatements.get(statement.name);
+			const preparedStatement = sessionState.definitionOf(statement.name);
 			return preparedStatement && {
 				id,
 				access: preparedStatement.access,
 				preparedStatement,
 				createStatement: after => ({
-					kind: 'execute', id, name: pooledStatementName(preparedStatement), parameters: statement.parameters, after: preparedStatement.access === 'read' ? after : undefined,
+					kind: 'execute', id, definition: preparedStatement, parameters: statement.parameters, after: preparedStatement.access === 'read' ? after : undefined,
 				}),
 			};
 		}
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -4,10 +4,12 @@
 import {
 	type ConnectionPath, type MemberConnection, MemberRefusedError, type StatementScope,
 } from '../statement/member-connection.js';
+import {connectionLimit, transactionLimit} from '../statement/statement-limits.js';
 import {
-	type MemberStatement, type PreparedStatementDefinition, type StatementReply, type TransactionState,
+	type ConnectionStatement, type MemberStatement, type PreparedStatementDefinition, type StatementReply, type TransactionState,
 } from '../statement/types.js';
-import {pooledStatementName, type CallerSessionState} from './caller-session-state.js';
+import {type CallerSessionState} from './caller-session-state.js';
+import {StatementNames} from './statement-names.js';
 
 /** Dependencies of a pooled connection, and to whom it belongs. */
 export type PooledConnectionOptions = {
@@ -28,7 +30,7 @@
 	/** Time at which the connection was last released to the pool. */
 	releasedAt: Milliseconds = 0;
 	readonly #variables = new Map<string, string>();
-	readonly #preparedNames = new Set<string>();
+	readonly #statementNames = new StatementNames();
 	#pendingCount = 0;
 	#lastReply: Promise<unknown> = Promise.resolve();
 	/** Transaction state in the last reply of the member. */
@@ -72,13 +74,13 @@
 		return variables.size === this.#variables.size && [...variables].every(([name, value]) => this.#variables.get(name) === value);
 	}
 
-	/** Sends a statement and resolves with its reply. Rejects with linkOutcomeUnknown after the timeout in milliseconds or when the connection ends, and with linkNotSent when it had ended before or was returned for a rollback. */
-	async execute(statement: MemberStatement, timeout: Milliseconds, scope?: StatementScope): Promise<StatementReply> {
+	/** Sends a statement and resolves with its reply. Rejects with linkOutcomeUnknown after the timeout in milliseconds or when the connection ends, and with linkNotSent when it had ended before, was returned for a rollback or lacks the prepared statement. */
+	async execute(statement: ConnectionStatement, timeout: Milliseconds, scope?: StatementScope): Promise<StatementReply> {
 		if (this.#isRollingBack) {
 			throw new BuckthornhitchError('linkNotSent', 'the connection was returned for a rollback');
 		}
 
-		return this.#send(statement, timeout, scope);
+		return this.#send(this.#toMemberStatement(statement), timeout, scope);
 	}
 
 	/** Waits until every statement was answered, and then rolls back the open transaction. Statements that the previous holder sends from now on are rejected. Rejects like `execute`. */
@@ -90,7 +92,7 @@
 		return reply;
 	}
 
-	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. The connection must not be used if this rejects because a statement was refused or not answered. */
+	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. The connection must not be used if this rejects because a statement was refused or not answered. Rejects with unsupportedFeature if the open transaction has executed too many prepared statements. */
 	async applySession(session: CallerSessionState, preparedStatement: PreparedStatementDefinition | undefined, timeout: Milliseconds): Promise<void> {
 		const statements = this.#setupStatements(session, preparedStatement);
 		const replies = await Promise.all(statements.map(async statement => this.execute(statement, timeout)));
@@ -100,6 +102,21 @@
 		}
 	}
 
+	/** Puts the name that a prepared statement has on this connection in place of its definition. */
+	#toMemberStatement(statement: ConnectionStatement): MemberStatement {
+		if (statement.kind !== 'execute') {
+			return statement;
+		}
+
+		const {definition, ...execution} = statement;
+		const name = this.#statementNames.nameOf(definition);
+		if (name === undefined) {
+			throw new BuckthornhitchError('linkNotSent', 'the statement is not prepared on the connection');
+		}
+
+		return {...execution, name};
+	}
+
 	async #send(statement: MemberStatement, timeout: Milliseconds, scope?: StatementScope): Promise<StatementReply> {
 		this.#pendingCount++;
 		return new Promise((resolve, reject) => {
@@ -143,7 +160,7 @@
 		switch (statement.kind) {
 			case 'reset': {
 				this.#variables.clear();
-				this.#preparedNames.clear();
+				this.#statementNames.clear();
 				break;
 			}
 
@@ -153,7 +170,7 @@
 			}
 
 			case 'prepare': {
-				this.#preparedNames.add(statement.name);
+				this.#statementNames.add(statement.name, statement.shape);
 				this.options.onPrepared?.(statement.name, statement.shape);
 				break;
 			}
@@ -173,9 +190,23 @@
 		}
 	}
 
-	#setupStatements({variables}: CallerSessionState, shape: PreparedStatementDefinition | undefined): readonly MemberStatement[] {
-		const statements: MemberStatement[] = [];
-		const needsReset = [...this.#variables.keys()].some(name => !variables.has(name));
+	/** Returns whether the prepared statements must be removed before another definition is prepared. Throws unsupportedFeature if they must, but a transaction is open, which a RESET could end. */
+	#mustRemoveStatementsFor(definition: PreparedStatementDefinition): boolean {
+		if (!this.isInTransaction) {
+			return this.#statementNames.isFullFor(definition, connectionLimit);
+		}
+
+		if (this.#statementNames.isFullFor(definition, transactionLimit)) {
+			throw new BuckthornhitchError('unsupportedFeature', 'the transaction executes too many different prepared statements, or their definitions are too long');
+		}
+
+		return false;
+	}
+
+	#setupStatements({variables}: CallerSessionState, definition: PreparedStatementDefinition | undefined): readonly ConnectionStatement[] {
+		const statements: ConnectionStatement[] = [];
+		const missing = definition && this.#statementNames.nameOf(definition) === undefined ? definition : undefined;
+		const needsReset = [...this.#variables.keys()].some(name => !variables.has(name)) || (missing !== undefined && this.#mustRemoveStatementsFor(missing));
 		if (needsReset) {
 			statements.push({kind: 'reset'});
 		}
@@ -186,8 +217,8 @@
 			}
 		}
 
-		if (shape && (needsReset || !this.#preparedNames.has(pooledStatementName(shape)))) {
-			statements.push({kind: 'prepare', name: pooledStatementName(shape), shape});
+		if (definition && (needsReset || missing)) {
+			statements.push({kind: 'prepare', name: this.#statementNames.createName(), shape: definition});
 		}
 
 		return statements;
--- a/source/session-proxy/primary-read.ts
+++ b/source/session-proxy/primary-read.ts
@@ -3,7 +3,7 @@
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {provesPrimary} from '../statement/primary-proof.js';
 import {
-	provesNotRun, type MemberStatement, type RefusalReason, type StatementReply,
+	provesNotRun, type ConnectionStatement, type RefusalReason, type StatementReply,
 } from '../statement/types.js';
 import {type MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
@@ -23,7 +23,7 @@
 	readonly clock: Clock;
 	readonly pool: MemberPool;
 	readonly connection: PooledConnection;
-	readonly statement: MemberStatement;
+	readonly statement: ConnectionStatement;
 	readonly deadline: Milliseconds;
 	/** Returns whether the read may still be sent once the transaction is open. */
 	readonly isWanted: () => boolean;
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -115,24 +115,25 @@
 	}
 
 	#executeLocally(statement: Extract<SessionStatement, {readonly kind: 'begin' | 'set' | 'prepare' | 'deallocate' | 'malformed'}>): StatementReply | Promise<StatementReply> {
-		const {variables, preparedStatements} = this.#context.sessionState;
+		const {sessionState} = this.#context;
 		switch (statement.kind) {
 			case 'begin': {
 				return this.#begin(statement.id, statement.isReadOnly);
 			}
 
 			case 'set': {
-				variables.set(statement.name, statement.value);
+				sessionState.variables.set(statement.name, statement.value);
 				return localReply(this.#transactionState);
 			}
 
 			case 'prepare': {
-				preparedStatements.set(statement.name, statement.shape);
-				return localReply(this.#transactionState);
+				return sessionState.prepare(statement.name, statement.shape)
+					? localReply(this.#transactionState)
+					: refusal('tooLarge', 'the session has too many prepared statements, or their definitions are too long', this.#transactionState);
 			}
 
 			case 'deallocate': {
-				return preparedStatements.delete(statement.name) ? localReply(this.#transactionState) : refusal('unknownStatement', statement.name, this.#transactionState);
+				return sessionState.deallocate(statement.name) ? localReply(this.#transactionState) : refusal('unknownStatement', statement.name, this.#transactionState);
 			}
 
 			case 'malformed': {
--- a/source/statement/types.ts
+++ b/source/statement/types.ts
@@ -36,6 +36,18 @@
 	| {readonly kind: 'resume'}
 	| {readonly kind: 'demote'; readonly term: number};
 
+/** Execution of a prepared statement by its definition. Each connection has names of its own for the definitions that are prepared on it. */
+export type DefinitionExecution = {
+	readonly kind: 'execute';
+	readonly id: string;
+	readonly definition: PreparedStatementDefinition;
+	readonly parameters: string;
+	readonly after?: LogPosition;
+};
+
+/** A statement as a session executes it on a connection. */
+export type ConnectionStatement = Exclude<MemberStatement, {readonly kind: 'execute'}> | DefinitionExecution;
+
 /** State of a connection's transaction after a statement. */
 export type TransactionState = 'idle' | 'open' | 'failed';
 
