Bound the session variables of a caller

Cause: a session kept every variable that its caller set, and set all of them anew on each connection that it used.

--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -93,17 +93,19 @@
 
 		switch (statement.kind) {
 			case 'reset': {
-				this.#session.clear();
+				this.#session.variables.clear();
+				this.#session.preparedStatements.clear();
 				return this.#applySessionChange(deadline);
 			}
 
 			case 'set': {
-				this.#session.variables.set(statement.name, statement.value);
-				return this.#applySessionChange(deadline);
+				return this.#session.variables.set(statement.name, statement.value)
+					? this.#applySessionChange(deadline)
+					: relayLost('the relay has too many session variables, or they are too long');
 			}
 
 			case 'prepare': {
-				return this.#session.prepare(statement.name, statement.shape)
+				return this.#session.preparedStatements.set(statement.name, statement.shape)
 					? this.#applySessionChange(deadline)
 					: relayLost('the relay has too many prepared statements, or their definitions are too long');
 			}
@@ -156,7 +158,7 @@
 	}
 
 	#isRead(statement: MemberStatement): boolean {
-		return statement.kind === 'read' || (statement.kind === 'execute' && this.#session.definitionOf(statement.name)?.access === 'read');
+		return statement.kind === 'read' || (statement.kind === 'execute' && this.#session.preparedStatements.get(statement.name)?.access === 'read');
 	}
 
 	/** Puts the definition of a prepared statement in place of its name on the relay; returns undefined if there is none. The connection to the member has names of its own. */
@@ -166,7 +168,7 @@
 		}
 
 		const {name, ...execution} = statement;
-		const definition = this.#session.definitionOf(name);
+		const definition = this.#session.preparedStatements.get(name);
 		return definition && {...execution, definition};
 	}
 
--- a/source/session-proxy/data-request.ts
+++ b/source/session-proxy/data-request.ts
@@ -30,7 +30,7 @@
 };
 
 /** Returns the data request for a statement, or undefined if it names an unknown prepared statement. */
-export function dataRequest(statement: DataStatement, sessionState: CallerSessionState): DataRequest | undefined {
+export function dataRequest(statement: DataStatement, {preparedStatements}: CallerSessionState): DataRequest | undefined {
 	const {id} = statement;
 	switch (statement.kind) {
 		case 'read': {
@@ -48,7 +48,7 @@
 		}
 
 		case 'execute': {
-			const preparedStatement = sessionState.definitionOf(statement.name);
+			const preparedStatement = preparedStatements.get(statement.name);
 			return preparedStatement && {
 				id,
 				access: preparedStatement.access,
--- a/source/session-proxy/statement-names.ts
+++ b/source/session-proxy/statement-names.ts
@@ -1,4 +1,4 @@
-import {type PreparedStatementLimit} from '../statement/statement-limits.js';
+import {type TextLimit} from '../statement/statement-limits.js';
 import {type PreparedStatementDefinition} from '../statement/types.js';
 
 /**
@@ -27,7 +27,7 @@
 	}
 
 	/** Returns whether a further definition would exceed the limit. The first definition is never too long. */
-	isFullFor({shape}: PreparedStatementDefinition, limit: PreparedStatementLimit): boolean {
+	isFullFor({shape}: PreparedStatementDefinition, limit: TextLimit): boolean {
 		return this.size > 0 && (this.size >= limit.count || this.#totalLength + shape.length > limit.length);
 	}
 
--- a/source/session-proxy/statement-session.spec.ts
+++ b/source/session-proxy/statement-session.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {variableLimit} from '../statement/statement-limits.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {SessionFixture} from './session-fixture.js';
 
@@ -152,6 +153,26 @@
 	assert.deepEqual(fixture.primary.receivedKinds.filter(kind => kind === 'set' || kind === 'reset' || kind === 'write'), ['set', 'write', 'reset', 'write']);
 });
 
+// All variables of a session are set anew on each connection that it uses.
+test('a session with too many or too long variables gets a refusal and keeps those that it has', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	const set = async (name: string, value: string): Promise<string> => reasonOrOutcome(await fixture.run(session, {
+		kind: 'set', id: 's', name, value,
+	}));
+	for (let index = 0; index < variableLimit.count; index++) {
+		assert.equal(await set(`name${index}`, 'x'), 'done');
+	}
+
+	assert.equal(await set('other', 'x'), 'tooLarge');
+	assert.equal(await set('name0', 'x'.repeat(variableLimit.length)), 'tooLarge');
+	assert.equal(await set('name0', 'y'), 'done');
+	await fixture.run(session, write);
+	const values = fixture.primary.received.flatMap(({statement}) => statement.kind === 'set' ? [`${statement.name}=${statement.value}`] : []);
+	assert.equal(values.length, variableLimit.count);
+	assert.ok(values.includes('name0=y'));
+});
+
 test('a prepared statement is executed under its name on the pooled connection', async () => {
 	const fixture = new SessionFixture();
 	const session = await fixture.open();
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -115,25 +115,26 @@
 	}
 
 	#executeLocally(statement: Extract<SessionStatement, {readonly kind: 'begin' | 'set' | 'prepare' | 'deallocate' | 'malformed'}>): StatementReply | Promise<StatementReply> {
-		const {sessionState} = this.#context;
+		const {variables, preparedStatements} = this.#context.sessionState;
 		switch (statement.kind) {
 			case 'begin': {
 				return this.#begin(statement.id, statement.isReadOnly);
 			}
 
 			case 'set': {
-				sessionState.variables.set(statement.name, statement.value);
-				return localReply(this.#transactionState);
+				return variables.set(statement.name, statement.value)
+					? localReply(this.#transactionState)
+					: refusal('tooLarge', 'the session has too many variables, or they are too long', this.#transactionState);
 			}
 
 			case 'prepare': {
-				return sessionState.prepare(statement.name, statement.shape)
+				return preparedStatements.set(statement.name, statement.shape)
 					? localReply(this.#transactionState)
 					: refusal('tooLarge', 'the session has too many prepared statements, or their definitions are too long', this.#transactionState);
 			}
 
 			case 'deallocate': {
-				return sessionState.deallocate(statement.name) ? localReply(this.#transactionState) : refusal('unknownStatement', statement.name, this.#transactionState);
+				return preparedStatements.delete(statement.name) ? localReply(this.#transactionState) : refusal('unknownStatement', statement.name, this.#transactionState);
 			}
 
 			case 'malformed': {
