Answer at once when members refuse a session's variables or definitions

What callers saw: the proxy answers SET and PREPARE itself. If members refused one, each later statement of the session got BUSY at its deadline.

Change: the connection is kept, since each statement on it was answered. A refusal as malformed or too large ends the operation at once with that reason; any other is tried at most three times and ends as ABORTED, since nothing has run. Refusals that say that the member cannot run anything now, such as BUSY, are retried as before. Both apply to transactions as well.

--- a/source/session-proxy/caller-operation.ts
+++ b/source/session-proxy/caller-operation.ts
@@ -5,7 +5,9 @@
 import {SystemRandom} from '../random/random.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
-import {type StatementReply} from '../statement/types.js';
+import {
+	isInvalidMessage, provesNotRun, type RefusalReason, type StatementReply,
+} from '../statement/types.js';
 import {
 	causeOf, explanationOf, type EndedRequest, type RequestEnd,
 } from './explained-request.js';
@@ -15,6 +17,9 @@
 
 const random = new SystemRandom();
 
+/** Number of members' refusals of a session's variables or prepared statements after which an operation ends: each member of a usual service may refuse once. */
+const maximumSetupRefusals = 3;
+
 /** What an operation is, for its record. */
 export type OperationDescription = {
 	readonly kind: 'statement' | 'transaction';
@@ -35,6 +40,7 @@
 	/** Name of the customer for whom the limiter was asked last. */
 	#askedCustomer: string | undefined;
 	#hasEnded = false;
+	#setupRefusalCount = 0;
 
 	/** The id is that of the statement, or of the BEGIN of the transaction. */
 	constructor(private readonly context: SessionContext, readonly id: string, private readonly description: OperationDescription = {kind: 'statement'}) {
@@ -80,6 +86,17 @@
 		return undefined;
 	}
 
+	/** Counts a member's refusal of the session's variables or of the prepared statement. Returns whether the operation ends, since further members would refuse them as well. */
+	endsAfterSetupRefusal(reason: RefusalReason): boolean {
+		if (provesNotRun(reason)) {
+			// The member refuses other statements as well at the moment.
+			return false;
+		}
+
+		this.#setupRefusalCount++;
+		return isInvalidMessage(reason) || this.#setupRefusalCount >= maximumSetupRefusals;
+	}
+
 	/** Records that the operation has ended, and logs why it was late, refused or attempted more than once. Only the first call has an effect. */
 	end(end: RequestEnd): void {
 		if (this.#hasEnded) {
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -2,13 +2,14 @@
 import {type LogPosition} from '../database-group/types.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
+import {SetupRefusedError} from '../statement/member-connection.js';
 import {
 	type ConnectionStatement, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {type DataRequest} from './data-request.js';
 import {type CallerOperation} from './caller-operation.js';
 import {
-	acquireConnection, expectedWaitOf, reportUnansweredStatement, refusalReasonOf,
+	acquireConnection, expectedWaitOf, reasonAfterSetupRefusal, reportUnansweredStatement, refusalReasonOf,
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {hasNotRun, isDone, isUnsent} from './pending-reply.js';
@@ -390,6 +391,10 @@
 				pool.discard(connection);
 			}
 
+			if (error instanceof SetupRefusedError && this.operation.endsAfterSetupRefusal(error.reason)) {
+				return {kind: 'refused', refused: {reason: reasonAfterSetupRefusal(error.reason), detail: error.message}, isFinal: true};
+			}
+
 			const mayHaveRun = firstReply && !await hasNotRun(firstReply);
 			// A write is never sent twice, even though the transaction without an answer will not be committed.
 			const isFinal = mayHaveRun && first?.access === 'write';
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -36,6 +36,8 @@
 	readonly refusals: RefusalReason[] = [];
 	/** Kinds of statements that are refused as failed. */
 	readonly refusedKinds = new Set<MemberStatement['kind']>();
+	/** Reason with which statements that set up a session are refused, if they are. */
+	setupRefusal: RefusalReason | undefined;
 	/** Kinds of statements whose replies are lost. The next reply on the connection is then taken for the missing one, since replies are matched by their order. */
 	readonly lostReplies = new Set<MemberStatement['kind']>();
 	/** Whether new connections are refused because of the connection limit. */
@@ -163,6 +165,10 @@
 			return refused;
 		}
 
+		if (this.member.setupRefusal && (statement.kind === 'set' || statement.kind === 'prepare')) {
+			return this.member.setupRefusal;
+		}
+
 		if (this.member.refusedKinds.has(statement.kind)) {
 			return 'failed';
 		}
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -2,7 +2,7 @@
 import {describeTimeout} from '../clock/describe-timeout.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {
-	type ConnectionPath, type MemberConnection, MemberRefusedError, type StatementScope,
+	type ConnectionPath, type MemberConnection, SetupRefusedError, type StatementScope,
 } from '../statement/member-connection.js';
 import {connectionLimit, transactionLimit} from '../statement/statement-limits.js';
 import {
@@ -92,13 +92,13 @@
 		return reply;
 	}
 
-	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. The connection must not be used if this rejects because a statement was refused or not answered. Rejects with unsupportedFeature if the open transaction has executed too many prepared statements. */
+	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. Rejects with a SetupRefusedError if one of these statements was refused; the connection must not be used if one was not answered. Rejects with unsupportedFeature if the open transaction has executed too many prepared statements. */
 	async applySession(session: CallerSessionState, preparedStatement: PreparedStatementDefinition | undefined, timeout: Milliseconds): Promise<void> {
 		const statements = this.#setupStatements(session, preparedStatement);
 		const replies = await Promise.all(statements.map(async statement => this.execute(statement, timeout)));
 		const refused = replies.find(reply => reply.outcome === 'refused');
 		if (refused?.outcome === 'refused') {
-			throw new MemberRefusedError(refused.reason, refused.detail);
+			throw new SetupRefusedError(refused.reason, refused.detail);
 		}
 	}
 
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -2,15 +2,15 @@
 import {type LogPosition} from '../database-group/types.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
-import {MemberRefusedError, type ConnectionUse} from '../statement/member-connection.js';
+import {MemberRefusedError, SetupRefusedError, type ConnectionUse} from '../statement/member-connection.js';
 import {
-	provesNotRun, type PreparedStatementDefinition, type RefusalReason, type StatementReply,
+	isInvalidMessage, provesNotRun, type PreparedStatementDefinition, type RefusalReason, type StatementReply,
 } from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
 import {type MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
 import {attemptPrimaryRead} from './primary-read-attempt.js';
-import {describeReply} from './replies.js';
+import {describeReply, refusal} from './replies.js';
 import {type AttemptTrace} from './request-trace.js';
 import {type SessionContext} from './session-context.js';
 
@@ -80,7 +80,12 @@
 			await connection.applySession(context.sessionState, preparedStatement, deadline - context.now);
 		}
 	} catch (error) {
-		pool.discard(connection);
+		if (error instanceof SetupRefusedError) {
+			pool.release(connection);
+		} else {
+			pool.discard(connection);
+		}
+
 		throw error;
 	}
 
@@ -124,6 +129,10 @@
 			route, preparedStatement: request.preparedStatement, deadline, arrivedAt, customer, isWanted, trace,
 		});
 	} catch (error) {
+		if (error instanceof SetupRefusedError && operation.endsAfterSetupRefusal(error.reason)) {
+			return {kind: 'refused', reply: refusal(reasonAfterSetupRefusal(error.reason), error.message, 'idle')};
+		}
+
 		return {
 			kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, ...expectedWaitOf(error),
 		};
@@ -156,6 +165,11 @@
 	}
 }
 
+/** Returns the reason with which a caller learns that members do not accept its session variables or prepared statements. Nothing was run, whatever reason the members give. */
+export function reasonAfterSetupRefusal(reason: RefusalReason): RefusalReason {
+	return isInvalidMessage(reason) ? reason : 'aborted';
+}
+
 /** Returns the expected wait that a refusal states, if a queue refused the statement. */
 export function expectedWaitOf(refused: unknown): {readonly expectedWait?: Milliseconds} {
 	const {expectedWait} = refused as {readonly expectedWait?: Milliseconds};
--- a/source/session-proxy/statement-session.spec.ts
+++ b/source/session-proxy/statement-session.spec.ts
@@ -153,6 +153,33 @@
 	assert.deepEqual(fixture.primary.receivedKinds.filter(kind => kind === 'set' || kind === 'reset' || kind === 'write'), ['set', 'write', 'reset', 'write']);
 });
 
+// Each statement closed a connection for every attempt until its deadline.
+for (const [reason, expected] of [['malformed', 'malformed'], ['failed', 'aborted']] as const) {
+	test(`a session whose variables members refuse as ${reason} gets its answer at once and costs no connections`, async () => {
+		for (const statement of [read, write]) {
+			const fixture = new SessionFixture();
+			const session = await fixture.open();
+			await fixture.run(session, read);
+			await fixture.run(session, write);
+			const countConnections = (): number => fixture.members.flatMap(({connections}) => connections).length;
+			const openedBefore = countConnections();
+			for (const member of fixture.members) {
+				member.setupRefusal = reason;
+			}
+
+			await fixture.run(session, {
+				kind: 'set', id: 's', name: 'x', value: '',
+			});
+			assert.equal(reasonOrOutcome(await fixture.run(session, statement, 100)), expected);
+			await fixture.run(session, {kind: 'begin', id: 'b', isReadOnly: false});
+			assert.equal(reasonOrOutcome(await fixture.run(session, statement, 100)), expected);
+			await fixture.run(session, {kind: 'rollback', id: 'r'});
+			assert.ok(countConnections() <= openedBefore + fixture.members.length);
+			assert.ok(fixture.members.flatMap(({connections}) => connections).every(connection => !connection.isClosed));
+		}
+	});
+}
+
 // All variables of a session are set anew on each connection that it uses.
 test('a session with too many or too long variables gets a refusal and keeps those that it has', async () => {
 	const fixture = new SessionFixture();
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -17,13 +17,16 @@
 	readonly path?: ConnectionPath;
 };
 
-/** A member refused a connection, or a statement that sets a session variable or prepares a statement on it. */
+/** A member refused a connection, or a statement that sets up a session on it. */
 export class MemberRefusedError extends BuckthornhitchError {
 	constructor(readonly reason: RefusalReason, detail: string) {
 		super('memberRefused', `${reason} ${detail}`);
 	}
 }
 
+/** A member refused a statement that sets a session variable or prepares a statement. Every statement on the connection was answered. */
+export class SetupRefusedError extends MemberRefusedError {}
+
 /** What a connection is used for until it is released. */
 export type ConnectionUse = {
 	/** Priority of the statements among those that wait for a connection; 0 is the highest. */
--- a/source/statement/types.ts
+++ b/source/statement/types.ts
@@ -84,3 +84,8 @@
 export function provesNotRun(reason: RefusalReason): boolean {
 	return notRunReasons.has(reason);
 }
+
+/** Returns whether a statement was refused because of its own text, which every member would refuse. */
+export function isInvalidMessage(reason: RefusalReason): boolean {
+	return reason === 'malformed' || reason === 'tooLarge';
+}
