--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -129,8 +129,7 @@
 				this.#transaction = reply.transaction;
 				this.#recordSessionChange(statement, reply);
 				cancel();
-				// A gateway answers some statements itself; such a reply does not show that the member is reachable.
-				if (!this.memberConnection.isRelayed || reply.point) {
+				if (this.#isFromMember(reply)) {
 					this.options.onReply(reply);
 				}
 
@@ -145,6 +144,12 @@
 		});
 	}
 
+	/** Returns whether the reply shows that the member is reachable. A gateway answers some statements itself, and one that cannot be sent is refused without the member. */
+	#isFromMember(reply: StatementReply): boolean {
+		const isUnsent = reply.outcome === 'refused' && reply.isUnsent === true;
+		return !isUnsent && (!this.memberConnection.isRelayed || reply.point !== undefined);
+	}
+
 	async #waitUntilAnswered(): Promise<void> {
 		while (this.hasPendingStatement) {
 			await this.#lastReply;
--- a/source/statement/types.ts
+++ b/source/statement/types.ts
@@ -68,6 +68,8 @@
 	readonly detail: string;
 	/** Expected wait in the queue of the gateway that refused the statement; absent for all other refusals. */
 	readonly expectedWait?: Milliseconds;
+	/** Whether the statement was not sent, so that the refusal shows nothing about the member. */
+	readonly isUnsent?: true;
 }) & {
 	readonly transaction: TransactionState;
 	/** Last log position of the member that answered, if it reported one. */
