Validate routes by the key that transfers use

Validation told apart the routes ('a', 'b /') and ('a b', '/'), which share their key in a difference: a transfer kept one of them, so that entries could not use an accepted table. Both now use routeKey, and such a table is refused with the names of the two routes. The keys on the links are unchanged.

source/routing-table/routing-table.spec.ts compares validation and transfer for pairs of 16 routes. It fails on the old code (no refusal of ["a","b /","a b","/"]) and passes now.

--- a/source/routing-table/routing-difference.ts
+++ b/source/routing-table/routing-difference.ts
@@ -29,7 +29,7 @@
 
 const textByRoute = new WeakMap<Route, string>();
 
-/** Returns the key that identifies a route in the tables of all versions. */
+/** Returns the key that identifies a route in the tables of all versions. No two routes of a valid table have the same one. */
 export function routeKey({database, pathPrefix}: Route): string {
 	return `${database} ${pathPrefix}`;
 }
--- a/source/routing-table/routing-table-validation.ts
+++ b/source/routing-table/routing-table-validation.ts
@@ -1,22 +1,24 @@
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {validateCustomers} from '../customers/customer-validation.js';
+import {routeKey} from './routing-difference.js';
 import {type RoutingTable} from './types.js';
 
 /** Validates a routing table. Throws configurationInvalid with the first error found. */
 export function validateRoutingTable({routes, services, customers}: RoutingTable): void {
 	const serviceNames = new Set(services.map(service => service.name));
-	const routeKeys = new Set<string>();
+	const routeNames = new Map<string, string>();
 	for (const route of routes) {
 		if (!serviceNames.has(route.service)) {
 			throw new BuckthornhitchError('configurationInvalid', `Route "${route.name}" names the unknown service "${route.service}".`);
 		}
 
-		const routeKey = JSON.stringify([route.database, route.pathPrefix]);
-		if (routeKeys.has(routeKey)) {
-			throw new BuckthornhitchError('configurationInvalid', `Two routes share the database "${route.database}" and the prefix "${route.pathPrefix}".`);
+		const key = routeKey(route);
+		const other = routeNames.get(key);
+		if (other !== undefined) {
+			throw new BuckthornhitchError('configurationInvalid', `Routes "${other}" and "${route.name}" share the database and the prefix "${key}".`);
 		}
 
-		routeKeys.add(routeKey);
+		routeNames.set(key, route.name);
 		if (!(route.statementTimeout > 0)) {
 			throw new BuckthornhitchError('configurationInvalid', `Route "${route.name}" has no time limit.`);
 		}
--- a/source/routing-table/routing-table.spec.ts
+++ b/source/routing-table/routing-table.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {applyRoutingDifference, routingDifference} from './routing-difference.js';
 import {validateRoutingTable} from './routing-table-validation.js';
 import {RoutingStateMachine} from './routing-state-machine.js';
 import {type Route, type RoutingTable} from './types.js';
@@ -23,6 +24,27 @@
 	}
 });
 
+// Validation told apart two routes of which a transfer kept one, so that entries could not use the accepted table.
+test('a valid table keeps all of its routes in a transfer', () => {
+	const names = ['a', 'b', 'a b', ''];
+	const prefixes = ['/', 'b /', '/b', ''];
+	const routes = names.flatMap(database => prefixes.map(pathPrefix => ({...route, database, pathPrefix})));
+	for (const first of routes) {
+		for (const second of routes) {
+			const submitted = table([first, second]);
+			const kept = applyRoutingDifference(undefined, routingDifference(undefined, submitted)).routes.length;
+			const label = JSON.stringify([first.database, first.pathPrefix, second.database, second.pathPrefix]);
+			if (kept === 2) {
+				validateRoutingTable(submitted);
+			} else {
+				assert.throws(() => {
+					validateRoutingTable(submitted);
+				}, {codeName: 'configurationInvalid'}, label);
+			}
+		}
+	}
+});
+
 // An outdated submission, or a different document under the accepted version, must not replace the configuration in force.
 test('only a higher version replaces the accepted configuration, also after a snapshot is restored', () => {
 	const machine = new RoutingStateMachine();
