Bound the named statements that stay on pooled connections

Outside a transaction, an entry closes a name only before it prepares it again, and connections have no maximum age: names of ever new sessions stayed in the memory of the backend server. MemberConnections now counts the named Parse messages that a connection carries. After more than 1000 of them, or 4 MiB, it runs DEALLOCATE ALL when the connection is returned outside a transaction, before another request gets it, and closes the connection if the removal is not confirmed. Close messages at the end of a batch would be skipped after an error in the batch, and would not cover the statements of transactions. Stand-in members support DEALLOCATE.

The test of DEALLOCATE in stand-in/member.spec.ts is new with its feature.

--- a/source/pool/backend-connector-fake.ts
+++ b/source/pool/backend-connector-fake.ts
@@ -8,6 +8,7 @@
 import {
 	buildCommandComplete, buildErrorResponse, buildBackendMessage, buildReadyForQuery,
 } from '../postgres-protocol/backend-messages.js';
+import {readDescribeOrClose, readParse} from '../postgres-protocol/frontend-messages.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type TransactionStatus} from './messages.js';
 
@@ -24,6 +25,8 @@
 	isReplicating = true;
 	/** Fault of all exchanges from now on. */
 	responseFault: ResponseFault = 'none';
+	/** Statement that all members refuse. */
+	refusedStatement: string | undefined;
 
 	constructor(readonly clock: Clock, readonly group: FakeGroup) {
 		super();
@@ -46,6 +49,8 @@
 	busySince: Milliseconds | undefined;
 	transactionStatus: TransactionStatus = 'idle';
 	isClosed = false;
+	/** Names of the statements that are prepared on the connection. */
+	readonly preparedNames = new Set<string>();
 	readonly #closeListeners = new ListenerSet();
 	#rejectExchange: ((error: Error) => void) | undefined;
 
@@ -59,6 +64,7 @@
 		}
 
 		this.busySince = this.connector.clock.now();
+		this.#updatePreparedNames(bytes);
 		const responses = splitBackendMessages(bytes).map(({type, body}) => type === 'Q' ? this.#runQuery(body.toString('utf8', 0, body.length - 1)) : buildReadyForQuery(this.transactionStatus));
 		await this.#waitForResponse(timeout);
 		this.busySince = undefined;
@@ -79,6 +85,16 @@
 		return this.#closeListeners.add(listener);
 	}
 
+	#updatePreparedNames(bytes: Buffer): void {
+		for (const {type, raw} of splitBackendMessages(bytes)) {
+			if (type === 'P') {
+				this.preparedNames.add(readParse({type, bytes: raw}).statementName);
+			} else if (type === 'C') {
+				this.preparedNames.delete(readDescribeOrClose({type, bytes: raw}).name);
+			}
+		}
+	}
+
 	async #waitForResponse(timeout: Milliseconds): Promise<void> {
 		const fault = this.member.isUnreachable ? 'withheld' : this.connector.responseFault;
 		if (fault === 'none') {
@@ -101,12 +117,31 @@
 		}
 
 		this.connector.executedStatements.push(`${this.member.name} ${text}`);
-		if (text === 'BEGIN') {
-			this.transactionStatus = 'open';
-		} else if (text === 'COMMIT') {
-			this.transactionStatus = 'idle';
-		} else if (text.startsWith('INSERT')) {
-			return this.#runInsert(text);
+		if (text === this.connector.refusedStatement) {
+			return Buffer.concat([buildErrorResponse({severity: 'ERROR', sqlState: '42601', message: 'refused'}), buildReadyForQuery(this.transactionStatus)]);
+		}
+
+		switch (text) {
+			case 'BEGIN': {
+				this.transactionStatus = 'open';
+				break;
+			}
+
+			case 'COMMIT': {
+				this.transactionStatus = 'idle';
+				break;
+			}
+
+			case 'DEALLOCATE ALL': {
+				this.preparedNames.clear();
+				break;
+			}
+
+			default: {
+				if (text.startsWith('INSERT')) {
+					return this.#runInsert(text);
+				}
+			}
 		}
 
 		return Buffer.concat([buildCommandComplete(text), buildReadyForQuery(this.transactionStatus)]);
--- a/source/pool/member-connections.spec.ts
+++ b/source/pool/member-connections.spec.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
 import {serialize} from 'pg-protocol';
 import {ManualClock} from '../clock/manual-clock.js';
@@ -6,6 +7,7 @@
 import {SeededRandom} from '../random/random.js';
 import {FakeBackendConnector} from './backend-connector-fake.js';
 import {MemberConnections} from './member-connections.js';
+import {maximumStatementBytesOnConnection, maximumStatementsOnConnection} from './prepared-statement-limit.js';
 
 function createConnections(limit = 2) {
 	const clock = new ManualClock();
@@ -33,6 +35,13 @@
 
 const statement = serialize.query('SELECT 1');
 
+/** Prepares a statement under the name as a request outside a transaction does. */
+async function prepareOnce(connections: MemberConnections, name: string, text = 'SELECT 1'): Promise<void> {
+	const connection = await connections.acquire(1000);
+	await connection.exchange(Buffer.concat([serialize.close({type: 'S', name}), serialize.parse({name, text}), serialize.sync()]), 1, 300);
+	connections.release(connection);
+}
+
 // A late response of the unfinished exchange would be taken for the response to the next statement.
 test('a connection with an unfinished or overdue exchange is closed and never used again', async () => {
 	const {clock, connector, connections} = createConnections();
@@ -95,3 +104,94 @@
 	await exchange;
 	assert.equal(stuck.isClosed, true);
 });
+
+// Names of statements of ever new sessions stayed in the memory of the backend server for as long as the connection was open.
+test('the named statements that requests leave on a connection are bounded, and it stays open', async () => {
+	const {connector, connections, discarded} = createConnections(1);
+	let most = 0;
+	for (let index = 0; index < 3.5 * maximumStatementsOnConnection; index++) {
+		await prepareOnce(connections, `s${index}`);
+		most = Math.max(most, connector.connections[0].preparedNames.size);
+	}
+
+	assert.ok(most <= maximumStatementsOnConnection + 1, `${most} statements`);
+	assert.equal(connector.countExecuted('DEALLOCATE ALL'), 3);
+	assert.equal(connector.connections.length, 1);
+	assert.deepEqual(discarded, []);
+});
+
+test('the total length of the named statements on a connection is bounded', async () => {
+	const {connector, connections} = createConnections(1);
+	const text = `SELECT '${'x'.repeat(maximumStatementBytesOnConnection / 4)}'`;
+	for (let index = 0; index < 20; index++) {
+		await prepareOnce(connections, `s${index}`, text);
+		assert.ok(connector.connections[0].preparedNames.size <= 4);
+	}
+
+	assert.equal(connector.connections.length, 1);
+});
+
+test('the unnamed statement is not removed', async () => {
+	const {connector, connections} = createConnections(1);
+	for (let index = 0; index < 1.5 * maximumStatementsOnConnection; index++) {
+		await prepareOnce(connections, '');
+	}
+
+	assert.equal(connector.countExecuted('DEALLOCATE ALL'), 0);
+});
+
+test('statements stay usable until the transaction that prepared them has ended', async () => {
+	const {connector, connections} = createConnections(1);
+	const connection = await connections.acquire(1000);
+	await connection.exchange(serialize.query('BEGIN'), 1, 300);
+	for (let index = 0; index <= maximumStatementsOnConnection; index++) {
+		await connection.exchange(Buffer.concat([serialize.parse({name: `s${index}`, text: 'SELECT 1'}), serialize.sync()]), 1, 300);
+	}
+
+	assert.equal(connector.connections[0].preparedNames.size, maximumStatementsOnConnection + 1);
+	await connection.exchange(serialize.query('COMMIT'), 1, 300);
+	connections.release(connection);
+	assert.equal(await connections.acquire(1000), connection);
+	assert.equal(connector.connections[0].preparedNames.size, 0);
+});
+
+test('a request that waits for a connection gets it only after the removal of its statements', async () => {
+	const {clock, connector, connections} = createConnections(1);
+	const connection = await connections.acquire(1000);
+	for (let index = 0; index <= maximumStatementsOnConnection; index++) {
+		await connection.exchange(Buffer.concat([serialize.parse({name: `s${index}`, text: 'SELECT 1'}), serialize.sync()]), 1, 300);
+	}
+
+	const waiting = connections.acquire(1000);
+	connector.responseFault = 'withheld';
+	connections.release(connection);
+	await clock.advanceInSteps(500, 100);
+	assert.equal(connection.isClosed, false);
+	await clock.advanceInSteps(100, 100);
+	assert.equal(connection.isClosed, true, 'a connection that does not answer is closed');
+	connector.responseFault = 'none';
+	const next = await waiting;
+	assert.notEqual(next, connection);
+	assert.equal(connections.openCount, 1);
+});
+
+test('a connection whose statements are not removed is closed', async () => {
+	for (const fault of ['lost', 'refused'] as const) {
+		const {clock, connector, connections, discarded} = createConnections(1);
+		for (let index = 0; index < maximumStatementsOnConnection; index++) {
+			await prepareOnce(connections, `s${index}`);
+		}
+
+		connector.refusedStatement = fault === 'refused' ? 'DEALLOCATE ALL' : undefined;
+		const connection = await connections.acquire(1000);
+		await connection.exchange(Buffer.concat([serialize.parse({name: 'last', text: 'SELECT 1'}), serialize.sync()]), 1, 300);
+		connector.responseFault = fault === 'lost' ? 'lost' : 'none';
+		connections.release(connection);
+		await clock.advanceInSteps(10, 1);
+		connector.responseFault = 'none';
+		assert.equal(connection.isClosed, true, fault);
+		assert.equal(discarded.length, 1, fault);
+		assert.equal(connections.openCount, 0, fault);
+		assert.notEqual(await connections.acquire(1000), connection);
+	}
+});
--- a/source/pool/member-connections.ts
+++ b/source/pool/member-connections.ts
@@ -1,9 +1,10 @@
 import {serialize} from 'pg-protocol';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {type Address} from '../links/address.js';
-import {type BackendConnection, type BackendConnector} from '../postgres-protocol/backend-connection.js';
+import {type BackendConnector} from '../postgres-protocol/backend-connection.js';
 import {type Random} from '../random/random.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {PooledBackendConnection} from './pooled-backend-connection.js';
 
 /** Dependencies and settings of MemberConnections. */
 export type MemberConnectionsOptions = {
@@ -16,7 +17,7 @@
 	/** Returns the maximum number of open connections. */
 	readonly maximumConnections: () => number;
 	readonly connectTimeout: () => Milliseconds;
-	/** Returns how long a connection may take to respond to a verification. */
+	/** Returns how long a connection may take to respond to a verification or to the removal of its prepared statements. */
 	readonly verifyTimeout: () => Milliseconds;
 	/** Called for each connection that was closed because of a failure. */
 	readonly onDiscarded: (reason: string) => void;
@@ -26,12 +27,12 @@
 
 /** A request that waits for a connection. */
 type Waiter = {
-	readonly resolve: (connection: BackendConnection) => void;
+	readonly resolve: (connection: PooledBackendConnection) => void;
 	readonly reject: (error: BuckthornhitchError) => void;
 };
 
 type IdleConnection = {
-	readonly connection: BackendConnection;
+	readonly connection: PooledBackendConnection;
 	readonly idleSince: Milliseconds;
 };
 
@@ -48,7 +49,7 @@
 /** Reusable connections to one member, which carry statements. Each connection is used by at most one request or transaction at a time. */
 export class MemberConnections {
 	readonly #idleConnections: IdleConnection[] = [];
-	readonly #openConnections = new Set<BackendConnection>();
+	readonly #openConnections = new Set<PooledBackendConnection>();
 	readonly #waiters: Waiter[] = [];
 	#connectingCount = 0;
 	#connectFailures = 0;
@@ -66,7 +67,7 @@
 	}
 
 	/** Returns a recently used, verified or new connection. Rejects with linkNotSent or deadlinePassed. */
-	async acquire(deadlineAt: Milliseconds): Promise<BackendConnection> {
+	async acquire(deadlineAt: Milliseconds): Promise<PooledBackendConnection> {
 		for (;;) {
 			const idle = this.#takeIdle();
 			const connection = idle?.connection ?? await this.#waitForConnection(deadlineAt);
@@ -77,13 +78,18 @@
 		}
 	}
 
-	/** Makes a connection available for reuse; one with an unfinished exchange or an open transaction is closed instead. */
-	release(connection: BackendConnection): void {
+	/** Makes a connection available for reuse, without its prepared statements if there are too many; one with an unfinished exchange or an open transaction is closed instead. */
+	release(connection: PooledBackendConnection): void {
 		if (connection.isClosed || connection.transactionStatus !== 'idle' || !this.#openConnections.has(connection)) {
 			this.discard(connection, 'it was not idle after use');
 			return;
 		}
 
+		if (connection.hasTooManyStatements) {
+			void this.#removeStatements(connection);
+			return;
+		}
+
 		const waiter = this.#waiters.shift();
 		if (waiter) {
 			waiter.resolve(connection);
@@ -93,7 +99,7 @@
 	}
 
 	/** Closes a connection because of a failure. */
-	discard(connection: BackendConnection, reason: string): void {
+	discard(connection: PooledBackendConnection, reason: string): void {
 		if (this.#openConnections.delete(connection)) {
 			this.options.onDiscarded(reason);
 		}
@@ -103,7 +109,7 @@
 	}
 
 	/** Closes a connection whose transaction was given up, without reporting a failure. */
-	closeWithoutReporting(connection: BackendConnection): void {
+	closeWithoutReporting(connection: PooledBackendConnection): void {
 		this.#openConnections.delete(connection);
 		connection.close();
 		this.#connectForWaiters();
@@ -156,7 +162,7 @@
 		return undefined;
 	}
 
-	async #verify(connection: BackendConnection): Promise<boolean> {
+	async #verify(connection: PooledBackendConnection): Promise<boolean> {
 		try {
 			await connection.exchange(serialize.sync(), 1, this.options.verifyTimeout());
 			return true;
@@ -166,7 +172,18 @@
 		}
 	}
 
-	async #waitForConnection(deadlineAt: Milliseconds): Promise<BackendConnection> {
+	async #removeStatements(connection: PooledBackendConnection): Promise<void> {
+		try {
+			await connection.removeStatements(this.options.verifyTimeout());
+		} catch (error) {
+			this.discard(connection, `its prepared statements were not removed: ${toBuckthornhitchError(error).detail}`);
+			return;
+		}
+
+		this.release(connection);
+	}
+
+	async #waitForConnection(deadlineAt: Milliseconds): Promise<PooledBackendConnection> {
 		const {clock} = this.options;
 		if (clock.now() < this.#connectNotBefore && this.#openConnections.size === 0) {
 			throw new BuckthornhitchError('linkNotSent', `${this.options.address}: waiting before the next attempt to connect.`);
@@ -209,7 +226,7 @@
 		const generation = this.#generation;
 		this.#connectingCount++;
 		try {
-			const connection = await connector.connect(address, database, applicationName, connectTimeout());
+			const connection = new PooledBackendConnection(await connector.connect(address, database, applicationName, connectTimeout()));
 			this.#connectingCount--;
 			this.#connectFailures = 0;
 			this.#addConnection(connection, generation);
@@ -219,7 +236,7 @@
 		}
 	}
 
-	#addConnection(connection: BackendConnection, generation: number): void {
+	#addConnection(connection: PooledBackendConnection, generation: number): void {
 		if (generation !== this.#generation) {
 			connection.close();
 			return;
--- a/source/pool/primary-checkout.ts
+++ b/source/pool/primary-checkout.ts
@@ -1,12 +1,12 @@
-import {type BackendConnection} from '../postgres-protocol/backend-connection.js';
 import {type MemberGrant} from './execution-context.js';
+import {type PooledBackendConnection} from './pooled-backend-connection.js';
 
 /** Slot and connection on the primary that are checked out for one write. */
 export class PrimaryCheckout {
 	#isReturned = false;
 	#isCounted = true;
 
-	constructor(readonly grant: MemberGrant, readonly connection: BackendConnection, private readonly onWriteEnd: () => void, private readonly dispatch: () => void) {}
+	constructor(readonly grant: MemberGrant, readonly connection: PooledBackendConnection, private readonly onWriteEnd: () => void, private readonly dispatch: () => void) {}
 
 	/** Releases slot and connection; further calls have no effect. */
 	release(): void {
--- a/source/pool/read-executor.ts
+++ b/source/pool/read-executor.ts
@@ -6,7 +6,6 @@
 import {initialLogPosition, lowestFloorSince, knownAppliedLogPosition} from '../database-group/log-position-rules.js';
 import {parseMemberStatus} from '../database-group/member-status-row.js';
 import {type LogPosition, type MemberStatus} from '../database-group/types.js';
-import {type BackendConnection} from '../postgres-protocol/backend-connection.js';
 import {splitBackendMessages} from '../postgres-protocol/backend-message-splitter.js';
 import {readTextRows} from '../postgres-protocol/backend-rows.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -15,6 +14,7 @@
 	buildExecuteResponse, findOtherLeaseHolder, createOutcomeUnknownError, findPrimary, type ExecutionContext, type MemberGrant, type PoolRequest,
 } from './execution-context.js';
 import {type ExecuteResponse} from './messages.js';
+import {type PooledBackendConnection} from './pooled-backend-connection.js';
 import {nextAttemptDelay, statusQueryBytes, wasRejectedAsReadOnly} from './write-executor.js';
 
 /** State of one run of a read. A run makes attempts, on other members if possible, until one succeeds; a hedged read has up to two parallel runs. */
@@ -273,7 +273,7 @@
 		return status;
 	}
 
-	#completeRead(request: PoolRequest, grant: MemberGrant, connection: BackendConnection, {bytes, position}: {readonly bytes: Buffer; readonly position: LogPosition}): ReadResult {
+	#completeRead(request: PoolRequest, grant: MemberGrant, connection: PooledBackendConnection, {bytes, position}: {readonly bytes: Buffer; readonly position: LogPosition}): ReadResult {
 		const {metrics, database} = this.context;
 		const {member} = grant.status;
 		const role = grant.isPrimary ? 'primary' : 'replica';
@@ -293,7 +293,7 @@
 		return buildExecuteResponse(bytes, transactionStatus, {member, role}, position);
 	}
 
-	#keepTransaction(request: PoolRequest, grant: MemberGrant, connection: BackendConnection): void {
+	#keepTransaction(request: PoolRequest, grant: MemberGrant, connection: PooledBackendConnection): void {
 		this.context.transactions.add({
 			id: request.transactionId ?? '',
 			member: grant.status.member,
--- a/source/pool/transaction-table.ts
+++ b/source/pool/transaction-table.ts
@@ -1,6 +1,6 @@
 import {type MemberRole} from '../database-group/types.js';
-import {type BackendConnection} from '../postgres-protocol/backend-connection.js';
 import {type MemberConnections} from './member-connections.js';
+import {type PooledBackendConnection} from './pooled-backend-connection.js';
 
 /** An open transaction with the connection reserved for it. */
 export type OpenTransaction = {
@@ -9,7 +9,7 @@
 	readonly role: MemberRole;
 	/** Primary term of the member when the transaction began. */
 	readonly term: number;
-	readonly connection: BackendConnection;
+	readonly connection: PooledBackendConnection;
 	readonly connections: MemberConnections;
 	/** Link over which the entry sent the transaction. */
 	readonly linkId: number;
--- a/stand-in/client-session.ts
+++ b/stand-in/client-session.ts
@@ -339,6 +339,10 @@
 			this.#transaction.assertNotFailed();
 		}
 
+		if (statement.type === 'deallocate') {
+			return this.#deallocate('name' in statement.target ? statement.target.name : undefined);
+		}
+
 		const result = await this.host.execute(statement, values, this.#transaction);
 		if (statement.type === 'begin' || statement.type === 'start transaction') {
 			this.#transaction.begin(statement.type === 'begin' && statement.writeable === 'read only');
@@ -347,6 +351,21 @@
 		return endsTransaction ? {tag: this.#transaction.end(statement.type === 'commit'), rows: []} : result;
 	}
 
+	/** Removes the named statement, or all of them; the unnamed one stays. */
+	#deallocate(name: string | undefined): StatementResult {
+		if (name !== undefined) {
+			this.#findPreparedStatement(name);
+		}
+
+		for (const known of this.#preparedStatements.keys()) {
+			if (known !== '' && (name === undefined || known === name)) {
+				this.#preparedStatements.delete(known);
+			}
+		}
+
+		return {tag: name === undefined ? 'DEALLOCATE ALL' : 'DEALLOCATE', rows: []};
+	}
+
 	#sendError(error: unknown): void {
 		const {sqlState, message} = toSqlError(error);
 		this.#enqueue(backendMessages.error('ERROR', sqlState, message));
--- a/stand-in/member.spec.ts
+++ b/stand-in/member.spec.ts
@@ -45,6 +45,19 @@
 	assert.deepEqual(await selectRows(client, 'SHOW buckthornhitch.token'), [['off']]);
 });
 
+test('DEALLOCATE removes one prepared statement or all of them', {timeout}, async context => {
+	const {address} = await startPrimary(context);
+	const client = await connectClient(address);
+	const prepare = async (name: string): Promise<unknown> => client.query({name, text: 'SELECT 1', values: []});
+	await prepare('first');
+	await prepare('second');
+	await client.query('DEALLOCATE first');
+	await assert.rejects(client.query('DEALLOCATE first'), {code: '26000'});
+	const {command} = await client.query('DEALLOCATE ALL');
+	assert.equal(command, 'DEALLOCATE');
+	await assert.rejects(client.query('DEALLOCATE second'), {code: '26000'});
+});
+
 test('an error has the SQLSTATE of PostgreSQL and does not affect statements after its transaction', {timeout}, async context => {
 	const {address} = await startPrimary(context);
 	const client = await connectClient(address);
