Let a connection hold 256 prepared definitions

With a limit of 100, a connection that is used by all of them would lose its definitions again and again, and each of them costs a round trip.

--- a/source/statement/statement-limits.ts
+++ b/source/statement/statement-limits.ts
@@ -13,8 +13,8 @@
 /** Variables of a session with their names, which are set anew on each connection that a session uses. */
 export const variableLimit: TextLimit = {count: 100, length: maximumMessageLength};
 
-/** Definitions that a connection to a member holds before they are removed. */
-export const connectionLimit: TextLimit = {count: 100, length: 256 * 1024};
+/** Definitions that a connection to a member holds before they are removed. Callers share a connection, and each removal costs a round trip for every definition that is still in use. */
+export const connectionLimit: TextLimit = {count: 256, length: 512 * 1024};
 
-/** Definitions that a connection holds while a transaction is open, in which none are removed: the limit outside of one, and another hundred or the longest one. Fewer than a session may have, so that a gateway accepts all that an entry prepares on a relay. */
-export const transactionLimit: TextLimit = {count: 200, length: connectionLimit.length + maximumMessageLength};
+/** Definitions that a connection holds while a transaction is open, in which none are removed: the limit outside of one, and further ones of the transaction or the longest definition. Fewer than a session may have, so that a gateway accepts all that an entry prepares on a relay. */
+export const transactionLimit: TextLimit = {count: 400, length: connectionLimit.length + maximumMessageLength};
