Tell the truth after members refuse a session's variables or definitions

The connection went back to the pool with the variables and names recorded before, and another session ran with a wrong value. It counts as not reusable now; this holds for gateways and transactions as well. - Through a gateway such a refusal was passed on as FAILED or TIMEOUT, though no statement of the caller had run, and a transaction sent 52 SETs until its deadline. The gateway answers ABORTED, and the entry ends. - A transaction with too many prepared statements was answered as BUSY by a gateway, which asks for a retry that cannot succeed; it is ABORTED now. - A read that may have run on one member was answered with the refusal of another one. It keeps the outcome of the attempt that may have run. - A name that a member does not know stayed in the record of the connection; the same EXEC was sent until the deadline (155 times). It is prepared anew.

--- a/source/relay/relay-session.spec.ts
+++ b/source/relay/relay-session.spec.ts
@@ -8,6 +8,7 @@
 import {ScriptedConnection, ScriptedConnector} from '../session-proxy/scripted-connection-fake.js';
 import {testAnnouncement} from '../session-proxy/session-fixture.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
+import {NearMemberFixture} from './near-member-fixture.js';
 import {RelaySession} from './relay-session.js';
 
 const begin: MemberStatement = {kind: 'begin', isReadOnly: false};
@@ -37,3 +38,30 @@
 		assert.equal(memberConnection.kinds.includes('write'), false);
 	}
 });
+
+// The caller was told that the statement had failed, which says that it may have run.
+for (const [reason, expected] of [['failed', 'aborted'], ['timeout', 'aborted'], ['malformed', 'malformed']] as const) {
+	for (const isInTransaction of [false, true]) {
+		test(`variables that a member refuses as ${reason} at a gateway end ${isInTransaction ? 'a transaction' : 'a statement'} as ${expected} at once`, async () => {
+			const {sessions} = new NearMemberFixture();
+			const session = await sessions.open();
+			const write = {kind: 'write', id: 'w', text: 'WRITE item x'} as const;
+			await sessions.run(session, write);
+			for (const member of sessions.members) {
+				member.setupRefusal = reason;
+			}
+
+			if (isInTransaction) {
+				await sessions.run(session, {kind: 'begin', id: 'b', isReadOnly: false});
+			}
+
+			await sessions.run(session, {
+				kind: 'set', id: 's', name: 'x', value: '1',
+			});
+			const reply = await sessions.run(session, write, 100);
+			assert.equal(reply.outcome === 'refused' && reply.reason, expected);
+			assert.equal(sessions.received('write').length, 1);
+			assert.ok(sessions.received('set').length <= 2);
+		});
+	}
+}
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -2,7 +2,7 @@
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {CallerSessionState} from '../session-proxy/caller-session-state.js';
 import {QueueRefusalError} from '../session-proxy/connection-requests.js';
-import {refusalReasonOf} from '../session-proxy/statement-attempt.js';
+import {reasonAfterSetupRefusal, refusalReasonOf} from '../session-proxy/statement-attempt.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
 import {type PooledConnection} from '../session-proxy/pooled-connection.js';
 import {readInWriteTransaction, relayedReplyOf, returnAfterPrimaryRead} from '../session-proxy/primary-read.js';
@@ -213,7 +213,7 @@
 			}
 
 			return {
-				kind: 'notRun', reason: refusalReasonOf(error), detail: message, isLost: false,
+				kind: 'notRun', reason: reasonAfterSetupRefusal(refusalReasonOf(error)), detail: message, isLost: false,
 			};
 		} finally {
 			// A relay that was closed meanwhile has returned the connection already.
@@ -266,7 +266,7 @@
 			return isSent
 				? {kind: 'unknown', detail: failure.message}
 				: {
-					kind: 'notRun', reason: refusalReasonOf(error), detail: failure.message, isLost: false,
+					kind: 'notRun', reason: reasonAfterSetupRefusal(refusalReasonOf(error)), detail: failure.message, isLost: false,
 				};
 		}
 	}
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -4,7 +4,7 @@
 import {type Route} from '../routing-table/types.js';
 import {SetupRefusedError} from '../statement/member-connection.js';
 import {
-	type ConnectionStatement, type RefusalReason, type StatementReply, type TransactionState,
+	type ConnectionStatement, isInvalidMessage, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {type DataRequest} from './data-request.js';
 import {type CallerOperation} from './caller-operation.js';
@@ -368,7 +368,9 @@
 				const hasRun = firstReply && await isDone(firstReply);
 				pool.release(connection);
 				const refused = this.#handleOpenRefusal(pool, reply);
-				return hasRun ? {kind: 'refused', refused: {reason: 'outcomeUnknown', detail: 'the statement ran outside its transaction'}, isFinal: true} : {kind: 'refused', refused};
+				return hasRun
+					? {kind: 'refused', refused: {reason: 'outcomeUnknown', detail: 'the statement ran outside its transaction'}, isFinal: true}
+					: {kind: 'refused', refused, isFinal: isSetupRefusal(reply.reason)};
 			}
 
 			if (reply.transaction !== 'open') {
@@ -415,3 +417,8 @@
 		return {reason, detail, ...expectedWaitOf(refused)};
 	}
 }
+
+/** Returns whether a gateway refused to open a transaction because of the session's variables, which further members would refuse as well. */
+function isSetupRefusal(reason: RefusalReason): boolean {
+	return reason === 'aborted' || isInvalidMessage(reason);
+}
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -6,11 +6,14 @@
 } from '../statement/member-connection.js';
 import {connectionLimit, transactionLimit} from '../statement/statement-limits.js';
 import {
-	type ConnectionStatement, type MemberStatement, type PreparedStatementDefinition, type StatementReply, type TransactionState,
+	type ConnectionStatement, hasNoEffect, type MemberStatement, type PreparedStatementDefinition, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {type CallerSessionState} from './caller-session-state.js';
 import {StatementNames} from './statement-names.js';
 
+/** Statements that change which variables and prepared statements a connection has. */
+const setupKinds: ReadonlySet<MemberStatement['kind']> = new Set(['reset', 'set', 'prepare']);
+
 /** Dependencies of a pooled connection, and to whom it belongs. */
 export type PooledConnectionOptions = {
 	readonly clock: Clock;
@@ -37,6 +40,8 @@
 	#transaction: TransactionState = 'idle';
 	/** Whether the connection was returned for a rollback, so that its previous holder may not use it any more. */
 	#isRollingBack = false;
+	/** Whether it is known which variables and prepared statements the connection has. */
+	#isSetupKnown = true;
 
 	constructor(readonly memberConnection: MemberConnection, private readonly options: PooledConnectionOptions) {}
 
@@ -61,12 +66,12 @@
 	}
 
 	/**
-	Whether another session may use the connection: every statement was answered, and the last reply says that no transaction is open.
+	Whether another session may use the connection: every statement was answered, the last reply says that no transaction is open, and it is known which variables and prepared statements the connection has.
 
 	This is the only rule by which connections return to a pool. A connection with an open transaction would run the statements of the next session inside it.
 	*/
 	get isReusable(): boolean {
-		return this.#pendingCount === 0 && !this.isInTransaction && !this.memberConnection.isClosed;
+		return this.#pendingCount === 0 && !this.isInTransaction && this.#isSetupKnown && !this.memberConnection.isClosed;
 	}
 
 	/** Returns whether exactly the variables of the session are set on the connection. */
@@ -92,7 +97,7 @@
 		return reply;
 	}
 
-	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. Rejects with a SetupRefusedError if one of these statements was refused; the connection must not be used if one was not answered. Rejects with unsupportedFeature if the open transaction has executed too many prepared statements. */
+	/** Sets the variables of a session on the connection, and prepares the statement that is about to be executed. Rejects with a SetupRefusedError if one of these statements was refused, or if the open transaction has executed too many prepared statements; the connection must not be used if one was not answered. */
 	async applySession(session: CallerSessionState, preparedStatement: PreparedStatementDefinition | undefined, timeout: Milliseconds): Promise<void> {
 		const statements = this.#setupStatements(session, preparedStatement);
 		const replies = await Promise.all(statements.map(async statement => this.execute(statement, timeout)));
@@ -157,8 +162,9 @@
 	}
 
 	/** Records what the member confirmed, so that a refused statement is sent again when the connection is used next. */
-	#recordSessionChange(statement: MemberStatement, {outcome}: StatementReply): void {
-		if (outcome !== 'done') {
+	#recordSessionChange(statement: MemberStatement, reply: StatementReply): void {
+		if (reply.outcome === 'refused') {
+			this.#recordRefusal(statement, reply.reason);
 			return;
 		}
 
@@ -195,14 +201,22 @@
 		}
 	}
 
-	/** Returns whether the prepared statements must be removed before another definition is prepared. Throws unsupportedFeature if they must, but a transaction is open, which a RESET could end. */
+	#recordRefusal(statement: MemberStatement, reason: RefusalReason): void {
+		if (statement.kind === 'execute' && reason === 'unknownStatement') {
+			this.#statementNames.remove(statement.name);
+		} else if (setupKinds.has(statement.kind) && !hasNoEffect(reason)) {
+			this.#isSetupKnown = false;
+		}
+	}
+
+	/** Returns whether the prepared statements must be removed before another definition is prepared. Throws a SetupRefusedError if they must, but a transaction is open, which a RESET could end. */
 	#mustRemoveStatementsFor(definition: PreparedStatementDefinition): boolean {
 		if (!this.isInTransaction) {
 			return this.#statementNames.isFullFor(definition, connectionLimit);
 		}
 
 		if (this.#statementNames.isFullFor(definition, transactionLimit)) {
-			throw new BuckthornhitchError('unsupportedFeature', 'the transaction executes too many different prepared statements, or their definitions are too long');
+			throw new SetupRefusedError('aborted', 'the transaction executes too many different prepared statements, or their definitions are too long');
 		}
 
 		return false;
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -60,7 +60,7 @@
 		const {attempt, isPrimaryMissing} = pool
 			? await this.#readFromPrimaryFirst(pool, routed, onMayHaveRun)
 			: await this.#readAtPosition(routed, {onMayHaveRun, isWanted: () => true});
-		if (attempt.kind === 'answered' || attempt.kind === 'refused') {
+		if (attempt.kind === 'answered' || (attempt.kind === 'refused' && attemptsThatMayHaveRun.length === 0)) {
 			return {...attempt.reply, transaction: 'idle'};
 		}
 
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -4,7 +4,7 @@
 import {type Route} from '../routing-table/types.js';
 import {MemberRefusedError, SetupRefusedError, type ConnectionUse} from '../statement/member-connection.js';
 import {
-	isInvalidMessage, provesNotRun, type PreparedStatementDefinition, type RefusalReason, type StatementReply,
+	hasNoEffect, provesNotRun, type PreparedStatementDefinition, type RefusalReason, type StatementReply,
 } from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
 import {type MemberPool} from './member-pool.js';
@@ -165,9 +165,9 @@
 	}
 }
 
-/** Returns the reason with which a caller learns that members do not accept its session variables or prepared statements. Nothing was run, whatever reason the members give. */
+/** Returns the reason with which a caller learns that its session variables or prepared statement were refused. No statement of the caller was run, whatever the member says of its session variables. */
 export function reasonAfterSetupRefusal(reason: RefusalReason): RefusalReason {
-	return isInvalidMessage(reason) ? reason : 'aborted';
+	return hasNoEffect(reason) ? reason : 'aborted';
 }
 
 /** Returns the expected wait that a refusal states, if a queue refused the statement. */
--- a/source/session-proxy/statement-names.ts
+++ b/source/session-proxy/statement-names.ts
@@ -37,6 +37,18 @@
 		this.#totalLength += shape.length;
 	}
 
+	/** Records that no statement is prepared under the name. */
+	remove(name: string): void {
+		for (const names of Object.values(this.#namesByShape)) {
+			for (const [shape, known] of names) {
+				if (known === name) {
+					names.delete(shape);
+					this.#totalLength -= shape.length;
+				}
+			}
+		}
+	}
+
 	/** Records that no statement is prepared any more. */
 	clear(): void {
 		this.#namesByShape.read.clear();
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -24,7 +24,7 @@
 	}
 }
 
-/** A member refused a statement that sets a session variable or prepares a statement. Every statement on the connection was answered. */
+/** A session was not set up on a connection, since a session variable or a prepared statement was refused. Every statement on the connection was answered. */
 export class SetupRefusedError extends MemberRefusedError {}
 
 /** What a connection is used for until it is released. */
--- a/source/statement/types.ts
+++ b/source/statement/types.ts
@@ -87,6 +87,11 @@
 	return notRunReasons.has(reason);
 }
 
+/** Returns whether a refusal proves that the statement changed nothing. */
+export function hasNoEffect(reason: RefusalReason): boolean {
+	return provesNotRun(reason) || isInvalidMessage(reason);
+}
+
 /** Returns whether a statement was refused because of its own text, which every member would refuse. */
 export function isInvalidMessage(reason: RefusalReason): boolean {
 	return reason === 'malformed' || reason === 'tooLarge';
