--- a/source/relay/relay-server.ts
+++ b/source/relay/relay-server.ts
@@ -4,6 +4,7 @@
 import {type Logger} from '../observability/logger.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberPool} from '../session-proxy/member-pool.js';
+import {boundText} from '../session-proxy/request-trace.js';
 import {
 	gatewayProbeName, type CloseRelayNotice, type OpenRelayRequest, type OpenRelayResponse, type RelayStatementResponse, type RelayStatementRequest,
 } from './messages.js';
@@ -121,8 +122,8 @@
 		this.#watchPeer(relay);
 		if (response.kind !== 'answered') {
 			const {statement} = request;
-			this.options.logger.info(`relayed statement ${response.kind}: ${response.detail}`, {
-				request: 'id' in statement ? statement.id : '-', statement: statement.kind, member: relay.session.member, timeout: Math.max(0, Math.round(request.timeout)), outcome: response.kind,
+			this.options.logger.info(`relayed statement ${response.kind}: ${boundText(response.detail)}`, {
+				request: 'id' in statement ? boundText(statement.id) : '-', statement: statement.kind, member: relay.session.member, timeout: Math.max(0, Math.round(request.timeout)), outcome: response.kind,
 			});
 		}
 
--- a/source/relay/relay-session.spec.ts
+++ b/source/relay/relay-session.spec.ts
@@ -65,3 +65,21 @@
 		});
 	}
 }
+
+// The entry sets the variable that grew before the one that shrank, so that both values were long for a moment.
+test('variables of a session that change places are accepted by a relay', async () => {
+	const {sessions} = new NearMemberFixture();
+	const session = await sessions.open();
+	const set = async (name: string, length: number): Promise<StatementReply> => sessions.run(session, {
+		kind: 'set', id: 's', name, value: 'x'.repeat(length),
+	});
+	const write = {kind: 'write', id: 'w', text: 'WRITE item x'} as const;
+	await set('a', 1);
+	await set('b', 600_000);
+	await sessions.run(session, {kind: 'begin', id: 'b', isReadOnly: false});
+	await sessions.run(session, write);
+	await set('b', 1);
+	await set('a', 600_000);
+	const reply = await sessions.run(session, write);
+	assert.deepEqual([reply.outcome, reply.transaction], ['done', 'open']);
+});
--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -8,6 +8,7 @@
 import {readInWriteTransaction, relayedReplyOf, returnAfterPrimaryRead} from '../session-proxy/primary-read.js';
 import {localReply, refusal} from '../session-proxy/replies.js';
 import {type ConnectionUse} from '../statement/member-connection.js';
+import {relayLimit} from '../statement/statement-limits.js';
 import {
 	type ConnectionStatement, type MemberStatement, type PreparedStatementDefinition, type StatementReply,
 } from '../statement/types.js';
@@ -26,7 +27,7 @@
 
 /** Gateway side of one relayed connection. Statements run in order; a connection to the member is held only while a statement runs or a transaction is open. */
 export class RelaySession {
-	readonly #session = new CallerSessionState();
+	readonly #session = new CallerSessionState(relayLimit);
 	#held: HeldConnection | undefined;
 	/** Whether a transaction was begun on the held connection. */
 	#hasBegun = false;
--- a/source/result-codes/result-codes.ts
+++ b/source/result-codes/result-codes.ts
@@ -118,6 +118,9 @@
 	memberRefused: {
 		code: 6006, execution: 'notRun', sqlState: '55000', text: 'A backend server refused a group function.', action: 'Check the terms of the group with status.',
 	},
+	setupRefused: {
+		code: 6009, execution: 'notRun', sqlState: '55000', text: 'A session variable or prepared statement was refused.', action: 'Correct the SET or PREPARE; the message states the reason.',
+	},
 	unknownRequest: {
 		code: 6003, execution: 'notRun', sqlState: '0A000', text: 'The peer does not know this request.', action: 'Run the same version on all instances.',
 	},
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -101,9 +101,10 @@
 	async applySession(session: CallerSessionState, preparedStatement: PreparedStatementDefinition | undefined, timeout: Milliseconds): Promise<void> {
 		const statements = this.#setupStatements(session, preparedStatement);
 		const replies = await Promise.all(statements.map(async statement => this.execute(statement, timeout)));
-		const refused = replies.find(reply => reply.outcome === 'refused');
-		if (refused?.outcome === 'refused') {
-			throw new SetupRefusedError(refused.reason, refused.detail);
+		for (const [index, reply] of replies.entries()) {
+			if (reply.outcome === 'refused') {
+				throw new SetupRefusedError(reply.reason, `${statements[index].kind} ${reply.detail}`);
+			}
 		}
 	}
 
--- a/source/session-proxy/session-context.ts
+++ b/source/session-proxy/session-context.ts
@@ -7,6 +7,7 @@
 import {CallerSessionState} from './caller-session-state.js';
 import {type SessionCommit} from './freshness-tracker.js';
 import {type RequestDecision, type RequestLog} from './request-log.js';
+import {boundText} from './request-trace.js';
 import {type ServiceClient} from './service-client.js';
 
 /** Part of the statement timeout that is reserved for the reply to reach the caller. */
@@ -86,7 +87,7 @@
 	/** Records a decision in the request log. */
 	log(request: string, step: string, outcome: string, fields: Partial<RequestDecision> = {}): void {
 		this.dependencies.requestLog.record({
-			request, session: this.id, database: this.database, step, routingVersion: this.dependencies.table()?.version, outcome, ...fields,
+			request: boundText(request), session: this.id, database: this.database, step, routingVersion: this.dependencies.table()?.version, outcome: boundText(outcome), ...fields,
 		});
 	}
 }
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -133,8 +133,9 @@
 			return {kind: 'refused', reply: refusal(reasonAfterSetupRefusal(error.reason), error.message, 'idle')};
 		}
 
+		const isMemberConcerned = !(error instanceof SetupRefusedError) || provesNotRun(error.reason);
 		return {
-			kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, ...expectedWaitOf(error),
+			kind: 'notRun', reason: refusalReasonOf(error), detail: toBuckthornhitchError(error).message, isMemberConcerned, ...expectedWaitOf(error),
 		};
 	}
 
--- a/source/session-proxy/statement-names.spec.ts
+++ b/source/session-proxy/statement-names.spec.ts
@@ -30,7 +30,7 @@
 	}));
 });
 
-// A reply to a statement of before could otherwise be taken for one under the same name.
+// A PREPARE may be under way while a RESET removes all names.
 test('a name is not given again after all statements were removed', () => {
 	const names = new StatementNames();
 	const definition: PreparedStatementDefinition = {access: 'read', shape: 'q'};
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -3,7 +3,7 @@
 import {type RefusalReason, type StatementReply} from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
 import {
-	attemptStatement, describeAttempt, isMemberFailure, type StatementAttempt,
+	attemptStatement, describeAttempt, isMemberFailure, type NotRunAttempt, type StatementAttempt,
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {notRunRefusal, refusal} from './replies.js';
@@ -49,7 +49,7 @@
 			break;
 		}
 
-		await waitBeforeRetry(context, client, pool, attempt.reason);
+		await waitBeforeRetry(context, client, pool, attempt);
 	}
 
 	context.log(request.id, 'refusal', detail);
@@ -78,9 +78,9 @@
 	return {...reply, transaction: 'idle'};
 }
 
-/** Waits before a write is retried. Unless the member refused because of overload, also forgets the primary, so that it is searched for again. */
-async function waitBeforeRetry(context: SessionContext, client: ServiceClient, pool: MemberPool, reason: RefusalReason): Promise<void> {
-	if (overloadReasons.has(reason)) {
+/** Waits before a write is retried. Unless the member refused because of overload or the session's own variables, also forgets the primary, so that it is searched for again. */
+async function waitBeforeRetry(context: SessionContext, client: ServiceClient, pool: MemberPool, {reason, isMemberConcerned = true}: NotRunAttempt): Promise<void> {
+	if (overloadReasons.has(reason) || !isMemberConcerned) {
 		await context.dependencies.clock.sleep(busyRetryDelay);
 		return;
 	}
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -19,13 +19,17 @@
 
 /** A member refused a connection, or a statement that sets up a session on it. */
 export class MemberRefusedError extends BuckthornhitchError {
-	constructor(readonly reason: RefusalReason, detail: string) {
-		super('memberRefused', `${reason} ${detail}`);
+	constructor(readonly reason: RefusalReason, detail: string, codeName: 'memberRefused' | 'setupRefused' = 'memberRefused') {
+		super(codeName, `${reason} ${detail}`);
 	}
 }
 
 /** A session was not set up on a connection, since a session variable or a prepared statement was refused. Every statement on the connection was answered. */
-export class SetupRefusedError extends MemberRefusedError {}
+export class SetupRefusedError extends MemberRefusedError {
+	constructor(reason: RefusalReason, detail: string) {
+		super(reason, detail, 'setupRefused');
+	}
+}
 
 /** What a connection is used for until it is released. */
 export type ConnectionUse = {
--- a/source/statement/statement-limits.ts
+++ b/source/statement/statement-limits.ts
@@ -13,6 +13,11 @@
 /** Variables of a session with their names, which are set anew on each connection that a session uses. */
 export const variableLimit: TextLimit = {count: 100, length: maximumMessageLength};
 
+/** Returns the limit of a relay in place of that of a session. An entry changes the variables of a relay one after the other, so that the old value of one and the new value of another one add up. */
+export function relayLimit({count, length}: TextLimit): TextLimit {
+	return {count: 2 * count, length: 2 * length};
+}
+
 /** Definitions that a connection to a member holds before they are removed. Callers share a connection, and each removal costs a round trip for every definition that is still in use. */
 export const connectionLimit: TextLimit = {count: 256, length: 512 * 1024};
 
