--- a/source/session-proxy/statement-names.spec.ts
+++ b/source/session-proxy/statement-names.spec.ts
@@ -6,7 +6,11 @@
 
 const anyDefinition: Arbitrary<PreparedStatementDefinition> = fastCheck.record({
 	access: fastCheck.constantFrom('read', 'write'),
-	shape: fastCheck.string({unit: 'binary', maxLength: 12}),
+	// Some differ only at their end or in their length.
+	shape: fastCheck.oneof(
+		fastCheck.string({unit: 'binary', maxLength: 12}),
+		fastCheck.tuple(fastCheck.nat(40), fastCheck.constantFrom('', ' ', '1', '2')).map(([length, end]) => `${'q7 READ muthfnwx '.repeat(3).slice(0, length)}${end}`),
+	),
 });
 
 // Two definitions under one name would let a caller execute the statement of another one.
