--- a/source/entry/extended-batch.ts
+++ b/source/entry/extended-batch.ts
@@ -6,7 +6,7 @@
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {classifyStatements, type ClassifiedStatement} from '../routing/statement-classification.js';
 import {leadingComment} from '../session/session-settings.js';
-import {preparedStatementLimit} from '../statement/statement-limits.js';
+import {sessionStatementLimit} from '../statement/statement-limits.js';
 
 /** Prepared statement of a caller. It can be prepared again on any connection. */
 export type PreparedStatement = {
@@ -134,8 +134,8 @@
 		const {statementName: name, text} = readParse(message);
 		const statements = classifyStatements(text);
 		assertSupported(statements);
-		if (this.context.preparedStatements.size >= preparedStatementLimit.count && !this.context.preparedStatements.has(name)) {
-			throw new BuckthornhitchError('unsupportedFeature', `A session has at most ${preparedStatementLimit.count} prepared statements.`);
+		if (this.context.preparedStatements.size >= sessionStatementLimit.count && !this.context.preparedStatements.has(name)) {
+			throw new BuckthornhitchError('unsupportedFeature', `A session has at most ${sessionStatementLimit.count} prepared statements.`);
 		}
 
 		const statement: PreparedStatement = {
--- a/source/session-proxy/caller-session-state.ts
+++ b/source/session-proxy/caller-session-state.ts
@@ -1,4 +1,4 @@
-import {preparedStatementLimit, variableLimit, type TextLimit} from '../statement/statement-limits.js';
+import {sessionStatementLimit, sessionVariableLimit, type TextLimit} from '../statement/statement-limits.js';
 import {type PreparedStatementDefinition} from '../statement/types.js';
 import {BoundedMap} from './bounded-map.js';
 
@@ -11,7 +11,7 @@
 
 	/** The limits are those of a caller's session unless the function changes them. */
 	constructor(limitOf = (sessionLimit: TextLimit): TextLimit => sessionLimit) {
-		this.variables = new BoundedMap(limitOf(variableLimit), value => value.length);
-		this.preparedStatements = new BoundedMap(limitOf(preparedStatementLimit), ({shape}) => shape.length);
+		this.variables = new BoundedMap(limitOf(sessionVariableLimit), value => value.length);
+		this.preparedStatements = new BoundedMap(limitOf(sessionStatementLimit), ({shape}) => shape.length);
 	}
 }
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -4,7 +4,7 @@
 import {
 	type ConnectionPath, type MemberConnection, SetupRefusedError, type StatementScope,
 } from '../statement/member-connection.js';
-import {connectionLimit, transactionLimit} from '../statement/statement-limits.js';
+import {connectionStatementLimit, transactionStatementLimit} from '../statement/statement-limits.js';
 import {
 	type ConnectionStatement, hasNoEffect, type MemberStatement, type PreparedStatementDefinition, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
@@ -213,10 +213,10 @@
 	/** Returns whether the prepared statements must be removed before another definition is prepared. Throws a SetupRefusedError if they must, but a transaction is open, which a RESET could end. */
 	#mustRemoveStatementsFor(definition: PreparedStatementDefinition): boolean {
 		if (!this.isInTransaction) {
-			return this.#statementNames.isFullFor(definition, connectionLimit);
+			return this.#statementNames.isFullFor(definition, connectionStatementLimit);
 		}
 
-		if (this.#statementNames.isFullFor(definition, transactionLimit)) {
+		if (this.#statementNames.isFullFor(definition, transactionStatementLimit)) {
 			throw new SetupRefusedError('aborted', 'the transaction executes too many different prepared statements, or their definitions are too long');
 		}
 
--- a/source/session-proxy/session-settings.spec.ts
+++ b/source/session-proxy/session-settings.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fastCheck from 'fast-check';
-import {connectionLimit} from '../statement/statement-limits.js';
+import {connectionStatementLimit} from '../statement/statement-limits.js';
 import {type PreparedStatementDefinition} from '../statement/types.js';
 import {type FakeMemberServer} from './member-server-fake.js';
 import {SessionFixture} from './session-fixture.js';
@@ -51,7 +51,7 @@
 	{access: 'write', shape: 'q'},
 	{access: 'write', shape: 'q r'},
 	{access: 'read', shape: 'q'},
-	...['x', 'y', 'z'].map((letter): PreparedStatementDefinition => ({access: 'write', shape: letter.repeat(Math.floor(connectionLimit.length / 2.5))})),
+	...['x', 'y', 'z'].map((letter): PreparedStatementDefinition => ({access: 'write', shape: letter.repeat(Math.floor(connectionStatementLimit.length / 2.5))})),
 ];
 
 const anyStep = fastCheck.record({
@@ -101,7 +101,7 @@
 		});
 	};
 
-	await execute('x'.repeat(connectionLimit.length));
+	await execute('x'.repeat(connectionStatementLimit.length));
 	for (const shape of ['a', 'b', 'c', 'd']) {
 		await execute(shape);
 	}
--- a/source/session-proxy/statement-session.spec.ts
+++ b/source/session-proxy/statement-session.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {variableLimit} from '../statement/statement-limits.js';
+import {sessionVariableLimit} from '../statement/statement-limits.js';
 import {type SessionStatement, type StatementReply} from '../statement/types.js';
 import {SessionFixture} from './session-fixture.js';
 import {type StatementSession} from './statement-session.js';
@@ -294,16 +294,16 @@
 	const set = async (name: string, value: string): Promise<string> => reasonOrOutcome(await fixture.run(session, {
 		kind: 'set', id: 's', name, value,
 	}));
-	for (let index = 0; index < variableLimit.count; index++) {
+	for (let index = 0; index < sessionVariableLimit.count; index++) {
 		assert.equal(await set(`name${index}`, 'x'), 'done');
 	}
 
 	assert.equal(await set('other', 'x'), 'tooLarge');
-	assert.equal(await set('name0', 'x'.repeat(variableLimit.length)), 'tooLarge');
+	assert.equal(await set('name0', 'x'.repeat(sessionVariableLimit.length)), 'tooLarge');
 	assert.equal(await set('name0', 'y'), 'done');
 	await fixture.run(session, write);
 	const values = fixture.primary.received.flatMap(({statement}) => statement.kind === 'set' ? [`${statement.name}=${statement.value}`] : []);
-	assert.equal(values.length, variableLimit.count);
+	assert.equal(values.length, sessionVariableLimit.count);
 	assert.ok(values.includes('name0=y'));
 });
 
--- a/source/statement/statement-limits.ts
+++ b/source/statement/statement-limits.ts
@@ -8,10 +8,10 @@
 const maximumMessageLength = 1024 * 1024;
 
 /** Prepared statements of a session with their names, which idle sessions keep in memory: two of the longest definitions. */
-export const preparedStatementLimit: TextLimit = {count: 1000, length: 2 * maximumMessageLength};
+export const sessionStatementLimit: TextLimit = {count: 1000, length: 2 * maximumMessageLength};
 
 /** Variables of a session with their names, which are set anew on each connection that a session uses. */
-export const variableLimit: TextLimit = {count: 100, length: maximumMessageLength};
+export const sessionVariableLimit: TextLimit = {count: 100, length: maximumMessageLength};
 
 /** Returns the limit of a relay in place of that of a session. An entry changes the variables of a relay one after the other, so that the old value of one and the new value of another one add up. */
 export function relayLimit({count, length}: TextLimit): TextLimit {
@@ -19,7 +19,7 @@
 }
 
 /** Definitions that a connection to a member holds before they are removed. Callers share a connection, and each removal costs a round trip for every definition that is still in use. */
-export const connectionLimit: TextLimit = {count: 256, length: 512 * 1024};
+export const connectionStatementLimit: TextLimit = {count: 256, length: 512 * 1024};
 
 /** Definitions that a connection holds while a transaction is open, in which none are removed: the limit outside of one, and further ones of the transaction or the longest definition. Fewer than a session may have, so that a gateway accepts all that an entry prepares on a relay. */
-export const transactionLimit: TextLimit = {count: 400, length: connectionLimit.length + maximumMessageLength};
+export const transactionStatementLimit: TextLimit = {count: 400, length: connectionStatementLimit.length + maximumMessageLength};
