--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,87 +1,108 @@
 /* eslint no-await-in-loop: off -- the steps follow one another */
 import path from 'node:path';
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {ClientSession} from '../stand-ins-2/client.mjs';
 import {configuration} from '../stand-ins-2/configuration.mjs';
-import {Operator} from '../stand-ins-2/operator.mjs';
 import {isCalm, NotRunError, runCase} from '../stand-ins-2/run-case.mjs';
+import {startSmallDeployment} from '../stand-ins-2/small-deployment.mjs';
 
-// In seconds, from the sheet of the deployment.
-const catchUp = 4;
-const recovery = 12;
-const contact = 5;
+const clientsPerFront = 3;
 
-/** Time for which a successor runs before the machine that it replaces is stopped. SUCCESSOR_SECONDS lengthens it, to find out which time the system needs. */
-const successorTime = Number(process.env.SUCCESSOR_SECONDS ?? catchUp + 0.5);
+// In milliseconds.
+const pauseBetweenWrites = 40;
+const silenceAfterCall = 300;
+const longestSilence = 2500;
+const lateness = 4000;
+const deafness = 5500;
 
-/** Reads the configuration at all nodes each second until one answers with the newest acknowledged version, for at most the given seconds. */
-async function readsBack(operator, record, seconds) {
-	const deadline = record.seconds + seconds;
-	while (record.seconds < deadline) {
-		const versions = await operator.readAll();
-		if (versions.includes(operator.acknowledged)) {
-			return true;
+/** Resolves some time after the first call to the platform. */
+async function callAndSome(platform) {
+	await platform.firstCall;
+	await sleep(silenceAfterCall);
+}
+
+/** Writes one value after the other through an entry, and remembers the ids of the writes that were acknowledged. */
+async function write({host, acknowledged, answers, mayGoOn}) {
+	let session;
+	for (let number = 0; mayGoOn(); number++) {
+		if (!session?.isOpen) {
+			session = new ClientSession(host, 'lepu270');
+			if (!await session.open()) {
+				session.close();
+				await sleep(200);
+				continue;
+			}
+		}
+
+		const reply = await session.query(`WRITE item${number} data${number}`);
+		const answer = reply.kind === 'refused' ? reply.code : reply.kind;
+		answers.set(answer, (answers.get(answer) ?? 0) + 1);
+		if (reply.kind === 'done') {
+			acknowledged.add(reply.id);
 		}
 
-		await sleep(1000);
+		await sleep(pauseBetweenWrites);
 	}
 
-	return false;
+	session?.close();
 }
 
-/** Returns the machine that logged last that it leads. */
-function leaderAmong(deployment, machines) {
-	const terms = machines.map(machine => {
-		const matches = [...deployment.logOf(machine).matchAll(/became leader of term (?<term>\d+)/gv)];
-		return {machine, term: Number(matches.at(-1)?.groups.term ?? 0)};
+await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({deployment, record, onEnd}) => {
+	let isPlatformLate = false;
+	const {fronts, service, platform} = await startSmallDeployment({deployment, record, onEnd}, configuration(3, {synchronousReplicas: 1}), {
+		service: {synchronousReplicas: 1}, lateness: () => isPlatformLate ? lateness : undefined,
 	});
-	return terms.toSorted((first, second) => second.term - first.term)[0].machine;
-}
-
-/** Adds a successor with an empty disk, and stops the machine for good once the successor has had its time. */
-async function replace(deployment, record, machine) {
-	const successor = deployment.add({machineClass: 'core', zone: machine.zone, isFirst: false});
-	deployment.start(successor);
-	record.add(`${successor.name} is added, to replace ${machine.name}`);
-	await sleep(successorTime * 1000);
-	record.add(`SIGTERM to ${machine.name}`);
-	await deployment.kill(machine, 'SIGTERM');
-	machine.isRemoved = true;
-	record.add(`${machine.name} has ended and is removed`);
-}
+	const acknowledged = new Set();
+	const answers = new Map();
+	let mayGoOn = true;
+	const lost = [];
+	service.onPromote = member => {
+		const held = new Set(member.log.flatMap(({ids}) => ids));
+		const missing = [...acknowledged].filter(id => !held.has(id));
+		record.add(`${member.id} leads term ${service.term}; of ${acknowledged.size} acknowledged commits its log lacks ${missing.length}`);
+		for (const id of missing) {
+			record.addQuietly(`acknowledged write ${id} is not in the log of ${member.id}`);
+		}
 
-await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({deployment, record}) => {
-	const core = ['atyrau', 'atyrau', 'esil', 'esil', 'aralsk'].map(zone => deployment.add({machineClass: 'core', zone, isFirst: true}));
-	for (const machine of core) {
-		deployment.start(machine);
-	}
+		lost.push(...missing);
+	};
 
-	const operator = new Operator(record, () => deployment.controlHosts);
-	if (!await operator.put(configuration(3), 15)) {
-		throw new NotRunError('the first configuration was not acknowledged');
+	onEnd(() => {
+		mayGoOn = false;
+	});
+	const clients = fronts.flatMap(({host}) => Array.from({length: clientsPerFront}, async () => write({
+		host, acknowledged, answers, mayGoOn: () => mayGoOn,
+	})));
+	await sleep(4000);
+	record.add(`${acknowledged.size} writes were acknowledged; answers ${JSON.stringify(Object.fromEntries(answers))}`);
+	if (acknowledged.size < 50) {
+		throw new NotRunError('too few writes were acknowledged');
 	}
 
-	const leader = leaderAmong(deployment, core);
-	record.addQuietly(`${leader.name} leads`);
-	const [first, last] = ['atyrau', 'esil', 'aralsk'].filter(zone => zone !== leader.zone).map(zone => core.find(machine => machine.zone === zone));
-	if (isCalm) {
-		await sleep(3 * successorTime * 1000);
-	} else {
-		for (const machine of [first, leader, last]) {
-			await replace(deployment, record, machine);
+	if (!isCalm) {
+		const {primary} = service;
+		isPlatformLate = true;
+		record.add(`the primary ${primary.id} goes dark`);
+		await service.silence(primary, Promise.race([callAndSome(platform), sleep(longestSilence)]));
+		record.add(`the primary ${primary.id} is reachable again`);
+		const named = service.members.find(({id}) => id === platform.calls.at(0)?.id);
+		if (!named) {
+			throw new NotRunError('no promotion was asked for');
 		}
-	}
 
-	await sleep((recovery + contact) * 1000);
-	const isKept = await readsBack(operator, record, 3 * contact);
-	record.add(isKept ? `version ${operator.acknowledged} is read back` : `version ${operator.acknowledged}, which was acknowledged, is read back nowhere ${recovery + (4 * contact)} s after the last step`);
-	const isAccepted = await operator.put(configuration(8, {timeout: 900}), 3 * contact);
-	record.add(`a further change is ${isAccepted ? 'acknowledged' : 'not acknowledged'}`);
-	for (const machine of deployment.ofClass('core')) {
-		const roles = [...deployment.logOf(machine).matchAll(/voter role changed to \w+/gv)].map(([text]) => text);
-		record.addQuietly(`${machine.name} runs; it logged last: ${roles.at(-1) ?? 'no role'}`);
+		isPlatformLate = false;
+		named.isDeaf = true;
+		record.add(`the replica ${named.id} receives nothing for ${deafness} ms`);
+		await sleep(deafness);
+		named.isDeaf = false;
+		record.add(`the replica ${named.id} receives again`);
 	}
 
-	return isKept && isAccepted;
+	await sleep(6000);
+	mayGoOn = false;
+	await Promise.all(clients);
+	record.add(`${acknowledged.size} writes were acknowledged; answers ${JSON.stringify(Object.fromEntries(answers))}`);
+	record.add(`${lost.length} acknowledged commits were not in the log of a member that was promoted`);
+	return lost.length === 0;
 });
