Show that replicas stay paused after the process that paused them died

Only the process that sent PAUSE sends RESUME; when it is killed and the primary comes back, no commit is acknowledged any more.

--- a/review/stand-ins-2/platform.mjs
+++ b/review/stand-ins-2/platform.mjs
@@ -13,7 +13,7 @@
 		this.#resolveFirstCall = resolve;
 	});
 
-	/** `lateness` returns after how many milliseconds a call is carried out that gets no answer, or undefined for a call that is answered at once. */
+	/** `lateness` returns after how many milliseconds a call is carried out that gets no answer, undefined for a call that is answered at once, and infinity for one that is never carried out. */
 	constructor({record, host, service, lateness = () => undefined}) {
 		Object.assign(this, {
 			record, host, service, lateness,
@@ -47,7 +47,11 @@
 		this.calls.push(call);
 		this.#resolveFirstCall();
 		const late = this.lateness(call);
-		this.record.add(`platform: ${call.holder} asks to promote ${id} with token ${call.token}${late === undefined ? '' : '; no answer, carried out later'}`);
+		this.record.add(`platform: ${call.holder} asks to promote ${id} with token ${call.token}${late === undefined ? '' : (late === Number.POSITIVE_INFINITY ? '; no answer' : '; no answer, carried out later')}`);
+		if (late === Number.POSITIVE_INFINITY) {
+			return;
+		}
+
 		if (late !== undefined) {
 			await sleep(late);
 		}
--- a/review/stand-ins-2/service.mjs
+++ b/review/stand-ins-2/service.mjs
@@ -189,6 +189,7 @@
 			case 'DEMOTE': {
 				if (keyword !== 'STATUS') {
 					member.service.record.add(`${member.id} gets ${keyword} ${rest}`);
+					member.service.onOrder?.(member, keyword);
 				}
 
 				return member.order(keyword, Number(rest));
@@ -227,7 +228,7 @@
 
 		if (keyword === 'COMMIT') {
 			this.transaction = undefined;
-			if (transaction && transaction.ids.length > 0 && !await member.commit(transaction.ids)) {
+			if (transaction && transaction.ids.length > 0 && !await member.commit(transaction.ids, this)) {
 				return `ERR FAILED ${member.id}`;
 			}
 
@@ -241,7 +242,7 @@
 
 			if (transaction) {
 				transaction.ids.push(id);
-			} else if (!await member.commit([id])) {
+			} else if (!await member.commit([id], this)) {
 				return `ERR FAILED ${member.id}`;
 			}
 
@@ -337,8 +338,8 @@
 		}
 	}
 
-	/** Commits at the primary; resolves with false if the member lost the lead before enough replicas had received the commit. */
-	async commit(ids) {
+	/** Commits at the primary; resolves with false if the member lost the lead, or the connection ended, before enough replicas had received the commit. */
+	async commit(ids, session) {
 		const {service} = this;
 		const {term} = service;
 		const commit = {term, number: (this.log.at(-1)?.number ?? 0) + 1, ids};
@@ -347,7 +348,7 @@
 		service.onCommit?.(commit);
 		while (service.synchronousReplicas > 0 && !service.isReceived(commit, this)) {
 			await sleep(replicationPeriod);
-			if (service.primary !== this || service.term !== term) {
+			if (service.primary !== this || service.term !== term || session.isClosed) {
 				return false;
 			}
 		}
