Serve services whose log is empty

Cause: a member with an empty log reports "-" for its position. That was read as undefined, which also stood for a position that cannot be read and for a reply that did not come. Entries took the primary for a failing member, control instances confirmed no primary, and surveys dropped the members, so that a lost or leaving primary was not replaced either.

An empty log now has the position that every log has reached. Undefined means only that the position is not known: such a primary serves writes and sets no freshness floor, and a commit without a position makes the next read of its session wait for a floor that was requested since.

--- a/source/database-group/log-position-rules.ts
+++ b/source/database-group/log-position-rules.ts
@@ -3,7 +3,7 @@
 	type FreshnessFloor, type LogPosition, type MemberObservation, type MemberStatus,
 } from './types.js';
 
-/** Log position before the first entry. */
+/** Log position of an empty log, before the first entry. Every log has reached it. */
 export const initialLogPosition: LogPosition = {term: 0, position: 0};
 
 /** Returns the number of members that form a majority. */
@@ -16,6 +16,20 @@
 	return first.term - second.term || first.position - second.position;
 }
 
+/** Returns whether a log that ends at the position has no entries. */
+export function isEmptyLog(position: LogPosition): boolean {
+	return compareLogPositions(position, initialLogPosition) === 0;
+}
+
+/** Returns a log position in words for logs. */
+export function describeLogPosition(position: LogPosition | undefined): string {
+	if (!position) {
+		return 'unknown';
+	}
+
+	return isEmptyLog(position) ? 'empty log' : `${position.term}.${position.position}`;
+}
+
 /** Returns the later of two log positions. */
 export function laterLogPosition(first: LogPosition, second: LogPosition): LogPosition {
 	return compareLogPositions(first, second) >= 0 ? first : second;
--- a/source/promotion/backend-server-monitor.ts
+++ b/source/promotion/backend-server-monitor.ts
@@ -4,7 +4,7 @@
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {type MemberConnector} from '../statement/member-connection.js';
-import {BackendServerProber} from './backend-server-prober.js';
+import {BackendServerProber, type PrimaryConfirmation} from './backend-server-prober.js';
 
 /** Period at which the leader of the control log probes a primary; one that does not answer is detected within three probes. */
 const leaderProbePeriod: Milliseconds = 200;
@@ -52,25 +52,32 @@
 		return this.#probers.get(id);
 	}
 
-	/** Returns the most recently confirmed primary of each service. Confirmations from before a suspected suspension of this instance are left out, since their age is not known. */
+	/** Returns the most recently confirmed primary of each service whose log position is known. */
 	primaryReports(): readonly PrimaryReport[] {
 		const now = this.clock.now();
-		const suspendedUntil = this.clock.lastSuspectedSuspension();
-		const newest = new Map<string, PrimaryReport>();
-		for (const {server, primaryConfirmation} of this.#probers.values()) {
-			if (!primaryConfirmation || primaryConfirmation.sentAt <= suspendedUntil) {
-				continue;
-			}
+		return [...this.#confirmedPrimaries()].flatMap(([service, {server, confirmation}]) => confirmation.logPosition
+			? [{
+				service, primary: server.id, point: confirmation.logPosition, age: now - confirmation.sentAt,
+			}]
+			: []);
+	}
 
-			const age = now - primaryConfirmation.sentAt;
-			if (age < (newest.get(server.service)?.age ?? Number.POSITIVE_INFINITY)) {
-				newest.set(server.service, {
-					service: server.service, primary: server.id, point: primaryConfirmation.logPosition, age,
-				});
+	/** Returns the id of the most recently confirmed primary of a service. */
+	confirmedPrimaryOf(service: string): string | undefined {
+		return this.#confirmedPrimaries().get(service)?.server.id;
+	}
+
+	/** Returns the most recently confirmed primary of each service. Confirmations from before a suspected suspension of this instance are left out, since their age is not known. */
+	#confirmedPrimaries(): ReadonlyMap<string, ConfirmedPrimary> {
+		const suspendedUntil = this.clock.lastSuspectedSuspension();
+		const newest = new Map<string, ConfirmedPrimary>();
+		for (const {server, primaryConfirmation: confirmation} of this.#probers.values()) {
+			if (confirmation && confirmation.sentAt > suspendedUntil && confirmation.sentAt > (newest.get(server.service)?.confirmation.sentAt ?? Number.NEGATIVE_INFINITY)) {
+				newest.set(server.service, {server, confirmation});
 			}
 		}
 
-		return [...newest.values()];
+		return newest;
 	}
 
 	#probePeriod(isPrimary: boolean): Milliseconds {
@@ -98,6 +105,11 @@
 	}
 }
 
+type ConfirmedPrimary = {
+	readonly server: BackendServer;
+	readonly confirmation: PrimaryConfirmation;
+};
+
 function isSameServer(probed: BackendServer, present: BackendServer | undefined): boolean {
 	return present?.address === probed.address && present.startedAt === probed.startedAt && present.service === probed.service;
 }
--- a/source/promotion/backend-server-prober.ts
+++ b/source/promotion/backend-server-prober.ts
@@ -16,7 +16,8 @@
 
 /** Last confirmation of a member that it is the primary. */
 export type PrimaryConfirmation = {
-	readonly logPosition: LogPosition;
+	/** Undefined if the reply did not state it. */
+	readonly logPosition: LogPosition | undefined;
 	/** Time at which the probe was sent. */
 	readonly sentAt: Milliseconds;
 };
@@ -25,7 +26,7 @@
 export class BackendServerProber {
 	/** Last confirmation that the member is the primary; undefined while it is not. */
 	primaryConfirmation: PrimaryConfirmation | undefined;
-	/** Last log position that the member reported. */
+	/** Last log position that the member reported; undefined before the first one. */
 	logPosition: LogPosition | undefined;
 	#connection: MemberConnection | undefined;
 	#answeredAt: Milliseconds | undefined;
@@ -125,7 +126,7 @@
 		this.#answeredAt = this.clock.now();
 		this.#failingSince = undefined;
 		this.logPosition = reply.point ?? this.logPosition;
-		if (provesPrimary(reply) && reply.point) {
+		if (provesPrimary(reply)) {
 			this.primaryConfirmation = {logPosition: reply.point, sentAt};
 		} else if (reply.outcome === 'refused' && reply.reason === 'readOnly') {
 			this.primaryConfirmation = undefined;
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -2,7 +2,7 @@
 import {type BackendServer} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
-import {compareLogPositions} from '../database-group/log-position-rules.js';
+import {compareLogPositions, describeLogPosition} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {type ReachabilityCount, type ReachabilityReports} from '../registry/reachability-reports.js';
@@ -133,8 +133,8 @@
 
 	/** Returns the member that was most recently confirmed as primary. */
 	#confirmedPrimary(service: string, members: readonly BackendServer[]): BackendServer | undefined {
-		const report = this.options.monitor.primaryReports().find(other => other.service === service);
-		return members.find(member => member.id === report?.primary);
+		const primary = this.options.monitor.confirmedPrimaryOf(service);
+		return members.find(member => member.id === primary);
 	}
 
 	#isLost(id: string): boolean {
@@ -292,7 +292,7 @@
 
 	#chooseCandidate(service: string, survey: ReplicaSurvey, synchronousReplicas: number): string | undefined {
 		const chosen = chooseCandidate(survey, synchronousReplicas);
-		this.options.logger.info(`${service}: candidates ${JSON.stringify(survey.candidates)}; chosen ${chosen?.id ?? 'none'}`, {missing: survey.missing});
+		this.options.logger.info(`${service}: candidates ${JSON.stringify(survey.candidates.map(candidate => ({...candidate, received: describeLogPosition(candidate.received)})))}; chosen ${chosen?.id ?? 'none'}`, {missing: survey.missing});
 		return chosen?.id;
 	}
 
@@ -319,7 +319,7 @@
 		const deadline = clock.now() + timeout;
 		while (clock.now() < deadline) {
 			if (monitor.proberOf(member)?.primaryConfirmation) {
-				logger.info(`${service}: ${member} is the primary from log position ${JSON.stringify(monitor.proberOf(member)?.logPosition)}`);
+				logger.info(`${service}: ${member} is the primary from log position ${describeLogPosition(monitor.proberOf(member)?.logPosition)}`);
 				return;
 			}
 
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -4,7 +4,7 @@
 import {type Route} from '../routing-table/types.js';
 import {SetupRefusedError} from '../statement/member-connection.js';
 import {
-	type ConnectionStatement, isInvalidMessage, type RefusalReason, type StatementReply, type TransactionState,
+	type ConnectionStatement, isInvalidMessage, positionAfterCommit, type RefusalReason, type StatementReply, type TransactionState,
 } from '../statement/types.js';
 import {type DataRequest} from './data-request.js';
 import {type CallerOperation} from './caller-operation.js';
@@ -153,8 +153,9 @@
 			const reply = await this.#executeWithBusyRetry({kind: 'commit', id}, deadline);
 			context.log(id, 'commit', describeReply(reply), {member: held.pool.server.id, elapsed: Math.round(context.now - startedAt)});
 			if (reply.outcome === 'done' && this.#hasWritten) {
-				options.client.recordPrimaryPosition(held.pool.server.id, reply.point, startedAt);
-				context.recordCommit(held.pool.server.id, reply.point);
+				const position = positionAfterCommit(reply);
+				options.client.recordPrimaryPosition(held.pool.server.id, position, startedAt);
+				context.recordCommit(held.pool.server.id, position);
 			}
 
 			this.#releaseAfterCommit(reply);
--- a/source/session-proxy/freshness-tracker.spec.ts
+++ b/source/session-proxy/freshness-tracker.spec.ts
@@ -2,6 +2,8 @@
 import {test} from 'node:test';
 import {ManualClock} from '../clock/manual-clock.js';
 import {type Milliseconds} from '../clock/clock.js';
+import {initialLogPosition} from '../database-group/log-position-rules.js';
+import {positionAfterCommit, type StatementReply} from '../statement/types.js';
 import {FreshnessTracker} from './freshness-tracker.js';
 
 class SuspendedClock extends ManualClock {
@@ -105,3 +107,18 @@
 	freshness.add({member: 'a', logPosition: {term: 1, position: 6}, startedAt: 200});
 	assert.deepEqual(freshness.requiredPosition(0, undefined), {term: 1, position: 6});
 });
+
+// Without a position, the commit was forgotten, and the next read of the session could run on a replica that lacks it.
+test('after a commit whose position is not known, a floor that was requested since then is needed', () => {
+	const clock = new ManualClock();
+	const freshness = new FreshnessTracker(clock);
+	freshness.add({member: 'a', logPosition: initialLogPosition, startedAt: 100});
+	const reply: StatementReply = {
+		outcome: 'done', rows: [], signature: 'signed a', transaction: 'idle', point: initialLogPosition,
+	};
+	const lastCommit = {member: 'a', logPosition: positionAfterCommit(reply), acknowledgedAt: 120};
+	assert.equal(freshness.requiredPosition(0, lastCommit), undefined);
+	freshness.add({member: 'a', logPosition: {term: 1, position: 1}, startedAt: 200});
+	assert.deepEqual(freshness.requiredPosition(0, lastCommit), {term: 1, position: 1});
+	assert.equal(positionAfterCommit({...reply, point: {term: 1, position: 1}})?.position, 1);
+});
--- a/source/session-proxy/freshness-tracker.ts
+++ b/source/session-proxy/freshness-tracker.ts
@@ -21,7 +21,8 @@
 
 /** Last commit of a session that was acknowledged. */
 export type SessionCommit = {
-	readonly logPosition: LogPosition;
+	/** Undefined if the member did not report it. */
+	readonly logPosition: LogPosition | undefined;
 	/** Id of the member that acknowledged the commit. */
 	readonly member: string;
 	readonly acknowledgedAt: Milliseconds;
@@ -71,9 +72,9 @@
 			return floor?.logPosition;
 		}
 
-		// A floor requested after the commit includes it unless a promotion has rolled it back. Until there is one, only the member that acknowledged the commit is known to hold it.
+		// A floor requested after the commit includes it unless a promotion has rolled it back. Until there is one, only the member that acknowledged the commit is known to hold it, and only up to a known position.
 		const floorAfterCommit = this.#floorSince(lastCommit.acknowledgedAt)?.logPosition;
-		if (lastCommit.member !== floor.member || lastCommit.logPosition.term < floor.logPosition.term) {
+		if (!lastCommit.logPosition || lastCommit.member !== floor.member || lastCommit.logPosition.term < floor.logPosition.term) {
 			return floorAfterCommit;
 		}
 
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -201,7 +201,7 @@
 		}
 
 		if (statement.kind === 'write') {
-			this.member.point = {...this.member.point, position: this.member.point.position + 1};
+			this.member.point = {term: Math.max(1, this.member.point.term), position: this.member.point.position + 1};
 		}
 	}
 }
--- a/source/session-proxy/primary-succession.spec.ts
+++ b/source/session-proxy/primary-succession.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {initialLogPosition} from '../database-group/log-position-rules.js';
 import {type SessionStatement} from '../statement/types.js';
 import {type FakeMemberServer} from './member-server-fake.js';
 import {SessionFixture} from './session-fixture.js';
@@ -106,3 +107,20 @@
 	assert.ok(reads.length > 0);
 	assert.deepEqual(reads.filter(({after}) => after?.position !== current.point.position), []);
 });
+
+// Terms are compared by the last log entry, which neither the former primary nor its successor has.
+test('a promoted member is accepted although its log and that of its predecessor are empty', async () => {
+	const fixture = new SessionFixture();
+	for (const member of fixture.members) {
+		member.point = initialLogPosition;
+		member.knownTerm = 1;
+	}
+
+	const session = await fixture.open();
+	await fixture.run(session, read);
+	promote(fixture, fixture.members[1], 2);
+	for (const statement of [read, write, read]) {
+		const reply = await fixture.run(session, statement);
+		assert.equal(reply.outcome === 'done' && statement.kind === 'write' ? reply.signature : reply.outcome, statement.kind === 'write' ? 'signed b' : 'done');
+	}
+});
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -2,6 +2,7 @@
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {initialLogPosition} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {SystemRandom, type Random} from '../random/random.js';
@@ -134,7 +135,7 @@
 		this.freshness.add({
 			member: primary, logPosition: point, startedAt: askedAt - age, primaryTerm,
 		});
-		if (primaryTerm > this.#primaryTerm) {
+		if (primaryTerm > this.#primaryTerm || this.#lastPrimary === undefined) {
 			this.#setPrimary(primary, primaryTerm);
 		}
 	}
@@ -162,19 +163,20 @@
 		return retryAfter(cause, usefulTime, this.#random);
 	}
 
-	/** Records the log position in a reply of the primary to a statement sent at `askedAt`, unless the primary is superseded. `reportedTerm` is the term in which the member says that it leads. */
+	/** Records the reply of the primary to a statement sent at `askedAt`, unless the primary is superseded. Its log position is undefined if it is not known; the reply then sets no freshness floor. `reportedTerm` is the term in which the member says that it leads. */
 	recordPrimaryPosition(id: string, logPosition: LogPosition | undefined, askedAt: Milliseconds, reportedTerm = 0): void {
-		if (!logPosition) {
+		const primaryTerm = Math.max(reportedTerm, this.#termOf(id, logPosition ?? initialLogPosition));
+		if (primaryTerm < this.#primaryTerm) {
 			return;
 		}
 
-		const primaryTerm = Math.max(reportedTerm, this.#termOf(id, logPosition));
-		if (primaryTerm >= this.#primaryTerm) {
+		if (logPosition) {
 			this.freshness.add({
 				member: id, logPosition, startedAt: askedAt, primaryTerm,
 			});
-			this.#setPrimary(id, primaryTerm);
 		}
+
+		this.#setPrimary(id, primaryTerm);
 	}
 
 	/** Tells the placement of reads which members are failing, and which is the primary. */
@@ -234,6 +236,9 @@
 			const pool = await this.primaryPool(deadline);
 			if (!await this.#checkPrimaryRole(pool, deadline)) {
 				this.forgetPrimary(pool.server.id);
+			} else if ((this.freshness.newest?.startedAt ?? Number.NEGATIVE_INFINITY) < time) {
+				// The position of the primary is not known.
+				await clock.sleep(primarySearchInterval);
 			}
 		}
 	}
@@ -304,11 +309,11 @@
 			return false;
 		}
 
-		if (!provesPrimary(begun) || rolledBack.transaction !== 'idle' || !begun.point) {
+		if (!provesPrimary(begun) || rolledBack.transaction !== 'idle') {
 			throw new BuckthornhitchError('linkOutcomeUnknown', `A reply of ${id} is missing.`);
 		}
 
-		const reportedTerm = this.isSuperseded(id, begun.point) ? await this.#queryPrimaryTerm(connection) : 0;
+		const reportedTerm = this.isSuperseded(id, begun.point ?? initialLogPosition) ? await this.#queryPrimaryTerm(connection) : 0;
 		this.recordPrimaryPosition(id, begun.point, askedAt, reportedTerm);
 		return this.#primary === id;
 	}
--- a/source/session-proxy/session-context.ts
+++ b/source/session-proxy/session-context.ts
@@ -77,11 +77,9 @@
 		return authorization.isAuthorized && authorization.customer?.name === customer;
 	}
 
-	/** Records an acknowledged commit. Has no effect if the member reported no log position. */
+	/** Records an acknowledged commit, also if its log position is not known. */
 	recordCommit(member: string, logPosition: LogPosition | undefined): void {
-		if (logPosition) {
-			this.#lastCommit = {member, logPosition, acknowledgedAt: this.now};
-		}
+		this.#lastCommit = {member, logPosition, acknowledgedAt: this.now};
 	}
 
 	/** Records a decision in the request log. */
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds} from '../clock/clock.js';
+import {describeLogPosition} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
@@ -206,7 +207,7 @@
 			});
 			last = await read.run();
 			context.log(request.id, 'read', describeAttempt(last), {
-				point: `${required.term}.${required.position}`, elapsed: Math.round(context.now - arrivedAt),
+				point: describeLogPosition(required), elapsed: Math.round(context.now - arrivedAt),
 			});
 			if (last.kind === 'answered' || last.kind === 'refused' || (last.kind === 'notRun' && last.expectedWait !== undefined)) {
 				break;
--- a/source/session-proxy/statement-gate.ts
+++ b/source/session-proxy/statement-gate.ts
@@ -1,7 +1,7 @@
 import {AverageReplyTime} from '../admission/average-reply-time.js';
 import {ConcurrencyLimit} from '../admission/concurrency-limit.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
-import {compareLogPositions} from '../database-group/log-position-rules.js';
+import {compareLogPositions, initialLogPosition} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
 import {type ConnectionPlacement} from './connection-placement.js';
@@ -150,7 +150,6 @@
 	}
 
 	#isBehind(after: LogPosition | undefined): boolean {
-		const known = this.options.logPosition();
-		return after !== undefined && (known === undefined || compareLogPositions(known, after) < 0);
+		return after !== undefined && compareLogPositions(this.options.logPosition() ?? initialLogPosition, after) < 0;
 	}
 }
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -1,6 +1,6 @@
 import {type Milliseconds} from '../clock/clock.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
-import {type RefusalReason, type StatementReply} from '../statement/types.js';
+import {positionAfterCommit, type RefusalReason, type StatementReply} from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
 import {
 	attemptStatement, describeAttempt, isMemberFailure, type NotRunAttempt, type StatementAttempt,
@@ -71,8 +71,9 @@
 
 	const {reply} = attempt;
 	if (reply.outcome === 'done') {
-		client.recordPrimaryPosition(pool.server.id, reply.point, startedAt);
-		context.recordCommit(pool.server.id, reply.point);
+		const position = positionAfterCommit(reply);
+		client.recordPrimaryPosition(pool.server.id, position, startedAt);
+		context.recordCommit(pool.server.id, position);
 	}
 
 	return {...reply, transaction: 'idle'};
--- a/source/statement/types.ts
+++ b/source/statement/types.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds} from '../clock/clock.js';
+import {isEmptyLog} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 
 /** A statement in a caller's session. The id and the text of reads, writes and commits are forwarded unchanged. */
@@ -72,10 +73,15 @@
 	readonly isUnsent?: true;
 }) & {
 	readonly transaction: TransactionState;
-	/** Last log position of the member that answered, if it reported one. */
+	/** Last log position of the member that answered, `initialLogPosition` if its log is empty; undefined if it is not known, or if no member answered. */
 	readonly point: LogPosition | undefined;
 };
 
+/** Returns the log position in the reply to an acknowledged write or to the commit of a transaction that wrote. Undefined if it is not known: a log that holds a commit is not empty. */
+export function positionAfterCommit({point}: StatementReply): LogPosition | undefined {
+	return point && isEmptyLog(point) ? undefined : point;
+}
+
 /** Signature in replies to statements that the proxy answers itself. */
 export const proxySignature = '-';
 
