Keep replicas paused while a promotion may still be carried out

Cause: an attempt whose request got no answer sent RESUME after 300 ms. Commits were acknowledged again, and the request, whose token was still the highest, was carried out seconds later with the log of the survey.

No attempt sends RESUME any more. The control log records the member with each token. A periodic check lets only the member of the unsettled request receive, which then holds every acknowledged commit, and requests the same member again; without one, it first settles all requests by one for the present primary. A failover prefers the member of the unsettled request, so that the order in which late requests are carried out does not matter.

--- a/source/control-log/types.ts
+++ b/source/control-log/types.ts
@@ -63,6 +63,8 @@
 	readonly kind: 'issueToken';
 	/** Name of the service whose promotion the token is issued for. */
 	readonly subject: string;
+	/** Id of the member to promote; absent in entries of earlier versions. */
+	readonly member?: string;
 };
 
 /** Command of a control log entry. Committed commands are applied to the state machine of every voter; changeVoters takes effect in the voters themselves. */
--- a/source/promotion/backend-server-prober.ts
+++ b/source/promotion/backend-server-prober.ts
@@ -6,7 +6,7 @@
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type MemberConnector, type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
 import {provesPrimary} from '../statement/primary-proof.js';
-import {type StatementReply} from '../statement/types.js';
+import {type MemberStatement, type StatementReply} from '../statement/types.js';
 
 /** Timeout for the reply to a statement that needs no execution slot; allows for two round trips between regions and a short pause of the member's instance. */
 const replyTimeout: Milliseconds = 500;
@@ -62,19 +62,24 @@
 		this.#connection?.close();
 	}
 
-	/** Sends a statement on the prober's connection. No probe is sent until it is answered. Rejects when no connection can be opened or no reply arrives within the timeout. */
-	async execute(statement: Parameters<MemberConnection['execute']>[0]): Promise<StatementReply> {
-		const reply = this.#executeStatement(statement);
+	/** Sends a statement on the prober's connection. No probe is sent until it is answered. `mayBeSent` is called immediately before the statement is sent. Rejects when it returns false, no connection can be opened or no reply arrives within the timeout. */
+	async execute(statement: MemberStatement, mayBeSent: () => boolean): Promise<StatementReply> {
+		const reply = this.#executeStatement(statement, mayBeSent);
 		this.#pendingStatements = Promise.allSettled([this.#pendingStatements, reply]);
 		return reply;
 	}
 
-	async #executeStatement(statement: Parameters<MemberConnection['execute']>[0]): Promise<StatementReply> {
+	async #executeStatement(statement: MemberStatement, mayBeSent: () => boolean): Promise<StatementReply> {
 		const connection = await this.#connect();
+		if (!mayBeSent()) {
+			throw new BuckthornhitchError('notLeader', `${statement.kind} was not sent to ${this.server.id}.`);
+		}
+
 		try {
 			return await this.#withTimeout(connection.execute(statement), replyTimeout);
 		} catch (error) {
-			// Replies are matched by their order, so that none that follows a missing one can be trusted.
+			// Replies are matched by their order, so that none that follows a missing one can be trusted. A command that is still on its way must not arrive after later ones.
+			connection.reset();
 			this.#disconnect(connection);
 			throw error;
 		}
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -7,14 +7,16 @@
 import {type Logger} from '../observability/logger.js';
 import {type ReachabilityCount, type ReachabilityReports} from '../registry/reachability-reports.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
+import {type PromotionRecord} from '../routing-table/routing-state-machine.js';
 import {type RoutingTable} from '../routing-table/types.js';
-import {type MemberStatement} from '../statement/types.js';
 import {type ReplicationStatus, type ReplicationStatusParser} from '../statement/replication-status.js';
 import {type BackendServerMonitor} from './backend-server-monitor.js';
+import {CandidateSurvey} from './candidate-survey.js';
+import {MemberCommands} from './member-commands.js';
 import {type PromotionAuthority} from './promotion-authority.js';
-import {
-	chooseCandidate, isPrimaryLost, failureDetectionThreshold, type PromotionCandidate, type ReplicaSurvey,
-} from './promotion-decision.js';
+import {isPrimaryLost, failureDetectionThreshold, type PromotionCandidate} from './promotion-decision.js';
+import {PromotionRequests} from './promotion-requests.js';
+import {ReplicaRepair, type ServiceState} from './replica-repair.js';
 
 /** Period of the checks for primaries to replace. */
 const decisionPeriod: Milliseconds = 100;
@@ -34,6 +36,12 @@
 /** How long a switchover waits for a replica to receive everything that the old primary holds. */
 const catchUpTimeout: Milliseconds = 1500;
 
+/** Period of the checks for replicas that are paused although their service has a primary. */
+const repairPeriod: Milliseconds = 500;
+
+/** Time after which a command of an earlier leader, which a partition may have held up, is lost; members drop connections whose remote end has been unreachable for 3 s. */
+const lateCommandLifetime: Milliseconds = 3500;
+
 /** Period of polling while waiting for a replica to catch up or for a member to become the primary. */
 const pollPeriod: Milliseconds = 30;
 
@@ -51,8 +59,10 @@
 	readonly table: () => RoutingTable | undefined;
 	/** Returns whether this instance leads the control log. */
 	readonly isLeader: () => boolean;
-	/** Resolves with a new fencing token; rejects unless this instance leads. */
-	readonly issueToken: (subject: string) => Promise<number>;
+	/** Records a request to promote the member in the control log and resolves with its fencing token; rejects unless this instance leads. */
+	readonly issueToken: (service: string, member: string) => Promise<number>;
+	/** Returns the last request to promote a member of the service in the control log. */
+	readonly lastPromotion: (service: string) => PromotionRecord | undefined;
 };
 
 /** Replaces the primaries of services when they are lost (failover) or leave (switchover), while this instance leads the control log. */
@@ -62,11 +72,27 @@
 	readonly #primaryMissingSince = new Map<string, Milliseconds>();
 	/** Time of the last log line about a primary that only some instances reach. */
 	readonly #partialFailureLoggedAt = new Map<string, Milliseconds>();
+	/** Services that a replacement of this leader has left without a confirmed primary so far. */
+	readonly #unfinishedReplacements = new Set<string>();
+	/** Time of the next check for paused replicas of a service. */
+	readonly #nextRepairAt = new Map<string, Milliseconds>();
+	/** Replicas of services without synchronous replicas that were found to receive since this instance leads. */
+	readonly #verifiedReplicas = new Set<string>();
+	readonly #commands: MemberCommands;
+	readonly #requests: PromotionRequests;
+	readonly #survey: CandidateSurvey;
+	readonly #repair: ReplicaRepair;
 	#leaderSince: Milliseconds | undefined;
 	#cancelChecks: Cancel | undefined;
 
 	constructor(private readonly options: ServicePromotionOptions) {
 		super();
+		this.#commands = new MemberCommands(options);
+		this.#requests = new PromotionRequests(options);
+		this.#survey = new CandidateSurvey({...options, commands: this.#commands, requests: this.#requests});
+		this.#repair = new ReplicaRepair({
+			...options, commands: this.#commands, requests: this.#requests, survey: this.#survey,
+		});
 	}
 
 	override start(): void {
@@ -83,6 +109,8 @@
 		const {clock, isLeader, table} = this.options;
 		if (!isLeader()) {
 			this.#leaderSince = undefined;
+			this.#verifiedReplicas.clear();
+			this.#unfinishedReplacements.clear();
 			return;
 		}
 
@@ -109,7 +137,7 @@
 			const allAnnouncedPrimariesLost = announcedPrimaries.every(member => this.#isLost(member.id));
 			const since = this.#primaryMissingSince.get(service) ?? this.options.clock.now();
 			this.#primaryMissingSince.set(service, since);
-			const gracePeriod = announcedPrimaries.length > 0 ? 0 : unknownPrimaryGracePeriod;
+			const gracePeriod = announcedPrimaries.length > 0 || this.#unfinishedReplacements.has(service) ? 0 : unknownPrimaryGracePeriod;
 			if (reportingMembers.length > 0 && allAnnouncedPrimariesLost && this.options.clock.now() - since >= gracePeriod) {
 				void this.#replacePrimary({
 					service, members, primary: announcedPrimaries.at(0), synchronousReplicas, isSwitchover: false,
@@ -120,6 +148,15 @@
 		}
 
 		this.#primaryMissingSince.delete(service);
+		const replicas = members.filter(({id}) => id !== primary.id);
+		const state = {
+			service, primary, replicas, synchronousReplicas,
+		};
+		// A switchover needs replicas that receive.
+		if (synchronousReplicas > 0 && this.#startRepair(state)) {
+			return;
+		}
+
 		if (primary.isLeaving || primary.isGone) {
 			void this.#replacePrimary({
 				service, members, primary, synchronousReplicas, isSwitchover: true,
@@ -128,6 +165,8 @@
 			void this.#replacePrimary({
 				service, members, primary, synchronousReplicas, isSwitchover: false,
 			});
+		} else if (synchronousReplicas === 0) {
+			this.#startRepair(state);
 		}
 	}
 
@@ -160,48 +199,98 @@
 		}
 	}
 
+	#isAnswering({id}: BackendServer): boolean {
+		const reachability = this.options.monitor.proberOf(id)?.reachability;
+		return reachability?.failingFor === 0 && reachability.answeredAgo !== null;
+	}
+
+	/**
+	Starts a check for paused replicas if one is due and the primary answers, and returns whether it did.
+
+	Replicas are paused only for services with synchronous replicas. The others are checked once for each leader, since the setting may have changed while they were paused.
+	*/
+	#startRepair(state: Omit<ServiceState, 'reachableReplicas'>): boolean {
+		const {clock} = this.options;
+		const {service, replicas, synchronousReplicas} = state;
+		const reachableReplicas = replicas.filter(replica => this.#isAnswering(replica) && (synchronousReplicas > 0 || !this.#verifiedReplicas.has(replica.id)));
+		if (!this.#unfinishedReplacements.has(service) || !this.#isAnswering(state.primary) || reachableReplicas.length === 0 || clock.now() < (this.#nextRepairAt.get(service) ?? 0)) {
+			return false;
+		}
+
+		this.#nextRepairAt.set(service, clock.now() + repairPeriod);
+		void this.#runExclusively(service, 'repair the replicas', async () => this.#repairReplicas({...state, reachableReplicas}));
+		return true;
+	}
+
+	async #repairReplicas(state: ServiceState): Promise<void> {
+		const {service, primary, synchronousReplicas} = state;
+		const result = await this.#repair.repair(state);
+		if (result.kind === 'promote') {
+			await this.#promote({
+				service, members: [primary, ...state.replicas], primary, synchronousReplicas, isSwitchover: false,
+			}, result.member);
+		} else if (result.kind === 'intact') {
+			this.#unfinishedReplacements.delete(service);
+			if (synchronousReplicas === 0) {
+				for (const id of result.verified) {
+					this.#verifiedReplicas.add(id);
+				}
+			}
+		}
+	}
+
 	async #replacePrimary(plan: ReplacementPlan): Promise<void> {
-		const {logger, clock} = this.options;
-		this.#servicesInProgress.add(plan.service);
-		try {
+		const {logger, reports} = this.options;
+		await this.#runExclusively(plan.service, 'replace the primary', async () => {
 			const reason = plan.isSwitchover ? 'is leaving' : 'is lost';
-			logger.info(`${plan.service}: the primary ${plan.primary?.id ?? '(unknown)'} ${reason}; ${JSON.stringify(this.options.reports.count(plan.primary?.id ?? '', failureDetectionThreshold))}`);
+			logger.info(`${plan.service}: the primary ${plan.primary?.id ?? '(unknown)'} ${reason}; ${JSON.stringify(reports.count(plan.primary?.id ?? '', failureDetectionThreshold))}`);
 			const target = plan.isSwitchover ? await this.#prepareSwitchover(plan) : await this.#prepareFailover(plan);
 			if (target) {
 				await this.#promote(plan, target);
 			}
+		});
+	}
+
+	/** Runs an action for a service; no other one starts until it has ended. */
+	async #runExclusively(service: string, description: string, action: () => Promise<void>): Promise<void> {
+		const {logger, clock} = this.options;
+		this.#servicesInProgress.add(service);
+		try {
+			await action();
 		} catch (error) {
-			logger.warn(`${plan.service}: failed to replace the primary: ${toBuckthornhitchError(error).message}`);
+			logger.warn(`${service}: failed to ${description}: ${toBuckthornhitchError(error).message}`);
 		} finally {
 			clock.schedule(decisionPeriod, () => {
-				this.#servicesInProgress.delete(plan.service);
+				this.#servicesInProgress.delete(service);
 			});
 		}
 	}
 
-	/** Returns the replica to promote in the place of a lost primary. With synchronous replicas, all replicas first stop receiving log entries, so that none can acknowledge a commit of the old primary any more. */
+	/** Returns the replica to promote in the place of a lost primary. With synchronous replicas, all replicas first stop receiving log entries; they stay paused until one is promoted or the repair finds a primary. */
 	async #prepareFailover(plan: ReplacementPlan): Promise<string | undefined> {
 		const {service, members, primary, synchronousReplicas} = plan;
 		const replicas = members.filter(member => member.id !== primary?.id);
-		const statuses = await this.#queryStatuses(replicas, {kind: 'status'});
+		const statuses = await this.#commands.send(replicas, {kind: 'status'});
 		if (synchronousReplicas === 0) {
-			return this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, statuses), missing: []}, synchronousReplicas);
+			return this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, statuses), missing: []}, synchronousReplicas);
 		}
 
-		const term = this.#highestKnownTerm(members, statuses) + 1;
-		const answers = await this.#queryStatuses(replicas, {kind: 'pause', term});
-		const hasStopped = ({id}: BackendServer): boolean => answers.get(id)?.role === 'replica' && answers.get(id)!.minimumAcceptedTerm >= term;
-		// A former primary needs no answer: its acknowledged commits are on replicas.
-		const formerReplicas = this.options.directory.formerServersOf(service).filter(({role}) => role === 'replica');
-		const missing = [...replicas, ...formerReplicas].filter(replica => !hasStopped(replica)).map(({id}) => id);
-		const candidates = this.#candidatesOf(replicas.filter(replica => hasStopped(replica)), answers);
-		const chosen = this.#chooseCandidate(service, {candidates, missing}, synchronousReplicas);
-		if (chosen === undefined && missing.length > 0) {
-			this.options.logger.warn(`${service}: no member is promoted: the replicas ${missing.join(', ')} did not stop receiving at term ${term} and may alone hold an acknowledged commit`);
-			await this.#resumeReplicas(plan);
+		if (this.#mayStillResume(plan, statuses)) {
+			this.options.logger.info(`${service}: waiting for commands of an earlier leader, which may let replicas receive again`);
+			return undefined;
 		}
 
-		return chosen;
+		this.#unfinishedReplacements.add(service);
+		return this.#survey.pauseAndChoose({
+			service, primary, replicas, statuses, synchronousReplicas,
+		});
+	}
+
+	/** Returns whether a RESUME of an earlier leader may still arrive at a replica that is paused. A leader sends one only after a request that named the primary. */
+	#mayStillResume({service, primary}: ReplacementPlan, statuses: ReadonlyMap<string, ReplicationStatus>): boolean {
+		const isPaused = [...statuses.values()].some(({minimumAcceptedTerm}) => minimumAcceptedTerm > 0);
+		const isPrimaryNamed = primary === undefined || this.#requests.isLastNamed(service, primary.id);
+		return isPaused && isPrimaryNamed && this.options.clock.now() - (this.#leaderSince ?? Number.POSITIVE_INFINITY) < lateCommandLifetime;
 	}
 
 	/** Demotes the leaving primary, which stops its writes, and returns a replica that has received all of them. With synchronous replicas, returns the old primary itself if there is none. */
@@ -209,16 +298,20 @@
 		const {service, members, synchronousReplicas} = plan;
 		const primary = plan.primary!;
 		const replicas = members.filter(member => member.id !== primary.id);
-		const statuses = await this.#queryStatuses(members, {kind: 'status'});
+		const statuses = await this.#commands.send(members, {kind: 'status'});
 		// The primary is not demoted when no replica can replace it.
-		if (this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, statuses), missing: []}, 0) === undefined) {
+		if (this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, statuses), missing: []}, 0) === undefined) {
 			return undefined;
 		}
 
-		const finalPosition = await this.#demote(primary, this.#highestKnownTerm(members, statuses) + 1);
+		if (synchronousReplicas > 0) {
+			this.#unfinishedReplacements.add(service);
+		}
+
+		const finalPosition = await this.#demote(primary, this.#survey.highestKnownTerm(members, statuses) + 1);
 		const caughtUp = finalPosition ? await this.#awaitCaughtUpReplicas(replicas, finalPosition) : [];
 		if (caughtUp.length > 0) {
-			return this.#chooseCandidate(service, {candidates: caughtUp, missing: []}, synchronousReplicas);
+			return this.#survey.choose(service, {candidates: caughtUp, missing: []}, synchronousReplicas);
 		}
 
 		if (synchronousReplicas > 0) {
@@ -227,15 +320,14 @@
 		}
 
 		this.options.logger.warn(`${service}: no replica received everything that ${primary.id} holds; promoting the one with the highest log position`);
-		return this.#chooseCandidate(service, {candidates: this.#candidatesOf(replicas, await this.#queryStatuses(replicas, {kind: 'status'})), missing: []}, 0);
+		return this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, await this.#commands.send(replicas, {kind: 'status'})), missing: []}, 0);
 	}
 
 	/** Demotes the primary and resolves with the end of its log, or with undefined if it did not confirm that it is a replica now. */
-	async #demote({id}: BackendServer, term: number): Promise<LogPosition | undefined> {
-		const reply = await this.options.monitor.proberOf(id)?.execute({kind: 'demote', term});
-		const status = reply?.outcome === 'done' ? this.options.statusParser.parse(reply.rows) : undefined;
+	async #demote(primary: BackendServer, term: number): Promise<LogPosition | undefined> {
+		const status = await this.#commands.execute(primary.id, {kind: 'demote', term});
 		if (status?.role === 'primary') {
-			this.options.logger.warn(`member ${id} stays the primary of term ${status.term} after a demotion with term ${term}`);
+			this.options.logger.warn(`member ${primary.id} stays the primary of term ${status.term} after a demotion with term ${term}`);
 		}
 
 		return status?.role === 'replica' ? status.received : undefined;
@@ -246,7 +338,7 @@
 		const {clock} = this.options;
 		const deadline = clock.now() + catchUpTimeout;
 		while (clock.now() < deadline) {
-			const candidates = this.#candidatesOf(replicas, await this.#queryStatuses(replicas, {kind: 'status'}));
+			const candidates = this.#survey.candidatesOf(replicas, await this.#commands.send(replicas, {kind: 'status'}));
 			const caughtUp = candidates.filter(candidate => compareLogPositions(candidate.received, position) >= 0);
 			if (caughtUp.length > 0) {
 				return caughtUp;
@@ -258,60 +350,14 @@
 		return [];
 	}
 
-	/** Sends a statement to the members and resolves with the statuses of those that answered with one, by the id of the member. */
-	async #queryStatuses(members: readonly BackendServer[], statement: MemberStatement): Promise<ReadonlyMap<string, ReplicationStatus>> {
-		const {monitor, statusParser, logger} = this.options;
-		const statuses = new Map<string, ReplicationStatus>();
-		await Promise.all(members.map(async ({id}) => {
-			try {
-				const reply = await monitor.proberOf(id)?.execute(statement);
-				const status = reply?.outcome === 'done' ? statusParser.parse(reply.rows) : undefined;
-				if (status) {
-					statuses.set(id, status);
-				}
-			} catch (error) {
-				logger.warn(`member ${id} did not report its status: ${toBuckthornhitchError(error).message}`);
-			}
-		}));
-		return statuses;
-	}
-
-	/** Returns the replicas whose received log position is known. Without synchronous replicas, the last position that a replica reported stands for that of a status which is missing. */
-	#candidatesOf(replicas: readonly BackendServer[], statuses: ReadonlyMap<string, ReplicationStatus>): readonly PromotionCandidate[] {
-		const {monitor, reports} = this.options;
-		return replicas.flatMap(({id, isLeaving}) => {
-			const received = statuses.get(id)?.received ?? monitor.proberOf(id)?.logPosition;
-			const contact = reports.count(id, failureDetectionThreshold);
-			return received
-				? [{
-					id, isLeaving, received, contact,
-				}]
-				: [];
-		});
-	}
-
-	#chooseCandidate(service: string, survey: ReplicaSurvey, synchronousReplicas: number): string | undefined {
-		const chosen = chooseCandidate(survey, synchronousReplicas);
-		this.options.logger.info(`${service}: candidates ${JSON.stringify(survey.candidates.map(candidate => ({...candidate, received: describeLogPosition(candidate.received)})))}; chosen ${chosen?.id ?? 'none'}`, {missing: survey.missing});
-		return chosen?.id;
-	}
-
-	/** Returns the highest term that a member knows or that a log entry has. A primary leads a later term than that of its last log entry until its first commit. */
-	#highestKnownTerm(members: readonly BackendServer[], statuses: ReadonlyMap<string, ReplicationStatus>): number {
-		const terms = members.flatMap(({id}) => [statuses.get(id)?.term ?? 0, this.options.monitor.proberOf(id)?.logPosition?.term ?? 0]);
-		return Math.max(0, ...terms);
-	}
+	async #promote({service, synchronousReplicas}: ReplacementPlan, member: string): Promise<void> {
+		const {logger, clock, monitor} = this.options;
+		if (synchronousReplicas > 0) {
+			this.#unfinishedReplacements.add(service);
+		}
 
-	async #promote(plan: ReplacementPlan, member: string): Promise<void> {
-		const {service} = plan;
-		const {issueToken, authority, name, logger, clock, monitor} = this.options;
-		const token = await issueToken(service);
-		const outcome = await authority.promote({
-			service, member, leader: name, token,
-		});
-		logger.info(`${service}: promotion of ${member} with token ${token}: ${outcome}`);
+		const outcome = await this.#requests.send(service, member);
 		if (outcome === 'refused') {
-			await this.#resumeReplicas(plan);
 			return;
 		}
 
@@ -327,14 +373,6 @@
 		}
 
 		logger.warn(`${service}: ${member} is not the primary ${timeout} ms after the request`);
-		await this.#resumeReplicas(plan);
-	}
-
-	/** Lets paused replicas receive log entries again after a promotion that did not take place. */
-	async #resumeReplicas({members, primary, synchronousReplicas}: ReplacementPlan): Promise<void> {
-		if (synchronousReplicas > 0) {
-			await this.#queryStatuses(members.filter(({id}) => id !== primary?.id), {kind: 'resume'});
-		}
 	}
 }
 
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -14,7 +14,9 @@
 import {type RateLimitSettings} from '../rate-limit/limit-arithmetic.js';
 import {toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {validateRoutingTable} from '../routing-table/routing-table-validation.js';
-import {RoutingStateMachine, type AcceptedRouting, type SubmitResult} from '../routing-table/routing-state-machine.js';
+import {
+	RoutingStateMachine, type AcceptedRouting, type PromotionRecord, type SubmitResult,
+} from '../routing-table/routing-state-machine.js';
 import {type RoutingDocumentParser, type RoutingTable} from '../routing-table/types.js';
 import {failureDetectionThreshold} from '../promotion/promotion-decision.js';
 import {type BackendServerMonitor} from '../promotion/backend-server-monitor.js';
@@ -221,9 +223,14 @@
 		this.#announcements.handleLeave(id);
 	}
 
-	/** Resolves with a fencing token that is higher than all earlier ones. Rejects with notLeader or notConfirmed. */
-	async issueToken(subject: string): Promise<number> {
-		return await this.voter.propose({kind: 'issueToken', subject}, confirmationTimeout) as number;
+	/** Resolves with a fencing token that is higher than all earlier ones, and records the member that it is for. Rejects with notLeader or notConfirmed. */
+	async issueToken(subject: string, member: string): Promise<number> {
+		return await this.voter.propose({kind: 'issueToken', subject, member}, confirmationTimeout) as number;
+	}
+
+	/** Returns the last request to promote a member of the service. Complete while this instance leads. */
+	lastPromotion(service: string): PromotionRecord | undefined {
+		return this.#stateMachine.lastPromotion(service);
 	}
 
 	#handleIntroduce(request: IntroduceRequest): IntroduceResponse {
--- a/source/routing-table/routing-state-machine.ts
+++ b/source/routing-table/routing-state-machine.ts
@@ -15,15 +15,33 @@
 	readonly replaced: boolean;
 };
 
-/** Replicated state machine that keeps the routing document with the highest version and issues fencing tokens; a token is the index of its log entry, so tokens increase. */
+/** Last request to promote a member of a service. */
+export type PromotionRecord = {
+	readonly token: number;
+	/** Id of the member; undefined in entries of earlier versions. */
+	readonly member: string | undefined;
+};
+
+/** Image of the state machine. Earlier versions wrote only the routing configuration. */
+type RoutingImage = AcceptedRouting & {
+	readonly promotions?: ReadonlyArray<readonly [service: string, record: PromotionRecord]>;
+};
+
+/** Replicated state machine that keeps the routing document with the highest version and issues fencing tokens; a token is the index of its log entry, so tokens increase. The last token of each service is kept with the member to promote, so that a new leader knows which request of its predecessor may still be carried out. */
 export class RoutingStateMachine extends StateMachine {
 	#accepted: AcceptedRouting | undefined;
+	readonly #promotions = new Map<string, PromotionRecord>();
 
 	/** The accepted routing configuration; undefined before the first one. */
 	get accepted(): AcceptedRouting | undefined {
 		return this.#accepted;
 	}
 
+	/** Returns the last request to promote a member of the service. */
+	lastPromotion(service: string): PromotionRecord | undefined {
+		return this.#promotions.get(service);
+	}
+
 	override apply({command, index}: ControlLogEntry): SubmitResult | number | undefined {
 		switch (command.kind) {
 			case 'replaceRouting': {
@@ -36,6 +54,7 @@
 			}
 
 			case 'issueToken': {
+				this.#promotions.set(command.subject, {token: index, member: command.member});
 				return index;
 			}
 
@@ -48,11 +67,16 @@
 		}
 	}
 
-	override snapshot(): AcceptedRouting | undefined {
-		return this.#accepted;
+	override snapshot(): RoutingImage | undefined {
+		return this.#accepted && {...this.#accepted, promotions: [...this.#promotions]};
 	}
 
 	override restore(image: unknown): void {
-		this.#accepted = image as AcceptedRouting | undefined ?? undefined;
+		const restored = image as RoutingImage | null | undefined;
+		this.#accepted = restored ? {version: restored.version, document: restored.document} : undefined;
+		this.#promotions.clear();
+		for (const [service, {token, member}] of restored?.promotions ?? []) {
+			this.#promotions.set(service, {token, member});
+		}
 	}
 }
--- a/source/routing-table/routing-table.spec.ts
+++ b/source/routing-table/routing-table.spec.ts
@@ -64,3 +64,19 @@
 	const tokens = [2, 3, 9].map(index => machine.apply({index, term: index, command: {kind: 'issueToken', subject: 'ledger'}}));
 	assert.deepEqual(tokens, [2, 3, 9]);
 });
+
+// A new leader that did not know which member its predecessor had named would name another one.
+test('the last promotion request of each service is kept in snapshots, and in those of earlier versions there is none', () => {
+	const machine = new RoutingStateMachine();
+	machine.apply({index: 1, term: 1, command: {kind: 'replaceRouting', version: 7, document: 'seven'}});
+	machine.apply({index: 2, term: 1, command: {kind: 'issueToken', subject: 'ledger', member: 'b'}});
+	machine.apply({index: 3, term: 1, command: {kind: 'issueToken', subject: 'other'}});
+	const copy = new RoutingStateMachine();
+	copy.restore(structuredClone(machine.snapshot()));
+	assert.deepEqual(copy.lastPromotion('ledger'), {token: 2, member: 'b'});
+	assert.deepEqual(copy.lastPromotion('other'), {token: 3, member: undefined});
+	assert.deepEqual(copy.snapshot(), machine.snapshot());
+	copy.restore({version: 7, document: 'seven'});
+	assert.equal(copy.lastPromotion('ledger'), undefined);
+	assert.deepEqual(copy.accepted, machine.accepted);
+});
--- a/source/statement/member-connection.ts
+++ b/source/statement/member-connection.ts
@@ -85,6 +85,11 @@
 		// Only relayed connections pass the use on.
 	}
 
+	/** Closes the connection and discards statements that have not reached the member yet. */
+	reset(): void {
+		this.close();
+	}
+
 	/** Sends a statement and resolves with its reply. The timeout, in milliseconds, limits the wait on a relayed connection, and the scope tells the gateway how to run the statement; a direct connection ignores both. Rejects with linkOutcomeUnknown when the connection ends before the reply, and with linkNotSent when it had ended before the statement was sent. */
 	abstract execute(statement: MemberStatement, timeout?: Milliseconds, scope?: StatementScope): Promise<StatementReply>;
 
