Let replicas receive again whoever paused them

Cause: RESUME was the last step of the attempt in the memory of the process that had sent PAUSE. A new leader found a primary that answers, and nobody looked at the state that the replicas report. A token that was not issued ended the attempt in the same way.

Each leader now compares the reported states of all replicas with the wanted one, also once for services whose SyncReplicas is 0 again.

--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -213,7 +213,7 @@
 		const {clock} = this.options;
 		const {service, replicas, synchronousReplicas} = state;
 		const reachableReplicas = replicas.filter(replica => this.#isAnswering(replica) && (synchronousReplicas > 0 || !this.#verifiedReplicas.has(replica.id)));
-		if (!this.#unfinishedReplacements.has(service) || !this.#isAnswering(state.primary) || reachableReplicas.length === 0 || clock.now() < (this.#nextRepairAt.get(service) ?? 0)) {
+		if (!this.#isAnswering(state.primary) || reachableReplicas.length === 0 || clock.now() < (this.#nextRepairAt.get(service) ?? 0)) {
 			return false;
 		}
 
--- a/source/promotion/unfinished-promotion.spec.ts
+++ b/source/promotion/unfinished-promotion.spec.ts
@@ -38,12 +38,16 @@
 }
 
 // The replicas received again while a request without an answer could still be carried out: the promoted replica lacked the commits that were acknowledged meanwhile.
-for (const fate of ['alive'] as const) {
+for (const fate of ['alive', 'killed'] as const) {
 	test(`a promotion that is carried out late loses no acknowledged commit, its leader ${fate}`, async () => {
 		const fixture = await startCommitting();
 		await loseAnswer(fixture);
 		fixture.members[0].isUnresponsive = false;
 		fixture.deafMembers.add(replicaNamed(fixture).server.id);
+		if (fate === 'killed') {
+			fixture.elect('two');
+		}
+
 		fixture.authority.isSilent = false;
 		await fixture.advance(4000, 0);
 		fixture.authority.carryOut(fixture.authority.requests[0]);
@@ -53,12 +57,34 @@
 	});
 }
 
+// A leader that was frozen between its token and its request sends the request after its successor has settled the matter.
+test('a promotion that a frozen leader requests late loses no acknowledged commit', async () => {
+	const fixture = await startCommitting();
+	let thaw = (): void => undefined;
+	fixture.tokenBarrier = new Promise(resolve => {
+		thaw = resolve;
+	});
+	fixture.members[0].isUnresponsive = true;
+	await fixture.advance(1500, 10);
+	assert.ok(fixture.members.slice(1).every(({minimumAcceptedTerm}) => minimumAcceptedTerm > 0));
+	fixture.tokenBarrier = Promise.resolve();
+	fixture.members[0].isUnresponsive = false;
+	fixture.elect('two');
+	await fixture.advance(2500, 0);
+	thaw();
+	await fixture.advance(1500, 0);
+	assert.equal(fixture.authority.requests.at(-1)?.token, 1, 'the request of the frozen leader comes last');
+	await assertRecovered(fixture);
+});
+
 // With several late requests for different members, a later one rolled back what the member of the earlier one had acknowledged.
 test('while the authority answers nothing, all requests name the same member, and the order in which they are carried out does not matter', async () => {
 	const fixture = await startCommitting();
 	await loseAnswer(fixture);
 	fixture.members[0].isUnresponsive = false;
 	await fixture.advance(2000, 0);
+	fixture.elect('two');
+	await fixture.advance(2000, 0);
 	const {requests} = fixture.authority;
 	assert.ok(requests.length > 2);
 	assert.deepEqual(new Set(requests.map(({member}) => member)).size, 1);
@@ -88,6 +114,21 @@
 	await assertRecovered(fixture);
 });
 
+// The replicas stayed paused for good after the process that had paused them died, and no commit was acknowledged any more.
+test('a new leader lets replicas receive again that its predecessor paused before it died', async () => {
+	const fixture = await startCommitting();
+	fixture.tokenBarrier = new Promise(() => {
+		// The first leader never gets its token.
+	});
+	fixture.members[0].isUnresponsive = true;
+	await fixture.advance(1500, 10);
+	fixture.tokenBarrier = Promise.resolve();
+	fixture.members[0].isUnresponsive = false;
+	fixture.elect('two');
+	await fixture.advance(3000, 0);
+	await assertRecovered(fixture);
+});
+
 // A token that was not issued ended the attempt with the replicas paused.
 test('replicas receive again after a failover for which no token was issued', async () => {
 	const fixture = await startCommitting();
@@ -101,3 +142,62 @@
 	await fixture.advance(2500, 0);
 	await assertRecovered(fixture);
 });
+
+// Replicas that were paused when the operator gave up synchronous replicas were never looked at again.
+test('replicas receive again although the service has no synchronous replicas any more', async () => {
+	const fixture = await startCommitting();
+	await loseAnswer(fixture);
+	fixture.synchronousReplicas = 0;
+	fixture.members[0].isUnresponsive = false;
+	fixture.authority.isSilent = false;
+	fixture.elect('two');
+	await fixture.advance(3000, 0);
+	await assertRecovered(fixture);
+});
+
+// The primary was demoted for a switchover, and neither it nor another member was promoted.
+for (const fate of ['alive', 'killed'] as const) {
+	test(`a member is promoted after a switchover that stopped after the demotion, its leader ${fate}`, async () => {
+		const fixture = await startCommitting();
+		fixture.authority.isSilent = true;
+		fixture.announce('a');
+		await fixture.advance(1000, 0);
+		assert.equal(fixture.members[0].role, 'replica');
+		fixture.announce('a');
+		fixture.authority.isSilent = false;
+		if (fate === 'killed') {
+			fixture.elect('two');
+		}
+
+		await fixture.advance(6000, 0);
+		const first = fixture.authority.requests[0];
+		fixture.authority.carryOut(first);
+		assert.notEqual(first.member, 'a');
+		await assertRecovered(fixture);
+	});
+}
+
+// A RESUME of an earlier leader that arrives after the survey lets a replica acknowledge commits that the chosen one lacks.
+test('a new leader surveys replicas only once no command of its predecessor can arrive any more', async () => {
+	const fixture = await startCommitting();
+	const [primary, replica, lostReplica] = fixture.members;
+	primary.isUnresponsive = true;
+	lostReplica.isUnresponsive = true;
+	await fixture.advance(2000, 10);
+	primary.isUnresponsive = false;
+	await fixture.advance(1500, 0);
+	assert.deepEqual(fixture.authority.requests.map(({member}) => member), ['a']);
+	assert.ok(replica.receivedKinds.includes('resume'));
+	// The RESUME is still on its way.
+	replica.minimumAcceptedTerm = 9;
+	primary.isUnresponsive = true;
+	lostReplica.isUnresponsive = false;
+	fixture.elect('two');
+	const pauseCount = replica.receivedKinds.filter(kind => kind === 'pause').length;
+	await fixture.advance(3000, 10);
+	assert.equal(replica.receivedKinds.filter(kind => kind === 'pause').length, pauseCount);
+	replica.minimumAcceptedTerm = 0;
+	await fixture.advance(3000, 10);
+	assert.equal(fixture.authority.requests.at(-1)?.member, 'b');
+	await assertRecovered(fixture);
+});
