Keep time limits of any length

Cause: SystemClock.schedule passed delays above 2,147,483,647 ms to setTimeout, which fires after 1 ms. Numbers from outside had no upper end.

The clock waits for long delays in parts. external-numbers.ts holds both ends of all numbers from outside; allowed values stay valid and are lowered to a bound that permits the same. Loops, waits for connections and waits for replies end when the caller has left, which they did only at the time limit before.

--- a/source/admission/retry-after.ts
+++ b/source/admission/retry-after.ts
@@ -26,6 +26,9 @@
 /** Time of a promotion after its detection: a request to the platform, a round trip to every replica and the search for the new primary. */
 const promotionTime: Milliseconds = 500;
 
+/** Longest time, for requests with a long time limit: the cause may end sooner than expected. */
+const longestRetryAfter: Milliseconds = 10_000;
+
 /** Part of the time that a primary has been missing after which clients try again when the promotion takes longer than expected. */
 const overdueShare = 1 / 4;
 
@@ -34,7 +37,7 @@
 
 /** Returns the time after which a client should send a request again that did not run, as long as the cause lasts and at most as long as the client has a use for the reply. Answers refused clients that return together: they would cause the next overload. */
 export function retryAfter(cause: RetryCause, usefulTime: Milliseconds, random: Random): Milliseconds {
-	const longest = usefulTime / (1 + jitterShare);
+	const longest = Math.min(usefulTime, longestRetryAfter) / (1 + jitterShare);
 	const shortest = shortestRetryAfter / (1 - jitterShare);
 	const time = Math.max(shortest, Math.min(longest, remainingTime(cause)));
 	return Math.round(time * (1 + (((random.fraction() * 2) - 1) * jitterShare)));
--- a/source/clock/clock.ts
+++ b/source/clock/clock.ts
@@ -42,6 +42,6 @@
 	/** Returns milliseconds since the Unix epoch; may jump. Only for display and for the hybrid logical clock. */
 	abstract wallTime(): Milliseconds;
 
-	/** Runs the action once after the delay in milliseconds. */
+	/** Runs the action once after the delay in milliseconds, which may be of any length; never if it is infinite. A delay that is not positive has passed already. */
 	abstract schedule(delay: Milliseconds, action: () => void): Cancel;
 }
--- a/source/clock/system-clock.ts
+++ b/source/clock/system-clock.ts
@@ -4,6 +4,9 @@
 /** A change of the offset between the wall clock and the monotonic clock above this counts as a suspension. Time synchronization adjusts the wall clock by much less between two readings. */
 const suspensionThreshold: Milliseconds = 30;
 
+/** Longest delay of a timer; a longer one would fire at once. */
+const longestTimerDelay: Milliseconds = (2 ** 31) - 1;
+
 /** Clock of the operating system. */
 export class SystemClock extends Clock {
 	#wallClockOffset = Date.now() - performance.now();
@@ -30,7 +33,17 @@
 	}
 
 	override schedule(delay: Milliseconds, action: () => void): Cancel {
-		const timer = setTimeout(action, delay);
+		const dueAt = this.now() + delay;
+		let timer: NodeJS.Timeout;
+		const wait = (remaining: Milliseconds): void => {
+			timer = remaining > longestTimerDelay
+				? setTimeout(() => {
+					wait(dueAt - this.now());
+				}, longestTimerDelay)
+				: setTimeout(action, remaining);
+		};
+
+		wait(delay);
 		return () => {
 			clearTimeout(timer);
 		};
--- a/source/command-line/configuration-commands.ts
+++ b/source/command-line/configuration-commands.ts
@@ -1,12 +1,12 @@
 import process from 'node:process';
 import {userInfo} from 'node:os';
 import {
-	command, number, option, optional, positional, string,
+	command, option, optional, positional, string,
 } from 'cmd-ts';
 import {assertFilesValid} from '../configuration/check-files.js';
 import {type AcceptedConfiguration} from '../configuration/types.js';
 import {BuckthornhitchError, errorFromCode} from '../result-codes/buckthornhitch-error.js';
-import {controlsOption} from '../settings/common-settings.js';
+import {controlsOption, wholeNumberType} from '../settings/common-settings.js';
 import {
 	deriveChangeId, readConfigurationFolder, readRevision, writeConfigurationFolder, writeRevision,
 } from './configuration-files.js';
@@ -36,7 +36,7 @@
 	args: {
 		folder: folderArgument,
 		controls: controlsOption,
-		expectedRevision: option({type: optional(number), long: 'expected-revision', description: 'revision that the files are based on; by default the one recorded in the folder'}),
+		expectedRevision: option({type: optional(wholeNumberType), long: 'expected-revision', description: 'revision that the files are based on; by default the one recorded in the folder'}),
 		changeId: option({type: optional(string), long: 'change-id', description: 'identifies this change; derived from the files and the expected revision by default'}),
 	},
 	async handler({folder, controls, expectedRevision, changeId}) {
--- a/source/command-line/configuration-files.ts
+++ b/source/command-line/configuration-files.ts
@@ -3,6 +3,7 @@
 	readdir, readFile, writeFile, mkdir,
 } from 'node:fs/promises';
 import {basename, extname, join} from 'node:path';
+import {parseWholeNumber} from '../bounds/external-numbers.js';
 import {type ConfigurationFiles} from '../configuration/types.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 
@@ -39,8 +40,7 @@
 /** Returns the revision recorded in the folder, or undefined if there is none. */
 export async function readRevision(folder: string): Promise<number | undefined> {
 	const text = await readFile(join(folder, revisionFileName), 'utf8').catch(() => undefined);
-	const revision = Number(text?.trim());
-	return text === undefined || !Number.isSafeInteger(revision) ? undefined : revision;
+	return parseWholeNumber(text?.trim());
 }
 
 /** Records which revision the files in the folder are based on. */
--- a/source/command-line/explain-command.ts
+++ b/source/command-line/explain-command.ts
@@ -1,4 +1,5 @@
 import {command, positional, string} from 'cmd-ts';
+import {parseWholeNumber} from '../bounds/external-numbers.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {resultCodeName, resultCodes} from '../result-codes/result-codes.js';
 import {reportFailure} from './operator-session.js';
@@ -16,8 +17,8 @@
 	description: 'describe a numbered result code, for example BH2003',
 	args: {code: positional({type: string, displayName: 'code'})},
 	handler({code}) {
-		const number = Number(code.replace(/^BH/iv, ''));
-		const name = resultCodeName(number);
+		const number = parseWholeNumber(code.replace(/^BH/iv, ''));
+		const name = number === undefined ? undefined : resultCodeName(number);
 		if (!name) {
 			reportFailure(new BuckthornhitchError('invalidSetting', `There is no result code "${code}".`));
 			return;
--- a/source/session-proxy/caller-transaction.ts
+++ b/source/session-proxy/caller-transaction.ts
@@ -9,7 +9,7 @@
 import {type DataRequest} from './data-request.js';
 import {type CallerOperation} from './caller-operation.js';
 import {
-	acquireConnection, expectedWaitOf, reasonAfterSetupRefusal, reportUnansweredStatement, refusalReasonOf,
+	acquireConnection, awaitReplyUntilAbandoned, expectedWaitOf, reasonAfterSetupRefusal, reportUnansweredStatement, refusalReasonOf,
 } from './statement-attempt.js';
 import {type MemberPool} from './member-pool.js';
 import {hasNotRun, isDone, isUnsent} from './pending-reply.js';
@@ -331,7 +331,7 @@
 	/** Resolves with the pool of the primary as the only element, or with an empty list if no primary is found before the deadline. */
 	async #primaryPools(deadline: Milliseconds): Promise<readonly MemberPool[]> {
 		try {
-			return [await this.options.client.primaryPool(deadline)];
+			return [await this.options.client.primaryPool(deadline, () => !this.#hasEnded)];
 		} catch (error) {
 			const {message} = toBuckthornhitchError(error);
 			this.context.log('-', 'transaction', message);
@@ -363,7 +363,7 @@
 				});
 			}
 
-			const reply = await beginReply;
+			const reply = await awaitReplyUntilAbandoned(context, connection, beginReply);
 			if (reply.outcome === 'refused') {
 				// The gateway does not run the first statement; the connection is free once it has said so.
 				const hasRun = firstReply && await isDone(firstReply);
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -22,7 +22,7 @@
 import {SurplusConnections} from './surplus-connections.js';
 
 /** Time to wait for an overdue reply and a rollback before the connection is closed; longer than a request waits in the queue of a slow member. */
-const rollbackTimeout: Milliseconds = 6000;
+export const rollbackTimeout: Milliseconds = 6000;
 
 /** Dependencies and limits of a pool. */
 export type MemberPoolOptions = {
@@ -215,6 +215,11 @@
 		this.#serveWaiting();
 	}
 
+	/** Rejects the requests of a session that wait for a connection, because its caller has left. */
+	rejectRequestsOf(session: CallerSessionState): void {
+		this.#waiting.rejectWhere(request => request.session === session, new BuckthornhitchError('deadlinePassed', 'The caller has left.'));
+	}
+
 	/** Records that the member did not answer a statement that was sent at `sentAt`. Has no effect if the member has answered since then. */
 	reportFailure(sentAt: Milliseconds): void {
 		if (this.#health.recordFailure(sentAt)) {
--- a/source/session-proxy/primary-read-attempt.ts
+++ b/source/session-proxy/primary-read-attempt.ts
@@ -6,7 +6,7 @@
 import {type PooledConnection} from './pooled-connection.js';
 import {readInWriteTransaction, returnAfterPrimaryRead, type PrimaryReadOutcome} from './primary-read.js';
 import {type SessionContext} from './session-context.js';
-import {type StatementAttempt} from './statement-attempt.js';
+import {awaitReplyUntilAbandoned, type StatementAttempt} from './statement-attempt.js';
 
 /** A read that is sent to the primary on a connection of its pool. */
 export type PrimaryReadAttempt = {
@@ -40,11 +40,11 @@
 	}
 
 	const sentAt = context.now;
-	const outcome = memberConnection.isRelayed
-		? await readThroughGateway(context, attempt)
-		: await readInWriteTransaction({
+	const outcome = await awaitReplyUntilAbandoned(context, connection, memberConnection.isRelayed
+		? readThroughGateway(context, attempt)
+		: readInWriteTransaction({
 			clock: context.dependencies.clock, pool, connection, statement: request.createStatement(), deadline, isWanted,
-		});
+		}));
 	returnAfterPrimaryRead(pool, connection);
 	if (outcome.kind !== 'answered') {
 		return outcome;
--- a/source/session-proxy/service-client.ts
+++ b/source/session-proxy/service-client.ts
@@ -202,8 +202,8 @@
 		return this.#pools.get(id);
 	}
 
-	/** Resolves with the pool of the primary. Rejects with noPrimary if none is found before the deadline. */
-	async primaryPool(deadline: Milliseconds): Promise<MemberPool> {
+	/** Resolves with the pool of the primary. Rejects with noPrimary if none is found before the deadline, or while it is wanted. */
+	async primaryPool(deadline: Milliseconds, isWanted: () => boolean): Promise<MemberPool> {
 		const {clock, service} = this.options;
 		for (;;) {
 			const pool = this.#poolOfPrimary;
@@ -216,7 +216,7 @@
 			});
 			await Promise.race([this.#primarySearch, clock.sleep(Math.max(0, deadline - clock.now()))]);
 			if (!this.#poolOfPrimary) {
-				if (clock.now() + primarySearchInterval >= deadline) {
+				if (clock.now() + primarySearchInterval >= deadline || !isWanted()) {
 					throw new BuckthornhitchError('noPrimary', service);
 				}
 
@@ -225,15 +225,15 @@
 		}
 	}
 
-	/** Resolves once the primary has confirmed its log position in reply to a request sent at `time` or later. Rejects with noPrimary if it does not do so before the deadline. */
-	async confirmPrimarySince(time: Milliseconds, deadline: Milliseconds): Promise<void> {
+	/** Resolves once the primary has confirmed its log position in reply to a request sent at `time` or later. Rejects with noPrimary if it does not do so before the deadline, or while it is wanted. */
+	async confirmPrimarySince(time: Milliseconds, deadline: Milliseconds, isWanted: () => boolean): Promise<void> {
 		const {clock, service} = this.options;
 		while ((this.freshness.newest?.startedAt ?? Number.NEGATIVE_INFINITY) < time) {
-			if (clock.now() >= deadline) {
+			if (clock.now() >= deadline || !isWanted()) {
 				throw new BuckthornhitchError('noPrimary', service);
 			}
 
-			const pool = await this.primaryPool(deadline);
+			const pool = await this.primaryPool(deadline, isWanted);
 			if (!await this.#checkPrimaryRole(pool, deadline)) {
 				this.forgetPrimary(pool.server.id);
 			} else if ((this.freshness.newest?.startedAt ?? Number.NEGATIVE_INFINITY) < time) {
--- a/source/session-proxy/session-context.ts
+++ b/source/session-proxy/session-context.ts
@@ -4,6 +4,7 @@
 import {type LogPosition} from '../database-group/types.js';
 import {type OperationAdmission} from '../rate-limit/messages.js';
 import {type Route, type RoutingTable} from '../routing-table/types.js';
+import {CallerPresence} from './caller-presence.js';
 import {CallerSessionState} from './caller-session-state.js';
 import {type SessionCommit} from './freshness-tracker.js';
 import {type RequestDecision, type RequestLog} from './request-log.js';
@@ -41,6 +42,8 @@
 export class SessionContext {
 	/** Session variables and prepared statements of the caller. */
 	readonly sessionState = new CallerSessionState();
+	/** Whether the caller still waits for replies. */
+	readonly presence = new CallerPresence();
 	#lastCommit: SessionCommit | undefined;
 
 	constructor(readonly id: string, readonly caller: CallerIdentity, readonly dependencies: SessionDependencies) {}
--- a/source/session-proxy/session-read-executor.ts
+++ b/source/session-proxy/session-read-executor.ts
@@ -60,7 +60,7 @@
 		const pool = primaryReadPool(routed);
 		const {attempt, isPrimaryMissing} = pool
 			? await this.#readFromPrimaryFirst(pool, routed, onMayHaveRun)
-			: await this.#readAtPosition(routed, {onMayHaveRun, isWanted: () => true});
+			: await this.#readAtPosition(routed, {onMayHaveRun, isWanted: () => !context.presence.hasLeft});
 		if (attempt.kind === 'answered' || (attempt.kind === 'refused' && attemptsThatMayHaveRun.length === 0)) {
 			return {...attempt.reply, transaction: 'idle'};
 		}
@@ -95,13 +95,13 @@
 				return known;
 			}
 
-			if (context.now >= deadline) {
+			if (context.now >= deadline || context.presence.hasLeft) {
 				return undefined;
 			}
 
 			try {
 				const suspendedUntil = context.dependencies.clock.lastSuspectedSuspension();
-				await client.confirmPrimarySince(Math.max(since, context.lastCommit?.acknowledgedAt ?? since, suspendedUntil + 1), deadline);
+				await client.confirmPrimarySince(Math.max(since, context.lastCommit?.acknowledgedAt ?? since, suspendedUntil + 1), deadline, () => !context.presence.hasLeft);
 			} catch (error) {
 				context.log('-', 'freshness', `unknown ${toBuckthornhitchError(error).message}`);
 				return undefined;
@@ -141,7 +141,7 @@
 		}
 
 		try {
-			await client.confirmPrimarySince(now, deadline);
+			await client.confirmPrimarySince(now, deadline, () => !this.context.presence.hasLeft);
 		} catch (error) {
 			this.context.log('-', 'freshness', `not renewed ${toBuckthornhitchError(error).message}`);
 		}
@@ -156,7 +156,7 @@
 		const positioned: ReadSource = {expectedReplyTime: 0};
 		const read = new HedgedRead<ReadSource>(context.dependencies.clock, [pool, positioned], async (source, isWanted) => {
 			if (source === positioned) {
-				const outcome = await this.#readAtPosition(routed, {isWanted, onMayHaveRun, ...(isMemberConcerned && {tried})});
+				const outcome = await this.#readAtPosition(routed, {isWanted: () => isWanted() && !context.presence.hasLeft, onMayHaveRun, ...(isMemberConcerned && {tried})});
 				({isPrimaryMissing} = outcome);
 				return outcome.attempt;
 			}
--- a/source/session-proxy/statement-attempt.ts
+++ b/source/session-proxy/statement-attempt.ts
@@ -1,4 +1,4 @@
-import {type Milliseconds} from '../clock/clock.js';
+import {type Cancel, type Milliseconds} from '../clock/clock.js';
 import {type LogPosition} from '../database-group/types.js';
 import {BuckthornhitchError, toBuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {type Route} from '../routing-table/types.js';
@@ -7,13 +7,16 @@
 	hasNoEffect, provesNotRun, type PreparedStatementDefinition, type RefusalReason, type StatementReply,
 } from '../statement/types.js';
 import {type RoutedDataRequest} from './data-request.js';
-import {type MemberPool} from './member-pool.js';
+import {rollbackTimeout, type MemberPool} from './member-pool.js';
 import {type PooledConnection} from './pooled-connection.js';
 import {attemptPrimaryRead} from './primary-read-attempt.js';
 import {describeReply, refusal} from './replies.js';
 import {type AttemptTrace} from './request-trace.js';
 import {type SessionContext} from './session-context.js';
 
+/** Time for the reply to a statement whose caller has left; as long as that for the rollback of an abandoned transaction. */
+const abandonedReplyTimeout: Milliseconds = rollbackTimeout;
+
 /** Attempt whose statement has certainly not run. */
 export type NotRunAttempt = {
 	readonly kind: 'notRun';
@@ -70,14 +73,17 @@
 	const {
 		route, preparedStatement, deadline, arrivedAt = context.now, customer, isForTransaction = false, isWanted: isAnswerWanted = () => true,
 	} = request;
-	const isWanted = (): boolean => isAnswerWanted() && context.isAuthorizedAs(customer);
+	const isWanted = (): boolean => isAnswerWanted() && !context.presence.hasLeft && context.isAuthorizedAs(customer);
 	const timeout = deadline - context.now;
 	const use: ConnectionUse = {priority: route.priority, isForTransaction, targetAt: arrivedAt + route.latencyTarget};
-	const connection = await pool.acquireForCaller(timeout, use, context.sessionState, customer);
+	const cancelListener = context.presence.onLeave(() => {
+		pool.rejectRequestsOf(context.sessionState);
+	});
+	const connection = await pool.acquireForCaller(timeout, use, context.sessionState, customer).finally(cancelListener);
 	request.trace?.recordConnection(connection.memberConnection);
 	try {
 		if (isWanted()) {
-			await connection.applySession(context.sessionState, preparedStatement, deadline - context.now);
+			await awaitReplyUntilAbandoned(context, connection, connection.applySession(context.sessionState, preparedStatement, deadline - context.now));
 		}
 	} catch (error) {
 		if (error instanceof SetupRefusedError) {
@@ -91,7 +97,7 @@
 
 	if (!isWanted()) {
 		pool.release(connection);
-		throw new BuckthornhitchError('deadlinePassed', isAnswerWanted() ? 'The key of the caller was revoked or moved.' : 'The caller has its answer already.');
+		throw new BuckthornhitchError('deadlinePassed', describeUnwanted(context, isAnswerWanted()));
 	}
 
 	if (!pool.isAnswerableBefore(deadline)) {
@@ -102,6 +108,28 @@
 	return connection;
 }
 
+function describeUnwanted({presence}: SessionContext, isAnswerWanted: boolean): string {
+	if (presence.hasLeft) {
+		return 'The caller has left.';
+	}
+
+	return isAnswerWanted ? 'The key of the caller was revoked or moved.' : 'The caller has its answer already.';
+}
+
+/** Resolves with the reply to what was sent on the connection. If the caller leaves and no reply comes soon, closes the connection, since its time limit may be far ahead. */
+export async function awaitReplyUntilAbandoned<Reply>({presence, dependencies}: SessionContext, connection: PooledConnection, reply: Promise<Reply>): Promise<Reply> {
+	let cancelClose: Cancel | undefined;
+	const cancelListener = presence.onLeave(() => {
+		cancelClose = dependencies.clock.schedule(abandonedReplyTimeout, () => {
+			connection.memberConnection.close();
+		});
+	});
+	return reply.finally(() => {
+		cancelListener();
+		cancelClose?.();
+	});
+}
+
 /** Sends a statement outside a transaction to a member, and records the attempt. */
 export async function attemptStatement(context: SessionContext, pool: MemberPool, routed: RoutedDataRequest, options: AttemptOptions = {}): Promise<StatementAttempt> {
 	const trace = routed.operation.trace.startAttempt(pool.server.id);
@@ -151,7 +179,7 @@
 	}
 
 	try {
-		const reply = await connection.execute(request.createStatement(after), deadline - context.now);
+		const reply = await awaitReplyUntilAbandoned(context, connection, connection.execute(request.createStatement(after), deadline - context.now));
 		pool.release(connection);
 		return reply.outcome === 'refused' && provesNotRun(reply.reason)
 			? {
--- a/source/session-proxy/statement-session.ts
+++ b/source/session-proxy/statement-session.ts
@@ -43,8 +43,9 @@
 		return reply;
 	}
 
-	/** Closes the session and rolls back an open transaction. */
+	/** Closes the session, rolls back an open transaction and gives up a statement that no member has got. */
 	close(): void {
+		this.#context.presence.leave();
 		this.#transaction?.rollBack();
 		this.#transaction?.operation.endWithoutStatement({outcome: 'rolled back since the caller left'});
 		this.#transaction = undefined;
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -26,10 +26,11 @@
 	let reason: RefusalReason = 'busy';
 	let expectedWait: Milliseconds | undefined;
 	let pools: readonly MemberPool[] = [];
-	while (context.now < deadline) {
+	const isWanted = (): boolean => !context.presence.hasLeft;
+	while (context.now < deadline && isWanted()) {
 		let pool: MemberPool;
 		try {
-			pool = await client.primaryPool(deadline);
+			pool = await client.primaryPool(deadline, isWanted);
 		} catch (error) {
 			detail = toBuckthornhitchError(error).message;
 			break;
--- a/source/session/session-settings.ts
+++ b/source/session/session-settings.ts
@@ -1,3 +1,4 @@
+import {boundDuration} from '../bounds/external-numbers.js';
 import {type Milliseconds} from '../clock/clock.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {parseSessionToken, type SessionToken} from './session-token.js';
@@ -63,7 +64,7 @@
 		throw new BuckthornhitchError('invalidSetting', 'buckthornhitch.max_age must be a duration such as 5s or 200ms, or 0.');
 	}
 
-	return count === 0 ? null : count * unitMilliseconds[match.groups?.unit ?? 'ms'];
+	return count === 0 ? null : boundDuration(count * unitMilliseconds[match.groups?.unit ?? 'ms']);
 }
 
 /** Validates a request id. Returns null for an empty text. Throws invalidSetting. */
--- a/source/session/session-token.ts
+++ b/source/session/session-token.ts
@@ -1,3 +1,4 @@
+import {parseWholeNumber} from '../bounds/external-numbers.js';
 import {initialLogPosition, laterLogPosition} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
@@ -18,7 +19,9 @@
 /** Parses a token of the given database. Throws invalidSetting or tokenForOtherDatabase. */
 export function parseSessionToken(text: string, database: string): SessionToken {
 	const match = tokenPattern.exec(text);
-	if (!match?.groups) {
+	const term = parseWholeNumber(match?.groups?.term);
+	const position = parseWholeNumber(match?.groups?.position);
+	if (!match?.groups || term === undefined || position === undefined) {
 		throw new BuckthornhitchError('invalidSetting', 'buckthornhitch.token must have the form database@term.position.');
 	}
 
@@ -26,7 +29,7 @@
 		throw new BuckthornhitchError('tokenForOtherDatabase', `The token belongs to "${match.groups.database}", the session uses "${database}".`);
 	}
 
-	return {database, point: {term: Number(match.groups.term), position: Number(match.groups.position)}};
+	return {database, point: {term, position}};
 }
 
 /** Returns a token with the given log position, or with that of the given token if it is later. */
--- a/source/settings/common-settings.ts
+++ b/source/settings/common-settings.ts
@@ -1,6 +1,8 @@
 import {oneOf, option, string} from 'cmd-ts';
+import {parseWholeNumber} from '../bounds/external-numbers.js';
 import {parseAddress, type Address} from '../links/address.js';
 import {logLevels, type LogLevel} from '../observability/logger.js';
+import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 
 /** Settings common to all processes of a deployment. */
 export type CommonSettings = {
@@ -25,6 +27,20 @@
 	displayName: 'address',
 };
 
+/** Parses a whole number for `cmd-ts`. */
+export const wholeNumberType = {
+	async from(text: string): Promise<number> {
+		const value = parseWholeNumber(text);
+		if (value === undefined) {
+			throw new BuckthornhitchError('invalidSetting', `"${text}" is not a whole number from 0 to ${Number.MAX_SAFE_INTEGER}.`);
+		}
+
+		return value;
+	},
+	description: 'whole number',
+	displayName: 'number',
+};
+
 /** Parses a comma-separated list of `host:port` addresses for `cmd-ts`; the list may be empty. */
 export const addressListType = {
 	async from(text: string): Promise<readonly Address[]> {
