--- a/source/promotion/candidate-survey.ts
+++ b/source/promotion/candidate-survey.ts
@@ -52,7 +52,7 @@
 	/** Returns the id of the candidate to promote, if one may be. */
 	choose(service: string, survey: ReplicaSurvey, synchronousReplicas: number): string | undefined {
 		const {logger, requests} = this.options;
-		const chosen = chooseCandidate(survey, synchronousReplicas, requests.unsettledMember(service));
+		const chosen = chooseCandidate(survey, synchronousReplicas, requests.lastNamed(service));
 		const candidates = survey.candidates.map(candidate => ({...candidate, received: describeLogPosition(candidate.received)}));
 		logger.info(`${service}: candidates ${JSON.stringify(candidates)}; chosen ${chosen?.id ?? 'none'}`, {missing: survey.missing});
 		return chosen?.id;
--- a/source/promotion/promotion-decision.ts
+++ b/source/promotion/promotion-decision.ts
@@ -42,9 +42,9 @@
 
 With synchronous replicas, a commit is acknowledged once that many replicas have received it. The highest log of all but fewer than that many replicas therefore holds every acknowledged commit, and no other log is known to. Reachability and a planned stop only decide between logs that hold them: a member that is leaving still receives and serves, and can be replaced once another one has caught up.
 
-Among them, the member that an earlier request named comes first while that request may still be carried out. With one target, it does not matter in which order the requests are carried out; between two, the later one would roll back what the first member acknowledged meanwhile.
+Among them, the member that the last request named comes first, since that request may still be carried out. With one target, it does not matter in which order the requests are carried out; between two, the later one would roll back what the first member acknowledged meanwhile.
 */
-export function chooseCandidate({candidates, missing}: ReplicaSurvey, synchronousReplicas: number, unsettledMember?: string): PromotionCandidate | undefined {
+export function chooseCandidate({candidates, missing}: ReplicaSurvey, synchronousReplicas: number, lastNamed?: string): PromotionCandidate | undefined {
 	const byLog = candidates.toSorted((first, second) => compareLogPositions(second.received, first.received));
 	if (synchronousReplicas === 0) {
 		return byLog.find(candidate => !candidate.isLeaving && !isPoorlyReachable(candidate.contact));
@@ -55,5 +55,5 @@
 	}
 
 	const holders = byLog.filter(({received}) => compareLogPositions(received, byLog[0].received) === 0);
-	return holders.find(({id}) => id === unsettledMember) ?? holders.toSorted((first, second) => Number(isPoorlyReachable(first.contact)) - Number(isPoorlyReachable(second.contact)) || Number(first.isLeaving) - Number(second.isLeaving)).at(0);
+	return holders.find(({id}) => id === lastNamed) ?? holders.toSorted((first, second) => Number(isPoorlyReachable(first.contact)) - Number(isPoorlyReachable(second.contact)) || Number(first.isLeaving) - Number(second.isLeaving)).at(0);
 }
--- a/source/promotion/promotion-requests.ts
+++ b/source/promotion/promotion-requests.ts
@@ -19,31 +19,26 @@
 A request without an answer may be carried out seconds later, also after the process that sent it has died. The fencing tokens order all requests for a service: once one is answered, the authority refuses those with lower tokens, so that they are settled.
 */
 export class PromotionRequests {
-	/** Highest token with which a request was answered, by service. */
+	/** Token of the last request that was carried out with an answer, by service. */
 	readonly #settledTokens = new Map<string, number>();
-	/** Member whose promotion the authority refused last, by service; it may not be running. */
-	readonly #refusedMembers = new Map<string, string>();
+	/** Token of the last request that the authority refused, by service; its member may not be running. */
+	readonly #refusedTokens = new Map<string, number>();
 
 	constructor(private readonly options: PromotionRequestOptions) {}
 
-	/** Returns whether no earlier request for the service can be carried out any more. A new leader does not know the answers to its predecessor. */
-	isSettled(service: string): boolean {
-		const settledToken = this.#settledTokens.get(service);
-		return settledToken !== undefined && (this.options.lastPromotion(service)?.token ?? 0) <= settledToken;
+	/** Returns whether no request can change the primary any more: the last one named it and was answered. A new leader does not know the answers to its predecessor. */
+	isSettled(service: string, primary: string): boolean {
+		const last = this.options.lastPromotion(service);
+		return last?.member === primary && last.token === this.#settledTokens.get(service);
 	}
 
-	/** Returns the member that the last request named, if the request may still be carried out. Returns undefined if the authority refuses that member, or the log does not name one. */
-	unsettledMember(service: string): string | undefined {
-		const member = this.isSettled(service) ? undefined : this.options.lastPromotion(service)?.member;
-		return member === this.#refusedMembers.get(service) ? undefined : member;
+	/** Returns the member that the last request named and that may still be promoted by it. Returns undefined if the authority refused the request, or the log does not name a member. */
+	lastNamed(service: string): string | undefined {
+		const last = this.options.lastPromotion(service);
+		return last?.token === this.#refusedTokens.get(service) ? undefined : last?.member;
 	}
 
-	/** Returns whether the last request, answered or not, named the member. */
-	isLastNamed(service: string, member: string): boolean {
-		return this.options.lastPromotion(service)?.member === member;
-	}
-
-	/** Requests a promotion with a new fencing token. For the present primary, it changes nothing and settles all earlier requests. Rejects unless this instance leads. */
+	/** Requests a promotion with a new fencing token. For the present primary, it changes nothing; once answered, it has invalidated all earlier requests. Rejects unless this instance leads. */
 	async send(service: string, member: string): Promise<PromotionOutcome> {
 		const {name, authority, issueToken, logger} = this.options;
 		const token = await issueToken(service, member);
@@ -53,9 +48,8 @@
 		logger.info(`${service}: promotion of ${member} with token ${token}: ${outcome}`);
 		if (outcome === 'designated') {
 			this.#settledTokens.set(service, token);
-			this.#refusedMembers.delete(service);
 		} else if (outcome === 'refused') {
-			this.#refusedMembers.set(service, member);
+			this.#refusedTokens.set(service, token);
 		}
 
 		return outcome;
--- a/source/promotion/replica-repair.ts
+++ b/source/promotion/replica-repair.ts
@@ -59,14 +59,14 @@
 		}
 
 		const ids = paused.map(({id}) => id).join(', ');
-		const unsettled = this.#memberToPromote(state);
-		logger.warn(`${service}: the primary ${primary.id} answers, and the replicas ${ids} are paused`, {isSettled: requests.isSettled(service), unsettledMember: unsettled});
-		if (unsettled !== undefined && await this.#holdsAllCommits(unsettled, state, statuses)) {
-			await commands.send(paused.filter(({id}) => id === unsettled), {kind: 'resume'});
-			return {kind: 'promote', member: unsettled};
+		const named = this.#namedReplica(state);
+		logger.warn(`${service}: the primary ${primary.id} answers, and the replicas ${ids} are paused`, {isSettled: requests.isSettled(service, primary.id), namedReplica: named});
+		if (named !== undefined && await this.#holdsAllCommits(named, state, statuses)) {
+			await commands.send(paused.filter(({id}) => id === named), {kind: 'resume'});
+			return {kind: 'promote', member: named};
 		}
 
-		if (!requests.isSettled(service) && !await this.#settle(state)) {
+		if (!requests.isSettled(service, primary.id) && !await this.#settle(state)) {
 			return {kind: 'pending'};
 		}
 
@@ -75,8 +75,9 @@
 		return {kind: 'resumed'};
 	}
 
-	#memberToPromote({service, primary, replicas}: ServiceState): string | undefined {
-		const member = this.options.requests.unsettledMember(service);
+	/** Returns the replica that the last request named, which may still be promoted. */
+	#namedReplica({service, primary, replicas}: ServiceState): string | undefined {
+		const member = this.options.requests.lastNamed(service);
 		return member !== primary.id && replicas.some(({id}) => id === member) ? member : undefined;
 	}
 
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -289,7 +289,7 @@
 	/** Returns whether a RESUME of an earlier leader may still arrive at a replica that is paused. A leader sends one only after a request that named the primary. */
 	#mayStillResume({service, primary}: ReplacementPlan, statuses: ReadonlyMap<string, ReplicationStatus>): boolean {
 		const isPaused = [...statuses.values()].some(({minimumAcceptedTerm}) => minimumAcceptedTerm > 0);
-		const isPrimaryNamed = primary === undefined || this.#requests.isLastNamed(service, primary.id);
+		const isPrimaryNamed = primary === undefined || this.#requests.lastNamed(service) === primary.id;
 		return isPaused && isPrimaryNamed && this.options.clock.now() - (this.#leaderSince ?? Number.POSITIVE_INFINITY) < lateCommandLifetime;
 	}
 
