--- a/review/11/run.sh
+++ /dev/null
@@ -1,7 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if an acknowledged configuration was lost, 0 if it was read back, 2 if the case could not run. TROUBLE=0 leaves out the replacement and the loss of disks.
-set -u
-folder=$(cd "$(dirname "$0")" && pwd)
-cd "$folder/../.." || exit 2
-[ -f target/buckthornhitch.cjs ] || { echo 'target/buckthornhitch.cjs is missing: run the build of the deploy file'; exit 2; }
-exec node "$folder/case.mjs"
