--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -2,31 +2,15 @@
 // A configuration adds a route whose database has a name with a letter outside of ASCII.
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Client} from '../stand-ins-3/client.mjs';
+import {configApply, createConfiguration, service} from '../stand-ins-3/configuration.mjs';
 import {Deployment} from '../stand-ins-3/deployment.mjs';
 import {MemberGroup} from '../stand-ins-3/members.mjs';
 import {hasTrouble, Record, runCase} from '../stand-ins-3/record.mjs';
 
-const configApply = 3000;
-const service = 'huvo11a';
 const database = 'fiti832ti23';
 const addedDatabase = hasTrouble ? 'ōtautahi' : 'otautahi';
 const rounds = 10;
 
-function createConfiguration(version, databases) {
-	return {
-		Version: version,
-		Routes: databases.map((name, index) => ({
-			Name: `r-${index + 1}`, Database: name, PathPrefix: '/', RouteType: 'primary', TimeoutMs: 800, TargetLatencyMs: 400, Priority: 1, Backend: service, Attempts: 2,
-		})),
-		Services: [{
-			Name: service, HealthCheck: '/health', MaxConnections: 45, Protocol: 'h1', Tls: false, SyncReplicas: 0,
-		}],
-		Limits: {
-			MaxHeaderBytes: 16_384, MaxBodyBytes: 262_144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000, IdleTxMs: 3000,
-		},
-	};
-}
-
 const record = new Record(import.meta.dirname);
 const deployment = new Deployment(record, 3, 2);
 const group = new MemberGroup(deployment, service, ({member, id, access, text}) => {
--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -69,10 +69,19 @@
 	async start() {
 		await this.#findPorts();
 		for (const [index, role] of this.roles.entries()) {
-			this.#start(index, role);
+			this.#start(index, role, true);
 		}
 	}
 
+	/** Kills a process and starts it again. */
+	async restart(index) {
+		const child = this.processes[index];
+		const ended = once(child, 'exit');
+		child.kill('SIGKILL');
+		await ended;
+		this.#start(index, this.roles[index], false);
+	}
+
 	async stop() {
 		this.#isStopping = true;
 		for (const child of this.processes) {
@@ -154,12 +163,12 @@
 		}
 	}
 
-	#start(index, role) {
+	#start(index, role, isFirstStart) {
 		const {ports} = this;
 		const host = this.#hostOf(index);
 		const name = `${role}-${index + 1}`;
 		const dataFolder = path.join(this.#folder, `${name}-data`);
-		mkdirSync(dataFolder);
+		mkdirSync(dataFolder, {recursive: true});
 		const settings = path.join(this.#folder, `${name}.json`);
 		writeFileSync(settings, JSON.stringify({
 			...(role === 'registry'
@@ -173,7 +182,7 @@
 			region: 'canterbury',
 			linkPorts: [ports.link, ports.metrics],
 			seedControlAddresses: this.coreHosts.slice(0, 3).map(seed => `${seed}:${ports.control}`),
-			isFirstStart: true,
+			isFirstStart,
 			toleratedInstances: Math.floor((this.coreCount - 1) / 2),
 			stopSeconds: 6,
 			promotionAddress: `${this.memberHost}:${ports.promotion}`,
@@ -185,10 +194,10 @@
 		closeSync(log);
 		child.once('exit', (code, signal) => {
 			if (!this.#isStopping) {
-				this.record.note(`${name} ended by itself: ${signal ?? `status ${code}`}`);
+				this.record.note(`${name} ended: ${signal ?? `status ${code}`}`);
 			}
 		});
-		this.processes.push(child);
+		this.processes[index] = child;
 		this.record.note(`${name} started at ${host}`);
 	}
 }
--- a/review/stand-ins-3/members.mjs
+++ b/review/stand-ins-3/members.mjs
@@ -44,6 +44,15 @@
 		const [keyword, id, ...words] = line.split(' ');
 		if (keyword === 'START') {
 			await sleep(connectionTime);
+			if (this.#member.connections.size >= this.#group.maximumConnections) {
+				this.#socket.end(`ERR TOOMANY ${this.#member.id}\r\n`);
+				return;
+			}
+
+			this.#member.connections.add(this.#socket);
+			this.#socket.once('close', () => {
+				this.#member.connections.delete(this.#socket);
+			});
 			const expected = words.at(1);
 			if (id !== this.#group.service || (expected !== undefined && expected !== this.#member.id)) {
 				this.#socket.end(`ERR MISROUTED ${this.#member.id}\r\n`);
@@ -173,10 +182,12 @@
 	members = [];
 	#signatures = 0;
 
-	constructor(deployment, service, onRun) {
+	/** `onRun` is called with each statement that a member runs. */
+	constructor(deployment, service, onRun, maximumConnections = 45) {
 		this.deployment = deployment;
 		this.service = service;
 		this.onRun = onRun;
+		this.maximumConnections = maximumConnections;
 	}
 
 	nextSignature() {
@@ -188,7 +199,7 @@
 		const {memberHost, ports} = this.deployment;
 		for (const index of [0, 1, 2]) {
 			const member = {
-				id: `i-7f3a91c${index}`, address: `${memberHost}:${ports.member + index}`, sequence: 0, born: Date.now(),
+				id: `i-7f3a91c${index}`, address: `${memberHost}:${ports.member + index}`, sequence: 0, born: Date.now(), connections: new Set(),
 			};
 			this.members.push(member);
 			createServer(socket => new MemberConnection(socket, member, this)).listen(ports.member + index, memberHost);
