Show that a replica's restart opens the way for a late promotion that loses commits

Cause: the repair of replicas counts them as intact once none is paused, though a promotion without an answer may still be carried out, and the restart of a replica ends its pause. Added: the case as review/11, with a stand-in of a service with synchronous replicas; the other cases move to review/12 to 14.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the route that was added is not in force, 0 if it is, 2 if the case could not run. TROUBLE=0 gives the database a name in ASCII.
+# Exits with 1 if an acknowledged commit is not in the log of the promoted member, 0 if all are, 2 if the case could not run. TROUBLE=0 leaves everything undisturbed.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if no request is served, 0 if some are, 2 if the case could not run. TROUBLE=0 allows the members one connection more.
+# Exits with 1 if an acknowledged version is not in force, 0 if it is, 2 if the case could not run. TROUBLE=0 sends a name of a route whole.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
