--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -13,6 +13,7 @@
 const sessionsPerEntry = 2;
 const duration = 30_000;
 const pause = 500;
+const closeTime = 300;
 
 const record = new Record(import.meta.dirname);
 const deployment = new Deployment(record, coreCount, entryCount);
@@ -51,12 +52,13 @@
 	await sleep(configApply + 2000);
 	const end = performance.now() + duration;
 	await Promise.all(deployment.entryHosts.flatMap(host => Array.from({length: sessionsPerEntry}, async () => sendRequests(host, end))));
-	for (const {id, connections} of group.members) {
-		const callers = [...connections].map(socket => socket.remoteAddress).toSorted();
-		record.note(`${id}: ${connections.size} of ${maximumConnections} connections are open, from ${callers.join(', ')}`);
+	const open = group.members.map(({id, connections}) => ({id, sockets: [...connections]}));
+	await Promise.all(Array.from({length: coreCount}, async (_, index) => deployment.kill(index)));
+	await sleep(closeTime);
+	for (const {id, sockets} of open) {
+		record.note(`${id}: ${sockets.length} of ${maximumConnections} connections were open, of which ${sockets.filter(({destroyed}) => destroyed).length} ended with the core machines`);
 	}
 
-	record.note(`the core machines are ${deployment.coreHosts.join(', ')}`);
 	record.note(`${served} of ${sent} requests were served`);
 	record.note(served > 0 ? 'held' : 'BROKEN: Fault: no request is served');
 	return served > 0;
--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -73,12 +73,16 @@
 		}
 	}
 
-	/** Kills a process and starts it again. */
-	async restart(index) {
+	async kill(index) {
 		const child = this.processes[index];
 		const ended = once(child, 'exit');
 		child.kill('SIGKILL');
 		await ended;
+	}
+
+	/** Kills a process and starts it again. */
+	async restart(index) {
+		await this.kill(index);
 		this.#start(index, this.roles[index], false);
 	}
 
