Bound the time of the review scripts

Cause: review case 11 waited without a limit for a call of the system, and no script had a limit of its own.

--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -17,6 +17,8 @@
 const returnDelay = 100;
 const crashDelay = 150;
 const downTime = 700;
+/** Time to wait for a call of the system, in milliseconds. */
+const callTimeout = 8000;
 const doesReplicaRestart = process.env.RESTART !== '0';
 
 const record = new Record(import.meta.dirname);
@@ -51,16 +53,16 @@
 	platform.lateness = lateness;
 	const firstCall = platform.nextCall();
 	group.setDark(primary, true);
-	const named = await firstCall;
+	const named = await Promise.race([firstCall, sleep(callTimeout)]);
 	if (named !== far.id) {
-		record.note(`${named} is named, and not the replica in the other region`);
+		record.note(`${named ?? 'nobody'} is named, and not the replica in the other region`);
 		return false;
 	}
 
 	const secondCall = platform.nextCall();
 	await sleep(returnDelay);
 	group.setDark(primary, false);
-	await secondCall;
+	await Promise.race([secondCall, sleep(callTimeout)]);
 	await sleep(crashDelay);
 	platform.lateness = 0;
 	if (doesReplicaRestart) {
--- a/review/stand-ins-3/record.mjs
+++ b/review/stand-ins-3/record.mjs
@@ -2,6 +2,10 @@
 import {appendFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+/** Time after which a case counts as one that could not run, in milliseconds. */
+const longestRun = 110_000;
 
 /** Whether the case runs with its disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -27,7 +31,7 @@
 export async function runCase(record, deployment, run) {
 	let status = 2;
 	try {
-		const hasHeld = await run();
+		const hasHeld = await Promise.race([run(), sleep(longestRun, undefined)]);
 		if (hasHeld !== undefined) {
 			status = hasHeld ? 0 : 1;
 		}
