Promote no former primary whose log is not known

Cause: candidatesOf took the last position that the prober had seen for a member without a status, also with synchronous replicas. That position was from before the rollback of the former primary, so that it counted as caught up. #promote then took the confirmation from before it went dark for that of its promotion, and a second promotion followed.

Change: with synchronous replicas, only a status of the present survey counts. A confirmation counts only if its probe was sent after the request had ended.

Evidence: the new case fails on the code before (8 of 9 pass), and passes with the change (25 of 25 in source/promotion).

--- a/source/promotion/candidate-survey.ts
+++ b/source/promotion/candidate-survey.ts
@@ -35,11 +35,12 @@
 export class CandidateSurvey {
 	constructor(private readonly options: CandidateSurveyOptions) {}
 
-	/** Returns the replicas whose received log position is known. Without synchronous replicas, the last position that a replica reported stands for that of a status which is missing. */
-	candidatesOf(replicas: readonly BackendServer[], statuses: ReadonlyMap<string, ReplicationStatus>): readonly PromotionCandidate[] {
+	/** Returns the replicas whose received log position is known. Without synchronous replicas, the last position that a replica reported stands for that of a status which is missing. With them, only a status counts: a former primary may have been rolled back since it last reported. */
+	candidatesOf(replicas: readonly BackendServer[], statuses: ReadonlyMap<string, ReplicationStatus>, synchronousReplicas: number): readonly PromotionCandidate[] {
 		const {monitor, reports} = this.options;
 		return replicas.flatMap(({id, isLeaving}) => {
-			const received = statuses.get(id)?.received ?? monitor.proberOf(id)?.logPosition;
+			const lastReported = synchronousReplicas > 0 ? undefined : monitor.proberOf(id)?.logPosition;
+			const received = statuses.get(id)?.received ?? lastReported;
 			const contact = reports.count(id, failureDetectionThreshold);
 			return received
 				? [{
@@ -67,7 +68,7 @@
 		// A former primary needs no answer: its acknowledged commits are on replicas.
 		const formerReplicas = directory.formerServersOf(service).filter(({role}) => role === 'replica');
 		const missing = [...replicas, ...formerReplicas].filter(replica => !hasStopped(replica)).map(({id}) => id);
-		const candidates = this.candidatesOf(replicas.filter(replica => hasStopped(replica)), answers);
+		const candidates = this.candidatesOf(replicas.filter(replica => hasStopped(replica)), answers, synchronousReplicas);
 		const chosen = this.choose(service, {candidates, missing}, synchronousReplicas);
 		if (chosen === undefined && missing.length > 0) {
 			logger.warn(`${service}: no member is promoted: the replicas ${missing.join(', ')} did not stop receiving at term ${term} and may alone hold an acknowledged commit`);
--- a/source/promotion/service-promotion-controller.spec.ts
+++ b/source/promotion/service-promotion-controller.spec.ts
@@ -107,3 +107,19 @@
 		assert.equal(fixture.authority.requests.length, 1);
 	}
 });
+
+// A dark former primary was chosen by the position that it had reported before its rollback, and the commits of its successor were rolled back.
+test('a switchover does not promote a former primary whose log is not known', async () => {
+	const fixture = new PromotionFixture({synchronousReplicas: 1});
+	await fixture.advance(1000, 0);
+	const [former] = fixture.members;
+	former.isUnresponsive = true;
+	await fixture.advance(3000, 10);
+	const successor = fixture.authority.requests[0].member;
+	assert.notEqual(successor, 'a');
+	fixture.announce(successor);
+	await fixture.advance(3000, 10);
+	assert.ok(fixture.authority.requests.length > 1);
+	assert.deepEqual(fixture.authority.requests.filter(({member}) => member === 'a'), []);
+	fixture.stop();
+});
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -272,7 +272,7 @@
 		const replicas = members.filter(member => member.id !== primary?.id);
 		const statuses = await this.#commands.send(replicas, {kind: 'status'});
 		if (synchronousReplicas === 0) {
-			return this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, statuses), missing: []}, synchronousReplicas);
+			return this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, statuses, synchronousReplicas), missing: []}, synchronousReplicas);
 		}
 
 		if (this.#mayStillResume(plan, statuses)) {
@@ -300,7 +300,7 @@
 		const replicas = members.filter(member => member.id !== primary.id);
 		const statuses = await this.#commands.send(members, {kind: 'status'});
 		// The primary is not demoted when no replica can replace it.
-		if (this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, statuses), missing: []}, 0) === undefined) {
+		if (this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, statuses, synchronousReplicas), missing: []}, 0) === undefined) {
 			return undefined;
 		}
 
@@ -309,7 +309,7 @@
 		}
 
 		const finalPosition = await this.#demote(primary, this.#survey.highestKnownTerm(members, statuses) + 1);
-		const caughtUp = finalPosition ? await this.#awaitCaughtUpReplicas(replicas, finalPosition) : [];
+		const caughtUp = finalPosition ? await this.#awaitCaughtUpReplicas(plan, finalPosition) : [];
 		if (caughtUp.length > 0) {
 			return this.#survey.choose(service, {candidates: caughtUp, missing: []}, synchronousReplicas);
 		}
@@ -320,7 +320,7 @@
 		}
 
 		this.options.logger.warn(`${service}: no replica received everything that ${primary.id} holds; promoting the one with the highest log position`);
-		return this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, await this.#commands.send(replicas, {kind: 'status'})), missing: []}, 0);
+		return this.#survey.choose(service, {candidates: this.#survey.candidatesOf(replicas, await this.#commands.send(replicas, {kind: 'status'}), synchronousReplicas), missing: []}, 0);
 	}
 
 	/** Demotes the primary and resolves with the end of its log, or with undefined if it did not confirm that it is a replica now. */
@@ -334,11 +334,12 @@
 	}
 
 	/** Resolves with the replicas that have received everything up to a log position, or with none after the timeout. */
-	async #awaitCaughtUpReplicas(replicas: readonly BackendServer[], position: LogPosition): Promise<readonly PromotionCandidate[]> {
+	async #awaitCaughtUpReplicas({members, primary, synchronousReplicas}: ReplacementPlan, position: LogPosition): Promise<readonly PromotionCandidate[]> {
 		const {clock} = this.options;
+		const replicas = members.filter(({id}) => id !== primary?.id);
 		const deadline = clock.now() + catchUpTimeout;
 		while (clock.now() < deadline) {
-			const candidates = this.#survey.candidatesOf(replicas, await this.#commands.send(replicas, {kind: 'status'}));
+			const candidates = this.#survey.candidatesOf(replicas, await this.#commands.send(replicas, {kind: 'status'}), synchronousReplicas);
 			const caughtUp = candidates.filter(candidate => compareLogPositions(candidate.received, position) >= 0);
 			if (caughtUp.length > 0) {
 				return caughtUp;
@@ -362,9 +363,12 @@
 		}
 
 		const timeout = outcome === 'designated' ? promotionTimeout : unansweredTimeout;
-		const deadline = clock.now() + timeout;
+		const requestedUntil = clock.now();
+		const deadline = requestedUntil + timeout;
 		while (clock.now() < deadline) {
-			if (monitor.proberOf(member)?.primaryConfirmation) {
+			// A member that is not reached keeps the confirmation from a time at which it led.
+			const confirmation = monitor.proberOf(member)?.primaryConfirmation;
+			if (confirmation && confirmation.sentAt >= requestedUntil) {
 				logger.info(`${service}: ${member} is the primary from log position ${describeLogPosition(monitor.proberOf(member)?.logPosition)}`);
 				return;
 			}
