Protect a service while another member may still be promoted

Cause: ReplicaRepair took a service for intact once no replica reported that it was paused. A replica forgets a PAUSE when it restarts, so the leader forgot the pending request, and commits were acknowledged by the restarted replica alone.

Change: the control log holds the requests that may still be carried out. While one names another member than the primary, only that member receives, the others get PAUSE first on each new connection, and the request is repeated until it is answered and the member has confirmed since that it leads. Replicas receive once nothing is pending.

Two cases expected a request for the primary although no request had ever been sent. The log shows now that none is pending, so they expect none; that replicas receive again is checked as before.

--- a/source/control-log/types.ts
+++ b/source/control-log/types.ts
@@ -65,6 +65,8 @@
 	readonly subject: string;
 	/** Id of the member to promote; absent in entries of earlier versions. */
 	readonly member?: string;
+	/** Token up to which no request can be carried out any more. Present in an entry that records this; its own token is not used. Earlier versions ignore the field and take the entry for a further request. */
+	readonly settledToken?: number;
 };
 
 /** Command of a control log entry. Committed commands are applied to the state machine of every voter; changeVoters takes effect in the voters themselves. */
--- a/source/control/request-schemas.ts
+++ b/source/control/request-schemas.ts
@@ -17,7 +17,9 @@
 	}),
 	z.object({kind: z.literal('changeVoters'), list}),
 	z.object({kind: z.literal('replaceRouting'), version: z.number(), document: z.string()}),
-	z.object({kind: z.literal('issueToken'), subject: z.string(), member: z.string().optional()}),
+	z.object({
+		kind: z.literal('issueToken'), subject: z.string(), member: z.string().optional(), settledToken: wholeNumber.optional(),
+	}),
 ]);
 
 const voterRequest = z.object({group: z.string(), term: wholeNumber, target: voterIdentity});
--- a/source/promotion/backend-server-monitor.ts
+++ b/source/promotion/backend-server-monitor.ts
@@ -5,6 +5,7 @@
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {type MemberConnector} from '../statement/member-connection.js';
 import {BackendServerProber, type PrimaryConfirmation} from './backend-server-prober.js';
+import {ReplicaProtection} from './replica-protection.js';
 
 /** Period at which the leader of the control log probes a primary; one that does not answer is detected within three probes. */
 const leaderProbePeriod: Milliseconds = 200;
@@ -18,6 +19,7 @@
 /** Probes every backend server in the directory. */
 export class BackendServerMonitor extends Controller {
 	readonly #probers = new Map<string, BackendServerProber>();
+	#protection = new ReplicaProtection();
 	#cancelRefresh: Cancel | undefined;
 
 	constructor(private readonly clock: Clock, private readonly directory: BackendDirectory, private readonly connector: MemberConnector, private readonly isLeader: () => boolean) {
@@ -52,6 +54,11 @@
 		return this.#probers.get(id);
 	}
 
+	/** Sets which members get a command first on each new connection, while this instance leads. */
+	useProtection(protection: ReplicaProtection): void {
+		this.#protection = protection;
+	}
+
 	/** Returns the most recently confirmed primary of each service whose log position is known. */
 	primaryReports(): readonly PrimaryReport[] {
 		const now = this.clock.now();
@@ -80,8 +87,8 @@
 		return newest;
 	}
 
-	#probePeriod(isPrimary: boolean): Milliseconds {
-		if (!isPrimary) {
+	#probePeriod(server: BackendServer, isPrimary: boolean): Milliseconds {
+		if (!isPrimary && !this.#protection.isReceiver(server)) {
 			return replicaProbePeriod;
 		}
 
@@ -99,7 +106,12 @@
 
 		for (const [id, server] of present) {
 			if (!this.#probers.has(id)) {
-				this.#probers.set(id, new BackendServerProber(server, this.connector, this.clock, isPrimary => this.#probePeriod(isPrimary)));
+				this.#probers.set(id, new BackendServerProber(server, {
+					connector: this.connector,
+					clock: this.clock,
+					probePeriod: isPrimary => this.#probePeriod(server, isPrimary),
+					openingStatement: () => this.isLeader() ? this.#protection.openingStatement(server) : undefined,
+				}));
 			}
 		}
 	}
--- a/source/promotion/backend-server-prober.spec.ts
+++ b/source/promotion/backend-server-prober.spec.ts
@@ -9,7 +9,7 @@
 	const clock = new ManualClock();
 	const member = new FakeMemberServer({...testAnnouncement('a'), isGone: false});
 	member.role = 'primary';
-	return {clock, member, prober: new BackendServerProber(member.server, new FakeMemberConnector([member]), clock, () => 200)};
+	return {clock, member, prober: new BackendServerProber(member.server, {connector: new FakeMemberConnector([member]), clock, probePeriod: () => 200})};
 }
 
 // A former primary that still counted as confirmed would hide that the service has no primary.
--- a/source/promotion/backend-server-prober.ts
+++ b/source/promotion/backend-server-prober.ts
@@ -14,6 +14,19 @@
 /** Timeout for opening a connection, which waits for an execution slot of the member. */
 const connectTimeout: Milliseconds = 600;
 
+/** Delay before another attempt to connect to a member that gets a command first. Until then, a replica that has restarted receives log entries. */
+const reconnectDelay: Milliseconds = 50;
+
+/** Dependencies of a prober. */
+export type BackendServerProberOptions = {
+	readonly connector: MemberConnector;
+	readonly clock: Clock;
+	/** Returns the period of the probes, which depends on the roles of the member and of this instance. */
+	readonly probePeriod: (isPrimary: boolean) => Milliseconds;
+	/** Returns the statement to send first on each new connection, if there is one. */
+	readonly openingStatement?: () => MemberStatement | undefined;
+};
+
 /** Last confirmation of a member that it is the primary. */
 export type PrimaryConfirmation = {
 	/** Undefined if the reply did not state it. */
@@ -33,21 +46,18 @@
 	#failingSince: Milliseconds | undefined;
 	#pendingStatements: Promise<unknown> = Promise.resolve();
 	#isStopped = false;
+	#isProbing = false;
+	/** Connection that is being opened. */
+	#opening: Promise<MemberConnection> | undefined;
 	#cancelNextProbe: Cancel | undefined;
 
-	constructor(
-		readonly server: BackendServer,
-		private readonly connector: MemberConnector,
-		private readonly clock: Clock,
-		/** Returns the period of the probes, which depends on the roles of the member and of this instance. */
-		private readonly probePeriod: (isPrimary: boolean) => Milliseconds,
-	) {
+	constructor(readonly server: BackendServer, private readonly options: BackendServerProberOptions) {
 		void this.#probeAndReschedule();
 	}
 
 	/** How long ago the member answered and for how long it has been failing. */
 	get reachability(): BackendReachability {
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		return {
 			id: this.server.id,
 			answeredAgo: this.#answeredAt === undefined ? null : Math.round(now - this.#answeredAt),
@@ -86,29 +96,51 @@
 	}
 
 	async #probeAndReschedule(): Promise<void> {
-		const startedAt = this.clock.now();
+		this.#cancelNextProbe?.();
+		this.#cancelNextProbe = undefined;
+		const startedAt = this.options.clock.now();
+		this.#isProbing = true;
 		await this.#probe();
+		this.#isProbing = false;
 		if (!this.#isStopped) {
-			// A member that did not answer is probed as often as a primary, to tell a lost answer from a lost member.
-			const period = this.probePeriod(this.primaryConfirmation !== undefined || this.#failingSince !== undefined);
-			this.#cancelNextProbe = this.clock.schedule(Math.max(1, period - (this.clock.now() - startedAt)), () => {
+			this.#cancelNextProbe = this.options.clock.schedule(Math.max(1, this.#nextProbeDelay() - (this.options.clock.now() - startedAt)), () => {
 				void this.#probeAndReschedule();
 			});
 		}
 	}
 
+	#nextProbeDelay(): Milliseconds {
+		if (this.#failingSince !== undefined && this.#openingStatement) {
+			return reconnectDelay;
+		}
+
+		// A member that did not answer is probed as often as a primary, to tell a lost answer from a lost member.
+		return this.options.probePeriod(this.primaryConfirmation !== undefined || this.#failingSince !== undefined);
+	}
+
+	get #openingStatement(): MemberStatement | undefined {
+		return this.options.openingStatement?.();
+	}
+
+	/** Connects again at once if the member gets a command first: a lost connection may be the first sign of a restart. */
+	#handleClosed(): void {
+		if (!this.#isStopped && !this.#isProbing && this.#openingStatement) {
+			void this.#probeAndReschedule();
+		}
+	}
+
 	async #probe(): Promise<void> {
-		const startedAt = this.clock.now();
+		const startedAt = this.options.clock.now();
 		try {
 			await this.#pendingStatements;
 			const connection = await this.#connect();
-			const sentAt = this.clock.now();
+			const sentAt = this.options.clock.now();
 			const reply = await this.#withTimeout(this.#sendProbe(connection), replyTimeout);
 			this.#recordReply(reply, sentAt);
 		} catch (error) {
 			if (error instanceof MemberRefusedError && error.reason !== 'wrongServer') {
 				// A refusal proves that the member is reachable; for example, all its connections may be in use.
-				this.#answeredAt = this.clock.now();
+				this.#answeredAt = this.options.clock.now();
 				this.#failingSince = undefined;
 				return;
 			}
@@ -128,7 +160,7 @@
 	}
 
 	#recordReply(reply: StatementReply, sentAt: Milliseconds): void {
-		this.#answeredAt = this.clock.now();
+		this.#answeredAt = this.options.clock.now();
 		this.#failingSince = undefined;
 		this.logPosition = reply.point ?? this.logPosition;
 		if (provesPrimary(reply)) {
@@ -157,20 +189,49 @@
 			return this.#connection;
 		}
 
+		this.#opening ??= this.#open().finally(() => {
+			this.#opening = undefined;
+		});
+		return this.#opening;
+	}
+
+	async #open(): Promise<MemberConnection> {
 		const {id, service, address} = this.server;
-		const connection = await this.connector.connect({id, service, address}, connectTimeout);
-		if (this.#isStopped) {
+		const connection = await this.options.connector.connect({id, service, address}, connectTimeout);
+		try {
+			if (this.#isStopped) {
+				throw new BuckthornhitchError('linkNotSent', 'The prober was stopped.');
+			}
+
+			await this.#sendOpeningStatement(connection);
+		} catch (error) {
 			connection.close();
-			throw new BuckthornhitchError('linkNotSent', 'The prober was stopped.');
+			throw error;
 		}
 
 		this.#connection = connection;
+		connection.onClosed(() => {
+			this.#handleClosed();
+		});
 		return connection;
 	}
 
+	/** Sends the opening statement until it is carried out: a member whose slots are all in use refuses it. */
+	async #sendOpeningStatement(connection: MemberConnection): Promise<void> {
+		const deadline = this.options.clock.now() + connectTimeout;
+		for (let statement = this.#openingStatement; statement; statement = this.#openingStatement) {
+			const reply = await this.#withTimeout(connection.execute(statement), replyTimeout);
+			if (reply.outcome === 'done' || this.options.clock.now() >= deadline) {
+				return;
+			}
+
+			await this.options.clock.sleep(reconnectDelay);
+		}
+	}
+
 	async #withTimeout(pendingReply: Promise<StatementReply>, timeout: Milliseconds): Promise<StatementReply> {
 		return new Promise((resolve, reject) => {
-			const cancel = this.clock.schedule(timeout, () => {
+			const cancel = this.options.clock.schedule(timeout, () => {
 				reject(new BuckthornhitchError('linkOutcomeUnknown', `${this.server.id} did not answer ${describeTimeout(timeout)}.`));
 			});
 			pendingReply.then(reply => {
--- a/source/promotion/candidate-survey.ts
+++ b/source/promotion/candidate-survey.ts
@@ -10,6 +10,7 @@
 	chooseCandidate, failureDetectionThreshold, type PromotionCandidate, type ReplicaSurvey,
 } from './promotion-decision.js';
 import {type PromotionRequests} from './promotion-requests.js';
+import {type ReplicaProtection} from './replica-protection.js';
 
 /** Dependencies of the surveys. */
 export type CandidateSurveyOptions = {
@@ -19,6 +20,7 @@
 	readonly reports: ReachabilityReports;
 	readonly commands: MemberCommands;
 	readonly requests: PromotionRequests;
+	readonly protection: ReplicaProtection;
 };
 
 /** Members of a service whose replicas stop receiving. */
@@ -53,7 +55,7 @@
 	/** Returns the id of the candidate to promote, if one may be. */
 	choose(service: string, survey: ReplicaSurvey, synchronousReplicas: number): string | undefined {
 		const {logger, requests} = this.options;
-		const chosen = chooseCandidate(survey, synchronousReplicas, requests.lastNamed(service));
+		const chosen = chooseCandidate(survey, synchronousReplicas, requests.lastAccepted(service));
 		const candidates = survey.candidates.map(candidate => ({...candidate, received: describeLogPosition(candidate.received)}));
 		logger.info(`${service}: candidates ${JSON.stringify(candidates)}; chosen ${chosen?.id ?? 'none'}`, {missing: survey.missing});
 		return chosen?.id;
@@ -61,8 +63,9 @@
 
 	/** Makes all replicas stop receiving log entries, so that none can acknowledge a commit any more, and resolves with the one that holds every acknowledged commit. Resolves with undefined, and leaves the replicas paused, if the logs of too many are not known. */
 	async pauseAndChoose({service, primary, replicas, statuses, synchronousReplicas}: PausedSurvey): Promise<string | undefined> {
-		const {commands, directory, logger} = this.options;
+		const {commands, directory, logger, protection} = this.options;
 		const term = this.highestKnownTerm(primary ? [...replicas, primary] : replicas, statuses) + 1;
+		protection.begin(service, {term, receiver: undefined});
 		const answers = await commands.send(replicas, {kind: 'pause', term});
 		const hasStopped = ({id}: BackendServer): boolean => answers.get(id)?.role === 'replica' && answers.get(id)!.minimumAcceptedTerm >= term;
 		// A former primary needs no answer: its acknowledged commits are on replicas.
--- a/source/promotion/promotion-fixture.ts
+++ b/source/promotion/promotion-fixture.ts
@@ -11,6 +11,7 @@
 import {type MemberConnector} from '../statement/member-connection.js';
 import {ReplicationStatusParser, type ReplicationStatus} from '../statement/replication-status.js';
 import {BackendServerMonitor} from './backend-server-monitor.js';
+import {type PendingPromotion} from './pending-promotions.js';
 import {PromotionAuthority, type PromotionRequest, type PromotionOutcome} from './promotion-authority.js';
 import {ServicePromotionController} from './service-promotion-controller.js';
 
@@ -34,6 +35,8 @@
 	readonly requests: PromotionRequest[] = [];
 	/** Whether requests get no answer. */
 	isSilent = false;
+	/** Called before a request is handled. */
+	beforeRequest: ((request: PromotionRequest) => void) | undefined;
 	#highestToken = 0;
 
 	constructor(private readonly outcomes: PromotionOutcome[], private readonly onPromoted: (member: string) => void) {
@@ -42,6 +45,7 @@
 
 	override async promote(request: PromotionRequest): Promise<PromotionOutcome> {
 		this.requests.push(request);
+		this.beforeRequest?.(request);
 		const outcome = this.outcomes.shift() ?? (this.isSilent ? 'unknown' : 'designated');
 		return outcome === 'designated' ? this.carryOut(request) : outcome;
 	}
@@ -71,6 +75,8 @@
 	readonly authority: FakeAuthority;
 	/** Replicas that receive no log entries. */
 	readonly deafMembers = new Set<string>();
+	/** Replicas that receive each log entry one commit later than the others. */
+	readonly slowMembers = new Set<string>();
 	/** Number of synchronous replicas that the routing table demands. */
 	synchronousReplicas: number;
 	/** Whether a transaction is committed in each 100 ms. */
@@ -85,6 +91,7 @@
 	readonly #leaders: Leader[] = [];
 	readonly #controlLog = new RoutingStateMachine();
 	readonly #options: PromotionFixtureOptions;
+	readonly #connector = new FakeMemberConnector(this.members);
 	#leader = '';
 	#leaving: string | undefined;
 	#sequence = 0;
@@ -104,11 +111,16 @@
 		this.elect('one');
 	}
 
+	/** Requests that may still be carried out, by the control log. */
+	get pendingPromotions(): readonly PendingPromotion[] {
+		return this.#controlLog.lastPromotion('ledger')?.pending ?? [];
+	}
+
 	/** Makes an instance the leader in the place of the previous one, which learns of it at once but goes on with what it awaits. */
 	elect(name: string): void {
 		const {connector, statusParser} = this.#options;
 		const isLeader = (): boolean => this.#leader === name;
-		const monitor = new BackendServerMonitor(this.clock, this.#directory, connector?.(this.members) ?? new FakeMemberConnector(this.members), isLeader);
+		const monitor = new BackendServerMonitor(this.clock, this.#directory, connector?.(this.members) ?? this.#connector, isLeader);
 		const controller = new ServicePromotionController({
 			name,
 			clock: this.clock,
@@ -131,6 +143,15 @@
 				await this.tokenBarrier;
 				return token;
 			},
+			settlePromotions: async (service, member, settledToken) => {
+				if (isLeader()) {
+					this.#controlLog.apply({
+						index: ++this.#token, term: 1, command: {
+							kind: 'issueToken', subject: service, member, settledToken,
+						},
+					});
+				}
+			},
 			lastPromotion: service => this.#controlLog.lastPromotion(service),
 		});
 		this.#leader = name;
@@ -150,6 +171,32 @@
 		}
 	}
 
+	/** Ends a member and starts it again with its log: its connections close, and it is not paused any more. */
+	restart(id: string): void {
+		const member = this.#member(id);
+		member.minimumAcceptedTerm = 0;
+		for (const connection of member.connections.splice(0)) {
+			connection.close();
+		}
+	}
+
+	/** Starts a new member in the place of one that has ended, at its address and with its log. */
+	takeOver(id: string, successor: string): void {
+		const index = this.members.findIndex(({server}) => server.id === id);
+		const former = this.members[index];
+		const next = new FakeMemberServer({...former.server, id: successor, startedAt: former.server.startedAt + 1});
+		next.point = former.point;
+		next.knownTerm = former.knownTerm;
+		for (const connection of former.connections.splice(0)) {
+			connection.close();
+		}
+
+		former.isUnresponsive = true;
+		this.members.splice(index, 1, next);
+		this.#connector.add(next);
+		this.announce();
+	}
+
 	/** Marks a member as gone. */
 	markGone(id: string): void {
 		this.#directory.markGone(id);
@@ -189,17 +236,21 @@
 		primary.point = {term, position: primary.point.position + 1};
 		const receivers = this.members.filter(member => member.role === 'replica' && !member.isUnresponsive && member.minimumAcceptedTerm <= term && !this.deafMembers.has(member.server.id));
 		for (const receiver of receivers) {
-			receiver.point = primary.point;
+			receiver.point = this.slowMembers.has(receiver.server.id) ? {term, position: primary.point.position - 1} : primary.point;
 		}
 
-		if (receivers.length >= this.synchronousReplicas) {
+		if (receivers.filter(({point}) => point === primary.point).length >= this.synchronousReplicas) {
 			this.acknowledged = primary.point;
 		}
 	}
 
+	#member(id: string): FakeMemberServer {
+		return this.members.find(({server}) => server.id === id)!;
+	}
+
 	/** Makes a member the primary of the next term with the log that it has; the other logs are cut back to it, and paused replicas receive again. */
 	#promote(id: string): void {
-		const promoted = this.members.find(({server}) => server.id === id)!;
+		const promoted = this.#member(id);
 		if (promoted.role === 'primary') {
 			return;
 		}
--- a/source/promotion/replica-repair.ts
+++ b/source/promotion/replica-repair.ts
@@ -1,10 +1,19 @@
+import {type BackendDirectory} from '../backend-directory/backend-directory.js';
 import {type BackendServer} from '../backend-directory/types.js';
+import {type Clock, type Milliseconds} from '../clock/clock.js';
 import {compareLogPositions} from '../database-group/log-position-rules.js';
 import {type Logger} from '../observability/logger.js';
 import {type ReplicationStatus} from '../statement/replication-status.js';
 import {type CandidateSurvey} from './candidate-survey.js';
 import {type MemberCommands} from './member-commands.js';
 import {type PromotionRequests} from './promotion-requests.js';
+import {type ReplicaProtection} from './replica-protection.js';
+
+/** How long the only receiver may take to receive what the primary held when the other replicas had stopped; several times the replication delay between regions. */
+const receiverCatchUpTimeout: Milliseconds = 300;
+
+/** Period of the checks for whether the receiver has caught up. */
+const receiverPollPeriod: Milliseconds = 30;
 
 /** A service whose primary is confirmed. */
 export type ServiceState = {
@@ -19,26 +28,29 @@
 
 /** Dependencies of the repair. */
 export type ReplicaRepairOptions = {
+	readonly clock: Clock;
 	readonly logger: Logger;
+	readonly directory: BackendDirectory;
 	readonly commands: MemberCommands;
 	readonly requests: PromotionRequests;
 	readonly survey: CandidateSurvey;
+	readonly protection: ReplicaProtection;
 };
 
 /** What a repair has found or done. */
 export type RepairResult =
-	/** All replicas that answered receive log entries. */
+	/** No other member can be promoted, and all replicas that answered receive log entries. */
 	| {readonly kind: 'intact'; readonly verified: readonly string[]}
-	/** An earlier request to promote the member may still be carried out and has to be sent again. */
+	/** The promotion of the member has to be requested (again). For the present primary, it changes nothing and invalidates all earlier requests. */
 	| {readonly kind: 'promote'; readonly member: string}
 	| {readonly kind: 'resumed'}
 	/** Nothing could be done yet. */
 	| {readonly kind: 'pending'};
 
 /**
-Lets the replicas of a service with a primary receive log entries again after a failover that did not take place, whichever process began it. Works on what the replicas report, so that it needs no knowledge of that attempt.
+Completes a replacement that left the former primary in place, whichever process began it.
 
-A request for a promotion that was sent meanwhile may still be carried out. Replicas receive only once that is harmless: until then, only the member that the request named does, which then holds every acknowledged commit.
+While a request may still promote another member, that member must hold every acknowledged commit. With synchronous replicas, it does so while it is the only one that receives. The control log says which requests these are; whether replicas are paused says nothing, since they forget it. Replicas receive again once no other member can be promoted.
 */
 export class ReplicaRepair {
 	constructor(private readonly options: ReplicaRepairOptions) {}
@@ -46,66 +58,83 @@
 	/** Compares the reported states of the replicas with the wanted one, and repairs what differs. */
 	async repair(state: ServiceState): Promise<RepairResult> {
 		const {logger, commands, requests} = this.options;
-		const {service, primary, reachableReplicas} = state;
+		const {service, primary, reachableReplicas, synchronousReplicas} = state;
 		const statuses = await commands.send(reachableReplicas, {kind: 'status'});
 		if ([...statuses.values()].some(({role}) => role === 'primary')) {
 			logger.info(`${service}: a replica reports that it is the primary, and ${primary.id} has been confirmed; waiting for the next confirmation`);
 			return {kind: 'pending'};
 		}
 
-		const paused = reachableReplicas.filter(({id}) => isMarkedAsPaused(statuses.get(id)));
-		if (paused.length === 0) {
-			return {kind: 'intact', verified: [...statuses.keys()]};
+		const pending = requests.pendingMembers(service, primary.id);
+		if (synchronousReplicas > 0 && pending.length > 0) {
+			return this.#protect(state, statuses, pending);
 		}
 
-		const ids = paused.map(({id}) => id).join(', ');
-		const named = this.#namedReplica(state);
-		logger.warn(`${service}: the primary ${primary.id} answers, and the replicas ${ids} are paused`, {isSettled: requests.isSettled(service, primary.id), namedReplica: named});
-		if (named !== undefined && await this.#holdsAllCommits(named, state, statuses)) {
-			await commands.send(paused.filter(({id}) => id === named), {kind: 'resume'});
-			return {kind: 'promote', member: named};
-		}
+		return this.#resume(state, statuses);
+	}
 
-		if (!requests.isSettled(service, primary.id) && !await this.#settle(state)) {
-			return {kind: 'pending'};
+	/** Lets the replicas receive that are paused. */
+	async #resume({service, primary, reachableReplicas}: ServiceState, statuses: ReadonlyMap<string, ReplicationStatus>): Promise<RepairResult> {
+		const {logger, commands, protection} = this.options;
+		protection.end(service);
+		const paused = reachableReplicas.filter(({id}) => isMarkedAsPaused(statuses.get(id)));
+		if (paused.length === 0) {
+			return {kind: 'intact', verified: [...statuses.keys()]};
 		}
 
 		await commands.send(paused, {kind: 'resume'});
-		logger.info(`${service}: the replicas ${ids} receive again; no earlier promotion can be carried out`);
+		logger.info(`${service}: the primary ${primary.id} answers, and the replicas ${paused.map(({id}) => id).join(', ')} receive again`);
 		return {kind: 'resumed'};
 	}
 
-	/** Returns the replica that the last request named, which may still be promoted. */
-	#namedReplica({service, primary, replicas}: ServiceState): string | undefined {
-		const member = this.options.requests.lastNamed(service);
-		return member !== primary.id && replicas.some(({id}) => id === member) ? member : undefined;
+	/** Lets only the member receive that may still be promoted, and returns the request to repeat: for that member if it holds every acknowledged commit, otherwise for the primary. */
+	async #protect(state: ServiceState, statuses: ReadonlyMap<string, ReplicationStatus>, pending: ReadonlyArray<string | undefined>): Promise<RepairResult> {
+		const {logger, commands, requests, survey, protection} = this.options;
+		const {service, primary, replicas, reachableReplicas, synchronousReplicas} = state;
+		const receiver = pending.length === 1 ? replicas.find(({id}) => id === pending[0]) : undefined;
+		const term = survey.highestKnownTerm([...replicas, primary], statuses) + 1;
+		protection.begin(service, {term, receiver: receiver?.id});
+		const others = replicas.filter(replica => replica !== receiver);
+		const receiving = others.filter(({id}) => !isPaused(statuses.get(id)));
+		const answers = await commands.send(receiving, {kind: 'pause', term});
+		if (receiver && reachableReplicas.includes(receiver) && isMarkedAsPaused(statuses.get(receiver.id))) {
+			await commands.send([receiver], {kind: 'resume'});
+		}
+
+		const missing = this.#formerReplicas(service) + receiving.filter(({id}) => !isPaused(answers.get(id))).length;
+		const isSafe = receiver !== undefined && missing < synchronousReplicas && await this.#hasCaughtUp(receiver, state);
+		logger.warn(`${service}: the primary ${primary.id} answers, and ${pending.map(member => member ?? 'a member that is not known').join(', ')} may still be promoted`, {
+			term, receiver: receiver?.id, repaused: receiving.map(({id}) => id), missing, isSafe,
+		});
+		return {kind: 'promote', member: isSafe && requests.lastAccepted(service) === receiver.id ? receiver.id : primary.id};
 	}
 
-	/** Resolves with whether the member holds every acknowledged commit and will hold all further ones, which needs synchronous replicas. */
-	async #holdsAllCommits(member: string, state: ServiceState, statuses: ReadonlyMap<string, ReplicationStatus>): Promise<boolean> {
-		const {service, primary, replicas, synchronousReplicas} = state;
-		if (synchronousReplicas === 0) {
-			return false;
+	/** Resolves with whether the receiver has received all that the primary held after the other replicas had stopped. All that is acknowledged later needs the receiver. */
+	async #hasCaughtUp(receiver: BackendServer, {primary}: ServiceState): Promise<boolean> {
+		const {clock} = this.options;
+		const held = await this.#statusOf(primary);
+		const deadline = clock.now() + receiverCatchUpTimeout;
+		while (held?.role === 'primary' && clock.now() < deadline) {
+			const status = await this.#statusOf(receiver);
+			if (status && compareLogPositions(status.received, held.received) >= 0) {
+				return true;
+			}
+
+			await clock.sleep(receiverPollPeriod);
 		}
 
-		return isOnlyReceiver(member, replicas, statuses) || await this.options.survey.pauseAndChoose({
-			service, primary, replicas, statuses, synchronousReplicas,
-		}) === member;
+		return false;
 	}
 
-	/** Requests the promotion of the present primary, which changes nothing and invalidates all earlier requests. */
-	async #settle({service, primary}: ServiceState): Promise<boolean> {
-		return await this.options.requests.send(service, primary.id) === 'designated';
+	async #statusOf(member: BackendServer): Promise<ReplicationStatus | undefined> {
+		const statuses = await this.options.commands.send([member], {kind: 'status'});
+		return statuses.get(member.id);
 	}
-}
 
-/** Returns whether all other replicas are paused and none of their logs is ahead of that of the member. */
-function isOnlyReceiver(member: string, replicas: readonly BackendServer[], statuses: ReadonlyMap<string, ReplicationStatus>): boolean {
-	const received = statuses.get(member)?.received;
-	return received !== undefined && replicas.every(({id}) => {
-		const status = statuses.get(id);
-		return id === member || (isPaused(status) && compareLogPositions(received, status.received) >= 0);
-	});
+	/** Returns the number of replicas that no longer announce themselves and may receive all the same. */
+	#formerReplicas(service: string): number {
+		return this.options.directory.formerServersOf(service).filter(({role}) => role === 'replica').length;
+	}
 }
 
 function isPaused(status: ReplicationStatus | undefined): status is ReplicationStatus {
--- a/source/promotion/service-promotion-controller.spec.ts
+++ b/source/promotion/service-promotion-controller.spec.ts
@@ -66,7 +66,7 @@
 	fixture.members[0].isUnresponsive = false;
 	await fixture.advance(1500, 0);
 	fixture.stop();
-	assert.deepEqual(fixture.authority.requests.map(({member}) => member), ['a'], 'earlier requests are settled first');
+	assert.equal(fixture.authority.requests.length, 0, 'the control log holds no request that could be carried out');
 	assert.ok(fixture.members[1].receivedKinds.includes('resume'));
 	assert.equal(fixture.members[1].minimumAcceptedTerm, 0, 'the replica receives again once the primary is back');
 });
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -15,7 +15,8 @@
 import {MemberCommands} from './member-commands.js';
 import {type PromotionAuthority} from './promotion-authority.js';
 import {isPrimaryLost, failureDetectionThreshold, type PromotionCandidate} from './promotion-decision.js';
-import {PromotionRequests} from './promotion-requests.js';
+import {PromotionRequests, type SentPromotion} from './promotion-requests.js';
+import {ReplicaProtection} from './replica-protection.js';
 import {ReplicaRepair, type ServiceState} from './replica-repair.js';
 
 /** Period of the checks for primaries to replace. */
@@ -61,6 +62,8 @@
 	readonly isLeader: () => boolean;
 	/** Records a request to promote the member in the control log and resolves with its fencing token; rejects unless this instance leads. */
 	readonly issueToken: (service: string, member: string) => Promise<number>;
+	/** Records in the control log that no request for the service up to the token can be carried out any more; rejects unless this instance leads. */
+	readonly settlePromotions: (service: string, member: string, token: number) => Promise<void>;
 	/** Returns the last request to promote a member of the service in the control log. */
 	readonly lastPromotion: (service: string) => PromotionRecord | undefined;
 };
@@ -78,6 +81,7 @@
 	readonly #nextRepairAt = new Map<string, Milliseconds>();
 	/** Replicas of services without synchronous replicas that were found to receive since this instance leads. */
 	readonly #verifiedReplicas = new Set<string>();
+	readonly #protection = new ReplicaProtection();
 	readonly #commands: MemberCommands;
 	readonly #requests: PromotionRequests;
 	readonly #survey: CandidateSurvey;
@@ -89,10 +93,13 @@
 		super();
 		this.#commands = new MemberCommands(options);
 		this.#requests = new PromotionRequests(options);
-		this.#survey = new CandidateSurvey({...options, commands: this.#commands, requests: this.#requests});
+		this.#survey = new CandidateSurvey({
+			...options, commands: this.#commands, requests: this.#requests, protection: this.#protection,
+		});
 		this.#repair = new ReplicaRepair({
-			...options, commands: this.#commands, requests: this.#requests, survey: this.#survey,
+			...options, commands: this.#commands, requests: this.#requests, survey: this.#survey, protection: this.#protection,
 		});
+		options.monitor.useProtection(this.#protection);
 	}
 
 	override start(): void {
@@ -111,22 +118,41 @@
 			this.#leaderSince = undefined;
 			this.#verifiedReplicas.clear();
 			this.#unfinishedReplacements.clear();
+			this.#protection.clear();
 			return;
 		}
 
 		this.#leaderSince ??= clock.now();
-		// A new leader must first collect reachability reports.
-		if (clock.now() - this.#leaderSince < failureDetectionThreshold) {
-			return;
-		}
+		// A new leader must first collect reachability reports, except to protect what its predecessor left unfinished.
+		const hasReports = clock.now() - this.#leaderSince >= failureDetectionThreshold;
+		for (const {name, synchronousReplicas} of table()?.services ?? []) {
+			if (this.#servicesInProgress.has(name)) {
+				continue;
+			}
 
-		for (const service of table()?.services ?? []) {
-			if (!this.#servicesInProgress.has(service.name)) {
-				this.#checkService(service.name, service.synchronousReplicas);
+			if (hasReports) {
+				this.#checkService(name, synchronousReplicas);
+			} else {
+				this.#continueProtection(name, synchronousReplicas);
 			}
 		}
 	}
 
+	#continueProtection(service: string, synchronousReplicas: number): void {
+		const members = this.options.directory.serversOf(service);
+		const primary = this.#confirmedPrimary(service, members);
+		if (primary && this.#isEndangered(service, primary, synchronousReplicas)) {
+			this.#startRepair({
+				service, primary, replicas: members.filter(({id}) => id !== primary.id), synchronousReplicas,
+			});
+		}
+	}
+
+	/** Returns whether another member than the primary may still be promoted, and would have to hold all acknowledged commits. */
+	#isEndangered(service: string, primary: BackendServer, synchronousReplicas: number): boolean {
+		return synchronousReplicas > 0 && this.#requests.pendingMembers(service, primary.id).length > 0;
+	}
+
 	#checkService(service: string, synchronousReplicas: number): void {
 		const members = this.options.directory.serversOf(service);
 		const primary = this.#confirmedPrimary(service, members);
@@ -205,15 +231,24 @@
 	}
 
 	/**
-	Starts a check for paused replicas if one is due and the primary answers, and returns whether it did.
+	Starts a check for unfinished replacements if one is due and the primary answers, and returns whether it did.
 
 	Replicas are paused only for services with synchronous replicas. The others are checked once for each leader, since the setting may have changed while they were paused.
 	*/
 	#startRepair(state: Omit<ServiceState, 'reachableReplicas'>): boolean {
 		const {clock} = this.options;
-		const {service, replicas, synchronousReplicas} = state;
-		const reachableReplicas = replicas.filter(replica => this.#isAnswering(replica) && (synchronousReplicas > 0 || !this.#verifiedReplicas.has(replica.id)));
-		if (!this.#isAnswering(state.primary) || reachableReplicas.length === 0 || clock.now() < (this.#nextRepairAt.get(service) ?? 0)) {
+		const {
+			service, primary, replicas, synchronousReplicas,
+		} = state;
+		if (synchronousReplicas > 0) {
+			for (const {id} of replicas) {
+				this.#verifiedReplicas.delete(id);
+			}
+		}
+
+		const reachableReplicas = replicas.filter(replica => this.#isAnswering(replica) && !this.#verifiedReplicas.has(replica.id));
+		const hasWork = reachableReplicas.length > 0 || this.#isEndangered(service, primary, synchronousReplicas);
+		if (!this.#isAnswering(primary) || !hasWork || clock.now() < (this.#nextRepairAt.get(service) ?? 0)) {
 			return false;
 		}
 
@@ -281,16 +316,27 @@
 		}
 
 		this.#unfinishedReplacements.add(service);
-		return this.#survey.pauseAndChoose({
+		const chosen = await this.#survey.pauseAndChoose({
 			service, primary, replicas, statuses, synchronousReplicas,
 		});
+		const lastNamed = this.#requests.lastNamed(service);
+		if (chosen !== undefined && lastNamed !== undefined && chosen !== lastNamed && this.#mayBeResumedLate(statuses)) {
+			this.options.logger.info(`${service}: waiting for commands of an earlier leader, which may let ${lastNamed} receive again`);
+			return undefined;
+		}
+
+		return chosen;
 	}
 
-	/** Returns whether a RESUME of an earlier leader may still arrive at a replica that is paused. A leader sends one only after a request that named the primary. */
+	/** Returns whether a RESUME of an earlier leader may still arrive at all replicas. A leader sends it only while no other member than the primary may be promoted; otherwise, it sends one to that member only. */
 	#mayStillResume({service, primary}: ReplacementPlan, statuses: ReadonlyMap<string, ReplicationStatus>): boolean {
+		return this.#mayBeResumedLate(statuses) && this.#requests.pendingMembers(service, primary?.id ?? this.#requests.lastNamed(service)).length === 0;
+	}
+
+	/** Returns whether a command of an earlier leader may still arrive at a replica that is paused. */
+	#mayBeResumedLate(statuses: ReadonlyMap<string, ReplicationStatus>): boolean {
 		const isPaused = [...statuses.values()].some(({minimumAcceptedTerm}) => minimumAcceptedTerm > 0);
-		const isPrimaryNamed = primary === undefined || this.#requests.lastNamed(service) === primary.id;
-		return isPaused && isPrimaryNamed && this.options.clock.now() - (this.#leaderSince ?? Number.POSITIVE_INFINITY) < lateCommandLifetime;
+		return isPaused && this.options.clock.now() - (this.#leaderSince ?? Number.POSITIVE_INFINITY) < lateCommandLifetime;
 	}
 
 	/** Demotes the leaving primary, which stops its writes, and returns a replica that has received all of them. With synchronous replicas, returns the old primary itself if there is none. */
@@ -351,32 +397,40 @@
 		return [];
 	}
 
-	async #promote({service, synchronousReplicas}: ReplacementPlan, member: string): Promise<void> {
-		const {logger, clock, monitor} = this.options;
+	/** Requests the promotion of a member and waits until it confirms that it leads. */
+	async #promote({service, synchronousReplicas, members}: ReplacementPlan, member: string): Promise<void> {
 		if (synchronousReplicas > 0) {
 			this.#unfinishedReplacements.add(service);
 		}
 
-		const outcome = await this.#requests.send(service, member);
-		if (outcome === 'refused') {
-			return;
+		const sent = await this.#requests.send(service, member, async () => {
+			await this.#protection.receiveOnly(service, member, async () => this.#commands.send(members.filter(({id}) => id === member), {kind: 'resume'}));
+		});
+		if (sent.outcome !== 'refused' && await this.#awaitConfirmation(sent) && sent.outcome === 'designated') {
+			this.#protection.end(service);
+			this.#nextRepairAt.delete(service);
+			await this.#requests.settle(sent);
 		}
+	}
 
+	/** Resolves with whether the member of a request has confirmed that it leads. Only probes sent after the answer count: before, an earlier request for another member may have been carried out. */
+	async #awaitConfirmation({service, member, outcome}: SentPromotion): Promise<boolean> {
+		const {logger, clock, monitor} = this.options;
+		const answeredAt = clock.now();
 		const timeout = outcome === 'designated' ? promotionTimeout : unansweredTimeout;
-		const requestedUntil = clock.now();
-		const deadline = requestedUntil + timeout;
-		while (clock.now() < deadline) {
+		while (clock.now() < answeredAt + timeout) {
 			// A member that is not reached keeps the confirmation from a time at which it led.
-			const confirmation = monitor.proberOf(member)?.primaryConfirmation;
-			if (confirmation && confirmation.sentAt >= requestedUntil) {
-				logger.info(`${service}: ${member} is the primary from log position ${describeLogPosition(monitor.proberOf(member)?.logPosition)}`);
-				return;
+			const prober = monitor.proberOf(member);
+			if (prober?.primaryConfirmation && prober.primaryConfirmation.sentAt >= answeredAt) {
+				logger.info(`${service}: ${member} is the primary from log position ${describeLogPosition(prober.logPosition)}`);
+				return true;
 			}
 
 			await clock.sleep(pollPeriod);
 		}
 
 		logger.warn(`${service}: ${member} is not the primary ${timeout} ms after the request`);
+		return false;
 	}
 }
 
--- a/source/promotion/unfinished-promotion.spec.ts
+++ b/source/promotion/unfinished-promotion.spec.ts
@@ -186,7 +186,7 @@
 	await fixture.advance(2000, 10);
 	primary.isUnresponsive = false;
 	await fixture.advance(1500, 0);
-	assert.deepEqual(fixture.authority.requests.map(({member}) => member), ['a']);
+	assert.equal(fixture.authority.requests.length, 0, 'the control log holds no request that could be carried out');
 	assert.ok(replica.receivedKinds.includes('resume'));
 	// The RESUME is still on its way.
 	replica.minimumAcceptedTerm = 9;
@@ -201,3 +201,131 @@
 	assert.equal(fixture.authority.requests.at(-1)?.member, 'b');
 	await assertRecovered(fixture);
 });
+
+/** What ends the pause of a replica while the promotion of another one may still be carried out. */
+const lostPauses: Readonly<Record<string, (fixture: PromotionFixture, paused: FakeMemberServer) => void>> = {
+	'a replica restarts'(fixture, {server}) {
+		fixture.restart(server.id);
+	},
+	'a replica restarts under a new leader'(fixture, {server}) {
+		fixture.elect('two');
+		fixture.restart(server.id);
+	},
+	'a replica restarts before the leader changes'(fixture, {server}) {
+		fixture.restart(server.id);
+		fixture.elect('two');
+	},
+	'a new member takes over the address of a replica'(fixture, {server}) {
+		fixture.takeOver(server.id, 'd');
+	},
+};
+
+// The leader took the service for repaired once no replica was paused, and the commits that only the restarted replica had were lost with the late promotion.
+for (const [event, losePause] of Object.entries(lostPauses)) {
+	for (const hasPrimaryReturned of [true, false]) {
+		test(`a late promotion loses no acknowledged commit although ${event} ${hasPrimaryReturned ? 'after' : 'before'} the primary is reached again`, async () => {
+			const fixture = await startCommitting();
+			await loseAnswer(fixture);
+			const named = replicaNamed(fixture);
+			const paused = fixture.members.find(member => member.role === 'replica' && member !== named)!;
+			fixture.slowMembers.add(named.server.id);
+			if (hasPrimaryReturned) {
+				fixture.members[0].isUnresponsive = false;
+				await fixture.advance(1500, 0);
+			}
+
+			losePause(fixture, paused);
+			await fixture.advance(100, hasPrimaryReturned ? 0 : 10);
+			fixture.members[0].isUnresponsive = false;
+			await fixture.advance(3000, 0);
+			fixture.authority.carryOut(fixture.authority.requests[0]);
+			fixture.authority.isSilent = false;
+			await fixture.advance(2500, 0);
+			fixture.slowMembers.clear();
+			await assertRecovered(fixture);
+		});
+	}
+}
+
+// Nothing was paused while the service had no synchronous replicas, so that nothing looked unfinished once it had one.
+test('a late promotion loses no acknowledged commit although synchronous replicas are demanded while it is pending', async () => {
+	const fixture = await startCommitting();
+	fixture.synchronousReplicas = 0;
+	await loseAnswer(fixture);
+	fixture.members[0].isUnresponsive = false;
+	fixture.slowMembers.add(replicaNamed(fixture).server.id);
+	await fixture.advance(1000, 0);
+	fixture.synchronousReplicas = 1;
+	await fixture.advance(3000, 0);
+	fixture.authority.carryOut(fixture.authority.requests[0]);
+	fixture.authority.isSilent = false;
+	await fixture.advance(2500, 0);
+	fixture.slowMembers.clear();
+	await assertRecovered(fixture);
+});
+
+// A replica that was verified to receive without synchronous replicas was not looked at again after they had been demanded and taken back.
+test('replicas receive again although synchronous replicas were demanded and taken back under one leader', async () => {
+	const fixture = await startCommitting();
+	fixture.synchronousReplicas = 0;
+	await fixture.advance(2000, 0);
+	fixture.synchronousReplicas = 1;
+	await fixture.advance(1000, 0);
+	await loseAnswer(fixture);
+	fixture.synchronousReplicas = 0;
+	fixture.members[0].isUnresponsive = false;
+	await fixture.advance(2000, 0);
+	await assertRecovered(fixture);
+});
+
+// While a replica was down, nothing was asked for, so that all waited although the authority answered.
+test('replicas receive again within a second of the answer, although the member that was named is down', async () => {
+	const fixture = await startCommitting();
+	await loseAnswer(fixture);
+	replicaNamed(fixture).isUnresponsive = true;
+	fixture.members[0].isUnresponsive = false;
+	await fixture.advance(3000, 0);
+	fixture.authority.isSilent = false;
+	const asked = fixture.authority.requests.length;
+	while (fixture.authority.requests.length === asked) {
+		await fixture.advance(100, 0);
+	}
+
+	await fixture.advance(1000, 0);
+	assert.deepEqual(fixture.members.filter(({minimumAcceptedTerm, isUnresponsive}) => minimumAcceptedTerm > 0 && !isUnresponsive), []);
+	replicaNamed(fixture).isUnresponsive = false;
+	await fixture.advance(2500, 0);
+	await assertRecovered(fixture);
+});
+
+// The confirmation that the primary had given before the request was taken for one that it still led, and all replicas received although another member led already.
+test('a request for the primary settles nothing if a late one was carried out just before it', async () => {
+	const fixture = await startCommitting();
+	await loseAnswer(fixture);
+	const named = replicaNamed(fixture);
+	fixture.deafMembers.add(named.server.id);
+	fixture.members[0].isUnresponsive = false;
+	await fixture.advance(1000, 0);
+	fixture.authority.isSilent = false;
+	fixture.authority.beforeRequest = ({member}) => {
+		if (member === 'a') {
+			fixture.authority.beforeRequest = undefined;
+			fixture.authority.carryOut(fixture.authority.requests[0]);
+			fixture.deafMembers.clear();
+		}
+	};
+
+	await fixture.advance(4000, 0);
+	await assertRecovered(fixture);
+});
+
+// Asking for the member again for hours grew the control log's state with each request.
+test('an authority that answers nothing leaves one pending range for each member', async () => {
+	const fixture = await startCommitting();
+	await loseAnswer(fixture);
+	fixture.members[0].isUnresponsive = false;
+	await fixture.advance(20_000, 0);
+	assert.ok(fixture.authority.requests.length > 10);
+	assert.ok(fixture.pendingPromotions.length <= 2);
+	fixture.stop();
+});
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -228,6 +228,13 @@
 		return await this.voter.propose({kind: 'issueToken', subject, member}, confirmationTimeout) as number;
 	}
 
+	/** Records that no request for the service up to the token can be carried out any more; the member is the one that the last request named. Rejects with notLeader or notConfirmed. */
+	async settlePromotions(subject: string, member: string, settledToken: number): Promise<void> {
+		await this.voter.propose({
+			kind: 'issueToken', subject, member, settledToken,
+		}, confirmationTimeout);
+	}
+
 	/** Returns the last request to promote a member of the service. Complete while this instance leads. */
 	lastPromotion(service: string): PromotionRecord | undefined {
 		return this.#stateMachine.lastPromotion(service);
--- a/source/routing-table/routing-state-machine.ts
+++ b/source/routing-table/routing-state-machine.ts
@@ -1,5 +1,6 @@
 import {StateMachine} from '../control-log/storage.js';
-import {type ControlLogEntry} from '../control-log/types.js';
+import {type ControlLogEntry, type IssueTokenCommand} from '../control-log/types.js';
+import {addPromotion, settlePromotions, type PendingPromotion} from '../promotion/pending-promotions.js';
 
 /** The routing configuration with the highest accepted version; the document is stored as submitted. */
 export type AcceptedRouting = {
@@ -20,14 +21,19 @@
 	readonly token: number;
 	/** Id of the member; undefined in entries of earlier versions. */
 	readonly member: string | undefined;
+	/** Requests that may still be carried out, among them this one until it is settled. */
+	readonly pending: readonly PendingPromotion[];
 };
 
+/** Image of the last request; earlier versions did not write the pending ones. */
+type PromotionImage = Omit<PromotionRecord, 'pending'> & Partial<Pick<PromotionRecord, 'pending'>>;
+
 /** Image of the state machine. Earlier versions wrote only the routing configuration. */
 type RoutingImage = AcceptedRouting & {
-	readonly promotions?: ReadonlyArray<readonly [service: string, record: PromotionRecord]>;
+	readonly promotions?: ReadonlyArray<readonly [service: string, record: PromotionImage]>;
 };
 
-/** Replicated state machine that keeps the routing document with the highest version and issues fencing tokens; a token is the index of its log entry, so tokens increase. The last token of each service is kept with the member to promote, so that a new leader knows which request of its predecessor may still be carried out. */
+/** Replicated state machine that keeps the routing document with the highest version and issues fencing tokens; a token is the index of its log entry, so tokens increase. The requests of each service that may still be carried out are kept, so that a new leader knows those of its predecessors. */
 export class RoutingStateMachine extends StateMachine {
 	#accepted: AcceptedRouting | undefined;
 	readonly #promotions = new Map<string, PromotionRecord>();
@@ -54,7 +60,7 @@
 			}
 
 			case 'issueToken': {
-				this.#promotions.set(command.subject, {token: index, member: command.member});
+				this.#recordPromotion(command, index);
 				return index;
 			}
 
@@ -75,8 +81,17 @@
 		const restored = image as RoutingImage | null | undefined;
 		this.#accepted = restored ? {version: restored.version, document: restored.document} : undefined;
 		this.#promotions.clear();
-		for (const [service, {token, member}] of restored?.promotions ?? []) {
-			this.#promotions.set(service, {token, member});
+		for (const [service, {token, member, pending}] of restored?.promotions ?? []) {
+			this.#promotions.set(service, {token, member, pending: pending ?? addPromotion([], member, token)});
 		}
 	}
+
+	#recordPromotion({subject, member, settledToken}: IssueTokenCommand, index: number): void {
+		const pending = this.#promotions.get(subject)?.pending ?? [];
+		this.#promotions.set(subject, {
+			token: index,
+			member,
+			pending: settledToken === undefined ? addPromotion(pending, member, index) : settlePromotions(pending, settledToken),
+		});
+	}
 }
--- a/source/routing-table/routing-table.spec.ts
+++ b/source/routing-table/routing-table.spec.ts
@@ -73,10 +73,38 @@
 	machine.apply({index: 3, term: 1, command: {kind: 'issueToken', subject: 'other'}});
 	const copy = new RoutingStateMachine();
 	copy.restore(structuredClone(machine.snapshot()));
-	assert.deepEqual(copy.lastPromotion('ledger'), {token: 2, member: 'b'});
-	assert.deepEqual(copy.lastPromotion('other'), {token: 3, member: undefined});
+	assert.deepEqual(copy.lastPromotion('ledger'), {token: 2, member: 'b', pending: [{member: 'b', first: 2, last: 2}]});
+	assert.deepEqual(copy.lastPromotion('other'), {token: 3, member: undefined, pending: [{member: undefined, first: 3, last: 3}]});
 	assert.deepEqual(copy.snapshot(), machine.snapshot());
 	copy.restore({version: 7, document: 'seven'});
 	assert.equal(copy.lastPromotion('ledger'), undefined);
 	assert.deepEqual(copy.accepted, machine.accepted);
 });
+
+// A new leader that took a request of its predecessor for settled let replicas receive while a member that lacks their commits could still be promoted.
+test('a request stays pending until one with its token or a higher one is recorded as settled', () => {
+	const machine = new RoutingStateMachine();
+	const issue = (index: number, member: string, settledToken?: number): void => {
+		machine.apply({
+			index, term: 1, command: {
+				kind: 'issueToken', subject: 'ledger', member, settledToken,
+			},
+		});
+	};
+
+	issue(1, 'b');
+	issue(2, 'b');
+	issue(3, 'a');
+	assert.deepEqual(machine.lastPromotion('ledger')?.pending, [{member: 'b', first: 1, last: 2}, {member: 'a', first: 3, last: 3}]);
+	issue(4, 'b', 1);
+	assert.deepEqual(machine.lastPromotion('ledger')?.pending, [{member: 'b', first: 2, last: 2}, {member: 'a', first: 3, last: 3}]);
+	issue(5, 'a', 3);
+	assert.deepEqual(machine.lastPromotion('ledger'), {token: 5, member: 'a', pending: []});
+});
+
+// An image of an earlier version does not say which requests are settled; taking them for settled would skip the protection.
+test('the last request in the image of an earlier version counts as pending', () => {
+	const machine = new RoutingStateMachine();
+	machine.restore({version: 7, document: 'seven', promotions: [['ledger', {token: 2, member: 'b'}]]});
+	assert.deepEqual(machine.lastPromotion('ledger')?.pending, [{member: 'b', first: 2, last: 2}]);
+});
--- a/source/session-proxy/member-server-fake.ts
+++ b/source/session-proxy/member-server-fake.ts
@@ -208,7 +208,7 @@
 
 /** Opens connections to fake members. */
 export class FakeMemberConnector extends MemberConnector {
-	readonly #members: ReadonlyMap<string, FakeMemberServer>;
+	readonly #members: Map<string, FakeMemberServer>;
 	#connectionCount = 0;
 
 	constructor(members: readonly FakeMemberServer[]) {
@@ -216,6 +216,11 @@
 		this.#members = new Map(members.map(member => [member.server.id, member]));
 	}
 
+	/** Accepts connections to a further member. */
+	add(member: FakeMemberServer): void {
+		this.#members.set(member.server.id, member);
+	}
+
 	override async connect({id, customer}: MemberTarget): Promise<MemberConnection> {
 		const member = this.#members.get(id);
 		if (!member || member.isUnresponsive) {
