--- a/source/customers/customers.spec.ts
+++ b/source/customers/customers.spec.ts
@@ -68,3 +68,9 @@
 
 	validateCustomers([customer('a', ['k', 'k'], limit(0, 0)), customer('b', [])]);
 });
+
+// All halves of surrogate pairs became the same replacement character, so that two customers with such keys seemed to share one, and its UTF-8 form was accepted for them.
+test('keys that have no form in UTF-8 are told apart', () => {
+	assert.equal(new Set(['\uD83C', '\uD83D', '\uDF0D', '\uFFFD'].map(key => digestKey(key))).size, 4);
+	assert.equal(digestKey('caf\u00E9'), digestKey(Buffer.from('caf\u00E9', 'utf8')));
+});
