Transfer routing tables with the texts that were acknowledged

Cause: the digest was computed from the parsed JSON, and the table travelled as CBOR, in which the half arrived as U+FFFD. The digest never matched, and the entry fetched the table again several times a second.

Change: differences travel as JSON to entries that say they read it.

--- a/source/registry/routing-fetcher.ts
+++ b/source/registry/routing-fetcher.ts
@@ -9,6 +9,7 @@
 import {
 	applyRoutingDifference, emptyDigest, routingDigest, type RoutingTableVersion,
 } from '../routing-table/routing-difference.js';
+import {validateRoutingTable} from '../routing-table/routing-table-validation.js';
 import {type RoutingTable} from '../routing-table/types.js';
 import {decodeDifference, type RoutingPiece, type RoutingPieceRequest} from './routing-transfer.js';
 
@@ -18,6 +19,17 @@
 /** Delays before a piece is requested again after a failure. */
 const retryDelays = {shortest: 100, longest: 1000};
 
+/** Number of whole transfers after which a version whose digest does not match is rejected. A transfer that continued at an instance of another build may not match once. */
+const maximumMismatches = 2;
+
+/** Delays before a rejected version is fetched again. An upgrade of either side may resolve the difference. */
+const rejectionDelays = {shortest: 10_000, longest: 300_000};
+
+/** A version that does not arrive as the control instances hold it. */
+export type RejectedVersion = RoutingTableVersion & {
+	readonly retryAt: Milliseconds;
+};
+
 /** Dependencies and callbacks of a routing fetcher. */
 export type RoutingFetcherOptions = {
 	readonly clock: Clock;
@@ -43,12 +55,17 @@
 	#receivedBytes = 0;
 	/** Whether the last difference led to another table than announced, so that the whole table is needed. */
 	#needsWholeTable = false;
+	/** Whole transfers of the present target whose digest did not match. */
+	#mismatchCount = 0;
+	#rejected: RejectedVersion | undefined;
 	#isRunning = false;
 	#isStopped = false;
 	readonly #backOff: BackOff;
+	readonly #rejectionBackOff: BackOff;
 
 	constructor(private readonly options: RoutingFetcherOptions) {
 		this.#backOff = new BackOff(options.random, retryDelays);
+		this.#rejectionBackOff = new BackOff(options.random, rejectionDelays);
 	}
 
 	/** Version of the table held; -1 before the first one. */
@@ -61,6 +78,11 @@
 		return this.#digest;
 	}
 
+	/** Newest version that did not arrive as the control instances hold it, until a later one is in force; undefined if there is none. */
+	get rejectedVersion(): number | undefined {
+		return this.#rejected?.version;
+	}
+
 	/** Stops after the piece in transfer. */
 	stop(): void {
 		this.#isStopped = true;
@@ -68,7 +90,7 @@
 
 	/** Fetches the table that a control instance offers unless the one held is as new. */
 	offer(target: RoutingTableVersion, source: Address): void {
-		if (target.version <= this.version) {
+		if (target.version <= this.version || this.#isRejected(target)) {
 			return;
 		}
 
@@ -80,7 +102,7 @@
 	}
 
 	async #run(): Promise<void> {
-		while (this.#offered && this.#offered.target.version > this.version && !this.#isStopped) {
+		while (this.#offered && this.#offered.target.version > this.version && !this.#isRejected(this.#offered.target) && !this.#isStopped) {
 			const {source} = this.#offered;
 			try {
 				await this.#fetchPiece(source);
@@ -102,7 +124,9 @@
 			this.#base = this.#needsWholeTable ? emptyDigest : this.#digest;
 		}
 
-		const request: RoutingPieceRequest = {base: this.#base, target: this.#target.digest, offset: this.#receivedBytes};
+		const request: RoutingPieceRequest = {
+			base: this.#base, target: this.#target.digest, offset: this.#receivedBytes, readsJson: true,
+		};
 		const piece = await this.options.linkClient.request(source, 'fetchRouting', request, pieceTimeout) as RoutingPiece | null;
 		if (!piece || piece.target.version <= this.version) {
 			this.#restart();
@@ -137,13 +161,57 @@
 		const table = this.#decodeTable(bytes, base);
 		const digest = table && routingDigest(table);
 		if (!table || digest !== target.digest) {
-			this.#needsWholeTable = base !== emptyDigest;
+			this.#handleMismatch(target, base, table, digest);
+			return;
+		}
+
+		this.#rejected = undefined;
+		this.#rejectionBackOff.reset();
+		this.#putInForce(table, digest, {bytes: length, whole: base === emptyDigest});
+	}
+
+	/** Fetches the whole table next if the transfer was that of a difference or the first one. Otherwise rejects the version: the table held stays in force, and an instance that holds none takes over what has arrived, so that no version leaves nothing served. */
+	#handleMismatch(target: RoutingTableVersion, base: string, table: RoutingTable | undefined, digest: string | undefined): void {
+		const isWhole = base === emptyDigest;
+		this.#mismatchCount = isWhole ? this.#mismatchCount + 1 : 0;
+		this.#needsWholeTable = true;
+		if (this.#mismatchCount < maximumMismatches) {
 			throw new BuckthornhitchError('malformedMessage', `The digest is ${digest ?? 'missing'} in place of ${target.digest}; the whole table is fetched next`);
 		}
 
+		const {clock, logger} = this.options;
+		this.#mismatchCount = 0;
+		if (this.#rejected?.digest !== target.digest) {
+			const held = this.#table ? `version ${this.#table.version} stays in force` : 'it is put in force all the same, since no other is held';
+			logger.error(`routing version ${target.version} does not arrive as the control instances hold it: the digest is ${digest ?? 'missing'} in place of ${target.digest}; ${held}`);
+			this.#rejectionBackOff.reset();
+		}
+
+		this.#rejected = {...target, retryAt: clock.now() + this.#rejectionBackOff.nextDelay()};
+		if (!this.#table && table && digest !== undefined && this.#isValid(table)) {
+			this.#putInForce(table, digest, {whole: true});
+		}
+	}
+
+	#isRejected({digest}: RoutingTableVersion): boolean {
+		return this.#rejected?.digest === digest && this.options.clock.now() < this.#rejected.retryAt;
+	}
+
+	#isValid(table: RoutingTable): boolean {
+		try {
+			validateRoutingTable(table);
+			return true;
+		} catch (error) {
+			this.options.logger.error(`routing version ${table.version} is not valid as it arrived: ${toBuckthornhitchError(error).message}`);
+			return false;
+		}
+	}
+
+	#putInForce(table: RoutingTable, digest: string, transfer: Readonly<Record<string, unknown>>): void {
 		const replaced = this.#table ? `version ${this.#table.version}` : 'none';
-		this.options.logger.info(`routing version ${target.version} is in force, replacing ${replaced}`, {bytes: length, whole: base === emptyDigest, routes: table.routes.length});
+		this.options.logger.info(`routing version ${table.version} is in force, replacing ${replaced}`, {...transfer, routes: table.routes.length});
 		this.#needsWholeTable = false;
+		this.#mismatchCount = 0;
 		this.#table = table;
 		this.#digest = digest;
 		this.options.onRoutingTable(table);
--- a/source/registry/routing-history.ts
+++ b/source/registry/routing-history.ts
@@ -4,7 +4,7 @@
 } from '../routing-table/routing-difference.js';
 import {type RoutingTable} from '../routing-table/types.js';
 import {
-	encodeDifference, maximumPieceBytes, type RoutingPiece, type RoutingPieceRequest,
+	encodeDifference, maximumPieceBytes, type DifferenceEncoding, type RoutingPiece, type RoutingPieceRequest,
 } from './routing-transfer.js';
 
 /** Number of tables for which differences are computed; an entry that holds an older one gets the whole table. Routes that are equal are shared between the tables. */
@@ -62,17 +62,18 @@
 		return this.#newest && this.#tables.get(this.#newest.digest);
 	}
 
-	#transferFor({base, target}: RoutingPieceRequest): Transfer | undefined {
+	#transferFor({base, target, readsJson}: RoutingPieceRequest): Transfer | undefined {
 		const targetDigest = this.#tables.has(target) ? target : this.#newest?.digest;
 		const targetTable = targetDigest === undefined ? undefined : this.#tables.get(targetDigest);
 		if (targetDigest === undefined || !targetTable) {
 			return undefined;
 		}
 
-		const key = `${base}:${targetDigest}`;
+		const encoding = readsJson ? 'json' : 'cbor';
+		const key = `${encoding}:${base}:${targetDigest}`;
 		let transfer = this.#transfers.get(key);
 		if (!transfer) {
-			transfer = this.#createTransfer(base, {version: targetTable.version, digest: targetDigest}, targetTable);
+			transfer = this.#createTransfer(base, {version: targetTable.version, digest: targetDigest}, targetTable, encoding);
 			this.#transfers.set(key, transfer);
 			deleteOldest(this.#transfers, maximumTransfers);
 		}
@@ -80,9 +81,9 @@
 		return transfer;
 	}
 
-	#createTransfer(requestedBase: string, target: RoutingTableVersion, table: RoutingTable): Transfer {
+	#createTransfer(requestedBase: string, target: RoutingTableVersion, table: RoutingTable, encoding: DifferenceEncoding): Transfer {
 		const base = this.#tables.get(requestedBase);
-		return {base: base ? requestedBase : emptyDigest, target, bytes: encodeDifference(routingDifference(base, table))};
+		return {base: base ? requestedBase : emptyDigest, target, bytes: encodeDifference(routingDifference(base, table), encoding)};
 	}
 }
 
--- a/source/registry/routing-transfer.ts
+++ b/source/registry/routing-transfer.ts
@@ -1,4 +1,4 @@
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Decoder, Encoder} from 'cbor-x';
 import {maximumFrameBytes} from '../links/framing.js';
@@ -15,8 +15,13 @@
 	readonly target: string;
 	/** Number of bytes that the entry has received already, from any control instance. */
 	readonly offset: number;
+	/** Whether the entry instance reads differences in JSON; absent in requests of earlier builds, which read CBOR only. */
+	readonly readsJson?: true;
 };
 
+/** Encoding of a difference. The texts of JSON are those of the document, also halves of surrogate pairs, which CBOR has no form for. */
+export type DifferenceEncoding = 'json' | 'cbor';
+
 /** Response to `fetchRouting`. It belongs to another base, target and offset than requested when the control instance does not know the requested tables. */
 export type RoutingPiece = {
 	readonly base: string;
@@ -30,12 +35,16 @@
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
 
+/** First byte of a difference in JSON, which begins no map in CBOR. */
+const openingBrace = 0x7B;
+
 /** Encodes and compresses a difference. All instances of one build return the same bytes for the same difference, so that a transfer can continue at another instance. */
-export function encodeDifference(difference: RoutingDifference): Buffer {
-	return deflateRawSync(encoder.encode(difference));
+export function encodeDifference(difference: RoutingDifference, encoding: DifferenceEncoding): Buffer {
+	return deflateRawSync(encoding === 'json' ? Buffer.from(JSON.stringify(difference), 'utf8') : encoder.encode(difference));
 }
 
-/** Decodes a difference. Throws an error of `node:zlib` or `cbor-x` for bytes that are not one. */
+/** Decodes a difference in either encoding. Throws an error of `node:zlib`, `JSON` or `cbor-x` for bytes that are not one. */
 export function decodeDifference(bytes: Uint8Array): RoutingDifference {
-	return decoder.decode(inflateRawSync(bytes, {maxOutputLength: maximumFrameBytes})) as RoutingDifference;
+	const content = inflateRawSync(bytes, {maxOutputLength: maximumFrameBytes});
+	return (content.at(0) === openingBrace ? JSON.parse(content.toString('utf8')) : decoder.decode(content)) as RoutingDifference;
 }
--- a/source/registry/routing-watcher.spec.ts
+++ b/source/registry/routing-watcher.spec.ts
@@ -5,7 +5,7 @@
 import {ManualClock} from '../clock/manual-clock.js';
 import {createLogger} from '../observability/logger.js';
 import {SeededRandom} from '../random/random.js';
-import {routingDigest, sortRoutes} from '../routing-table/routing-difference.js';
+import {routingDigest, sortRoutes, type RoutingTableVersion} from '../routing-table/routing-difference.js';
 import {type Route, type RoutingTable} from '../routing-table/types.js';
 import {type ControlRecord, type WatchRequest, type WatchResponse} from './messages.js';
 import {NarrowLinkClient} from './narrow-link-fixture.js';
@@ -49,7 +49,10 @@
 class ControlFake {
 	readonly history = new RoutingHistory();
 	isDown = false;
+	/** Whether the digest that it tells for its newest table is another one than that of the table which arrives. */
+	isDigestWrong = false;
 	watchRequests = 0;
+	pieceRequests = 0;
 	leaderSilence = 0;
 
 	constructor(readonly record: ControlRecord, private readonly all: () => readonly ControlRecord[]) {}
@@ -60,11 +63,13 @@
 		}
 
 		if (name === 'fetchRouting') {
-			return this.history.piece(body as RoutingPieceRequest) ?? null;
+			this.pieceRequests++;
+			const piece = this.history.piece(body as RoutingPieceRequest);
+			return piece && {...piece, target: {...piece.target, digest: this.#digestOf(piece.target)}};
 		}
 
 		this.watchRequests++;
-		const {newest} = this.history;
+		const newest = this.history.newest && {...this.history.newest, digest: this.#digestOf(this.history.newest)};
 		return {
 			controls: this.all(),
 			controlsDigest: 'all',
@@ -82,6 +87,10 @@
 			knowsEntries: true,
 		} satisfies WatchResponse;
 	}
+
+	#digestOf({digest}: RoutingTableVersion): string {
+		return this.isDigestWrong ? 'another digest' : digest;
+	}
 }
 
 function control(name: string, dataCentre: string, region: string): ControlRecord {
@@ -131,6 +140,14 @@
 		this.#watcher.start();
 	}
 
+	get rejectedVersion(): number | undefined {
+		return this.#watcher.rejectedRoutingVersion;
+	}
+
+	get pieceRequestCount(): number {
+		return this.controls.reduce((sum, {pieceRequests}) => sum + pieceRequests, 0);
+	}
+
 	accept(newTable: RoutingTable): void {
 		for (const {history} of this.controls) {
 			history.add(newTable);
@@ -293,3 +310,44 @@
 	await fixture.run(configurationTimeLimit);
 	assert.equal(fixture.digest, digestOf(changed));
 });
+
+// An entry instance asked for such a version several times a second, for good.
+test('a version that does not arrive unchanged is rejected once, and the one that is held stays in force until the next', async () => {
+	const fixture = new WatcherFixture();
+	fixture.accept(table(1, routes(10)));
+	await fixture.run(2000);
+	for (const fake of fixture.controls) {
+		fake.isDigestWrong = true;
+	}
+
+	fixture.accept(table(2, routes(10)));
+	const before = fixture.pieceRequestCount;
+	await fixture.run(60_000);
+	assert.deepEqual(fixture.tables.map(({version}) => version), [1]);
+	assert.equal(fixture.rejectedVersion, 2);
+	assert.equal(fixture.logLines.filter(line => line.includes('does not arrive as the control instances hold it')).length, 1);
+	assert.ok(fixture.pieceRequestCount - before <= 12, `${fixture.pieceRequestCount - before} pieces were requested in a minute`);
+	for (const fake of fixture.controls) {
+		fake.isDigestWrong = false;
+	}
+
+	fixture.accept(table(3, routes(10)));
+	await fixture.run(2000);
+	assert.deepEqual(fixture.tables.map(({version}) => version), [1, 3]);
+	assert.equal(fixture.rejectedVersion, undefined);
+});
+
+// An entry instance that started again served nothing, also not the databases that earlier versions had.
+test('an instance that holds no table takes over one that does not arrive unchanged', async () => {
+	const fixture = new WatcherFixture();
+	for (const fake of fixture.controls) {
+		fake.isDigestWrong = true;
+	}
+
+	const only = table(2, routes(10));
+	fixture.accept(only);
+	await fixture.run(5000);
+	assert.deepEqual(fixture.tables.map(taken => digestOf(taken)), [digestOf(only)]);
+	assert.equal(fixture.rejectedVersion, 2);
+	assert.equal(fixture.logLines.filter(line => line.includes('it is put in force all the same')).length, 1);
+});
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -113,6 +113,11 @@
 		return this.#coversAllEntries ? this.#entries : undefined;
 	}
 
+	/** See `RoutingFetcher.rejectedVersion`. */
+	get rejectedRoutingVersion(): number | undefined {
+		return this.#routing.rejectedVersion;
+	}
+
 	/** Number of entry instances among which the connections of each backend server are divided. */
 	get entryCount(): number {
 		return this.#entryCount;
--- a/source/routing-table/routing-difference.spec.ts
+++ b/source/routing-table/routing-difference.spec.ts
@@ -26,7 +26,7 @@
 }
 
 function transfer(base: RoutingTable | undefined, target: RoutingTable): RoutingTable {
-	const result = applyRoutingDifference(base, decodeDifference(encodeDifference(routingDifference(base, target))));
+	const result = applyRoutingDifference(base, decodeDifference(encodeDifference(routingDifference(base, target), 'json')));
 	assert.equal(routingDigest(result), routingDigest(target));
 	return result;
 }
@@ -34,7 +34,7 @@
 // Instances of different builds compare digests and continue each other's transfers. The values are those of commit ef0cd6e, before customers existed.
 test('without customers, the digest and the encoded difference of a table are unchanged', () => {
 	assert.equal(routingDigest(table(1)), 'xb8ZAAij8yWZX2iI');
-	const encoded = encodeDifference(routingDifference(undefined, table(1)));
+	const encoded = encodeDifference(routingDifference(undefined, table(1)), 'cbor');
 	assert.equal(createHash('sha256').update(encoded).digest('base64'), 'iFUtEOymHdKfRpKcKa6tv/gBAV6c9BB9rmMxWzFgLWA=');
 	assert.ok(!('customers' in transfer(undefined, table(1))));
 });
