Give routes with different databases and prefixes different keys

A valid configuration was refused if the database "a b" with the prefix "c" stood beside the database "a" with the prefix "b c": the key joined both by a space. Spaces and backslashes of the database are escaped now; other keys, which travel to entries of earlier builds, are unchanged. The new case fails on the code before (11 of 12 pass).

--- a/source/routing-table/routing-difference.spec.ts
+++ b/source/routing-table/routing-difference.spec.ts
@@ -4,7 +4,10 @@
 import {digestKey} from '../customers/key-digest.js';
 import {type Customer} from '../customers/types.js';
 import {decodeDifference, encodeDifference} from '../registry/routing-transfer.js';
-import {applyRoutingDifference, routingDifference, routingDigest} from './routing-difference.js';
+import {
+	applyRoutingDifference, routeKey, routingDifference, routingDigest, sortRoutes,
+} from './routing-difference.js';
+import {validateRoutingTable} from './routing-table-validation.js';
 import {type RoutingTable} from './types.js';
 
 function customer(name: string, changes: Partial<Customer> = {}): Customer {
@@ -63,3 +66,14 @@
 test('the order of the customers in the document does not change the digest', () => {
 	assert.equal(routingDigest(table(1, [customer('a'), customer('b')])), routingDigest(table(1, [customer('b'), customer('a')])));
 });
+
+// Such routes seemed to share the database and the prefix, so that a valid document was refused.
+test('routes whose names and prefixes join to the same text have keys of their own', () => {
+	const [route] = table(1).routes;
+	const backslash = '\u005C';
+	const pairs = [['a b', 'c'], ['a', 'b c'], [`a${backslash}`, 'b c'], [`a${backslash} b`, 'c']];
+	const routes = pairs.map(([database, pathPrefix]) => ({...route, database, pathPrefix}));
+	validateRoutingTable({...table(1), routes});
+	assert.equal(transfer(table(1), {...table(2), routes: sortRoutes(routes)}).routes.length, pairs.length);
+	assert.equal(routeKey(route), 'db /', 'keys without spaces and backslashes are those of earlier builds');
+});
--- a/source/routing-table/routing-difference.ts
+++ b/source/routing-table/routing-difference.ts
@@ -29,9 +29,9 @@
 
 const textByRoute = new WeakMap<Route, string>();
 
-/** Returns the key that identifies a route in the tables of all versions. No two routes of a valid table have the same one. */
+/** Returns the key that identifies a route in the tables of all versions. Two routes have the same one only if they share the database and the prefix. */
 export function routeKey({database, pathPrefix}: Route): string {
-	return `${database} ${pathPrefix}`;
+	return `${database.replaceAll(/[ \\]/gv, String.raw`\$&`)} ${pathPrefix}`;
 }
 
 /** Returns a text that is the same for two routes with the same properties in the same order. */
