--- a/source/customers/customer-validation.ts
+++ b/source/customers/customer-validation.ts
@@ -1,3 +1,4 @@
+import {isFieldName} from '../bounds/field-names.js';
 import {BuckthornhitchError} from '../result-codes/buckthornhitch-error.js';
 import {digestKey} from './key-digest.js';
 import {type Customer} from './types.js';
@@ -26,8 +27,8 @@
 		return 'name: it is empty.';
 	}
 
-	// Backend servers get the name as one word of a line.
-	if (/[\s\p{Cc}]/v.test(name)) {
+	// Backend servers get the name as one field of a line.
+	if (!isFieldName(name)) {
 		return 'name: it contains a space or a control character.';
 	}
 
