Search for the primary when writes cannot connect to it

After a primary crashed whose address refuses connections, single writes were refused for 10 s although a successor led after 1.4 s.

Cause: the write executor took "unreachable" for overload, as both are told to callers as busy, and kept the primary until its announcement expired. Reads and transactions forget it, so that mixed traffic hid the fault.

Change: the primary is forgotten also if it has not answered since an attempt failed. The new case fails on the code before.

--- a/source/session-proxy/primary-succession.spec.ts
+++ b/source/session-proxy/primary-succession.spec.ts
@@ -124,3 +124,19 @@
 		assert.equal(reply.outcome === 'done' && statement.kind === 'write' ? reply.signature : reply.outcome, statement.kind === 'write' ? 'signed b' : 'done');
 	}
 });
+
+// Writes went on to the crashed primary until its announcement expired, 10 s after the promotion of its successor, unless a read or a transaction had found the successor before.
+test('a write finds the successor of a primary that refuses connections', async () => {
+	const fixture = new SessionFixture();
+	const session = await fixture.open();
+	await fixture.run(session, write);
+	const [crashed, successor] = fixture.members;
+	crashed.isUnresponsive = true;
+	for (const connection of crashed.connections) {
+		connection.close();
+	}
+
+	successor.role = 'primary';
+	const reply = await fixture.run(session, write);
+	assert.equal(reply.outcome === 'done' && reply.signature, 'signed b');
+});
--- a/source/session-proxy/write-executor.ts
+++ b/source/session-proxy/write-executor.ts
@@ -80,9 +80,9 @@
 	return {...reply, transaction: 'idle'};
 }
 
-/** Waits before a write is retried. Unless the member refused because of overload or the session's own variables, also forgets the primary, so that it is searched for again. */
+/** Waits before a write is retried. Unless the member answered and refused because of overload or the session's own variables, also forgets the primary, so that it is searched for again. */
 async function waitBeforeRetry(context: SessionContext, client: ServiceClient, pool: MemberPool, {reason, isMemberConcerned = true}: NotRunAttempt): Promise<void> {
-	if (overloadReasons.has(reason) || !isMemberConcerned) {
+	if (!isMemberConcerned || (overloadReasons.has(reason) && !pool.isFailing)) {
 		await context.dependencies.clock.sleep(busyRetryDelay);
 		return;
 	}
