Divide the connections of a member in one place

Cause: each control instance kept a connection whatever the limit, and the entries divided what was left, at least one, among themselves.

Change: divideConnections gives control instances at most a quarter of a small limit and entries always one. The leader comes first among the control instances; those without a connection ask it for its reports. With a limit of 1, the entry's connection is closed for 250 ms every 1.5 s, in which the leader connects. The leader logs limits that are scarce for the fleet, with the least one that is not.

--- a/source/configuration/configuration-check.spec.ts
+++ b/source/configuration/configuration-check.spec.ts
@@ -67,7 +67,7 @@
 
 test('connections that do not suffice for the slots beside the monitors are reported', () => {
 	assert.deepEqual(formatFindings({base: base.replace('connections: 45', 'connections: 6')}), [
-		'warning: base.yaml:6: services[0].connections: 6; 4 connections are kept for monitors, so that only 2 of 3 slots can be used',
+		'warning: base.yaml:6: services[0].connections: 6; 4 connections are kept for monitors, so that only 2 of 3 slots can be used; all can with 7',
 	]);
 	assert.deepEqual(formatFindings({base: base.replace('connections: 45', 'connections: 7')}), []);
 });
--- a/source/configuration/limit-rules.ts
+++ b/source/configuration/limit-rules.ts
@@ -66,7 +66,7 @@
 			return [];
 		}
 
-		const text = `${monitorConnections} connections are kept for monitors, so that only ${Math.max(1, usable)} of ${database.slots} slots can be used`;
+		const text = `${monitorConnections} connections are kept for monitors, so that only ${Math.max(1, usable)} of ${database.slots} slots can be used; all can with ${monitorConnections + database.slots}`;
 		return [createWarning(file, ['services', index, 'connections'], text)];
 	});
 }
--- a/source/promotion/backend-server-monitor.ts
+++ b/source/promotion/backend-server-monitor.ts
@@ -5,6 +5,7 @@
 import {type BackendReachability, type PrimaryReport} from '../registry/messages.js';
 import {type MemberConnector} from '../statement/member-connection.js';
 import {BackendServerProber, type PrimaryConfirmation} from './backend-server-prober.js';
+import {type ProbeMode} from './probe-assignment.js';
 import {ReplicaProtection} from './replica-protection.js';
 
 /** Period at which the leader of the control log probes a primary; one that does not answer is detected within three probes. */
@@ -19,10 +20,19 @@
 /** Probes every backend server in the directory. */
 export class BackendServerMonitor extends Controller {
 	readonly #probers = new Map<string, BackendServerProber>();
+	/** Reports of the leader, by service. */
+	readonly #adopted = new Map<string, AdoptedReport>();
 	#protection = new ReplicaProtection();
 	#cancelRefresh: Cancel | undefined;
 
-	constructor(private readonly clock: Clock, private readonly directory: BackendDirectory, private readonly connector: MemberConnector, private readonly isLeader: () => boolean) {
+	constructor(
+		private readonly clock: Clock,
+		private readonly directory: BackendDirectory,
+		private readonly connector: MemberConnector,
+		private readonly isLeader: () => boolean,
+		/** Returns how this instance probes a server. */
+		private readonly probeMode: (server: BackendServer) => ProbeMode = () => 'kept',
+	) {
 		super();
 	}
 
@@ -59,14 +69,31 @@
 		this.#protection = protection;
 	}
 
-	/** Returns the most recently confirmed primary of each service whose log position is known. */
+	/** Whether this instance does not probe all servers, so that it needs the reports of the leader. */
+	get needsReports(): boolean {
+		return !this.isLeader() && this.directory.servers.some(server => this.probeMode(server) === 'none');
+	}
+
+	/** Takes over the reports of the leader about primaries that this instance does not probe. `askedAt` is the time at which they were requested. */
+	adoptReports(reports: readonly PrimaryReport[], askedAt: Milliseconds): void {
+		this.#adopted.clear();
+		for (const {age, ...report} of reports) {
+			this.#adopted.set(report.service, {...report, sentAt: askedAt - age});
+		}
+	}
+
+	/** Returns the most recently confirmed primary of each service whose log position is known, by the probes of this instance or, where it has none, of the leader. */
 	primaryReports(): readonly PrimaryReport[] {
 		const now = this.clock.now();
-		return [...this.#confirmedPrimaries()].flatMap(([service, {server, confirmation}]) => confirmation.logPosition
+		const own = [...this.#confirmedPrimaries()].flatMap(([service, {server, confirmation}]) => confirmation.logPosition
 			? [{
 				service, primary: server.id, point: confirmation.logPosition, age: now - confirmation.sentAt,
 			}]
 			: []);
+		const services = new Set(own.map(({service}) => service));
+		const suspendedUntil = this.clock.lastSuspectedSuspension();
+		const adopted = [...this.#adopted.values()].filter(({service, sentAt}) => !services.has(service) && sentAt > suspendedUntil);
+		return [...own, ...adopted.map(({sentAt, ...report}) => ({...report, age: now - sentAt}))];
 	}
 
 	/** Returns the id of the most recently confirmed primary of a service. */
@@ -109,6 +136,7 @@
 				this.#probers.set(id, new BackendServerProber(server, {
 					connector: this.connector,
 					clock: this.clock,
+					mode: () => this.probeMode(server),
 					probePeriod: isPrimary => this.#probePeriod(server, isPrimary),
 					openingStatement: () => this.isLeader() ? this.#protection.openingStatement(server) : undefined,
 				}));
@@ -117,6 +145,11 @@
 	}
 }
 
+type AdoptedReport = Omit<PrimaryReport, 'age'> & {
+	/** Latest time at which the probe was sent. */
+	readonly sentAt: Milliseconds;
+};
+
 type ConfirmedPrimary = {
 	readonly server: BackendServer;
 	readonly confirmation: PrimaryConfirmation;
--- a/source/promotion/backend-server-prober.ts
+++ b/source/promotion/backend-server-prober.ts
@@ -7,6 +7,7 @@
 import {type MemberConnector, type MemberConnection, MemberRefusedError} from '../statement/member-connection.js';
 import {provesPrimary} from '../statement/primary-proof.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
+import {type ProbeMode} from './probe-assignment.js';
 
 /** Timeout for the reply to a statement that needs no execution slot; allows for two round trips between regions and a short pause of the member's instance. */
 const replyTimeout: Milliseconds = 500;
@@ -17,10 +18,27 @@
 /** Delay before another attempt to connect to a member that gets a command first. Until then, a replica that has restarted receives log entries. */
 const reconnectDelay: Milliseconds = 50;
 
+/** Period of the checks for whether a member that is not probed has to be probed. */
+const modeCheckPeriod: Milliseconds = 100;
+
+/** How long a brief connection stays open after its last statement, for the next one of a series of commands. */
+const briefConnectionLifetime: Milliseconds = 300;
+
+/** Period of the probes on brief connections. */
+const briefProbePeriod: Milliseconds = 1000;
+
+/** Delay before another probe of, or command to, a member that had no connection free. */
+const fullMemberRetryDelay: Milliseconds = 100;
+
+/** How long a command waits for a free connection of a member whose connections are all in use. The last connection is free from time to time (see `ConnectionAllocation.isYielding`). */
+const freeConnectionTimeout: Milliseconds = 2500;
+
 /** Dependencies of a prober. */
 export type BackendServerProberOptions = {
 	readonly connector: MemberConnector;
 	readonly clock: Clock;
+	/** Returns how this instance probes the member; it may change at any time. */
+	readonly mode?: () => ProbeMode;
 	/** Returns the period of the probes, which depends on the roles of the member and of this instance. */
 	readonly probePeriod: (isPrimary: boolean) => Milliseconds;
 	/** Returns the statement to send first on each new connection, if there is one. */
@@ -47,6 +65,10 @@
 	#pendingStatements: Promise<unknown> = Promise.resolve();
 	#isStopped = false;
 	#isProbing = false;
+	/** Time of the last command, which is no probe. */
+	#lastCommandAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	/** Time of the last reply to a probe. */
+	#repliedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	/** Connection that is being opened. */
 	#opening: Promise<MemberConnection> | undefined;
 	#cancelNextProbe: Cancel | undefined;
@@ -80,7 +102,8 @@
 	}
 
 	async #executeStatement(statement: MemberStatement, mayBeSent: () => boolean): Promise<StatementReply> {
-		const connection = await this.#connect();
+		const connection = await this.#connectForCommand();
+		this.#lastCommandAt = this.options.clock.now();
 		if (!mayBeSent()) {
 			throw new BuckthornhitchError('notLeader', `${statement.kind} was not sent to ${this.server.id}.`);
 		}
@@ -100,7 +123,12 @@
 		this.#cancelNextProbe = undefined;
 		const startedAt = this.options.clock.now();
 		this.#isProbing = true;
-		await this.#probe();
+		if (this.#mode === 'none') {
+			this.#forget();
+		} else {
+			await this.#probe();
+		}
+
 		this.#isProbing = false;
 		if (!this.#isStopped) {
 			this.#cancelNextProbe = this.options.clock.schedule(Math.max(1, this.#nextProbeDelay() - (this.options.clock.now() - startedAt)), () => {
@@ -110,14 +138,39 @@
 	}
 
 	#nextProbeDelay(): Milliseconds {
+		if (this.#mode === 'none') {
+			return modeCheckPeriod;
+		}
+
 		if (this.#failingSince !== undefined && this.#openingStatement) {
 			return reconnectDelay;
 		}
 
+		const isReplyRecent = this.options.clock.now() - this.#repliedAt < briefProbePeriod;
+		if (this.#mode === 'brief' && this.#failingSince === undefined) {
+			return isReplyRecent ? briefProbePeriod : fullMemberRetryDelay;
+		}
+
 		// A member that did not answer is probed as often as a primary, to tell a lost answer from a lost member.
 		return this.options.probePeriod(this.primaryConfirmation !== undefined || this.#failingSince !== undefined);
 	}
 
+	get #mode(): ProbeMode {
+		return this.options.mode?.() ?? 'kept';
+	}
+
+	/** Closes the connection and drops what is known of the member, which another instance probes. */
+	#forget(): void {
+		if (this.#connection) {
+			this.#disconnect(this.#connection);
+		}
+
+		this.primaryConfirmation = undefined;
+		this.logPosition = undefined;
+		this.#answeredAt = undefined;
+		this.#failingSince = undefined;
+	}
+
 	get #openingStatement(): MemberStatement | undefined {
 		return this.options.openingStatement?.();
 	}
@@ -137,6 +190,7 @@
 			const sentAt = this.options.clock.now();
 			const reply = await this.#withTimeout(this.#sendProbe(connection), replyTimeout);
 			this.#recordReply(reply, sentAt);
+			this.#closeIfBrief();
 		} catch (error) {
 			if (error instanceof MemberRefusedError && error.reason !== 'wrongServer') {
 				// A refusal proves that the member is reachable; for example, all its connections may be in use.
@@ -161,6 +215,7 @@
 
 	#recordReply(reply: StatementReply, sentAt: Milliseconds): void {
 		this.#answeredAt = this.options.clock.now();
+		this.#repliedAt = this.#answeredAt;
 		this.#failingSince = undefined;
 		this.logPosition = reply.point ?? this.logPosition;
 		if (provesPrimary(reply)) {
@@ -195,6 +250,32 @@
 		return this.#opening;
 	}
 
+	/** Resolves with a connection, also if the member has none free at first. */
+	async #connectForCommand(): Promise<MemberConnection> {
+		const {clock} = this.options;
+		const deadline = clock.now() + freeConnectionTimeout;
+		for (;;) {
+			try {
+				return await this.#connect();
+			} catch (error) {
+				const isFull = error instanceof MemberRefusedError && error.reason === 'connectionLimit';
+				if (!isFull || clock.now() >= deadline || this.#isStopped) {
+					throw error;
+				}
+			}
+
+			await clock.sleep(fullMemberRetryDelay);
+		}
+	}
+
+	/** Closes a connection that must not be kept once no command has been sent on it for a moment. */
+	#closeIfBrief(): void {
+		const isInUse = this.options.clock.now() - this.#lastCommandAt < briefConnectionLifetime;
+		if (this.#connection && this.#mode === 'brief' && !isInUse) {
+			this.#disconnect(this.#connection);
+		}
+	}
+
 	async #open(): Promise<MemberConnection> {
 		const {id, service, address} = this.server;
 		const connection = await this.options.connector.connect({id, service, address}, connectTimeout);
--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -1,5 +1,5 @@
 import {type BackendDirectory} from '../backend-directory/backend-directory.js';
-import {type BackendAnnouncement} from '../backend-directory/types.js';
+import {type BackendAnnouncement, type BackendServer} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
 import {parseBody, requestSchemas} from '../control/request-schemas.js';
@@ -18,6 +18,7 @@
 	RoutingStateMachine, type AcceptedRouting, type PromotionRecord, type SubmitResult,
 } from '../routing-table/routing-state-machine.js';
 import {type RoutingDocumentParser, type RoutingTable} from '../routing-table/types.js';
+import {assignProbe, type ProbeMode} from '../promotion/probe-assignment.js';
 import {failureDetectionThreshold} from '../promotion/promotion-decision.js';
 import {type BackendServerMonitor} from '../promotion/backend-server-monitor.js';
 import {AnnouncementExchange} from './announcement-exchange.js';
@@ -28,8 +29,9 @@
 import {IntroductionController} from './introduction-controller.js';
 import {
 	announcementFreshness, type ControlReachability, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
-	type ReachabilityNotice, type SubmitRoutingRequest, type WatchRequest, type WatchResponse,
+	type PrimaryReport, type ReachabilityNotice, type SubmitRoutingRequest, type WatchRequest, type WatchResponse,
 } from './messages.js';
+import {LimitWarnings} from './limit-warnings.js';
 import {RoutingHistory} from './routing-history.js';
 import {type RoutingPieceRequest} from './routing-transfer.js';
 import {UsageExchange} from './usage-exchange.js';
@@ -43,6 +45,9 @@
 /** Time after its start from which an instance knows the entries that watch any control instance. It covers two introduction periods and the time in which the entries begin to send `watch` requests. */
 const entryLearningTime: Milliseconds = 2500;
 
+/** Period at which the leader compares the connection limits with the size of the fleet. */
+const limitCheckPeriod: Milliseconds = 10_000;
+
 /** See `RegistryOptions.maximumClockDifference`. */
 const defaultMaximumClockDifference: Milliseconds = 20_000;
 
@@ -96,8 +101,10 @@
 	readonly #directoryId = uniqueId();
 	readonly #entries: EntryDirectory;
 	readonly #usage: UsageExchange;
+	readonly #limitWarnings: LimitWarnings;
 	readonly #announcements: AnnouncementExchange;
 	readonly #createdAt: Milliseconds;
+	#nextLimitCheckAt: Milliseconds = 0;
 	#table: RoutingTable | undefined;
 	#cancel: Cancel | undefined;
 	#bootstrapping = false;
@@ -108,6 +115,7 @@
 		this.reports = new ReachabilityReports(clock);
 		this.#entries = new EntryDirectory(clock);
 		this.#announcements = new AnnouncementExchange({...options, maximumClockDifference: options.maximumClockDifference ?? defaultMaximumClockDifference});
+		this.#limitWarnings = new LimitWarnings(logger);
 		this.#createdAt = clock.now();
 		this.voter = new Voter({
 			name: options.name,
@@ -179,6 +187,7 @@
 		linkServer.handle('fetchRouting', async body => this.#routingHistory.piece(body as RoutingPieceRequest));
 		linkServer.handle('submitRouting', async body => this.#submitAsLeader(body as SubmitRoutingRequest));
 		linkServer.handle('readRouting', async () => this.#readAsLeader());
+		linkServer.handle('primaryReports', async () => this.options.monitor.primaryReports());
 		linkServer.handle('shareContacts', async body => {
 			const {name, contacts} = body as ReachabilityNotice;
 			this.reports.receiveFromControl(name, contacts);
@@ -189,6 +198,8 @@
 		this.#cancel = clock.repeat(housekeepingPeriod, () => {
 			directory.prune();
 			this.#reportFailuresToLeader();
+			void this.#adoptPrimaryReports();
+			this.#warnOfScarceLimits();
 			void this.#bootstrapIfNeeded();
 		});
 	}
@@ -240,6 +251,43 @@
 		return this.#stateMachine.lastPromotion(service);
 	}
 
+	/** Returns how this instance probes a backend server. */
+	probeMode({id, service}: BackendServer): ProbeMode {
+		const {controls, name} = this.options;
+		return assignProbe({
+			member: id,
+			connectionLimit: this.#table?.services.find(other => other.name === service)?.connectionLimit,
+			controls: controls.live,
+			name,
+			leader: this.voter.leader?.name,
+		});
+	}
+
+	/** Asks the leader for the primaries of the services whose members this instance does not probe. */
+	async #adoptPrimaryReports(): Promise<void> {
+		const {monitor, clock, linkClient, linkAddress} = this.options;
+		const address = this.#leaderAddress();
+		if (!monitor.needsReports || address === undefined || address === linkAddress) {
+			return;
+		}
+
+		const askedAt = clock.now();
+		try {
+			monitor.adoptReports(await linkClient.request(address, 'primaryReports', null, housekeepingPeriod) as readonly PrimaryReport[], askedAt);
+		} catch {
+			// The reports held so far grow older; the next ones are requested in the next period.
+		}
+	}
+
+	/** The leader warns once it knows the entries. */
+	#warnOfScarceLimits(): void {
+		const {clock, controls} = this.options;
+		if (this.#table && this.voter.leaseLive && clock.now() - this.#createdAt >= entryLearningTime && clock.now() >= this.#nextLimitCheckAt) {
+			this.#nextLimitCheckAt = clock.now() + limitCheckPeriod;
+			this.#limitWarnings.check(this.#table, controls.live.length, this.#entries.all.length);
+		}
+	}
+
 	#handleIntroduce(request: IntroduceRequest): IntroduceResponse {
 		this.options.directory.recordAnnouncementAges(request.heard);
 		if (request.contacts) {
--- a/source/registry/routing-watcher.ts
+++ b/source/registry/routing-watcher.ts
@@ -113,6 +113,11 @@
 		return this.#coversAllEntries ? this.#entries : undefined;
 	}
 
+	/** Number of control instances that are known; at least 1. */
+	get controlCount(): number {
+		return Math.max(1, this.#controls.length);
+	}
+
 	/** See `RoutingFetcher.rejectedVersion`. */
 	get rejectedRoutingVersion(): number | undefined {
 		return this.#routing.rejectedVersion;
--- a/source/relay/connection-allocation.ts
+++ b/source/relay/connection-allocation.ts
@@ -1,9 +1,7 @@
+import {divideConnections} from '../connection-budget/connection-budget.js';
 import {ownershipOrder} from '../ownership/rendezvous.js';
 import {type EntryRecord} from '../registry/messages.js';
 
-/** Connections of a member that are reserved for control instances and for old connections that stay open briefly while new ones replace them. */
-const reservedConnections = 6;
-
 /** Factor by which an entry (an instance that accepts callers) may exceed its share of the connections; not all entries are busy at once. */
 const oversubscriptionFactor = 2;
 
@@ -26,6 +24,7 @@
 export type ConnectionAllocationInput = {
 	/** Maximum number of connections that the member accepts. */
 	readonly connectionLimit: number;
+	readonly controlCount: number;
 	readonly entryCount: number;
 	/** Number of data centres with entries. */
 	readonly dataCentreCount: number;
@@ -43,14 +42,18 @@
 	readonly gatewaysNearMember?: number;
 	/** Whether each customer has its own order of the gateways near the member; absent otherwise. */
 	readonly isByCustomer?: true;
+	/** Whether the only connection of the member must be closed from time to time, so that the leader of the control log can send commands; absent otherwise. */
+	readonly isYielding?: true;
 };
 
 /** Allocates the connections of a member to the entries. If there are enough, every entry has direct connections; otherwise a few gateways relay statements for the others. The gateways are in each data centre, or near the member where customers are configured or a gateway in each data centre would have too few connections. */
-export function allocateConnections({connectionLimit, entryCount, dataCentreCount, hasCustomers = false}: ConnectionAllocationInput): ConnectionAllocation {
-	const available = Math.max(1, connectionLimit - reservedConnections);
+export function allocateConnections({connectionLimit, controlCount, entryCount, dataCentreCount, hasCustomers = false}: ConnectionAllocationInput): ConnectionAllocation {
+	const {entryConnections: available, controlConnections, isScarce} = divideConnections({connectionLimit, controlCount});
 	const perEntry = Math.floor(available / Math.max(1, entryCount));
-	if (perEntry >= minimumConnectionsPerEntry || entryCount <= 1) {
-		return {connectionsPerEntry: Math.max(1, perEntry) * oversubscriptionFactor, gatewaysPerDataCentre: undefined};
+	if (perEntry >= minimumConnectionsPerEntry || (entryCount <= 1 && controlConnections > 0)) {
+		// Where control instances have given up connections for the entries, these leave theirs to the leader.
+		const factor = isScarce ? 1 : oversubscriptionFactor;
+		return {connectionsPerEntry: Math.max(1, perEntry) * factor, gatewaysPerDataCentre: undefined};
 	}
 
 	const perDataCentre = available / Math.max(1, dataCentreCount);
@@ -66,6 +69,7 @@
 		gatewaysPerDataCentre: undefined,
 		gatewaysNearMember: gatewayCount,
 		...(hasCustomers && {isByCustomer: true}),
+		...(controlConnections === 0 && {isYielding: true}),
 	};
 }
 
--- a/source/relay/gateway-load-fixture.ts
+++ b/source/relay/gateway-load-fixture.ts
@@ -162,7 +162,7 @@
 			};
 		});
 		const allocation = allocateConnections({
-			connectionLimit, entryCount: deployment.entryCount, dataCentreCount: sites.length, hasCustomers,
+			connectionLimit, controlCount: 5, entryCount: deployment.entryCount, dataCentreCount: sites.length, hasCustomers,
 		});
 		const links = new InMemoryLinks();
 		const regionOf = (address: string): string | undefined => records.find(record => record.address === address)?.region;
--- a/source/relay/gateway-placement.ts
+++ b/source/relay/gateway-placement.ts
@@ -36,6 +36,10 @@
 		return this.source.isGateway(this.member);
 	}
 
+	override get isYielding(): boolean {
+		return this.#allocation.isYielding ?? false;
+	}
+
 	get #allocation(): ConnectionAllocation {
 		return this.source.allocationOf(this.member.service);
 	}
--- a/source/relay/placement-fixture.ts
+++ b/source/relay/placement-fixture.ts
@@ -51,7 +51,7 @@
 			name: `${dataCentre}-${index}`, address: `${dataCentre}-${index}:1`, dataCentre, region,
 		})));
 		const allocation = allocateConnections({
-			connectionLimit, entryCount: records.length, dataCentreCount: sites.length, hasCustomers,
+			connectionLimit, controlCount: 5, entryCount: records.length, dataCentreCount: sites.length, hasCustomers,
 		});
 		this.entries = records.map((record, index) => {
 			const {clock, links} = this;
--- a/source/relay/placement.spec.ts
+++ b/source/relay/placement.spec.ts
@@ -13,14 +13,18 @@
 const write: MemberStatement = {kind: 'write', id: 'w', text: 'WRITE 1 x'};
 
 test('gateways are near the member only where a gateway in each data centre would have under 4 connections, or with customers', () => {
-	assert.deepEqual(allocateConnections({connectionLimit: 46, entryCount: 83, dataCentreCount: 6}), {connectionsPerEntry: 10, gatewaysPerDataCentre: undefined, gatewaysNearMember: 4});
-	const many = {connectionLimit: 112, entryCount: 142, dataCentreCount: 6};
+	assert.deepEqual(allocateConnections({
+		connectionLimit: 46, controlCount: 5, entryCount: 83, dataCentreCount: 6,
+	}), {connectionsPerEntry: 10, gatewaysPerDataCentre: undefined, gatewaysNearMember: 4});
+	const many = {
+		connectionLimit: 112, controlCount: 5, entryCount: 142, dataCentreCount: 6,
+	};
 	assert.deepEqual(allocateConnections(many), {connectionsPerEntry: 5, gatewaysPerDataCentre: 3});
 	assert.deepEqual(allocateConnections({...many, hasCustomers: true}), {
 		connectionsPerEntry: 26, gatewaysPerDataCentre: undefined, gatewaysNearMember: 4, isByCustomer: true,
 	});
 	assert.deepEqual(allocateConnections({
-		connectionLimit: 45, entryCount: 15, dataCentreCount: 3, hasCustomers: true,
+		connectionLimit: 45, controlCount: 5, entryCount: 15, dataCentreCount: 3, hasCustomers: true,
 	}), {connectionsPerEntry: 4, gatewaysPerDataCentre: undefined});
 });
 
--- a/source/relay/relay.spec.ts
+++ b/source/relay/relay.spec.ts
@@ -10,6 +10,7 @@
 import {MemberPool} from '../session-proxy/member-pool.js';
 import {testAnnouncement} from '../session-proxy/session-fixture.js';
 import {type MemberStatement, type StatementReply} from '../statement/types.js';
+import {divideConnections} from '../connection-budget/connection-budget.js';
 import {selectGateways, allocateConnections, type ConnectionAllocation} from './connection-allocation.js';
 import {InMemoryLinks} from './in-memory-links-fixture.js';
 import {RelayServer} from './relay-server.js';
@@ -237,18 +238,24 @@
 });
 
 test('every entry gets direct connections if there are enough, otherwise a few gateways get them within the limit', () => {
-	assert.deepEqual(allocateConnections({connectionLimit: 45, entryCount: 15, dataCentreCount: 3}), {connectionsPerEntry: 4, gatewaysPerDataCentre: undefined});
-	const scarce = allocateConnections({connectionLimit: 106, entryCount: 145, dataCentreCount: 6});
+	assert.deepEqual(allocateConnections({
+		connectionLimit: 45, controlCount: 5, entryCount: 15, dataCentreCount: 3,
+	}), {connectionsPerEntry: 4, gatewaysPerDataCentre: undefined});
+	const scarce = allocateConnections({
+		connectionLimit: 106, controlCount: 5, entryCount: 145, dataCentreCount: 6,
+	});
 	assert.deepEqual(scarce, {connectionsPerEntry: 5, gatewaysPerDataCentre: 3});
 	assert.ok(scarce.connectionsPerEntry * scarce.gatewaysPerDataCentre * 6 <= 106);
 	for (const connectionLimit of [10, 20, 45, 106, 300]) {
 		for (const dataCentreCount of [1, 3, 6]) {
 			for (const hasCustomers of [false, true]) {
 				const {connectionsPerEntry, gatewaysPerDataCentre, gatewaysNearMember} = allocateConnections({
-					connectionLimit, entryCount: 400, dataCentreCount, hasCustomers,
+					connectionLimit, controlCount: 5, entryCount: 400, dataCentreCount, hasCustomers,
 				});
 				const gateways = gatewaysNearMember ?? (gatewaysPerDataCentre! * dataCentreCount);
-				assert.ok(connectionsPerEntry * gateways <= connectionLimit - 6, `${connectionLimit} ${dataCentreCount} ${String(hasCustomers)}`);
+				const {entryConnections, controlConnections} = divideConnections({connectionLimit, controlCount: 5});
+				assert.ok(entryConnections + controlConnections < connectionLimit);
+				assert.ok(connectionsPerEntry * gateways <= entryConnections, `${connectionLimit} ${dataCentreCount} ${String(hasCustomers)}`);
 			}
 		}
 	}
--- a/source/session-proxy/connection-limit.ts
+++ b/source/session-proxy/connection-limit.ts
@@ -53,6 +53,11 @@
 		this.#reconnectAt = this.clock.now() + reconnectDelay;
 	}
 
+	/** Opens no connection for a while, in which others can. */
+	pauseFor(duration: Milliseconds): void {
+		this.#reconnectAt = this.clock.now() + duration;
+	}
+
 	/** Records that a connection is closed to open another one in its place. */
 	vacatePlace(): void {
 		this.#isPlaceVacated = true;
--- a/source/session-proxy/connection-opener.ts
+++ b/source/session-proxy/connection-opener.ts
@@ -92,6 +92,11 @@
 		}
 	}
 
+	/** Opens no connection on the path for a while, in which other instances can. */
+	pauseFor(path: ConnectionPath | undefined, duration: Milliseconds): void {
+		this.#limitOf(path).pauseFor(duration);
+	}
+
 	/** Returns the number of connections on the path that are being opened. */
 	openingCountOn(path: ConnectionPath | undefined): number {
 		return this.#openings.filter(opening => opening.path === path).length;
--- a/source/session-proxy/connection-placement.ts
+++ b/source/session-proxy/connection-placement.ts
@@ -17,6 +17,11 @@
 		return true;
 	}
 
+	/** Whether the member's only connection must be closed from time to time, so that the leader of the control log gets one. */
+	get isYielding(): boolean {
+		return false;
+	}
+
 	/** Number of connections that this instance may have to the member on its main path: its own connections if it is a gateway, otherwise those through gateways. */
 	get maximumOfInstance(): number {
 		if (!this.isByCustomer) {
--- a/source/session-proxy/idle-connections.ts
+++ b/source/session-proxy/idle-connections.ts
@@ -30,6 +30,11 @@
 		}
 	}
 
+	/** Returns whether the connection is idle. */
+	includes(connection: PooledConnection): boolean {
+		return this.#connections.includes(connection);
+	}
+
 	/** Returns whether there is a connection that the request may use. */
 	has(request: ConnectionRequest): boolean {
 		return this.#connections.some(connection => !connection.memberConnection.isClosed && mayUse(request, connection));
--- a/source/session-proxy/member-pool.spec.ts
+++ b/source/session-proxy/member-pool.spec.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {ManualClock} from '../clock/manual-clock.js';
 import {silentLogger} from '../observability/logger.js';
+import {SharedPlacement} from './connection-placement.js';
 import {FakeMemberConnector, FakeMemberServer} from './member-server-fake.js';
 import {MemberPool} from './member-pool.js';
 import {testAnnouncement} from './session-fixture.js';
@@ -49,3 +50,52 @@
 	assert.equal(pool.isFailing, false);
 	assert.equal(member.connections[0].isClosed, false);
 });
+
+class YieldingPlacement extends SharedPlacement {
+	override get isYielding(): boolean {
+		return true;
+	}
+}
+
+// The leader of the control log could not send a command to a member whose only connection served callers without a pause.
+test('the only connection of a member is given up for a moment, between two statements', async () => {
+	const clock = new ManualClock();
+	const member = new FakeMemberServer({...testAnnouncement('a'), isGone: false});
+	const pool = new MemberPool(member.server, {
+		connector: new FakeMemberConnector([member]), clock, logger: silentLogger, maximumConnections: () => 1, placement: new YieldingPlacement(() => 1),
+	});
+	let freeTime = 0;
+	let served = 0;
+	const step = 10;
+	const serve = async (): Promise<void> => {
+		for (;;) {
+			const connection = await pool.acquire(2000, 1);
+			await clock.sleep(step);
+			assert.equal(connection.memberConnection.isClosed, false, 'no connection in use is closed');
+			pool.release(connection);
+			served++;
+		}
+	};
+
+	void serve().catch(() => undefined);
+	for (let passed = 0; passed < 10_000; passed += step) {
+		await clock.advanceInSteps(step, step);
+		freeTime += member.connections.every(({isClosed}) => isClosed) ? step : 0;
+	}
+
+	assert.ok(freeTime >= 1000, `the member had a connection free for ${freeTime} ms`);
+	assert.ok(served >= 700, `${served} statements were served`);
+	pool.close();
+});
+
+test('an idle only connection of a member is given up as well', async () => {
+	const clock = new ManualClock();
+	const member = new FakeMemberServer({...testAnnouncement('a'), isGone: false});
+	const pool = new MemberPool(member.server, {
+		connector: new FakeMemberConnector([member]), clock, logger: silentLogger, maximumConnections: () => 1, placement: new YieldingPlacement(() => 1),
+	});
+	pool.release(await pool.acquire(1000, 1));
+	await clock.advanceInSteps(2000, 10);
+	assert.equal(member.connections[0].isClosed, true);
+	pool.close();
+});
--- a/source/session-proxy/member-pool.ts
+++ b/source/session-proxy/member-pool.ts
@@ -24,6 +24,12 @@
 /** Time to wait for an overdue reply and a rollback before the connection is closed; longer than a request waits in the queue of a slow member. */
 export const rollbackTimeout: Milliseconds = 6000;
 
+/** Time for which this instance holds the only connection of a member before it lets the leader of the control log connect. */
+const yieldingPeriod: Milliseconds = 1500;
+
+/** Time for which the only connection of a member is left to others; the leader tries several times in it. */
+const yieldingPause: Milliseconds = 250;
+
 /** Dependencies and limits of a pool. */
 export type MemberPoolOptions = {
 	readonly connector: MemberConnector;
@@ -157,6 +163,11 @@
 	/** Returns a connection without an open transaction to the pool. A connection that is not reusable is closed. */
 	release(connection: PooledConnection): void {
 		this.#removeFromUse(connection);
+		if (this.#isDueToYield(connection)) {
+			this.#yield(connection);
+			return;
+		}
+
 		if (!connection.isReusable || this.#isClosed || !this.#placement.isAllowed(connection.memberConnection)) {
 			if (connection.isInTransaction) {
 				this.options.logger.warn(`a connection to ${this.server.id} was returned with an open transaction and is closed`);
@@ -246,6 +257,18 @@
 		this.#waiting.rejectWhere(() => true, new BuckthornhitchError('memberUnreachable', `${this.server.id} is gone`));
 	}
 
+	#isDueToYield({memberConnection, openedAt}: PooledConnection): boolean {
+		return this.#placement.isYielding && !memberConnection.isRelayed && this.options.clock.now() - openedAt >= yieldingPeriod;
+	}
+
+	/** Closes the only connection of the member, and opens none for a moment. */
+	#yield(connection: PooledConnection): void {
+		this.#opener.pauseFor(connection.path, yieldingPause);
+		this.#idle.remove(connection);
+		connection.memberConnection.close();
+		this.#serveWaiting();
+	}
+
 	/** Expected time from the assignment of a connection to the reply. */
 	get #replyTimeOnConnection(): Milliseconds {
 		return this.#placement.isGateway ? this.#gate.expectedReplyTime : this.#health.expectedReplyTime;
@@ -393,6 +416,14 @@
 		memberConnection.onClosed(() => {
 			this.#idle.remove(connection);
 		});
+		if (this.#placement.isYielding) {
+			this.options.clock.schedule(yieldingPeriod, () => {
+				if (this.#idle.includes(connection) && this.#isDueToYield(connection)) {
+					this.#yield(connection);
+				}
+			});
+		}
+
 		if (this.#placement.isExact) {
 			this.release(connection);
 			return;
--- a/source/session-proxy/pooled-connection.ts
+++ b/source/session-proxy/pooled-connection.ts
@@ -30,6 +30,8 @@
 
 /** Pooled connection to a member, with the session variables and prepared statements set on it. */
 export class PooledConnection {
+	/** Time at which the connection was opened. */
+	readonly openedAt: Milliseconds;
 	/** Time at which the connection was last released to the pool. */
 	releasedAt: Milliseconds = 0;
 	readonly #variables = new Map<string, string>();
@@ -43,7 +45,9 @@
 	/** Whether it is known which variables and prepared statements the connection has. */
 	#isSetupKnown = true;
 
-	constructor(readonly memberConnection: MemberConnection, private readonly options: PooledConnectionOptions) {}
+	constructor(readonly memberConnection: MemberConnection, private readonly options: PooledConnectionOptions) {
+		this.openedAt = options.clock.now();
+	}
 
 	/** Name of the customer to whom the connection belongs for its whole lifetime; undefined if there is none. */
 	get customer(): string | undefined {
