Keep the member that may be promoted receiving while the primary is asked for

While a request for the primary was sent, the leader took that member for one that must not receive: if it restarted in that time, it was paused on its new connection until the next repair, at most 500 ms later, and writes waited. Cause: the request made its own member the receiver, also if that is the primary. Found by reading; the new case fails on the code before.

--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -398,13 +398,16 @@
 	}
 
 	/** Requests the promotion of a member and waits until it confirms that it leads. */
-	async #promote({service, synchronousReplicas, members}: ReplacementPlan, member: string): Promise<void> {
+	async #promote({service, synchronousReplicas, members, primary}: ReplacementPlan, member: string): Promise<void> {
 		if (synchronousReplicas > 0) {
 			this.#unfinishedReplacements.add(service);
 		}
 
+		const replica = members.find(({id}) => id === member && id !== primary?.id);
 		const sent = await this.#requests.send(service, member, async () => {
-			await this.#protection.receiveOnly(service, member, async () => this.#commands.send(members.filter(({id}) => id === member), {kind: 'resume'}));
+			if (replica) {
+				await this.#protection.receiveOnly(service, member, async () => this.#commands.send([replica], {kind: 'resume'}));
+			}
 		});
 		if (sent.outcome !== 'refused' && await this.#awaitConfirmation(sent) && sent.outcome === 'designated') {
 			this.#protection.end(service);
--- a/source/promotion/unfinished-promotion.spec.ts
+++ b/source/promotion/unfinished-promotion.spec.ts
@@ -329,3 +329,22 @@
 	assert.ok(fixture.pendingPromotions.length <= 2);
 	fixture.stop();
 });
+
+// A request for the primary took the member that may still be promoted for one that must not receive, and paused it when it connected again.
+test('the member that may still be promoted is not paused while the primary is requested', async () => {
+	const fixture = await startCommitting();
+	await loseAnswer(fixture);
+	const named = replicaNamed(fixture);
+	fixture.members[0].isUnresponsive = false;
+	fixture.deafMembers.add(named.server.id);
+	await fixture.advance(2000, 0);
+	assert.equal(fixture.authority.requests.at(-1)?.member, 'a');
+	const before = named.receivedKinds.length;
+	fixture.restart(named.server.id);
+	await fixture.advance(1000, 0);
+	assert.ok(!named.receivedKinds.slice(before).includes('pause'));
+	fixture.deafMembers.clear();
+	fixture.authority.isSilent = false;
+	await fixture.advance(2500, 0);
+	await assertRecovered(fixture);
+});
