Move the execution of promotions into a class of its own

The controller decides when to replace a primary, PromotionExecutor sends the request and settles it. The monitor takes its dependencies as options.

--- a/source/promotion/backend-server-monitor.ts
+++ b/source/promotion/backend-server-monitor.ts
@@ -17,7 +17,18 @@
 /** Period at which replicas are probed. */
 const replicaProbePeriod: Milliseconds = 1000;
 
-/** Probes every backend server in the directory. */
+/** Dependencies of the monitor. */
+export type BackendServerMonitorOptions = {
+	readonly clock: Clock;
+	readonly directory: BackendDirectory;
+	readonly connector: MemberConnector;
+	/** Returns whether this instance leads the control log. */
+	readonly isLeader: () => boolean;
+	/** Returns how this instance probes a server; on a connection that it keeps, if absent. */
+	readonly probeMode?: (server: BackendServer) => ProbeMode;
+};
+
+/** Probes the backend servers in the directory. */
 export class BackendServerMonitor extends Controller {
 	readonly #probers = new Map<string, BackendServerProber>();
 	/** Reports of the leader, by service. */
@@ -25,22 +36,15 @@
 	#protection = new ReplicaProtection();
 	#cancelRefresh: Cancel | undefined;
 
-	constructor(
-		private readonly clock: Clock,
-		private readonly directory: BackendDirectory,
-		private readonly connector: MemberConnector,
-		private readonly isLeader: () => boolean,
-		/** Returns how this instance probes a server. */
-		private readonly probeMode: (server: BackendServer) => ProbeMode = () => 'kept',
-	) {
+	constructor(private readonly options: BackendServerMonitorOptions) {
 		super();
 	}
 
 	override start(): void {
-		this.directory.onChange(() => {
+		this.options.directory.onChange(() => {
 			this.#updateProbers();
 		});
-		this.#cancelRefresh = this.clock.repeat(1000, () => {
+		this.#cancelRefresh = this.options.clock.repeat(1000, () => {
 			this.#updateProbers();
 		});
 	}
@@ -71,7 +75,7 @@
 
 	/** Whether this instance does not probe all servers, so that it needs the reports of the leader. */
 	get needsReports(): boolean {
-		return !this.isLeader() && this.directory.servers.some(server => this.probeMode(server) === 'none');
+		return !this.options.isLeader() && this.options.directory.servers.some(server => this.#probeMode(server) === 'none');
 	}
 
 	/** Takes over the reports of the leader about primaries that this instance does not probe. `askedAt` is the time at which they were requested. */
@@ -84,14 +88,14 @@
 
 	/** Returns the most recently confirmed primary of each service whose log position is known, by the probes of this instance or, where it has none, of the leader. */
 	primaryReports(): readonly PrimaryReport[] {
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		const own = [...this.#confirmedPrimaries()].flatMap(([service, {server, confirmation}]) => confirmation.logPosition
 			? [{
 				service, primary: server.id, point: confirmation.logPosition, age: now - confirmation.sentAt,
 			}]
 			: []);
 		const services = new Set(own.map(({service}) => service));
-		const suspendedUntil = this.clock.lastSuspectedSuspension();
+		const suspendedUntil = this.options.clock.lastSuspectedSuspension();
 		const adopted = [...this.#adopted.values()].filter(({service, sentAt}) => !services.has(service) && sentAt > suspendedUntil);
 		return [...own, ...adopted.map(({sentAt, ...report}) => ({...report, age: now - sentAt}))];
 	}
@@ -103,7 +107,7 @@
 
 	/** Returns the most recently confirmed primary of each service. Confirmations from before a suspected suspension of this instance are left out, since their age is not known. */
 	#confirmedPrimaries(): ReadonlyMap<string, ConfirmedPrimary> {
-		const suspendedUntil = this.clock.lastSuspectedSuspension();
+		const suspendedUntil = this.options.clock.lastSuspectedSuspension();
 		const newest = new Map<string, ConfirmedPrimary>();
 		for (const {server, primaryConfirmation: confirmation} of this.#probers.values()) {
 			if (confirmation && confirmation.sentAt > suspendedUntil && confirmation.sentAt > (newest.get(server.service)?.confirmation.sentAt ?? Number.NEGATIVE_INFINITY)) {
@@ -114,16 +118,20 @@
 		return newest;
 	}
 
+	#probeMode(server: BackendServer): ProbeMode {
+		return this.options.probeMode?.(server) ?? 'kept';
+	}
+
 	#probePeriod(server: BackendServer, isPrimary: boolean): Milliseconds {
 		if (!isPrimary && !this.#protection.isReceiver(server)) {
 			return replicaProbePeriod;
 		}
 
-		return this.isLeader() ? leaderProbePeriod : nonLeaderProbePeriod;
+		return this.options.isLeader() ? leaderProbePeriod : nonLeaderProbePeriod;
 	}
 
 	#updateProbers(): void {
-		const present = new Map(this.directory.servers.map(server => [server.id, server]));
+		const present = new Map(this.options.directory.servers.map(server => [server.id, server]));
 		for (const [id, prober] of this.#probers) {
 			if (!isSameServer(prober.server, present.get(id))) {
 				prober.stop();
@@ -134,11 +142,11 @@
 		for (const [id, server] of present) {
 			if (!this.#probers.has(id)) {
 				this.#probers.set(id, new BackendServerProber(server, {
-					connector: this.connector,
-					clock: this.clock,
-					mode: () => this.probeMode(server),
+					connector: this.options.connector,
+					clock: this.options.clock,
+					mode: () => this.#probeMode(server),
 					probePeriod: isPrimary => this.#probePeriod(server, isPrimary),
-					openingStatement: () => this.isLeader() ? this.#protection.openingStatement(server) : undefined,
+					openingStatement: () => this.options.isLeader() ? this.#protection.openingStatement(server) : undefined,
 				}));
 			}
 		}
--- a/source/promotion/promotion-fixture.ts
+++ b/source/promotion/promotion-fixture.ts
@@ -120,7 +120,9 @@
 	elect(name: string): void {
 		const {connector, statusParser} = this.#options;
 		const isLeader = (): boolean => this.#leader === name;
-		const monitor = new BackendServerMonitor(this.clock, this.#directory, connector?.(this.members) ?? this.#connector, isLeader);
+		const monitor = new BackendServerMonitor({
+			clock: this.clock, directory: this.#directory, connector: connector?.(this.members) ?? this.#connector, isLeader,
+		});
 		const controller = new ServicePromotionController({
 			name,
 			clock: this.clock,
--- a/source/promotion/service-promotion-controller.ts
+++ b/source/promotion/service-promotion-controller.ts
@@ -2,7 +2,7 @@
 import {type BackendServer} from '../backend-directory/types.js';
 import {Controller} from '../blackboard/blackboard.js';
 import {type Cancel, type Clock, type Milliseconds} from '../clock/clock.js';
-import {compareLogPositions, describeLogPosition} from '../database-group/log-position-rules.js';
+import {compareLogPositions} from '../database-group/log-position-rules.js';
 import {type LogPosition} from '../database-group/types.js';
 import {type Logger} from '../observability/logger.js';
 import {type ReachabilityCount, type ReachabilityReports} from '../registry/reachability-reports.js';
@@ -15,19 +15,14 @@
 import {MemberCommands} from './member-commands.js';
 import {type PromotionAuthority} from './promotion-authority.js';
 import {isPrimaryLost, failureDetectionThreshold, type PromotionCandidate} from './promotion-decision.js';
-import {PromotionRequests, type SentPromotion} from './promotion-requests.js';
+import {PromotionExecutor} from './promotion-executor.js';
+import {PromotionRequests} from './promotion-requests.js';
 import {ReplicaProtection} from './replica-protection.js';
 import {ReplicaRepair, type ServiceState} from './replica-repair.js';
 
 /** Period of the checks for primaries to replace. */
 const decisionPeriod: Milliseconds = 100;
 
-/** How long a designated member may take to become the primary before another promotion; longer than the longest promotion of a member. */
-const promotionTimeout: Milliseconds = 2500;
-
-/** How long to wait after a request without an answer. It may still be carried out seconds later, so it is repeated with a higher fencing token, which invalidates the late one. */
-const unansweredTimeout: Milliseconds = 300;
-
 /** How long a service may have no member announced as primary before one is promoted. Two announcement periods, so that a primary that has not announced itself yet can do so. */
 const unknownPrimaryGracePeriod: Milliseconds = 3000;
 
@@ -43,7 +38,7 @@
 /** Time after which a command of an earlier leader, which a partition may have held up, is lost; members drop connections whose remote end has been unreachable for 3 s. */
 const lateCommandLifetime: Milliseconds = 3500;
 
-/** Period of polling while waiting for a replica to catch up or for a member to become the primary. */
+/** Period of polling while waiting for a replica to catch up. */
 const pollPeriod: Milliseconds = 30;
 
 /** Dependencies of the promotion controller. */
@@ -85,6 +80,7 @@
 	readonly #commands: MemberCommands;
 	readonly #requests: PromotionRequests;
 	readonly #survey: CandidateSurvey;
+	readonly #executor: PromotionExecutor;
 	readonly #repair: ReplicaRepair;
 	#leaderSince: Milliseconds | undefined;
 	#cancelChecks: Cancel | undefined;
@@ -96,6 +92,9 @@
 		this.#survey = new CandidateSurvey({
 			...options, commands: this.#commands, requests: this.#requests, protection: this.#protection,
 		});
+		this.#executor = new PromotionExecutor({
+			...options, commands: this.#commands, requests: this.#requests, protection: this.#protection,
+		});
 		this.#repair = new ReplicaRepair({
 			...options, commands: this.#commands, requests: this.#requests, survey: this.#survey, protection: this.#protection,
 		});
@@ -397,44 +396,16 @@
 		return [];
 	}
 
-	/** Requests the promotion of a member and waits until it confirms that it leads. */
 	async #promote({service, synchronousReplicas, members, primary}: ReplacementPlan, member: string): Promise<void> {
 		if (synchronousReplicas > 0) {
 			this.#unfinishedReplacements.add(service);
 		}
 
-		const replica = members.find(({id}) => id === member && id !== primary?.id);
-		const sent = await this.#requests.send(service, member, async () => {
-			if (replica) {
-				await this.#protection.receiveOnly(service, member, async () => this.#commands.send([replica], {kind: 'resume'}));
-			}
-		});
-		if (sent.outcome !== 'refused' && await this.#awaitConfirmation(sent) && sent.outcome === 'designated') {
-			this.#protection.end(service);
+		const isLed = await this.#executor.promote({service, member, replica: members.find(({id}) => id === member && id !== primary?.id)});
+		if (isLed) {
 			this.#nextRepairAt.delete(service);
-			await this.#requests.settle(sent);
 		}
 	}
-
-	/** Resolves with whether the member of a request has confirmed that it leads. Only probes sent after the answer count: before, an earlier request for another member may have been carried out. */
-	async #awaitConfirmation({service, member, outcome}: SentPromotion): Promise<boolean> {
-		const {logger, clock, monitor} = this.options;
-		const answeredAt = clock.now();
-		const timeout = outcome === 'designated' ? promotionTimeout : unansweredTimeout;
-		while (clock.now() < answeredAt + timeout) {
-			// A member that is not reached keeps the confirmation from a time at which it led.
-			const prober = monitor.proberOf(member);
-			if (prober?.primaryConfirmation && prober.primaryConfirmation.sentAt >= answeredAt) {
-				logger.info(`${service}: ${member} is the primary from log position ${describeLogPosition(prober.logPosition)}`);
-				return true;
-			}
-
-			await clock.sleep(pollPeriod);
-		}
-
-		logger.warn(`${service}: ${member} is not the primary ${timeout} ms after the request`);
-		return false;
-	}
 }
 
 type ReplacementPlan = {
