Refuse relayed statements in time when no connection becomes free

Cause: the gateway refused them at the deadline, and the requesting entry gave up at the same deadline, counted from an earlier moment. The allowance of the link request was of no use, as the timer of the pooled connection has none.

Change: the gateway stops waiting for a connection 50 ms before the deadline.

Evidence: the new case fails on the code before.

--- a/source/relay/relay-session.ts
+++ b/source/relay/relay-session.ts
@@ -17,6 +17,9 @@
 /** Priority of relayed statements that state none among those that wait for a connection; the requesting entry has already ordered its own by priority. */
 const defaultPriority = 1;
 
+/** Time in which a refusal reaches the requesting entry: one round trip between regions and a short stall. A gateway gives up waiting for a connection this much before the deadline, so that the requesting entry learns that the statement has not run. */
+const refusalTravelTime: Milliseconds = 50;
+
 /** Statements of callers that a gateway runs outside transactions. */
 const dataKinds: ReadonlySet<MemberStatement['kind']> = new Set(['read', 'write', 'execute']);
 
@@ -287,7 +290,7 @@
 			throw new BuckthornhitchError('memberUnreachable', `${this.member} is not reached from here`);
 		}
 
-		const connection = await pool.acquireForRelay(deadline - this.clock.now(), this.#use, this.#session, this.customer);
+		const connection = await pool.acquireForRelay(deadline - refusalTravelTime - this.clock.now(), this.#use, this.#session, this.customer);
 		if (this.#isClosed || connection.memberConnection.isRelayed) {
 			// A statement is relayed only once; otherwise it could be relayed in a loop.
 			pool.release(connection);
--- a/source/relay/relayed-wait.spec.ts
+++ b/source/relay/relayed-wait.spec.ts
@@ -68,3 +68,16 @@
 	}, 1000)) as RelayStatementResponse;
 	assert.deepEqual(Object.keys(response), ['kind', 'reply']);
 });
+
+// The gateway refused such a write only when its time limit had passed, after the requesting entry had given it up as in doubt, so that the caller could not repeat it.
+test('a write that finds no connection at its gateway is refused as not run within its time limit', async () => {
+	const fixture = new PlacementFixture();
+	const requester = fixture.order.at(-1)!;
+	const sessions = new SessionFixture('readYourWrites', requester.connector, fixture.clock);
+	const session = await sessions.open();
+	await sessions.run(session, {kind: 'write', id: 'first', text: 'WRITE 1 x'});
+	const gateway = fixture.entries.find(({record}) => record.address === fixture.links.requests.at(-1)!.address)!;
+	await occupy(fixture, gateway, 5000);
+	const reply = await sessions.run(session, {kind: 'write', id: 'refused', text: 'WRITE 1 x'});
+	assert.deepEqual([reply.outcome, reply.outcome === 'refused' && reply.reason], ['refused', 'busy']);
+});
