--- a/source/registry/registry-process.ts
+++ b/source/registry/registry-process.ts
@@ -18,7 +18,7 @@
 	RoutingStateMachine, type AcceptedRouting, type PromotionRecord, type SubmitResult,
 } from '../routing-table/routing-state-machine.js';
 import {type RoutingDocumentParser, type RoutingTable} from '../routing-table/types.js';
-import {assignProbe, type ProbeMode} from '../promotion/probe-assignment.js';
+import {type ProbeMode} from '../promotion/probe-assignment.js';
 import {failureDetectionThreshold} from '../promotion/promotion-decision.js';
 import {type BackendServerMonitor} from '../promotion/backend-server-monitor.js';
 import {AnnouncementExchange} from './announcement-exchange.js';
@@ -29,9 +29,9 @@
 import {IntroductionController} from './introduction-controller.js';
 import {
 	announcementFreshness, type ControlReachability, type ControlRecord, type IntroduceRequest, type IntroduceResponse,
-	type PrimaryReport, type ReachabilityNotice, type SubmitRoutingRequest, type WatchRequest, type WatchResponse,
+	type ReachabilityNotice, type SubmitRoutingRequest, type WatchRequest, type WatchResponse,
 } from './messages.js';
-import {LimitWarnings} from './limit-warnings.js';
+import {ProbeCoordinator} from './probe-coordinator.js';
 import {RoutingHistory} from './routing-history.js';
 import {type RoutingPieceRequest} from './routing-transfer.js';
 import {UsageExchange} from './usage-exchange.js';
@@ -45,9 +45,6 @@
 /** Time after its start from which an instance knows the entries that watch any control instance. It covers two introduction periods and the time in which the entries begin to send `watch` requests. */
 const entryLearningTime: Milliseconds = 2500;
 
-/** Period at which the leader compares the connection limits with the size of the fleet. */
-const limitCheckPeriod: Milliseconds = 10_000;
-
 /** See `RegistryOptions.maximumClockDifference`. */
 const defaultMaximumClockDifference: Milliseconds = 20_000;
 
@@ -101,10 +98,9 @@
 	readonly #directoryId = uniqueId();
 	readonly #entries: EntryDirectory;
 	readonly #usage: UsageExchange;
-	readonly #limitWarnings: LimitWarnings;
+	readonly #probes: ProbeCoordinator;
 	readonly #announcements: AnnouncementExchange;
 	readonly #createdAt: Milliseconds;
-	#nextLimitCheckAt: Milliseconds = 0;
 	#table: RoutingTable | undefined;
 	#cancel: Cancel | undefined;
 	#bootstrapping = false;
@@ -115,7 +111,6 @@
 		this.reports = new ReachabilityReports(clock);
 		this.#entries = new EntryDirectory(clock);
 		this.#announcements = new AnnouncementExchange({...options, maximumClockDifference: options.maximumClockDifference ?? defaultMaximumClockDifference});
-		this.#limitWarnings = new LimitWarnings(logger);
 		this.#createdAt = clock.now();
 		this.voter = new Voter({
 			name: options.name,
@@ -159,6 +154,14 @@
 			reachability: () => this.#reachability(),
 			takeAnnouncedServers: () => this.#announcements.takeAnnouncedServers(),
 		});
+		this.#probes = new ProbeCoordinator({
+			...options,
+			table: () => this.#table,
+			leaderName: () => this.voter.leader?.name,
+			leaderAddress: () => this.#leaderAddress(),
+			isLeader: () => this.voter.leaseLive,
+			entryCount: () => clock.now() - this.#createdAt >= entryLearningTime ? this.#entries.all.length : undefined,
+		});
 		this.#usage = new UsageExchange({...options, runId: this.#directoryId, entryCount: () => this.#entries.all.length});
 	}
 
@@ -187,7 +190,6 @@
 		linkServer.handle('fetchRouting', async body => this.#routingHistory.piece(body as RoutingPieceRequest));
 		linkServer.handle('submitRouting', async body => this.#submitAsLeader(body as SubmitRoutingRequest));
 		linkServer.handle('readRouting', async () => this.#readAsLeader());
-		linkServer.handle('primaryReports', async () => this.options.monitor.primaryReports());
 		linkServer.handle('shareContacts', async body => {
 			const {name, contacts} = body as ReachabilityNotice;
 			this.reports.receiveFromControl(name, contacts);
@@ -195,11 +197,11 @@
 		this.#announcements.start();
 		this.#introductions.start();
 		this.#usage.start();
+		this.#probes.start();
 		this.#cancel = clock.repeat(housekeepingPeriod, () => {
 			directory.prune();
 			this.#reportFailuresToLeader();
-			void this.#adoptPrimaryReports();
-			this.#warnOfScarceLimits();
+			this.#probes.update();
 			void this.#bootstrapIfNeeded();
 		});
 	}
@@ -224,6 +226,11 @@
 		return answer as AcceptedRouting | null ?? undefined;
 	}
 
+	/** Returns how this instance probes a backend server. */
+	probeMode(server: BackendServer): ProbeMode {
+		return this.#probes.probeMode(server);
+	}
+
 	/** See `AnnouncementExchange.handleAnnouncement`. */
 	handleAnnouncement(announcement: BackendAnnouncement): void {
 		this.#announcements.handleAnnouncement(announcement);
@@ -251,43 +258,6 @@
 		return this.#stateMachine.lastPromotion(service);
 	}
 
-	/** Returns how this instance probes a backend server. */
-	probeMode({id, service}: BackendServer): ProbeMode {
-		const {controls, name} = this.options;
-		return assignProbe({
-			member: id,
-			connectionLimit: this.#table?.services.find(other => other.name === service)?.connectionLimit,
-			controls: controls.live,
-			name,
-			leader: this.voter.leader?.name,
-		});
-	}
-
-	/** Asks the leader for the primaries of the services whose members this instance does not probe. */
-	async #adoptPrimaryReports(): Promise<void> {
-		const {monitor, clock, linkClient, linkAddress} = this.options;
-		const address = this.#leaderAddress();
-		if (!monitor.needsReports || address === undefined || address === linkAddress) {
-			return;
-		}
-
-		const askedAt = clock.now();
-		try {
-			monitor.adoptReports(await linkClient.request(address, 'primaryReports', null, housekeepingPeriod) as readonly PrimaryReport[], askedAt);
-		} catch {
-			// The reports held so far grow older; the next ones are requested in the next period.
-		}
-	}
-
-	/** The leader warns once it knows the entries. */
-	#warnOfScarceLimits(): void {
-		const {clock, controls} = this.options;
-		if (this.#table && this.voter.leaseLive && clock.now() - this.#createdAt >= entryLearningTime && clock.now() >= this.#nextLimitCheckAt) {
-			this.#nextLimitCheckAt = clock.now() + limitCheckPeriod;
-			this.#limitWarnings.check(this.#table, controls.live.length, this.#entries.all.length);
-		}
-	}
-
 	#handleIntroduce(request: IntroduceRequest): IntroduceResponse {
 		this.options.directory.recordAnnouncementAges(request.heard);
 		if (request.contacts) {
