Find scarce limits once for each routing table

Each probe of each server searched the services of the routing table and listed the live control instances: with 8,200 services and some 70,000 probes a second at the size to design for, most of a core. The coordinator now keeps the scarce services by name, and examines them when the table or the number of control instances changes.

--- a/source/promotion/probe-assignment.ts
+++ b/source/promotion/probe-assignment.ts
@@ -13,8 +13,8 @@
 /** A member, and the control instances that share the probing of it. */
 export type ProbeAssignmentInput = {
 	readonly member: string;
-	/** Maximum number of connections that the member accepts; undefined while it is not known, for example before the first configuration. */
-	readonly connectionLimit: number | undefined;
+	/** Maximum number of connections that the member accepts. */
+	readonly connectionLimit: number;
 	/** The control instances that are live, including this one. */
 	readonly controls: readonly OwnershipCandidate[];
 	/** Name of this control instance. */
@@ -27,10 +27,6 @@
 export function assignProbe({
 	member, connectionLimit, controls, name, leader,
 }: ProbeAssignmentInput): ProbeMode {
-	if (connectionLimit === undefined) {
-		return 'kept';
-	}
-
 	const {controlConnections, isScarce} = divideConnections({connectionLimit, controlCount: Math.max(1, controls.length)});
 	if (!isScarce) {
 		return 'kept';
--- a/source/registry/probe-coordinator.ts
+++ b/source/registry/probe-coordinator.ts
@@ -1,5 +1,6 @@
 import {type BackendServer} from '../backend-directory/types.js';
 import {type Clock, type Milliseconds} from '../clock/clock.js';
+import {divideConnections} from '../connection-budget/connection-budget.js';
 import {type Address} from '../links/address.js';
 import {type LinkClient, type RequestHandler} from '../links/link-client.js';
 import {type Logger} from '../observability/logger.js';
@@ -8,7 +9,7 @@
 import {type RoutingTable} from '../routing-table/types.js';
 import {type ControlDirectory} from './control-directory.js';
 import {LimitWarnings} from './limit-warnings.js';
-import {type PrimaryReport} from './messages.js';
+import {type ControlRecord, type PrimaryReport} from './messages.js';
 
 /** Timeout of the request for the leader's reports; they are requested again in the next period. */
 const reportTimeout: Milliseconds = 250;
@@ -41,6 +42,11 @@
 export class ProbeCoordinator {
 	readonly #limitWarnings: LimitWarnings;
 	#nextLimitCheckAt: Milliseconds = 0;
+	#liveControls: readonly ControlRecord[] = [];
+	/** Connection limits of the services of which not all control instances keep a connection. */
+	#scarceLimits: ReadonlyMap<string, number> = new Map();
+	#examinedTable: RoutingTable | undefined;
+	#examinedCount = 0;
 
 	constructor(private readonly options: ProbeCoordinatorOptions) {
 		this.#limitWarnings = new LimitWarnings(options.logger);
@@ -51,28 +57,45 @@
 		this.options.linkServer.handle('primaryReports', async () => this.options.monitor.primaryReports());
 	}
 
-	/** Returns how this instance probes a backend server. */
+	/** Returns how this instance probes a backend server. Called before each probe of each server, so that it only looks at what `update` has prepared. */
 	probeMode({id, service}: BackendServer): ProbeMode {
-		const {controls, name, table, leaderName} = this.options;
+		const connectionLimit = this.#scarceLimits.get(service);
+		if (connectionLimit === undefined) {
+			return 'kept';
+		}
+
+		const {name, leaderName} = this.options;
 		return assignProbe({
-			member: id,
-			connectionLimit: table()?.services.find(other => other.name === service)?.connectionLimit,
-			controls: controls.live,
-			name,
-			leader: leaderName(),
+			member: id, connectionLimit, controls: this.#liveControls, name, leader: leaderName(),
 		});
 	}
 
-	/** Called periodically: takes over the leader's reports on members that this instance does not probe, and warns of scarce limits while it leads. */
+	/** Called periodically: finds the services with scarce connections, takes over the leader's reports on members that this instance does not probe, and warns of scarce limits while it leads. */
 	update(): void {
+		this.#findScarceLimits();
 		void this.#adoptPrimaryReports();
 		this.#warnOfScarceLimits();
 	}
 
+	#findScarceLimits(): void {
+		const {controls, table} = this.options;
+		this.#liveControls = controls.live;
+		const controlCount = Math.max(1, this.#liveControls.length);
+		const currentTable = table();
+		if (currentTable === this.#examinedTable && controlCount === this.#examinedCount) {
+			return;
+		}
+
+		this.#examinedTable = currentTable;
+		this.#examinedCount = controlCount;
+		const scarce = currentTable?.services.filter(({connectionLimit}) => divideConnections({connectionLimit, controlCount}).isScarce) ?? [];
+		this.#scarceLimits = new Map(scarce.map(({name, connectionLimit}) => [name, connectionLimit]));
+	}
+
 	async #adoptPrimaryReports(): Promise<void> {
 		const {monitor, clock, linkClient, linkAddress, leaderAddress} = this.options;
 		const address = leaderAddress();
-		if (!monitor.needsReports || address === undefined || address === linkAddress) {
+		if (this.#scarceLimits.size === 0 || !monitor.needsReports || address === undefined || address === linkAddress) {
 			return;
 		}
 
