--- a/source/registry/routing-fetcher.ts
+++ b/source/registry/routing-fetcher.ts
@@ -55,7 +55,7 @@
 	#receivedBytes = 0;
 	/** Whether the last difference led to another table than announced, so that the whole table is needed. */
 	#needsWholeTable = false;
-	/** Whole transfers of the present target whose digest did not match. */
+	/** Whole transfers in a row whose digest did not match. */
 	#mismatchCount = 0;
 	#rejected: RejectedVersion | undefined;
 	#isRunning = false;
